--- /dev/null
+++ b/internal/state/adapter/adapter.go
@@ -0,0 +1,24 @@
+// Package adapter names LoRA adapters and their versions.
+package adapter
+
+import "strings"
+
+// Ref names an adapter version. The zero Version means that none was chosen yet.
+type Ref struct {
+	Name    string
+	Version string
+}
+
+// String returns the wire form "name@version", or "name" without a version.
+func (r Ref) String() string {
+	if r.Version == "" {
+		return r.Name
+	}
+	return r.Name + "@" + r.Version
+}
+
+// Parse splits "name" or "name@version".
+func Parse(s string) Ref {
+	name, version, _ := strings.Cut(s, "@")
+	return Ref{Name: name, Version: version}
+}
