transport: serve callers and speak to engines, services and the platform

Cause: the request path needs its outer ends before decisions can be wired in. Conclusion: each outside system stands behind one interface and one package.

--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -110,7 +110,7 @@
 	Complete(ctx context.Context, r Request) (Answer, error)
 	Stream(ctx context.Context, r Request) (ChunkReader, error)
 	// Resume continues a broken stream at a position.
-	Resume(ctx context.Context, requestID string, from int) (ChunkReader, error)
+	Resume(ctx context.Context, r Request, from int) (ChunkReader, error)
 	Cancel(ctx context.Context, requestID string) error
 	Load(ctx context.Context, o Order) error
 	Evict(ctx context.Context, o Order) error
--- /dev/null
+++ b/internal/standin/memnet/memnet.go
@@ -0,0 +1,181 @@
+// Package memnet is a network in memory for tests in virtual time. It can cut addresses off, make
+// connections go silent and break them.
+package memnet
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Network holds listeners by address. It is safe for concurrent use.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]struct{}
+	cut       func(from, to string) bool
+}
+
+// New returns an empty network.
+func New() *Network {
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}}
+}
+
+// Host is the network as seen from one host.
+type Host struct {
+	net  *Network
+	name string
+}
+
+// Host returns the view of the named host.
+func (n *Network) Host(name string) *Host { return &Host{net: n, name: name} }
+
+// Cut makes traffic from one host to an address disappear while f returns true. Open connections
+// stay open and silent. A nil f heals the network.
+func (n *Network) Cut(f func(fromHost, toAddress string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = f
+}
+
+func (n *Network) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut != nil && n.cut(from, to)
+}
+
+// Kill closes all listeners and connections of a host, as the end of its process does.
+func (n *Network) Kill(host string) {
+	n.mu.Lock()
+	var closing []io.Closer
+	for address, l := range n.listeners {
+		if l.host == host {
+			delete(n.listeners, address)
+			closing = append(closing, l)
+		}
+	}
+	for c := range n.conns {
+		if c.from == host || c.toHost == host {
+			closing = append(closing, c.Conn)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range closing {
+		_ = c.Close()
+	}
+}
+
+type listener struct {
+	net     *Network
+	host    string
+	address string
+	accept  chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+type addr string
+
+func (a addr) Network() string { return "mem" }
+func (a addr) String() string  { return string(a) }
+
+// Listen opens a listener.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	if h.net.listeners[address] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "mem", Addr: addr(address), Err: syscall.EADDRINUSE}
+	}
+	l := &listener{net: h.net, host: h.name, address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	h.net.listeners[address] = l
+	return l, nil
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		defer l.net.mu.Unlock()
+		if l.net.listeners[l.address] == l {
+			delete(l.net.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return addr(l.address) }
+
+// Dial opens a connection. It blocks until the context ends when the way is cut, and is refused when
+// nobody listens.
+func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if h.net.isCut(h.name, address) {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: addr(address), Err: os.ErrDeadlineExceeded}
+	}
+	h.net.mu.Lock()
+	l := h.net.listeners[address]
+	h.net.mu.Unlock()
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: addr(address), Err: syscall.ECONNREFUSED}
+	}
+	a, b := net.Pipe()
+	client := h.net.track(&conn{Conn: a, net: h.net, from: h.name, to: address, toHost: l.host})
+	server := h.net.track(&conn{Conn: b, net: h.net, from: h.name, to: address, toHost: l.host})
+	select {
+	case l.accept <- server:
+		return client, nil
+	case <-l.closed:
+	case <-ctx.Done():
+	}
+	_ = client.Close()
+	_ = server.Close()
+	return nil, &net.OpError{Op: "dial", Net: "mem", Addr: addr(address), Err: syscall.ECONNREFUSED}
+}
+
+func (n *Network) track(c *conn) *conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[c] = struct{}{}
+	return c
+}
+
+// conn is one end of a connection. Writes on a cut way are swallowed.
+type conn struct {
+	net.Conn
+	net    *Network
+	from   string
+	to     string
+	toHost string
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	if c.net.isCut(c.from, c.to) {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) Close() error {
+	c.net.mu.Lock()
+	delete(c.net.conns, c)
+	c.net.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *conn) LocalAddr() net.Addr  { return addr(c.from) }
+func (c *conn) RemoteAddr() net.Addr { return addr(c.to) }
--- /dev/null
+++ b/internal/transport/enginehttp/enginehttp.go
@@ -0,0 +1,225 @@
+// Package enginehttp speaks to model engines over HTTP. It is the only package that knows their wire
+// form.
+package enginehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+)
+
+const (
+	// controlTimeout bounds calls that the engine answers at once.
+	controlTimeout = 2 * time.Second
+	// loadTimeout bounds an adapter load, which may wait for the weight store.
+	loadTimeout = 60 * time.Second
+	// maxAnswerBytes bounds a whole answer.
+	maxAnswerBytes = 32 << 20
+)
+
+// Engine is a client of one engine.
+type Engine struct {
+	base   string
+	client *http.Client
+}
+
+// New returns a client for the engine at base.
+func New(base string, rt http.RoundTripper) *Engine {
+	return &Engine{base: base, client: &http.Client{Transport: rt}}
+}
+
+var _ backend.Engine = (*Engine)(nil)
+
+// requestHeader builds the header of an outgoing request from nothing, so that no header of the
+// caller can pass.
+func requestHeader(r backend.Request) http.Header {
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", r.ID)
+	h.Set("X-Request-Priority", strconv.Itoa(int(r.Priority)))
+	if r.TraceParent != "" {
+		h.Set("Traceparent", r.TraceParent)
+	}
+	return h
+}
+
+// send does one request and says in the error whether it may have run: it has not run while no
+// connection was obtained.
+func (e *Engine) send(ctx context.Context, method, path string, h http.Header, body []byte) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusBadGateway, "engine_address", "the engine's address is not valid")
+	}
+	req.Header = h
+	// Without GetBody the transport cannot send the request a second time.
+	req.GetBody = nil
+	resp, err := e.client.Do(req)
+	if err == nil {
+		return resp, nil
+	}
+	v := verdict.NotRun
+	if connected.Load() {
+		v = verdict.MayHaveRun
+	}
+	return nil, verdict.Wrap(err, v, http.StatusBadGateway, "engine_unreachable", "the connection to the engine failed")
+}
+
+// CodeNotResident is the code of the error when the engine does not hold the adapter.
+const CodeNotResident = "adapter_not_resident"
+
+// refused turns an error answer into an error. The engine refuses before it runs, except for status
+// 500 and above without a code that says otherwise.
+func refused(resp *http.Response, body []byte) error {
+	var b struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	// A body that is not JSON leaves the code empty.
+	_ = json.Unmarshal(body, &b)
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, CodeNotResident, "the engine does not hold the adapter")
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "engine_busy", "the engine refused the request")
+	case resp.StatusCode < http.StatusInternalServerError:
+		return verdict.New(verdict.NotRun, resp.StatusCode, "engine_refused", "the engine refused the request: "+b.Error.Code)
+	default:
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "engine_failed", "the engine failed")
+	}
+}
+
+// Complete implements backend.Engine.
+func (e *Engine) Complete(ctx context.Context, r backend.Request) (backend.Answer, error) {
+	resp, err := e.send(ctx, http.MethodPost, r.Path, requestHeader(r), r.Body)
+	if err != nil {
+		return backend.Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return backend.Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_cut", "the engine's answer was cut off")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return backend.Answer{}, refused(resp, body)
+	}
+	var b struct {
+		Model string        `json:"model"`
+		Usage backend.Usage `json:"usage"`
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		return backend.Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_invalid", "the engine's answer is not valid")
+	}
+	return backend.Answer{Adapter: adapter.Parse(b.Model), Status: resp.StatusCode, Body: body, Usage: b.Usage}, nil
+}
+
+// Stream implements backend.Engine.
+func (e *Engine) Stream(ctx context.Context, r backend.Request) (backend.ChunkReader, error) {
+	return e.openStream(ctx, http.MethodPost, r.Path, requestHeader(r), r.Body)
+}
+
+// Resume implements backend.Engine.
+func (e *Engine) Resume(ctx context.Context, r backend.Request, from int) (backend.ChunkReader, error) {
+	path := fmt.Sprintf("/v1/requests/%s/stream?from=%d&chat=%t", r.ID, from, strings.Contains(r.Path, "chat"))
+	return e.openStream(ctx, http.MethodGet, path, http.Header{}, nil)
+}
+
+func (e *Engine) openStream(ctx context.Context, method, path string, h http.Header, body []byte) (backend.ChunkReader, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := e.send(ctx, method, path, h, body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		defer func() { _ = resp.Body.Close() }()
+		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		return nil, refused(resp, data)
+	}
+	return newReader(resp.Body, cancel), nil
+}
+
+// Cancel implements backend.Engine. Cancelling a request that has ended is no error.
+func (e *Engine) Cancel(ctx context.Context, requestID string) error {
+	return e.control(ctx, controlTimeout, http.MethodDelete, "/v1/requests/"+requestID, nil, nil)
+}
+
+type orderBody struct {
+	Name    string `json:"lora_name"`
+	Version string `json:"lora_version"`
+	Fence   uint64 `json:"fence"`
+	IfIdle  bool   `json:"if_idle,omitempty"`
+}
+
+// Load implements backend.Engine.
+func (e *Engine) Load(ctx context.Context, o backend.Order) error {
+	b := orderBody{Name: o.Adapter.Name, Version: o.Adapter.Version, Fence: o.Fence}
+	return e.control(ctx, loadTimeout, http.MethodPost, "/v1/load_lora_adapter", b, nil)
+}
+
+// Evict implements backend.Engine.
+func (e *Engine) Evict(ctx context.Context, o backend.Order) error {
+	b := orderBody{Name: o.Adapter.Name, Version: o.Adapter.Version, Fence: o.Fence, IfIdle: o.IfIdle}
+	return e.control(ctx, controlTimeout, http.MethodPost, "/v1/unload_lora_adapter", b, nil)
+}
+
+// Status implements backend.Engine.
+func (e *Engine) Status(ctx context.Context) (backend.Status, error) {
+	var s backend.Status
+	err := e.control(ctx, controlTimeout, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
+}
+
+// CacheEvents implements backend.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]backend.CacheEvent, error) {
+	var events []backend.CacheEvent
+	err := e.control(ctx, controlTimeout, http.MethodGet, fmt.Sprintf("/v1/cache_events?after=%d", after), nil, &events)
+	return events, err
+}
+
+// control does one call of the control interface.
+func (e *Engine) control(ctx context.Context, timeout time.Duration, method, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	resp, err := e.send(ctx, method, path, http.Header{"Content-Type": {"application/json"}}, data)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_cut", "the engine's answer was cut off")
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return refused(resp, data)
+	}
+	if answer == nil {
+		return nil
+	}
+	return trace.Wrap(json.Unmarshal(data, answer))
+}
--- /dev/null
+++ b/internal/transport/entry/entry.go
@@ -0,0 +1,129 @@
+// Package entry is the HTTP server that callers speak to: the OpenAI interface, plain services, health
+// and metrics. It authenticates, reads and checks requests, and answers; decisions are elsewhere.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+)
+
+// Call is one admitted completion request.
+type Call struct {
+	// RequestID is unique per request of a caller, over all instances.
+	RequestID string
+	Workspace string
+	// Adapter is the version resolved at admission; it does not change afterwards.
+	Adapter adapter.Ref
+	// BaseModel, Class and Worth come from the adapter's configuration.
+	BaseModel string
+	Class     config.Class
+	Worth     float64
+	Path      string
+	Body      []byte
+	// Tokens is the largest use: the estimated prompt and the largest output.
+	Tokens int
+	// Deadline is when the caller's time is over.
+	Deadline    time.Time
+	TraceParent string
+}
+
+// ServiceCall is one admitted call of a plain service.
+type ServiceCall struct {
+	RequestID string
+	Workspace string
+	RouteName string
+	Route     config.Route
+	// IdempotencyKey and KeyCreated are the caller's; they never reach the service.
+	IdempotencyKey string
+	KeyCreated     string
+	Request        backend.ServiceRequest
+	Deadline       time.Time
+}
+
+// Runner runs admitted requests. Its errors are of type *verdict.Error.
+type Runner interface {
+	Complete(ctx context.Context, c Call) (backend.Answer, error)
+	Stream(ctx context.Context, c Call) (backend.ChunkReader, error)
+	CallService(ctx context.Context, c ServiceCall) (backend.ServiceAnswer, error)
+}
+
+// Options are what a Server needs.
+type Options struct {
+	// Config returns the configuration in force. The document is never modified.
+	Config func() (*config.Document, config.Version)
+	Runner Runner
+	// Admit returns an error while the instance must not admit requests: without a valid
+	// freshness lease, or while it drains.
+	Admit func() error
+	// Ready returns an error while the balancer should send nothing.
+	Ready func() error
+	// Registry collects the server's metrics.
+	Registry *prometheus.Registry
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	opts    Options
+	calls   *inFlight
+	metrics *metrics
+}
+
+// New returns a server.
+func New(o Options) *Server {
+	return &Server{opts: o, calls: newInFlight(), metrics: newMetrics(o.Registry)}
+}
+
+// ConfigChanged stops the requests in flight of keys that are no longer in the configuration.
+func (s *Server) ConfigChanged() {
+	doc, _ := s.opts.Config()
+	s.calls.withdraw(func(keyID string) bool {
+		_, ok := doc.Keys[keyID]
+		return ok
+	})
+}
+
+// LeaseLost stops the requests in flight of callers with a key: without a valid lease the instance
+// cannot know whether their keys were withdrawn.
+func (s *Server) LeaseLost() {
+	s.calls.withdraw(func(string) bool { return false })
+}
+
+// InFlight returns the number of requests being served.
+func (s *Server) InFlight() int { return s.calls.len() }
+
+// Handler returns the HTTP interface for callers.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.guard("completions", s.completions))
+	mux.HandleFunc("POST /v1/completions", s.guard("completions", s.completions))
+	mux.HandleFunc("GET /v1/models", s.guard("models", s.models))
+	mux.HandleFunc("GET /v1/models/{model}", s.guard("models", s.model))
+	mux.HandleFunc("/services/{route}/{rest...}", s.guard("services", s.service))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.opts.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/", s.guard("unknown", notFound))
+	return mux
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.opts.Ready(); err != nil {
+		writeText(w, http.StatusServiceUnavailable, err.Error()+"\n")
+		return
+	}
+	writeText(w, http.StatusOK, "ready\n")
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	// A failed write means that the client has gone; there is nobody to tell.
+	_, _ = w.Write([]byte(text))
+}
--- /dev/null
+++ b/internal/transport/entry/guard.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/turmericworks/turmericworks/internal/protocol/openai"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+)
+
+// bodyTimeout is how long a caller may take to send its body.
+const bodyTimeout = 30 * time.Second
+
+// request is one request in the server, with what the guard found out.
+type request struct {
+	*http.Request
+	id     string
+	start  time.Time
+	caller caller
+	doc    *config.Document
+}
+
+// handler serves one request. An error that it returns is written as the answer, unless a stream has
+// begun.
+type handler func(w *recorder, r *request) error
+
+// recorder remembers the status, so that it can be counted and a begun answer is not written twice.
+type recorder struct {
+	http.ResponseWriter
+	status  int
+	verdict string
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(status int) {
+	if r.status == 0 {
+		r.status = status
+	}
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap serves http.ResponseController.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// guard does what every request needs: an id, authentication, registration for withdrawal, and the
+// error answer.
+func (s *Server) guard(kind string, h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, hr *http.Request) {
+		rec := &recorder{ResponseWriter: w}
+		r := &request{Request: hr, id: uuid.NewString(), start: time.Now()}
+		rec.Header().Set("X-Request-Id", r.id)
+		err := s.serve(rec, r, h)
+		if err != nil {
+			s.answerError(rec, r, err)
+		}
+		s.metrics.done(kind, rec.status, rec.verdict, r.start)
+	}
+}
+
+func (s *Server) serve(rec *recorder, r *request, h handler) error {
+	if err := s.opts.Admit(); err != nil {
+		return err
+	}
+	r.doc, _ = s.opts.Config()
+	c, err := authenticate(r.doc, r.Header)
+	if err != nil {
+		return err
+	}
+	r.caller = c
+	ctx, done := s.calls.add(r.Context(), c.keyID)
+	defer done()
+	// A key withdrawn between the look-up and the registration would be missed by ConfigChanged.
+	if now, _ := s.opts.Config(); c.keyID != "" && now != r.doc {
+		if _, ok := now.Keys[c.keyID]; !ok {
+			return errBadKey
+		}
+	}
+	r.Request = r.WithContext(ctx)
+	err = h(rec, r)
+	if err != nil && ctx.Err() != nil {
+		return s.cancelled(r, err)
+	}
+	return err
+}
+
+// cancelled returns the error of a request whose context has ended, with the verdict of what it did.
+func (s *Server) cancelled(r *request, err error) error {
+	e := verdict.Of(err)
+	if !errors.Is(context.Cause(r.Context()), errWithdrawn) {
+		return e
+	}
+	s.metrics.withdrawn.Inc()
+	out := *errWithdrawn
+	out.Verdict = e.Verdict
+	return &out
+}
+
+// answerError writes an error as the answer. When the caller has gone there is nobody to write to.
+func (s *Server) answerError(w *recorder, _ *request, err error) {
+	e := verdict.Of(err)
+	w.verdict = e.Verdict.String()
+	if w.status != 0 {
+		return
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(verdict.Header, e.Verdict.String())
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((e.RetryAfter+time.Second-1)/time.Second)))
+	}
+	if e.Status == http.StatusUnauthorized || e.Status == http.StatusServiceUnavailable || e.Status == http.StatusRequestEntityTooLarge {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(e.Status)
+	_, _ = w.Write(openai.EncodeError(e))
+}
+
+// readBody reads a bounded body within bodyTimeout.
+func readBody(w *recorder, r *request) ([]byte, error) {
+	control := http.NewResponseController(w.ResponseWriter)
+	// Connections without deadlines cannot be slowed down by their peer either.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	limited := http.MaxBytesReader(w.ResponseWriter, r.Body, openai.MaxBodyBytes)
+	body, err := io.ReadAll(limited)
+	// A deadline that stays set would end the request's context when it passes.
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	var netErr net.Error
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
+			"the body is larger than "+strconv.Itoa(openai.MaxBodyBytes)+" bytes")
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusRequestTimeout, "body_timeout", "the body did not arrive in time")
+	default:
+		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "body_unreadable", "the body could not be read")
+	}
+}
+
+func notFound(_ *recorder, _ *request) error {
+	return verdict.New(verdict.NotRun, http.StatusNotFound, "not_found", "there is no such path or method")
+}
--- /dev/null
+++ b/internal/transport/entry/services.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"net/http"
+	"path"
+
+	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+)
+
+const (
+	// IdempotencyKeyHeader carries the caller's key of a call that may not be repeated.
+	IdempotencyKeyHeader = "Idempotency-Key"
+	// KeyCreatedHeader tells when a key was made (RFC 3339), for keys that are not a UUIDv7.
+	KeyCreatedHeader = "Idempotency-Key-Created"
+)
+
+// service serves /services/{route}/...
+func (s *Server) service(w *recorder, r *request) error {
+	name := r.PathValue("route")
+	route, ok := r.doc.Routes[name]
+	if !ok || !r.caller.mayUse(route.Workspace, route.Open) {
+		if r.caller.workspace == "" {
+			return errNoKey
+		}
+		return verdict.New(verdict.NotRun, http.StatusNotFound, "route_not_found", "the route does not exist in this workspace")
+	}
+	if len(r.Header.Values(IdempotencyKeyHeader)) > 1 {
+		return verdict.New(verdict.NotRun, http.StatusBadRequest, "duplicate_idempotency_key", "the request has more than one Idempotency-Key header")
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		return err
+	}
+	answer, err := s.opts.Runner.CallService(r.Context(), ServiceCall{
+		RequestID: r.id, Workspace: route.Workspace, RouteName: name, Route: route,
+		IdempotencyKey: r.Header.Get(IdempotencyKeyHeader), KeyCreated: r.Header.Get(KeyCreatedHeader),
+		Request: backend.ServiceRequest{
+			ID: r.id, Method: r.Method, Path: path.Clean("/" + r.PathValue("rest")), Query: r.URL.RawQuery,
+			Header: r.Header, Body: body, TraceParent: r.Header.Get("Traceparent"),
+		},
+		Deadline: r.start.Add(route.Deadline()),
+	})
+	if err != nil {
+		return err
+	}
+	w.verdict = verdict.Ran.String()
+	for k, v := range answer.Header {
+		w.Header()[k] = v
+	}
+	w.Header().Set(verdict.Header, w.verdict)
+	w.WriteHeader(answer.Status)
+	// A failed write means that the caller has gone; the call ran all the same.
+	_, _ = w.Write(answer.Body)
+	return nil
+}
--- /dev/null
+++ b/internal/transport/platformhttp/platformhttp.go
@@ -0,0 +1,121 @@
+// Package platformhttp speaks to the platform's log service and instance list over HTTP. It is the
+// only package that knows their wire form.
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+)
+
+const (
+	// callTimeout bounds a call past the time that the service was asked to wait. A longer silence
+	// means a dead connection.
+	callTimeout = 2 * time.Second
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// Log is a client of the log service.
+type Log struct {
+	base   string
+	client *http.Client
+}
+
+// NewLog returns a client for the service at base, such as "http://10.0.0.1:7000".
+func NewLog(base string, rt http.RoundTripper) *Log {
+	return &Log{base: base, client: &http.Client{Transport: rt}}
+}
+
+var _ platform.Log = (*Log)(nil)
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, s platform.Stream, data []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	url := fmt.Sprintf("%s/v1/streams/%s/records", l.base, s)
+	var answer struct {
+		Offset uint64 `json:"offset"`
+	}
+	if err := call(ctx, l.client, http.MethodPost, url, data, &answer); err != nil {
+		return 0, trace.Wrap(err, "appending to stream %s", s)
+	}
+	return answer.Offset, nil
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, s platform.Stream, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	url := fmt.Sprintf("%s/v1/streams/%s/records?from=%d&max=%d&wait_ms=%d", l.base, s, from, limit, wait.Milliseconds())
+	var answer struct {
+		First   uint64 `json:"first"`
+		Next    uint64 `json:"next"`
+		Records []struct {
+			Offset    uint64 `json:"offset"`
+			UnixMilli int64  `json:"unix_ms"`
+			Data      []byte `json:"data"`
+		} `json:"records"`
+	}
+	if err := call(ctx, l.client, http.MethodGet, url, nil, &answer); err != nil {
+		return platform.Batch{}, trace.Wrap(err, "reading stream %s", s)
+	}
+	b := platform.Batch{First: answer.First, Next: answer.Next}
+	for _, r := range answer.Records {
+		b.Records = append(b.Records, platform.Record{Offset: r.Offset, Time: time.UnixMilli(r.UnixMilli), Data: r.Data})
+	}
+	return b, nil
+}
+
+// InstanceList is a client of the platform's list of instances.
+type InstanceList struct {
+	base   string
+	client *http.Client
+}
+
+// NewInstanceList returns a client for the list at base.
+func NewInstanceList(base string, rt http.RoundTripper) *InstanceList {
+	return &InstanceList{base: base, client: &http.Client{Transport: rt}}
+}
+
+var _ platform.InstanceList = (*InstanceList)(nil)
+
+// List implements platform.InstanceList.
+func (l *InstanceList) List(ctx context.Context) ([]platform.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out []platform.Instance
+	err := call(ctx, l.client, http.MethodGet, l.base+"/v1/instances", nil, &out)
+	return out, trace.Wrap(err, "reading the instance list")
+}
+
+// call does one HTTP call and decodes its JSON answer. Every failure matches platform.ErrUnavailable.
+func call(ctx context.Context, c *http.Client, method, url string, body []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, resp.StatusCode)
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/servicehttp/servicehttp.go
@@ -0,0 +1,89 @@
+// Package servicehttp speaks to plain services over HTTP. It is the only package that knows their
+// wire form.
+package servicehttp
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+)
+
+// maxAnswerBytes bounds an answer.
+const maxAnswerBytes = 8 << 20
+
+// passedHeaders are the caller's headers that a service gets. Authorization, cookies and
+// Idempotency-Key are not among them: the first two are credentials, and net/http sends a request
+// with the third a second time on its own when a connection breaks.
+var passedHeaders = []string{"Accept", "Accept-Language", "Content-Type"}
+
+// returnedHeaders are the service's headers that a caller gets.
+var returnedHeaders = []string{"Content-Type", "Content-Language", "Location", "Retry-After"}
+
+// Service is a client of one plain service.
+type Service struct {
+	base   string
+	client *http.Client
+}
+
+// New returns a client for the service at base. It follows no redirect, since a redirect would repeat
+// the call.
+func New(base string, rt http.RoundTripper) *Service {
+	return &Service{base: base, client: &http.Client{
+		Transport:     rt,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+var _ backend.Service = (*Service)(nil)
+
+// Call implements backend.Service. It sends the request at most once.
+func (s *Service) Call(ctx context.Context, r backend.ServiceRequest) (backend.ServiceAnswer, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	url := s.base + r.Path
+	if r.Query != "" {
+		url += "?" + r.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
+	if err != nil {
+		return backend.ServiceAnswer{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "bad_path", "the path is not valid")
+	}
+	req.GetBody = nil
+	req.Header = pick(r.Header, passedHeaders)
+	req.Header.Set("X-Request-Id", r.ID)
+	if r.TraceParent != "" {
+		req.Header.Set("Traceparent", r.TraceParent)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		v := verdict.NotRun
+		if connected.Load() {
+			v = verdict.MayHaveRun
+		}
+		return backend.ServiceAnswer{}, verdict.Wrap(err, v, http.StatusBadGateway, "service_unreachable", "the connection to the service failed")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		return backend.ServiceAnswer{}, verdict.New(verdict.Ran, http.StatusBadGateway, "answer_cut", "the service ran the call, but its answer was cut off")
+	}
+	return backend.ServiceAnswer{Status: resp.StatusCode, Header: pick(resp.Header, returnedHeaders), Body: body}, nil
+}
+
+func pick(h http.Header, names []string) http.Header {
+	out := http.Header{}
+	for _, name := range names {
+		if v := h.Values(name); len(v) > 0 {
+			out[http.CanonicalHeaderKey(name)] = append([]string(nil), v...)
+		}
+	}
+	return out
+}
