daemon: serve the whole path, from caller to engine and from log to instance

Cause: nothing ran end to end, so no later change could be measured on the real path. Conclusion: the path is in place with a least-loaded router, without limits, queueing or calls that may not be repeated; those follow.

--- /dev/null
+++ b/cmd/turmericd/main.go
@@ -0,0 +1,113 @@
+// Command turmericd is the entry daemon: it serves callers, and forwards their requests to backend
+// servers.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+	"github.com/turmericworks/turmericworks/internal/daemon"
+	"github.com/turmericworks/turmericworks/internal/embedded"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
+)
+
+type options struct {
+	Settings      string `long:"settings" description:"file with the settings (JSON)"`
+	Check         bool   `long:"check" description:"check the settings, print every fault and exit"`
+	PrintDefaults bool   `long:"print-defaults" description:"print the default settings and exit"`
+	Embedded      bool   `long:"embedded" description:"run stand-ins for the platform and the backend servers in this process"`
+	KeyDir        string `long:"key-dir" description:"with --embedded: directory for the files caller.key and operator.token" default:"."`
+}
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		os.Exit(exitFailed)
+	}
+}
+
+func run(o options) error {
+	switch {
+	case o.PrintDefaults:
+		return printDefaults()
+	case o.Embedded:
+		return serveEmbedded(o)
+	case o.Settings == "":
+		return trace.BadParameter("--settings or --embedded is needed")
+	}
+	data, err := os.ReadFile(o.Settings)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	s, err := daemon.ParseSettings(data)
+	if err != nil || o.Check {
+		return err
+	}
+	return serve(s, network.TCP{})
+}
+
+func printDefaults() error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return trace.Wrap(e.Encode(daemon.DefaultSettings()))
+}
+
+func serveEmbedded(o options) error {
+	e, err := embedded.Start(network.TCP{}, o.KeyDir)
+	if err != nil {
+		return err
+	}
+	defer e.Close()
+	return serve(e.Settings, network.TCP{})
+}
+
+// serve runs the daemon until the first signal, which drains, or the second, which stops at once.
+func serve(s daemon.Settings, n network.Network) error {
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	d, err := daemon.New(daemon.Options{Settings: s, Network: n, Log: log, Incarnation: uuid.NewString()})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	drain := make(chan struct{})
+	go func() {
+		<-signals
+		close(drain)
+		<-signals
+		stop()
+	}()
+	err = d.Run(ctx, drain)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,195 @@
+// Package daemon assembles one instance: it connects the decisions of the coordination layer with the
+// platform, the backend servers, the other instances and the callers, under a supervisor.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
+	"github.com/turmericworks/turmericworks/internal/transport/entry"
+	"github.com/turmericworks/turmericworks/internal/transport/fleet"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
+	"github.com/turmericworks/turmericworks/internal/transport/platformhttp"
+)
+
+// Options are what a Daemon needs besides its settings.
+type Options struct {
+	Settings Settings
+	Network  network.Network
+	Log      zerolog.Logger
+	// Incarnation identifies this run of the instance. It must never be used twice.
+	Incarnation string
+}
+
+// Daemon is one instance.
+type Daemon struct {
+	opts     Options
+	settings Settings
+	log      zerolog.Logger
+	registry *prometheus.Registry
+
+	platformLog  platform.Log
+	instanceList platform.InstanceList
+	fleet        *fleet.Registry
+	replica      *replica
+	router       *dispatch.LeastLoaded
+	runner       *runner
+	entry        *entry.Server
+
+	draining atomic.Bool
+	// refusing is set when a draining instance has been out of the balancer long enough.
+	refusing atomic.Bool
+	servers  []*http.Server
+}
+
+// New assembles an instance. Run starts it.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{
+		opts: o, settings: o.Settings, registry: prometheus.NewRegistry(),
+		log: o.Log.With().Str("instance", o.Settings.Instance).Logger(),
+	}
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	transport := network.HTTPTransport(o.Network)
+	d.platformLog = platformhttp.NewLog(d.settings.Platform.LogURL, transport)
+	d.instanceList = platformhttp.NewInstanceList(d.settings.Platform.ListURL, transport)
+	d.fleet = fleet.New(transport, d.engineReported)
+	d.replica = newReplica(d)
+	d.router = dispatch.NewLeastLoaded(d.fleet)
+	d.runner = &runner{Runner: dispatch.New(d.router, onceRetrier{}), daemon: d}
+	d.entry = entry.New(entry.Options{
+		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Registry: d.registry,
+	})
+	return d, nil
+}
+
+// errDraining refuses new work during a planned stop.
+var errDraining = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "draining",
+	"the instance is stopping; send the request again, to any instance").WithRetryAfter(time.Second)
+
+var errStarting = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "starting",
+	"the instance has no configuration yet").WithRetryAfter(time.Second)
+
+// admit returns an error while the instance must not admit requests.
+func (d *Daemon) admit() error {
+	switch {
+	case d.refusing.Load():
+		return errDraining
+	case !d.replica.ready():
+		return errStarting
+	}
+	return nil
+}
+
+// ready returns an error while the balancer should send nothing.
+func (d *Daemon) ready() error {
+	if d.draining.Load() {
+		return errDraining
+	}
+	return d.admit()
+}
+
+const (
+	// headerTimeout is how long a caller may take to send its header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a caller's connection may be unused.
+	idleTimeout = 60 * time.Second
+)
+
+// listen opens a listener and returns a service that serves it.
+func (d *Daemon) listen(address string, h http.Handler) (suture.Service, error) {
+	l, err := d.opts.Network.Listen(address)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening on %s", address)
+	}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes,
+	}
+	d.servers = append(d.servers, s)
+	return &httpService{server: s, listener: l}, nil
+}
+
+// httpService serves one listener under the supervisor.
+type httpService struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// Serve implements suture.Service. A listener that was closed on purpose is not started again.
+func (s *httpService) Serve(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- s.server.Serve(s.listener) }()
+	select {
+	case <-done:
+		return suture.ErrDoNotRestart
+	case <-ctx.Done():
+		_ = s.server.Close()
+		return ctx.Err()
+	}
+}
+
+// Run serves until the context ends, which is an unplanned stop, or until a drain has finished.
+func (d *Daemon) Run(ctx context.Context, drain <-chan struct{}) error {
+	supervisor := suture.New("instance", suture.Spec{EventHook: d.supervisorEvent})
+	callers, err := d.listen(d.settings.Listen.Callers, d.entry.Handler())
+	if err != nil {
+		return err
+	}
+	supervisor.Add(callers)
+	supervisor.Add(d.fleet)
+	d.replica.addTo(supervisor)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	done := supervisor.ServeBackground(ctx)
+	d.log.Info().Str("callers", d.settings.Listen.Callers).Str("incarnation", d.opts.Incarnation).Msg("instance started")
+	select {
+	case <-drain:
+		d.drain(ctx)
+		stop()
+	case <-ctx.Done():
+		d.log.Warn().Int("cut_requests", d.entry.InFlight()).Msg("instance stopped at once")
+	}
+	<-done
+	return nil
+}
+
+// supervisorEvent logs the restart of a failed part of the instance.
+func (d *Daemon) supervisorEvent(e suture.Event) {
+	if e.Type() == suture.EventTypeServicePanic || e.Type() == suture.EventTypeServiceTerminate {
+		d.log.Error().Str("event", e.String()).Msg("a part of the instance failed and is restarted")
+	}
+}
+
+// balancerDelay is how long an instance serves on after its readiness went off, so that the balancer
+// has noticed before new work is refused.
+const balancerDelay = 2 * time.Second
+
+// drain stops without cutting a request off.
+func (d *Daemon) drain(ctx context.Context) {
+	d.draining.Store(true)
+	d.log.Info().Int("in_flight", d.entry.InFlight()).Msg("draining")
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Limits.DrainSeconds)*time.Second)
+	defer cancel()
+	select {
+	case <-time.After(balancerDelay):
+	case <-ctx.Done():
+	}
+	d.refusing.Store(true)
+	for _, s := range d.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			d.log.Warn().Err(err).Int("cut_requests", d.entry.InFlight()).Msg("requests were cut off by the end of the drain time")
+		}
+	}
+	d.log.Info().Msg("drained")
+}
--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,218 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/rs/zerolog"
+	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/standin/engine"
+	"github.com/turmericworks/turmericworks/internal/standin/memnet"
+	"github.com/turmericworks/turmericworks/internal/standin/stack"
+	"github.com/turmericworks/turmericworks/internal/standin/weightstore"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/keys"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
+)
+
+// testFleet is several instances over stand-ins, in virtual time and in memory.
+type testFleet struct {
+	t         *testing.T
+	net       *memnet.Network
+	stack     *stack.Stack
+	doc       config.Document
+	version   config.Version
+	secret    string
+	instances []*testInstance
+	headersMu sync.Mutex
+	headers   []http.Header
+}
+
+type testInstance struct {
+	*Daemon
+	name    string
+	address string
+	drain   chan struct{}
+	stop    context.CancelFunc
+	done    chan error
+}
+
+// testSettleTime is enough for a configuration to be in force everywhere.
+const testSettleTime = 5 * time.Second
+
+// runFleet runs f over n instances inside a synctest bubble.
+func runFleet(t *testing.T, n int, change func(*stack.Options), f func(*testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, n, change)
+		defer fleet.close()
+		f(fleet)
+	})
+}
+
+func newTestFleet(t *testing.T, n int, change func(*stack.Options)) *testFleet {
+	f := &testFleet{t: t, net: memnet.New()}
+	o := stack.Options{
+		LogAddress: "log:1", ListAddress: "list:1", ServiceAddress: "service:1",
+		EngineAddresses: []string{"engine1:1", "engine2:1"},
+		Engine: engine.Options{
+			Slots: 4, MaxBatch: 8, Prefill: 50 * time.Millisecond, TokenTime: 20 * time.Millisecond, ChecksFence: true,
+		},
+		Store:           weightstore.Limits{LoadTime: 250 * time.Millisecond, MaxInFlight: 8},
+		Retention:       24 * time.Hour,
+		ListLag:         10 * time.Second,
+		ServiceDelay:    50 * time.Millisecond,
+		SeeEngineHeader: f.seeHeader,
+	}
+	for i := range n {
+		o.Instances = append(o.Instances, platform.Instance{
+			ID: instanceName(i), DataCentre: "dc1", PeerAddr: instanceName(i) + ":2", State: platform.Live,
+		})
+	}
+	if change != nil {
+		change(&o)
+	}
+	s, err := stack.Start(f.net.Host("platform"), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.stack = s
+	f.doc, f.secret = testDocument(o)
+	f.publishDocument()
+	for i := range n {
+		f.start(instanceName(i))
+	}
+	time.Sleep(testSettleTime)
+	return f
+}
+
+func (f *testFleet) seeHeader(h http.Header) {
+	f.headersMu.Lock()
+	defer f.headersMu.Unlock()
+	f.headers = append(f.headers, h)
+}
+
+func instanceName(i int) string { return fmt.Sprintf("instance%d", i+1) }
+
+// testDocument has two workspaces, adapters of each, an open adapter and two routes.
+func testDocument(o stack.Options) (config.Document, string) {
+	k, err := keys.Generate()
+	if err != nil {
+		panic(err)
+	}
+	d := config.Document{
+		Fleet: config.Fleet{WeightStore: config.WeightStore{LoadsPerSecond: 4, FullSpeed: 1, MaxInFlight: 8}},
+		Workspaces: map[string]config.Workspace{
+			"racks": {TokensPerSecond: 10_000, BurstTokens: 50_000}, "notes": {TokensPerSecond: 10_000, BurstTokens: 50_000},
+		},
+		Keys: map[string]config.Key{k.ID: {Workspace: "racks", Hash: k.Hash}},
+		Adapters: map[string]config.Adapter{
+			"summary": {Workspace: "racks", BaseModel: "base", Versions: []string{"1", "2"}, Default: "2"},
+			"foreign": {Workspace: "notes", BaseModel: "base", Versions: []string{"1"}, Default: "1"},
+			"public":  {Workspace: "notes", BaseModel: "base", Versions: []string{"1"}, Default: "1", Open: true},
+		},
+		Routes: map[string]config.Route{
+			"lots":   {Workspace: "racks", Service: "lots", NonIdempotent: true},
+			"status": {Workspace: "racks", Service: "lots"},
+		},
+		BackendServers: map[string]config.BackendServer{
+			"lots-1": {Kind: config.KindService, URL: "http://" + o.ServiceAddress, DataCentre: "dc1", Service: "lots"},
+		},
+	}
+	for i, address := range o.EngineAddresses {
+		d.BackendServers[fmt.Sprintf("engine-%d", i+1)] = config.BackendServer{
+			Kind: config.KindEngine, URL: "http://" + address, DataCentre: "dc1", BaseModel: "base", Slots: o.Engine.Slots,
+			ChecksFence: o.Engine.ChecksFence, EvictsOnlyIdle: true,
+		}
+	}
+	return d, k.Secret
+}
+
+// publishDocument appends the document as a change of the version last published here.
+func (f *testFleet) publishDocument() {
+	f.t.Helper()
+	old := config.Document{}
+	if f.version > 0 {
+		old = f.published()
+	}
+	ops, err := config.Diff(old, f.doc)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.appendChange(ops)
+}
+
+func (f *testFleet) published() config.Document { return f.instances[0].replica.view().Document() }
+
+func (f *testFleet) appendChange(ops []config.Operation) {
+	f.t.Helper()
+	env, err := config.NewChange(fmt.Sprintf("change-%d", f.version), "test", config.Change{Base: f.version, Operations: ops, Author: "test"})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	data, err := record.Encode([]record.Envelope{env})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	offset, err := f.platformLog("operator").Append(context.Background(), platform.StreamConfig, data)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.version = config.Version(offset + 1)
+}
+
+// start runs an instance.
+func (f *testFleet) start(name string) *testInstance {
+	f.t.Helper()
+	s := DefaultSettings()
+	s.Instance, s.DataCentre = name, "dc1"
+	s.Listen = Listen{Callers: name + ":1", Peers: name + ":2", Admin: name + ":3"}
+	s.PeerAddress = s.Listen.Peers
+	s.Platform = PlatformSettings{LogURL: "http://log:1", ListURL: "http://list:1", RetentionSeconds: 24 * 3600}
+	s.TLS.PlainText = true
+	ctx, stop := context.WithCancel(context.Background())
+	i := &testInstance{name: name, address: s.Listen.Callers, drain: make(chan struct{}), stop: stop, done: make(chan error, 1)}
+	var err error
+	i.Daemon, err = New(Options{
+		Settings: s, Network: f.net.Host(name), Log: zerolog.New(zerolog.NewTestWriter(f.t)).Level(zerolog.WarnLevel),
+		Incarnation: fmt.Sprintf("%s-%d", name, len(f.instances)),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go func() { i.done <- i.Run(ctx, i.drain) }()
+	f.instances = append(f.instances, i)
+	return i
+}
+
+func (f *testFleet) close() {
+	for _, i := range f.instances {
+		i.stop()
+		<-i.done
+	}
+	f.stack.Close()
+	f.net.Kill("platform")
+	synctest.Wait()
+}
+
+// httpClient returns a client on a host of its own.
+func (f *testFleet) httpClient() *http.Client {
+	transport := network.HTTPTransport(f.net.Host("caller"))
+	f.t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// openAI returns the official client, pointed at one instance.
+func (f *testFleet) openAI(i int, secret string) openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL("http://"+f.instances[i].address+"/v1/"), option.WithAPIKey(secret),
+		option.WithHTTPClient(f.httpClient()), option.WithMaxRetries(0),
+	)
+}
--- /dev/null
+++ b/internal/daemon/replica.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/tail"
+)
+
+// replica holds the folds of the log's streams. Lock order: mu is taken before any lock of the
+// packages that it calls.
+type replica struct {
+	daemon *Daemon
+
+	mu      sync.Mutex
+	fold    *config.Fold
+	results map[string]config.Result
+	waiting map[string]chan struct{}
+
+	current    atomic.Pointer[config.View]
+	folded     atomic.Bool
+	configTail *tail.Tail
+}
+
+func newReplica(d *Daemon) *replica {
+	r := &replica{
+		daemon: d, fold: config.NewFold(), results: map[string]config.Result{}, waiting: map[string]chan struct{}{},
+	}
+	r.current.Store(r.fold.View())
+	r.configTail = tail.New(d.platformLog, platform.StreamConfig, 0, tail.Events{
+		Records: r.configRecords, Gap: r.configGap, AtTail: r.configAtTail, Unavailable: r.unavailable,
+	})
+	return r
+}
+
+// addTo starts the tails under a supervisor.
+func (r *replica) addTo(s *suture.Supervisor) { s.Add(r.configTail) }
+
+// view returns the configuration in force.
+func (r *replica) view() *config.View { return r.current.Load() }
+
+// ready reports whether the configuration was read up to the tail once.
+func (r *replica) ready() bool { return r.folded.Load() }
+
+func (r *replica) configGap(first uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fold.Skip(first)
+}
+
+func (r *replica) configRecords(entries []record.Entry, next uint64) {
+	r.mu.Lock()
+	before := r.fold.View()
+	for _, e := range entries {
+		r.settle(r.fold.Apply(e))
+	}
+	r.fold.Advance(next)
+	after := r.fold.View()
+	r.mu.Unlock()
+	if after != before {
+		r.publish(after)
+	}
+}
+
+// publish puts a new configuration in force.
+func (r *replica) publish(v *config.View) {
+	r.current.Store(v)
+	r.daemon.configChanged(v)
+}
+
+// settle wakes whoever waits for the result of a change. The caller holds the lock.
+func (r *replica) settle(res config.Result) {
+	for _, replayed := range res.Replayed {
+		r.settle(replayed)
+	}
+	done := r.waiting[res.Change.ID]
+	if done == nil || res.Outcome == config.Buffered {
+		return
+	}
+	r.results[res.Change.ID] = res
+	close(done)
+	delete(r.waiting, res.Change.ID)
+}
+
+func (r *replica) configAtTail(_ time.Time, _ uint64) {
+	r.mu.Lock()
+	ready := r.fold.Ready()
+	r.mu.Unlock()
+	if ready {
+		r.folded.Store(true)
+	}
+}
+
+func (r *replica) unavailable(err error) {
+	r.daemon.log.Debug().Err(err).Msg("reading the log failed")
+}
--- /dev/null
+++ b/internal/daemon/settings.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	_ "embed"
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+)
+
+// Settings are the settings of one instance, written in JSON.
+type Settings struct {
+	// Instance is the name of the instance in the platform's list. It must be unique. No default.
+	Instance string `json:"instance"`
+	// DataCentre is the data centre that the instance runs in. No default.
+	DataCentre string `json:"data_centre"`
+	// Listen holds the addresses to listen on, as IP:port.
+	Listen Listen `json:"listen"`
+	// PeerAddress is where other instances reach this one; set it when it differs from
+	// listen.peers. Default: listen.peers.
+	PeerAddress string `json:"peer_address,omitempty"`
+	// Platform says where the platform's services are.
+	Platform PlatformSettings `json:"platform"`
+	// TLS holds certificates. Leave a part out only on loopback or with plain_text.
+	TLS TLSSettings `json:"tls,omitzero"`
+	// Operators are the credentials of the operators' API.
+	Operators []Operator `json:"operators,omitempty"`
+	// Limits bound what callers can take up.
+	Limits Limits `json:"limits,omitzero"`
+	// LogLevel is one of debug, info, warn, error. Default: info.
+	LogLevel string `json:"log_level,omitempty"`
+}
+
+// Listen holds listen addresses.
+type Listen struct {
+	// Callers is the address for callers. Default: 127.0.0.1:8080.
+	Callers string `json:"callers"`
+	// Admin is the address for operators and the time line. Default: 127.0.0.1:8081.
+	Admin string `json:"admin"`
+	// Peers is the address for other instances. Default: 127.0.0.1:8082.
+	Peers string `json:"peers"`
+}
+
+// PlatformSettings say where the platform's services are.
+type PlatformSettings struct {
+	// LogURL is the base URL of the log service. No default.
+	LogURL string `json:"log_url"`
+	// ListURL is the base URL of the instance list. No default.
+	ListURL string `json:"list_url"`
+	// RetentionSeconds is how long the log keeps records. Keep it equal to the platform's setting:
+	// snapshots and idempotency keys depend on it. Default: 604800 (7 days). Unit: seconds.
+	RetentionSeconds int `json:"retention_seconds,omitempty"`
+}
+
+// Retention returns how long the log keeps records.
+func (p PlatformSettings) Retention() time.Duration {
+	return time.Duration(p.RetentionSeconds) * time.Second
+}
+
+// TLSSettings hold the certificates, which are read again when the files change.
+type TLSSettings struct {
+	// Callers is the certificate shown to callers.
+	Callers KeyPair `json:"callers,omitzero"`
+	// Admin is the certificate shown to operators.
+	Admin KeyPair `json:"admin,omitzero"`
+	// Peers is the certificate shown to other instances and checked by them.
+	Peers KeyPair `json:"peers,omitzero"`
+	// PeerCAFile holds the authorities whose certificates other instances must show (PEM).
+	PeerCAFile string `json:"peer_ca_file,omitempty"`
+	// BackendCAFile holds the authorities of backend servers and the platform (PEM). Default: the
+	// system's.
+	BackendCAFile string `json:"backend_ca_file,omitempty"`
+	// PlainText permits listeners without TLS on addresses other than loopback. Default: false.
+	PlainText bool `json:"plain_text,omitempty"`
+}
+
+// KeyPair names a certificate and its key, both PEM files.
+type KeyPair struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+}
+
+// Operator is a credential of the operators' API.
+type Operator struct {
+	// Name appears in the log and in the configuration's history.
+	Name string `json:"name"`
+	// Hash is the SHA-256 of the token, in hexadecimal.
+	Hash string `json:"hash"`
+	// Roles are read, keys and publish. Give each operator only those needed.
+	Roles []string `json:"roles"`
+}
+
+// Limits bound what callers can take up.
+type Limits struct {
+	// MaxConnections is the largest number of open caller connections. Default: 4096.
+	MaxConnections int `json:"max_connections,omitempty"`
+	// MaxHeaderBytes is the largest request header. Default: 32768. Unit: bytes.
+	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
+	// QueuedRequests is the largest number of requests that wait for an engine. Default: 10000.
+	QueuedRequests int `json:"queued_requests,omitempty"`
+	// DrainSeconds is how long a planned stop waits for requests in flight. Default: 330, the
+	// longest request and a margin. Unit: seconds.
+	DrainSeconds int `json:"drain_seconds,omitempty"`
+}
+
+//go:embed settings_schema.json
+var settingsSchema []byte
+
+// DefaultSettings returns the settings with every default filled in.
+func DefaultSettings() Settings {
+	return Settings{
+		Instance:   "instance-1",
+		DataCentre: "local",
+		Listen:     Listen{Callers: "127.0.0.1:8080", Admin: "127.0.0.1:8081", Peers: "127.0.0.1:8082"},
+		Platform: PlatformSettings{
+			LogURL: "http://127.0.0.1:8090", ListURL: "http://127.0.0.1:8091", RetentionSeconds: 7 * 24 * 3600,
+		},
+		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, QueuedRequests: 10_000, DrainSeconds: 330},
+		LogLevel: "info",
+	}
+}
+
+// ParseSettings decodes and checks settings and fills in the defaults. Unknown fields are refused; the
+// error is of type config.Problems and lists every fault with its JSON path.
+func ParseSettings(data []byte) (Settings, error) {
+	s := DefaultSettings()
+	if err := config.CheckSchema(data, settingsSchema); err != nil {
+		return s, err
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return s, trace.BadParameter("decoding the settings: %v", err)
+	}
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.Listen.Peers
+	}
+	return s, s.check()
+}
+
+// check finds faults that concern several fields.
+func (s Settings) check() error {
+	var p config.Problems
+	listeners := []struct {
+		path, address string
+		pair          KeyPair
+	}{
+		{"/listen/callers", s.Listen.Callers, s.TLS.Callers},
+		{"/listen/admin", s.Listen.Admin, s.TLS.Admin},
+		{"/listen/peers", s.Listen.Peers, s.TLS.Peers},
+	}
+	for _, l := range listeners {
+		if l.pair == (KeyPair{}) && !s.TLS.PlainText && !isLoopback(l.address) {
+			p = append(p, config.Problem{Path: l.path, Message: "needs a certificate under /tls, or /tls/plain_text, since it is not a loopback address"})
+		}
+	}
+	if s.TLS.Peers != (KeyPair{}) && s.TLS.PeerCAFile == "" {
+		p = append(p, config.Problem{Path: "/tls/peer_ca_file", Message: "is missing: instances check each other's certificates"})
+	}
+	if len(p) > 0 {
+		return p
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/stack/stack.go
@@ -0,0 +1,104 @@
+// Package stack runs stand-ins for everything that an instance needs around it: log service, instance
+// list, weight store, engines and a plain service.
+package stack
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/standin/engine"
+	"github.com/turmericworks/turmericworks/internal/standin/instancelist"
+	"github.com/turmericworks/turmericworks/internal/standin/logservice"
+	"github.com/turmericworks/turmericworks/internal/standin/service"
+	"github.com/turmericworks/turmericworks/internal/standin/weightstore"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
+)
+
+// Options are the addresses and properties of a stack.
+type Options struct {
+	// LogAddress, ListAddress and ServiceAddress are listen addresses.
+	LogAddress     string
+	ListAddress    string
+	ServiceAddress string
+	// EngineAddresses are the listen addresses of the engines.
+	EngineAddresses []string
+	// Engine describes each engine.
+	Engine engine.Options
+	// Store is the weight store's limits.
+	Store weightstore.Limits
+	// Retention is how long the log keeps records.
+	Retention time.Duration
+	// ListLag is how late the list is.
+	ListLag time.Duration
+	// ServiceDelay is how long the plain service takes for a call.
+	ServiceDelay time.Duration
+	// Instances is the first content of the list.
+	Instances []platform.Instance
+	// SeeEngineHeader is called with the header of each request to an engine; it may be nil.
+	SeeEngineHeader func(http.Header)
+}
+
+// Stack is a running set of stand-ins.
+type Stack struct {
+	Log     *logservice.Service
+	List    *instancelist.List
+	Store   *weightstore.Store
+	Engines []*engine.Engine
+	Service *service.Service
+
+	servers []*http.Server
+}
+
+// Start opens all listeners and serves them until Close.
+func Start(n network.Network, o Options) (*Stack, error) {
+	s := &Stack{
+		Log: logservice.New(o.Retention), List: instancelist.New(o.ListLag), Store: weightstore.New(o.Store),
+		Service: service.New(o.ServiceDelay),
+	}
+	s.List.Set(o.Instances)
+	o.Engine.Store = s.Store
+	handlers := map[string]http.Handler{
+		o.LogAddress: s.Log.Handler(), o.ListAddress: s.List.Handler(), o.ServiceAddress: s.Service.Handler(),
+	}
+	for _, address := range o.EngineAddresses {
+		e := engine.New(o.Engine)
+		s.Engines = append(s.Engines, e)
+		handlers[address] = e.Handler(o.SeeEngineHeader)
+	}
+	for address, h := range handlers {
+		if address == "" {
+			continue
+		}
+		if err := s.serve(n, address, h); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Stack) serve(n network.Network, address string, h http.Handler) error {
+	l, err := n.Listen(address)
+	if err != nil {
+		return trace.Wrap(err, "listening on %s", address)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, server)
+	go func() {
+		// Serve returns when the server is closed.
+		_ = server.Serve(l)
+	}()
+	return nil
+}
+
+// Close stops all stand-ins at once.
+func (s *Stack) Close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	for _, e := range s.Engines {
+		e.Crash()
+	}
+}
--- /dev/null
+++ b/internal/state/config/shape.go
@@ -0,0 +1,26 @@
+package config
+
+import (
+	"bytes"
+
+	"github.com/gravitational/trace"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// CheckSchema checks JSON against a schema and refuses unknown and repeated fields. The error is of
+// type Problems when the data is JSON.
+func CheckSchema(data, schema []byte) error {
+	parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("schema.json", parsed); err != nil {
+		return trace.Wrap(err)
+	}
+	compiled, err := c.Compile("schema.json")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return checkShape(data, compiled)
+}
--- a/internal/transport/entry/auth.go
+++ b/internal/transport/entry/auth.go
@@ -1,11 +1,11 @@
 package entry
 
 import (
+	"bytes"
 	"net/http"
 	"strings"
 
 	"github.com/turmericworks/turmericworks/internal/state/config"
-	"github.com/turmericworks/turmericworks/internal/state/keys"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 )
 
@@ -14,13 +14,15 @@
 	// keyID and workspace are empty for a caller without a key.
 	keyID     string
 	workspace string
+	// secret is kept to refuse requests that carry it anywhere else than in Authorization.
+	secret string
 }
 
 const bearer = "Bearer "
 
 // authenticate finds the caller by the bearer key. A request without a key is an anonymous caller; a
 // request with a wrong key is refused even on open routes, so that a withdrawn key is noticed.
-func authenticate(doc *config.Document, h http.Header) (caller, error) {
+func authenticate(view *config.View, h http.Header) (caller, error) {
 	values := h.Values("Authorization")
 	if len(values) == 0 {
 		return caller{}, nil
@@ -33,15 +35,11 @@
 	if !ok {
 		return caller{}, errBadKey
 	}
-	id, ok := keys.ID(secret)
+	id, stored, ok := view.Authenticate(secret)
 	if !ok {
 		return caller{}, errBadKey
 	}
-	stored, ok := doc.Keys[id]
-	if !keys.Match(secret, stored.Hash) || !ok {
-		return caller{}, errBadKey
-	}
-	return caller{keyID: id, workspace: stored.Workspace}, nil
+	return caller{keyID: id, workspace: stored.Workspace, secret: secret}, nil
 }
 
 var errBadKey = verdict.New(verdict.NotRun, http.StatusUnauthorized, "invalid_api_key",
@@ -54,3 +52,33 @@
 func (c caller) mayUse(workspace string, open bool) bool {
 	return open || (c.workspace != "" && c.workspace == workspace)
 }
+
+// errKeyInRequest refuses a request that would carry the caller's key to a backend server.
+var errKeyInRequest = verdict.New(verdict.NotRun, http.StatusBadRequest, "key_in_request",
+	"the request holds the key outside the Authorization header")
+
+// leaksIn reports whether a body holds the caller's key.
+func (c caller) leaksIn(body []byte) bool {
+	return c.secret != "" && bytes.Contains(body, []byte(c.secret))
+}
+
+// leaksInHeader reports whether the address or a header other than Authorization holds the caller's key.
+func (c caller) leaksInHeader(r *http.Request) bool {
+	if c.secret == "" {
+		return false
+	}
+	if strings.Contains(r.URL.Path, c.secret) || strings.Contains(r.URL.RawQuery, c.secret) {
+		return true
+	}
+	for name, values := range r.Header {
+		if name == "Authorization" {
+			continue
+		}
+		for _, v := range values {
+			if strings.Contains(v, c.secret) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -52,7 +52,7 @@
 
 // admit resolves the adapter version, checks that the caller may use it and builds the call.
 func admit(r *request, parsed openai.Request, body []byte) (Call, error) {
-	ref, a, ok := r.doc.Resolve(parsed.Model)
+	ref, a, ok := r.view.Resolve(parsed.Model)
 	if !ok || !r.caller.mayUse(a.Workspace, a.Open) {
 		if r.caller.workspace == "" {
 			return Call{}, errNoKey
@@ -148,7 +148,7 @@
 // models lists the adapters that the caller may use, with each version by its full name.
 func (s *Server) models(w *recorder, r *request) error {
 	list := openai.ModelList{Object: "list", Data: []openai.Model{}}
-	for name, a := range r.doc.Adapters {
+	for name, a := range r.view.Adapters() {
 		if r.caller.mayUse(a.Workspace, a.Open) {
 			list.Data = append(list.Data, modelOf(name, a))
 			for _, v := range a.Versions {
@@ -162,14 +162,14 @@
 
 func (s *Server) model(w *recorder, r *request) error {
 	name := r.PathValue("model")
-	_, a, ok := r.doc.Resolve(name)
+	_, a, ok := r.view.Resolve(name)
 	if !ok || !r.caller.mayUse(a.Workspace, a.Open) {
 		return verdict.New(verdict.NotRun, http.StatusNotFound, "model_not_found", "the adapter or its version does not exist in this workspace")
 	}
 	return writeJSON(w, modelOf(name, a))
 }
 
-func modelOf(id string, a config.Adapter) openai.Model {
+func modelOf(id string, a *config.Adapter) openai.Model {
 	return openai.Model{ID: id, Object: "model", OwnedBy: a.Workspace}
 }
 
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -56,8 +56,8 @@
 
 // Options are what a Server needs.
 type Options struct {
-	// Config returns the configuration in force. The document is never modified.
-	Config func() (*config.Document, config.Version)
+	// Config returns the configuration in force.
+	Config func() *config.View
 	Runner Runner
 	// Admit returns an error while the instance must not admit requests: without a valid
 	// freshness lease, or while it drains.
@@ -82,9 +82,9 @@
 
 // ConfigChanged stops the requests in flight of keys that are no longer in the configuration.
 func (s *Server) ConfigChanged() {
-	doc, _ := s.opts.Config()
+	view := s.opts.Config()
 	s.calls.withdraw(func(keyID string) bool {
-		_, ok := doc.Keys[keyID]
+		_, ok := view.Key(keyID)
 		return ok
 	})
 }
--- a/internal/transport/entry/guard.go
+++ b/internal/transport/entry/guard.go
@@ -24,7 +24,7 @@
 	id     string
 	start  time.Time
 	caller caller
-	doc    *config.Document
+	view   *config.View
 }
 
 // handler serves one request. An error that it returns is written as the answer, unless a stream has
@@ -68,8 +68,8 @@
 	if err := s.opts.Admit(); err != nil {
 		return err
 	}
-	r.doc, _ = s.opts.Config()
-	c, err := authenticate(r.doc, r.Header)
+	r.view = s.opts.Config()
+	c, err := authenticate(r.view, r.Header)
 	if err != nil {
 		return err
 	}
@@ -77,10 +77,11 @@
 	ctx, done := s.calls.add(r.Context(), c.keyID)
 	defer done()
 	// A key withdrawn between the look-up and the registration would be missed by ConfigChanged.
-	if now, _ := s.opts.Config(); c.keyID != "" && now != r.doc {
-		if _, ok := now.Keys[c.keyID]; !ok {
-			return errBadKey
-		}
+	if _, ok := s.opts.Config().Key(c.keyID); c.keyID != "" && !ok {
+		return errBadKey
+	}
+	if c.leaksInHeader(r.Request) {
+		return errKeyInRequest
 	}
 	r.Request = r.WithContext(ctx)
 	err = h(rec, r)
@@ -134,6 +135,8 @@
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
+	case err == nil && r.caller.leaksIn(body):
+		return nil, errKeyInRequest
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -18,7 +18,7 @@
 // service serves /services/{route}/...
 func (s *Server) service(w *recorder, r *request) error {
 	name := r.PathValue("route")
-	route, ok := r.doc.Routes[name]
+	route, ok := r.view.Route(name)
 	if !ok || !r.caller.mayUse(route.Workspace, route.Open) {
 		if r.caller.workspace == "" {
 			return errNoKey
@@ -33,7 +33,7 @@
 		return err
 	}
 	answer, err := s.opts.Runner.CallService(r.Context(), ServiceCall{
-		RequestID: r.id, Workspace: route.Workspace, RouteName: name, Route: route,
+		RequestID: r.id, Workspace: route.Workspace, RouteName: name, Route: *route,
 		IdempotencyKey: r.Header.Get(IdempotencyKeyHeader), KeyCreated: r.Header.Get(KeyCreatedHeader),
 		Request: backend.ServiceRequest{
 			ID: r.id, Method: r.Method, Path: path.Clean("/" + r.PathValue("rest")), Query: r.URL.RawQuery,
