--- /dev/null
+++ b/internal/state/config/bench_test.go
@@ -0,0 +1,99 @@
+package config
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/turmericworks/turmericworks/internal/state/record"
+)
+
+var sizes = []int{3000, 30000, 93000}
+
+// Guards against a change whose cost grows with the number of adapters.
+func BenchmarkFoldChange(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := foldOf(n)
+			entries := make([]record.Entry, b.N)
+			for i := range entries {
+				op, _ := NewPut(KindAdapter, fmt.Sprintf("drying-note-%05d", i*7919%n), Adapter{Workspace: "crew-1",
+					BaseModel: "kelp-base-8b", Versions: []string{"v1", "v2", "v3"}, Default: "v3"})
+				e, _ := NewChange(fmt.Sprint("change-", i), "i", Change{Base: Version(i + 1), Operations: []Operation{op}})
+				entries[i] = record.Entry{Offset: uint64(i + 1), UnixMilli: 2, Envelope: e}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for _, e := range entries {
+				if f.Apply(e).Outcome != Accepted {
+					b.Fatal("refused")
+				}
+				f.Advance(e.Offset + 1)
+			}
+		})
+	}
+}
+
+// Guards against a look-up whose cost grows with the number of adapters.
+func BenchmarkResolve(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := foldOf(n).View()
+			names := make([]string, 1024)
+			for i := range names {
+				names[i] = fmt.Sprintf("drying-note-%05d", i*7919%n)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, _, ok := v.Resolve(names[i%len(names)]); !ok {
+					b.Fatal("unknown adapter")
+				}
+			}
+		})
+	}
+}
+
+// Guards against snapshots and views that outgrow 64 MB of control memory per node at 93,000 adapters.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			f := foldOf(n)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			bytes := 0
+			for b.Loop() {
+				bytes = 0
+				records, err := f.Snapshot("s", "i")
+				if err != nil {
+					b.Fatal(err)
+				}
+				for _, e := range records {
+					bytes += len(e.Body)
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "view-B/adapter")
+			b.ReportMetric(float64(bytes)/float64(n), "snapshot-B/adapter")
+		})
+	}
+}
+
+// Guards against a check of a whole document that takes longer than an operator waits.
+func BenchmarkCheckDocument(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := foldOf(n).View().Document()
+			d.Workspaces = map[string]Workspace{}
+			for i := range 5 {
+				d.Workspaces[fmt.Sprint("crew-", i)] = Workspace{TokensPerSecond: 1, BurstTokens: 1}
+			}
+			for b.Loop() {
+				if err := CheckDocument(d); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/state/config/check.go
@@ -0,0 +1,552 @@
+package config
+
+import (
+	"bytes"
+	_ "embed" // holds the schema
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/gravitational/trace"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	schemakind "github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+const schemaName = "config.json"
+
+// maxProblems bounds a report, so that a document of the wrong type does not print 93,000 lines.
+const maxProblems = 1000
+
+// Problem is one fault of a document or of a list of operations.
+type Problem struct {
+	// Path is the JSON pointer (RFC 6901) of the faulty value.
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// Problems is the error that lists all faults found, ordered by path.
+type Problems []Problem
+
+// Error implements error with one line per fault.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, f := range p {
+		lines[i] = f.Path + ": " + f.Message
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ProblemsOf returns the faults in err's chain, or nil.
+func ProblemsOf(err error) Problems {
+	var p Problems
+	if errors.As(err, &p) {
+		return p
+	}
+	return nil
+}
+
+// ParseDocument decodes and checks a document. Unknown and repeated fields are refused. The error
+// is of type Problems when the data is JSON.
+func ParseDocument(data []byte) (Document, error) {
+	var d Document
+	err := checkShape(data, documentSchema())
+	shape := ProblemsOf(err)
+	if err != nil && shape == nil {
+		return d, err
+	}
+	// After a type error the rest of the document is decoded, so its references can be checked.
+	if err := json.Unmarshal(data, &d); err != nil && shape == nil {
+		return d, Problems{{Message: err.Error()}}
+	}
+	return d, checkReferences(d, shape)
+}
+
+// CheckDocument checks a document's values and cross references. The error is of type Problems.
+func CheckDocument(d Document) error {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return trace.BadParameter("encoding the document: %v", err)
+	}
+	err = checkShape(data, documentSchema())
+	shape := ProblemsOf(err)
+	if err != nil && shape == nil {
+		return err
+	}
+	return checkReferences(d, shape)
+}
+
+// checkReferences adds the faults of ids and cross references to those of the shape.
+func checkReferences(d Document, shape Problems) error {
+	c := checker{view: ViewOf(0, d)}
+	c.fleet("/fleet")
+	checkAll(&c, "workspaces", KindWorkspace, d.Workspaces)
+	checkAll(&c, "keys", KindKey, d.Keys)
+	checkAll(&c, "adapters", KindAdapter, d.Adapters)
+	checkAll(&c, "routes", KindRoute, d.Routes)
+	checkAll(&c, "backend_servers", KindBackendServer, d.BackendServers)
+	// A value of the wrong form is reported once, not again for what its absence causes.
+	known := map[string]bool{}
+	for _, p := range shape {
+		known[p.Path] = true
+	}
+	for _, p := range c.problems {
+		if !known[p.Path] {
+			shape = append(shape, p)
+		}
+	}
+	return listed(shape)
+}
+
+func checkAll[T any](c *checker, field string, kind Kind, objects map[string]T) {
+	for id := range objects {
+		path := pointer(field, id)
+		c.id(path, kind, id)
+		c.object(path, kind, id)
+	}
+}
+
+// ParseOperations decodes a list of operations and checks its shape, but not its references. The
+// error is of type Problems when the data is JSON.
+func ParseOperations(data []byte) ([]Operation, error) {
+	if err := checkShape(data, operationsSchema()); err != nil {
+		return nil, err
+	}
+	var ops []Operation
+	if err := json.Unmarshal(data, &ops); err != nil {
+		return nil, Problems{{Message: err.Error()}}
+	}
+	return ops, nil
+}
+
+// CheckOperations checks that operations are well formed and lead from v to a configuration that is
+// valid if v is. The error is of type Problems, with paths that start at the list's element.
+func (v *View) CheckOperations(ops []Operation) error {
+	c := checker{view: v.edit()}
+	before := v
+	for i, o := range ops {
+		path := pointer(strconv.Itoa(i))
+		if !c.shape(path, o) {
+			continue
+		}
+		if err := c.view.apply(o); err != nil {
+			c.add(path, "%s", trace.UserMessage(err))
+		}
+	}
+	if len(c.problems) > 0 {
+		return c.result()
+	}
+	for i, o := range ops {
+		path := pointer(strconv.Itoa(i))
+		if o.Op == OpDelete {
+			c.deletion(path, o)
+		} else {
+			c.object(path+"/value", o.Kind, o.ID)
+		}
+		if o.Kind == KindBackendServer {
+			c.lostService(path, before, o.ID)
+		}
+	}
+	return c.result()
+}
+
+// checker collects the faults of the objects in view.
+type checker struct {
+	view     *View
+	services map[string]bool
+	problems Problems
+}
+
+func (c *checker) add(path, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) result() error { return listed(c.problems) }
+
+// listed returns the faults in a fixed order, or nil.
+func listed(p Problems) error {
+	if len(p) == 0 {
+		return nil
+	}
+	slices.SortFunc(p, func(a, b Problem) int {
+		return strings.Compare(a.Path+"\x00"+a.Message, b.Path+"\x00"+b.Message)
+	})
+	p = slices.Compact(p)
+	if len(p) > maxProblems {
+		dropped := len(p) - maxProblems
+		p = append(p[:maxProblems], Problem{Message: fmt.Sprintf("and %d more", dropped)})
+	}
+	return p
+}
+
+// shape checks one operation against the schema of its kind and reports whether it is well formed.
+func (c *checker) shape(path string, o Operation) bool {
+	found := len(c.problems)
+	if o.Op != OpPut && o.Op != OpDelete {
+		c.add(path+"/op", "must be put or delete")
+	}
+	schema, known := objectSchemas()[o.Kind]
+	if !known {
+		c.add(path+"/kind", "is not a kind of object")
+		return false
+	}
+	c.id(path+"/id", o.Kind, o.ID)
+	switch {
+	case o.Op == OpDelete && len(o.Value) > 0:
+		c.add(path+"/value", "must be absent from a deletion")
+	case o.Op == OpPut && len(o.Value) == 0:
+		c.add(path+"/value", "is missing")
+	case o.Op == OpPut:
+		err := checkShape(o.Value, schema.value)
+		for _, p := range ProblemsOf(err) {
+			c.add(path+"/value"+p.Path, "%s", p.Message)
+		}
+		if err != nil && ProblemsOf(err) == nil {
+			c.add(path+"/value", "%s", trace.UserMessage(err))
+		}
+	}
+	return len(c.problems) == found
+}
+
+// id checks an object's id. The schema's propertyNames is not used for documents, because version 6.0.3
+// of the library reports a wrong place for it.
+func (c *checker) id(path string, kind Kind, id string) {
+	if err := objectSchemas()[kind].id.Validate(id); err != nil {
+		c.add(path, "is not a well-formed id of a %s", kind)
+	}
+}
+
+// object checks an object of the view against the others.
+func (c *checker) object(path string, kind Kind, id string) {
+	switch kind {
+	case KindFleet:
+		c.fleet(path)
+	case KindWorkspace:
+		c.workspace(path, id)
+	case KindKey:
+		c.key(path, id)
+	case KindAdapter:
+		c.adapter(path, id)
+	case KindRoute:
+		c.route(path, id)
+	case KindBackendServer:
+		c.server(path, id)
+	}
+}
+
+func (c *checker) fleet(path string) {
+	w := c.view.fleet.WeightStore
+	if w.MaxInFlight < w.FullSpeed {
+		c.add(path+"/weight_store/max_in_flight", "is less than full_speed")
+	}
+	for _, s := range c.view.servers.all() {
+		if s.Kind != KindEngine {
+			continue
+		}
+		if w.LoadsPerSecond <= 0 {
+			c.add(path+"/weight_store/loads_per_second", "must be positive when there are engines")
+		}
+		if w.FullSpeed < 1 {
+			c.add(path+"/weight_store/full_speed", "must be positive when there are engines")
+		}
+		return
+	}
+}
+
+func (c *checker) workspace(path, id string) {
+	w, ok := c.view.Workspace(id)
+	if !ok {
+		return
+	}
+	if w.BurstTokens < 1 {
+		c.add(path+"/burst_tokens", "must be at least one token")
+	}
+}
+
+func (c *checker) owner(path, workspace string) {
+	if _, ok := c.view.Workspace(workspace); !ok {
+		c.add(path+"/workspace", "workspace %q does not exist", workspace)
+	}
+}
+
+func (c *checker) key(path, id string) {
+	if k, ok := c.view.Key(id); ok {
+		c.owner(path, k.Workspace)
+	}
+}
+
+func (c *checker) adapter(path, id string) {
+	a, ok := c.view.Adapter(id)
+	if !ok {
+		return
+	}
+	c.owner(path, a.Workspace)
+	if !slices.Contains(a.Versions, a.Default) {
+		c.add(path+"/default", "version %q is not among the versions", a.Default)
+	}
+}
+
+func (c *checker) route(path, id string) {
+	r, ok := c.view.Route(id)
+	if !ok {
+		return
+	}
+	c.owner(path, r.Workspace)
+	if !c.hasService(r.Service) {
+		c.add(path+"/service", "no backend server offers the service %q", r.Service)
+	}
+}
+
+func (c *checker) hasService(name string) bool {
+	if c.services == nil {
+		c.services = map[string]bool{}
+		for _, s := range c.view.servers.all() {
+			if s.Kind == KindService {
+				c.services[s.Service] = true
+			}
+		}
+	}
+	return c.services[name]
+}
+
+func (c *checker) server(path, id string) {
+	s, ok := c.view.BackendServer(id)
+	if !ok {
+		return
+	}
+	if s.Kind == KindEngine {
+		if s.Slots < 1 {
+			c.add(path+"/slots", "an engine needs at least one slot")
+		}
+		if s.BaseModel == "" {
+			c.add(path+"/base_model", "an engine needs a base model")
+		}
+		if s.Service != "" {
+			c.add(path+"/service", "an engine offers no service")
+		}
+		return
+	}
+	if s.Service == "" {
+		c.add(path+"/service", "a plain service needs a service name")
+	}
+	if s.BaseModel != "" {
+		c.add(path+"/base_model", "a plain service has no base model")
+	}
+	if s.Slots != 0 {
+		c.add(path+"/slots", "a plain service has no slots")
+	}
+	if s.ChecksFence || s.EvictsOnlyIdle {
+		c.add(path, "checks_fence and evicts_only_idle apply to engines only")
+	}
+}
+
+// deletion checks that nothing left refers to a deleted workspace.
+func (c *checker) deletion(path string, o Operation) {
+	if _, again := c.view.Workspace(o.ID); o.Kind != KindWorkspace || again {
+		return
+	}
+	for name := range c.view.AdaptersOf(o.ID) {
+		c.add(path, "workspace %q still owns the adapter %q", o.ID, name)
+		break
+	}
+	for id, k := range c.view.keys.all() {
+		if k.Workspace == o.ID {
+			c.add(path, "workspace %q still owns the key %q", o.ID, id)
+			break
+		}
+	}
+	for id := range c.view.RoutesOf(o.ID) {
+		c.add(path, "workspace %q still owns the route %q", o.ID, id)
+		break
+	}
+}
+
+// lostService checks that the service which a server offered before is still offered if a route
+// needs it.
+func (c *checker) lostService(path string, before *View, id string) {
+	s, ok := before.BackendServer(id)
+	if !ok || s.Kind != KindService || c.hasService(s.Service) {
+		return
+	}
+	for route, r := range c.view.routes.all() {
+		if r.Service == s.Service {
+			c.add(path, "route %q needs the service %q, which no backend server offers any more", route, s.Service)
+			return
+		}
+	}
+}
+
+// checkShape checks JSON against a schema and refuses repeated fields.
+func checkShape(data []byte, schema *jsonschema.Schema) error {
+	found, err := scan(data)
+	if err != nil {
+		return trace.BadParameter("not valid JSON: %v", err)
+	}
+	if found.numbers {
+		return listed(found.problems)
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return trace.BadParameter("not valid JSON: %v", err)
+	}
+	var invalid *jsonschema.ValidationError
+	if err := schema.Validate(value); err != nil && !errors.As(err, &invalid) {
+		return trace.Wrap(err)
+	}
+	return listed(appendLeaves(found.problems, invalid))
+}
+
+var printer = message.NewPrinter(language.English)
+
+// appendLeaves appends the faults of a validation error that have no narrower cause.
+func appendLeaves(p Problems, e *jsonschema.ValidationError) Problems {
+	if e == nil {
+		return p
+	}
+	at := pointer(e.InstanceLocation...)
+	switch k := e.ErrorKind.(type) {
+	case *schemakind.AdditionalProperties:
+		for _, name := range k.Properties {
+			p = append(p, Problem{at + pointer(name), "unknown field"})
+		}
+		return p
+	case *schemakind.Required:
+		for _, name := range k.Missing {
+			p = append(p, Problem{at + pointer(name), "is missing"})
+		}
+		return p
+	}
+	if len(e.Causes) == 0 {
+		return append(p, Problem{at, e.ErrorKind.LocalizedString(printer)})
+	}
+	for _, cause := range e.Causes {
+		p = appendLeaves(p, cause)
+	}
+	return p
+}
+
+// scanned is what a scan of the tokens finds that the schema check does not see.
+type scanned struct {
+	problems Problems
+	// numbers says that a number is out of range, which the schema check must not be given: it
+	// computes with exact fractions, whose size grows with the exponent.
+	numbers bool
+}
+
+// scan finds numbers out of range, and fields that occur twice in an object. The schema check sees
+// only the last of them, while encoding/json merges both into one map.
+func scan(data []byte) (scanned, error) {
+	var found scanned
+	var valid json.RawMessage
+	if err := json.Unmarshal(data, &valid); err != nil {
+		return found, err
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	err := found.value(d, nil)
+	return found, err
+}
+
+func (s *scanned) value(d *json.Decoder, path []string) error {
+	token, err := d.Token()
+	if err != nil {
+		return err
+	}
+	if n, ok := token.(json.Number); ok && !inRange(n.String()) {
+		s.numbers = true
+		s.problems = append(s.problems, Problem{pointer(path...), "number out of range"})
+	}
+	open, ok := token.(json.Delim)
+	if !ok {
+		return nil
+	}
+	seen := map[string]bool{}
+	for i := 0; d.More(); i++ {
+		name := strconv.Itoa(i)
+		if open == '{' {
+			token, err := d.Token()
+			if err != nil {
+				return err
+			}
+			name, _ = token.(string)
+			if seen[name] {
+				s.problems = append(s.problems, Problem{pointer(append(path, name)...), "occurs twice"})
+			}
+			seen[name] = true
+		}
+		if err := s.value(d, append(path, name)); err != nil {
+			return err
+		}
+	}
+	_, err = d.Token()
+	return err
+}
+
+// The limits of a number's text: no sensible setting needs more than a float64 holds.
+const (
+	maxNumberBytes = 64
+	maxExponent    = 300
+)
+
+func inRange(number string) bool {
+	_, exponent, has := strings.Cut(strings.ToLower(number), "e")
+	if len(number) > maxNumberBytes || !has {
+		return len(number) <= maxNumberBytes
+	}
+	e, err := strconv.Atoi(exponent)
+	return err == nil && -maxExponent <= e && e <= maxExponent
+}
+
+var pointerEscapes = strings.NewReplacer("~", "~0", "/", "~1")
+
+// pointer returns the JSON pointer of a path; the empty path is the whole value.
+func pointer(path ...string) string {
+	var b strings.Builder
+	for _, p := range path {
+		b.WriteByte('/')
+		b.WriteString(pointerEscapes.Replace(p))
+	}
+	return b.String()
+}
+
+type objectSchema struct{ id, value *jsonschema.Schema }
+
+var compiler = sync.OnceValue(func() *jsonschema.Compiler {
+	c := jsonschema.NewCompiler()
+	schema, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err == nil {
+		err = c.AddResource(schemaName, schema)
+	}
+	if err != nil {
+		panic("the embedded schema is not valid JSON: " + err.Error())
+	}
+	return c
+})
+
+var documentSchema = sync.OnceValue(func() *jsonschema.Schema { return compiler().MustCompile(schemaName) })
+
+var operationsSchema = sync.OnceValue(func() *jsonschema.Schema { return definition("operations") })
+
+var objectSchemas = sync.OnceValue(func() map[Kind]objectSchema {
+	id := definition("id")
+	return map[Kind]objectSchema{
+		KindFleet:         {id, definition("fleet")},
+		KindWorkspace:     {id, definition("workspace")},
+		KindKey:           {definition("key_id"), definition("key")},
+		KindAdapter:       {definition("adapter_id"), definition("adapter")},
+		KindRoute:         {id, definition("route")},
+		KindBackendServer: {id, definition("backend_server")},
+	}
+})
+
+func definition(name string) *jsonschema.Schema {
+	return compiler().MustCompile(schemaName + "#/$defs/" + name)
+}
--- /dev/null
+++ b/internal/state/config/check_test.go
@@ -0,0 +1,234 @@
+package config
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/turmericworks/turmericworks/internal/state/keys"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+)
+
+// TestMain fixes the seed and the length of the property tests; flags override both.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		given := false
+		flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+		if !given {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const goodDocument = `{
+ "fleet":{"weight_store":{"loads_per_second":4,"full_speed":1,"max_in_flight":8},"policy":{"worst_served":1,"worth":0}},
+ "workspaces":{"w":{"tokens_per_second":100,"burst_tokens":1000}},
+ "keys":{"0123456789abcdef":{"workspace":"w","hash":"` + sha + `"}},
+ "adapters":{"org/a":{"workspace":"w","base_model":"m","versions":["1","2"],"default":"2"}},
+ "routes":{"lots":{"workspace":"w","service":"rack","non_idempotent":true}},
+ "backend_servers":{
+  "e":{"kind":"engine","url":"http://127.0.0.1:1","data_centre":"d","base_model":"m","slots":4},
+  "s":{"kind":"service","url":"http://127.0.0.1:2","data_centre":"d","service":"rack"}}}`
+
+const sha = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+
+// Guards against a check that misses a fault, stops at the first one or names the wrong path.
+func TestDocumentProblems(t *testing.T) {
+	if _, err := ParseDocument([]byte(goodDocument)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, path string }{
+		{`"burst_tokens"`, `"burst":1,"burst_tokens"`, "/workspaces/w/burst"},
+		{`"tokens_per_second":100`, `"tokens_per_second":-1`, "/workspaces/w/tokens_per_second"},
+		{`"tokens_per_second":100`, `"tokens_per_second":1e999999999`, "/workspaces/w/tokens_per_second"},
+		{`"org/a":{"workspace":"w"`, `"org/a":{"workspace":"x"`, "/adapters/org~1a/workspace"},
+		{`def":{"workspace":"w"`, `def":{"workspace":"x"`, "/keys/0123456789abcdef/workspace"},
+		{`"default":"2"`, `"default":"3"`, "/adapters/org~1a/default"},
+		{`"service":"rack","non`, `"service":"dock","non`, "/routes/lots/service"},
+		{`"slots":4`, `"slots":0`, "/backend_servers/e/slots"},
+		{`"slots":4`, `"slots":2.5`, "/backend_servers/e/slots"},
+		{`"slots":4`, `"slots":4,"slots":5`, "/backend_servers/e/slots"},
+		{`"service":"rack"}}`, `"service":"rack","slots":1}}`, "/backend_servers/s/slots"},
+		{`"full_speed":1`, `"full_speed":9`, "/fleet/weight_store/max_in_flight"},
+		{`"org/a"`, `"a@b"`, "/adapters/a@b"},
+		{`"fleet":`, `"fleets":{},"fleet":`, "/fleets"},
+	} {
+		text := strings.Replace(goodDocument, c.old, c.new, 1)
+		_, err := ParseDocument([]byte(text))
+		if p := ProblemsOf(err); len(p) != 1 || p[0].Path != c.path {
+			t.Errorf("%s: got %v, want one problem at %s", c.new, err, c.path)
+		}
+	}
+	both := strings.NewReplacer(`"slots":4`, `"slots":-1`, `"default":"2"`, `"default":"3"`).Replace(goodDocument)
+	if _, err := ParseDocument([]byte(both)); len(ProblemsOf(err)) != 2 {
+		t.Errorf("want two problems, got %v", err)
+	}
+}
+
+// Guards against operations that leave dangling references or pass the check without their schema.
+func TestOperationProblems(t *testing.T) {
+	d, _ := ParseDocument([]byte(goodDocument))
+	v := ViewOf(1, d)
+	for _, c := range []struct{ ops, path string }{
+		{`[{"op":"delete","kind":"workspace","id":"w"}]`, "/0"},
+		{`[{"op":"delete","kind":"backend_server","id":"s"}]`, "/0"},
+		{`[{"op":"put","kind":"adapter","id":"b","value":{"workspace":"w","base_model":"m","versions":[],"default":""}}]`, "/0/value/versions"},
+		{`[{"op":"put","kind":"adapter","id":"b","value":{"workspace":"v","base_model":"m","versions":["1"],"default":"1"}}]`, "/0/value/workspace"},
+		{`[{"op":"put","kind":"key","id":"short","value":{"workspace":"w","hash":"` + sha + `"}}]`, "/0/id"},
+		{`[{"op":"put","kind":"route","id":"r"}]`, "/0/value"},
+		{`[{"op":"put","kind":"fleet","id":"other","value":{}}]`, "/0"},
+	} {
+		ops, err := ParseOperations([]byte(c.ops))
+		if err == nil {
+			err = v.CheckOperations(ops)
+		}
+		if p := ProblemsOf(err); len(p) == 0 || p[0].Path != c.path {
+			t.Errorf("%s: got %v, want a problem at %s", c.ops, err, c.path)
+		}
+	}
+	whole, err := Diff(d, Document{Fleet: d.Fleet})
+	if err != nil || v.CheckOperations(whole) != nil {
+		t.Errorf("deleting everything at once: %v", v.CheckOperations(whole))
+	}
+}
+
+// Guards against a field that the types have and the schema lacks, or the reverse.
+func TestSchemaMatchesTypes(t *testing.T) {
+	var schema struct {
+		Defs map[string]struct{ Properties map[string]any } `json:"$defs"`
+	}
+	if err := json.Unmarshal(schemaText, &schema); err != nil {
+		t.Fatal(err)
+	}
+	for name, typ := range map[string]reflect.Type{
+		"fleet": reflect.TypeFor[Fleet](), "workspace": reflect.TypeFor[Workspace](), "key": reflect.TypeFor[Key](),
+		"adapter": reflect.TypeFor[Adapter](), "route": reflect.TypeFor[Route](),
+		"backend_server": reflect.TypeFor[BackendServer](), "operation": reflect.TypeFor[Operation](),
+	} {
+		properties := schema.Defs[name].Properties
+		for i := range typ.NumField() {
+			field, _, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+			if _, ok := properties[field]; !ok || len(properties) != typ.NumField() {
+				t.Errorf("%s: the schema and the type differ at %s", name, field)
+			}
+		}
+	}
+}
+
+// Guards against a look-up that accepts a withdrawn key, another key's secret or a malformed one.
+func TestAuthenticate(t *testing.T) {
+	a, _ := keys.Generate()
+	b, _ := keys.Generate()
+	v := ViewOf(1, Document{Keys: map[string]Key{a.ID: {Workspace: "w", Hash: a.Hash}}})
+	if id, k, ok := v.Authenticate(a.Secret); !ok || id != a.ID || k.Workspace != "w" {
+		t.Error("a valid key was refused")
+	}
+	mixed := "tw_" + a.ID + b.Secret[len("tw_")+len(b.ID):]
+	for _, secret := range []string{"", b.Secret, mixed, a.Secret + "0", a.Hash} {
+		if _, _, ok := v.Authenticate(secret); ok {
+			t.Errorf("%q was accepted", secret)
+		}
+	}
+}
+
+// Guards against a difference that misses a change, and against an order that varies.
+func TestDiffRoundTrip(t *testing.T) {
+	d, _ := ParseDocument([]byte(goodDocument))
+	ops, err := Diff(Document{}, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := NewView().edit()
+	for _, o := range ops {
+		if err := v.apply(o); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rest, _ := Diff(v.Document(), d)
+	again, _ := Diff(Document{}, d)
+	if len(rest) != 0 || encoded(ops) != encoded(again) {
+		t.Errorf("left over: %v", rest)
+	}
+}
+
+// Guards against input from outside that crashes the decoder, and against a document that passes the
+// check but does not survive its own encoding.
+func FuzzParseDocument(f *testing.F) {
+	for _, seed := range []string{goodDocument, `{}`, `null`, `[`, `{"adapters":null}`, `{"fleet":{"policy":{"worth":1e-400}}}`,
+		`{"keys":{"a":1,"a":2}}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := ParseDocument(data)
+		if err != nil {
+			return
+		}
+		if _, err := ParseDocument([]byte(encoded(d))); err != nil {
+			t.Fatalf("an accepted document was refused after encoding: %v", err)
+		}
+	})
+}
+
+// Guards against operations from outside that crash the check or the fold, or pass the check and are
+// then malformed to the fold.
+func FuzzOperations(f *testing.F) {
+	for _, seed := range []string{`[]`, `[{"op":"delete","kind":"key","id":"0123456789abcdef"}]`,
+		`[{"op":"put","kind":"workspace","id":"v","value":{"tokens_per_second":1,"burst_tokens":1}}]`,
+		`[{"op":"put","kind":"fleet","id":"fleet","value":null}]`, `[{"op":"put","kind":"route","id":"r","value":{"a":1e99999999}}]`} {
+		f.Add([]byte(seed))
+	}
+	d, err := ParseDocument([]byte(goodDocument))
+	if err != nil {
+		f.Fatal(err)
+	}
+	v := ViewOf(0, d)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ops, err := ParseOperations(data)
+		if err != nil || v.CheckOperations(ops) != nil {
+			return
+		}
+		e, _ := NewChange("id", "i", Change{Operations: ops})
+		fold := NewFold()
+		fold.view = v
+		if r := fold.Apply(record.Entry{Envelope: e}); r.Outcome != Accepted {
+			t.Fatalf("checked operations were not accepted: %+v", r)
+		}
+		if err := CheckDocument(fold.View().Document()); err != nil {
+			t.Fatalf("checked operations led to an invalid document: %v", err)
+		}
+	})
+}
+
+// Guards against records of the log, or a peer's state, that crash the fold.
+func FuzzFold(f *testing.F) {
+	base := foldOf(2)
+	snapshot, _ := base.Snapshot("s", "i")
+	data, _ := record.Encode(snapshot)
+	state, _ := base.Export()
+	f.Add(data, state)
+	f.Add([]byte(`[{"kind":"config_change","id":"a","body":{"base":0,"operations":[]}}]`), []byte(`{"version":5,"next":9}`))
+	f.Add([]byte(`[{"kind":"config_snapshot","body":{"count":-1}}]`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, data, state []byte) {
+		entries, err := record.Decode(9, 0, data)
+		if err != nil {
+			return
+		}
+		for _, fold := range []*Fold{NewFold(), foldOf(1)} {
+			before := fold.View().Version()
+			_, _, _ = fold.Import(state)
+			for _, e := range entries {
+				fold.Apply(e)
+			}
+			if fold.View().Version() < before {
+				t.Fatal("the version went back")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/config/fold_test.go
@@ -0,0 +1,420 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/turmericworks/turmericworks/internal/state/record"
+)
+
+// oracle is the naive model: it reads the whole log from the start and keeps every accepted document.
+type oracle struct {
+	version  Version
+	ids      map[string]bool
+	accepted map[string]Version
+	// contents holds each version's document as JSON; at is the version after each offset.
+	contents map[Version]string
+	at       []Version
+	doc      Document
+}
+
+func newOracle() *oracle {
+	o := &oracle{ids: map[string]bool{}, accepted: map[string]Version{}, contents: map[Version]string{}}
+	o.doc = Document{Workspaces: map[string]Workspace{}, Keys: map[string]Key{}, Adapters: map[string]Adapter{},
+		Routes: map[string]Route{}, BackendServers: map[string]BackendServer{}}
+	o.contents[0] = encoded(o.doc)
+	return o
+}
+
+func (o *oracle) append(offset uint64, batch []record.Envelope) {
+	for _, e := range batch {
+		var c Change
+		if e.Kind != RecordChange || o.ids[e.ID] || e.Unmarshal(&c) != nil {
+			continue
+		}
+		withdrawal := true
+		for _, op := range c.Operations {
+			withdrawal = withdrawal && op.Op == OpDelete && op.Kind == KindKey
+		}
+		if o.version == Version(offset+1) || c.Base != o.version && !withdrawal {
+			o.ids[e.ID] = o.ids[e.ID] || uint64(c.Base) > offset || withdrawal
+			continue
+		}
+		for _, op := range c.Operations {
+			o.apply(op)
+		}
+		o.version = Version(offset + 1)
+		o.ids[e.ID], o.accepted[e.ID] = true, o.version
+		o.contents[o.version] = encoded(o.doc)
+	}
+	o.at = append(o.at, o.version)
+}
+
+func (o *oracle) apply(op Operation) {
+	var a Adapter
+	var k Key
+	switch {
+	case op.Kind == KindKey && op.Op == OpDelete:
+		delete(o.doc.Keys, op.ID)
+	case op.Kind == KindKey:
+		_ = json.Unmarshal(op.Value, &k)
+		o.doc.Keys[op.ID] = k
+	case op.Op == OpDelete:
+		delete(o.doc.Adapters, op.ID)
+	default:
+		_ = json.Unmarshal(op.Value, &a)
+		o.doc.Adapters[op.ID] = a
+	}
+}
+
+func encoded(v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return string(b)
+}
+
+// machine drives several folds over one log with retention, repeated appends and late snapshots.
+type machine struct {
+	oracle  *oracle
+	log     [][]record.Envelope
+	first   uint64
+	folds   []*Fold
+	highest []Version
+	results map[string]Result
+	// late holds snapshot records that were made but not appended yet.
+	late   []record.Envelope
+	ids    int
+	frozen map[*View]string
+}
+
+func newMachine() *machine {
+	m := &machine{oracle: newOracle(), results: map[string]Result{}, frozen: map[*View]string{}}
+	for range 3 {
+		m.folds = append(m.folds, NewFold())
+	}
+	m.highest = make([]Version, len(m.folds))
+	return m
+}
+
+func (m *machine) append(batch ...record.Envelope) {
+	m.oracle.append(uint64(len(m.log)), batch)
+	m.log = append(m.log, batch)
+}
+
+func (m *machine) fold(t *rapid.T) (int, *Fold) {
+	i := rapid.IntRange(0, len(m.folds)-1).Draw(t, "fold")
+	return i, m.folds[i]
+}
+
+func (m *machine) change(t *rapid.T, kind Kind, del bool) record.Envelope {
+	m.ids++
+	id := fmt.Sprint(kind, rapid.IntRange(0, 2).Draw(t, "object"))
+	op := NewDelete(kind, id)
+	if !del {
+		var value any = Key{Workspace: "w", Hash: fmt.Sprint(m.ids)}
+		if kind == KindAdapter {
+			value = Adapter{Workspace: rapid.SampledFrom([]string{"w", "x"}).Draw(t, "owner"),
+				Versions: []string{"1"}, Default: "1", Worth: float64(m.ids)}
+		}
+		op, _ = NewPut(kind, id, value)
+	}
+	base := rapid.SampledFrom([]Version{m.oracle.version, m.oracle.version, m.folds[0].View().Version(),
+		Version(len(m.log) + 1)}).Draw(t, "base")
+	e, _ := NewChange(fmt.Sprint("c", m.ids), "i", Change{Base: base, Operations: []Operation{op}, Author: "a"})
+	return e
+}
+
+func (m *machine) read(t *rapid.T, i int, upTo int) {
+	f := m.folds[i]
+	f.Skip(m.first)
+	for n := 0; n < upTo && f.Next() < uint64(len(m.log)); n++ {
+		offset := f.Next()
+		data, _ := record.Encode(m.log[offset])
+		entries, err := record.Decode(offset, int64(offset), data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range entries {
+			r := f.Apply(e)
+			for _, r := range append(r.Replayed, r) {
+				m.checkResult(t, r)
+			}
+		}
+		f.Advance(offset + 1)
+	}
+}
+
+func (m *machine) checkResult(t *rapid.T, r Result) {
+	want := m.oracle.accepted[r.Change.ID]
+	switch {
+	case r.Outcome == Accepted || r.Outcome == Duplicate:
+		if r.Change.Version != want {
+			t.Fatalf("change %s: version %d, want %d", r.Change.ID, r.Change.Version, want)
+		}
+	case r.Outcome == Refused:
+		if want != 0 || r.Refusal.Theirs.Version != r.Refusal.Current {
+			t.Fatalf("change %s, accepted as version %d, was refused: %+v", r.Change.ID, want, r.Refusal)
+		}
+	case r.Outcome == Malformed:
+		t.Fatalf("malformed: %v", r.Err)
+	}
+}
+
+// check compares each fold with the oracle and each view ever seen with its first content.
+func (m *machine) check(t *rapid.T) {
+	for i, f := range m.folds {
+		v := f.View()
+		if v.Version() < m.highest[i] {
+			t.Fatalf("fold %d reverted from version %d to %d", i, m.highest[i], v.Version())
+		}
+		m.highest[i] = v.Version()
+		if _, ok := m.frozen[v]; !ok {
+			m.frozen[v] = encoded(v.Document())
+		}
+		if want := m.oracle.contents[v.Version()]; m.frozen[v] != want {
+			t.Fatalf("version %d holds %s, want %s", v.Version(), m.frozen[v], want)
+		}
+		if n := f.Next(); f.Ready() && n > 0 && v.Version() != m.oracle.at[n-1] {
+			t.Fatalf("fold %d at offset %d has version %d, want %d", i, n, v.Version(), m.oracle.at[n-1])
+		}
+		for _, w := range []string{"w", "x"} {
+			names := maps.Collect(v.AdaptersOf(w))
+			for name, a := range v.Adapters() {
+				if (a.Workspace == w) != (names[name] == a) {
+					t.Fatalf("adapter %s is listed wrongly under workspace %s", name, w)
+				}
+			}
+		}
+	}
+	for v, content := range m.frozen {
+		if encoded(v.Document()) != content {
+			t.Fatalf("the view of version %d was modified", v.Version())
+		}
+	}
+}
+
+// Guards against a fold that reverts, diverges between instances, accepts a duplicate or a change with
+// a stale base, or becomes ready with changes missing.
+func TestFoldMatchesOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		publish := func(kind Kind, del bool) func(*rapid.T) {
+			return func(t *rapid.T) { m.append(m.change(t, kind, del)) }
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":              m.check,
+			"put adapter":   publish(KindAdapter, false),
+			"drop adapter":  publish(KindAdapter, true),
+			"put key":       publish(KindKey, false),
+			"withdraw key":  publish(KindKey, true),
+			"two at once":   func(t *rapid.T) { m.append(m.change(t, KindKey, true), m.change(t, KindKey, true)) },
+			"lost answer":   m.repeat,
+			"read":          func(t *rapid.T) { i, _ := m.fold(t); m.read(t, i, rapid.IntRange(1, 8).Draw(t, "n")) },
+			"take snapshot": m.snapshot,
+			"append chunk":  m.appendLate,
+			"retention":     func(t *rapid.T) { m.first = uint64(rapid.IntRange(int(m.first), len(m.log)).Draw(t, "first")) },
+			"restart":       m.restart,
+			"peer state":    m.importPeer,
+		})
+	})
+}
+
+// repeat appends an earlier record again, as a writer does whose answer was lost.
+func (m *machine) repeat(t *rapid.T) {
+	if len(m.log) > 0 {
+		m.append(rapid.SampledFrom(m.log).Draw(t, "again")...)
+	}
+}
+
+func (m *machine) snapshot(t *rapid.T) {
+	_, f := m.fold(t)
+	m.ids++
+	if e, err := f.Snapshot(fmt.Sprint("s", m.ids), "i"); err == nil {
+		m.late = append(m.late, e...)
+	}
+}
+
+func (m *machine) appendLate(t *rapid.T) {
+	if len(m.late) > 0 {
+		i := rapid.IntRange(0, len(m.late)-1).Draw(t, "late")
+		m.append(m.late[i])
+		m.late = append(m.late[:i:i], m.late[i+1:]...)
+	}
+}
+
+func (m *machine) restart(t *rapid.T) {
+	i, _ := m.fold(t)
+	m.folds[i], m.highest[i] = NewFold(), 0
+	m.folds[i].Skip(m.first)
+}
+
+func (m *machine) importPeer(t *rapid.T) {
+	_, from := m.fold(t)
+	_, to := m.fold(t)
+	data, err := from.Export()
+	if err != nil {
+		return
+	}
+	_, results, err := to.Import(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range results {
+		m.checkResult(t, r)
+	}
+}
+
+// Guards against snapshots of more than one chunk that are lost, mixed up or incomplete, and against a
+// new fold that comes up with a part of one.
+func TestSnapshotInChunks(t *testing.T) {
+	f, n := foldOf(5000), NewFold()
+	records, err := f.Snapshot("s", "i")
+	if err != nil || len(records) < 3 {
+		t.Fatalf("%d chunks, %v", len(records), err)
+	}
+	n.Skip(f.Next())
+	for i, e := range records {
+		if n.Ready() {
+			t.Fatalf("ready after %d of %d chunks", i, len(records))
+		}
+		offset := f.Next() + uint64(i)
+		n.Apply(record.Entry{Offset: offset, Envelope: e})
+		n.Advance(offset + 1)
+	}
+	if !n.Ready() || encoded(n.View().Document()) != encoded(f.View().Document()) {
+		t.Fatal("the restored configuration differs")
+	}
+	if _, ok := n.View().Change("first"); !ok {
+		t.Fatal("the snapshot lost the ids of earlier changes")
+	}
+}
+
+// Guards against a log whose retention drops changes that no snapshot holds, and against every
+// instance appending a snapshot at once.
+func TestSnapshotSchedule(t *testing.T) {
+	const retention, step, instances, hours = 64 * time.Hour, 2 * time.Hour, 5, 240
+	rapid.Check(t, func(t *rapid.T) {
+		type kept struct {
+			at    time.Time
+			entry record.Envelope
+		}
+		var log []kept
+		now, snapshots, first := time.UnixMilli(1), 0, 0
+		folds := make([]*Fold, instances)
+		for i := range folds {
+			folds[i] = NewFold()
+		}
+		read := func(f *Fold) {
+			f.Skip(uint64(first))
+			for f.Next() < uint64(len(log)) {
+				o := f.Next()
+				f.Apply(record.Entry{Offset: o, UnixMilli: log[o].at.UnixMilli(), Envelope: log[o].entry})
+				f.Advance(o + 1)
+			}
+		}
+		var paused []record.Envelope
+		for hour := 0; hour < hours; hour += 2 {
+			now = now.Add(step)
+			if hour == 0 || rapid.IntRange(0, 9).Draw(t, "publish") == 0 {
+				op, _ := NewPut(KindWorkspace, "w", Workspace{Weight: float64(hour)})
+				e, _ := NewChange(fmt.Sprint(hour), "i", Change{Base: folds[0].View().Version(), Operations: []Operation{op}})
+				log = append(log, kept{now, e})
+			}
+			if rapid.IntRange(0, 19).Draw(t, "pause") == 0 {
+				// A paused instance appends its old snapshot much later.
+				for _, e := range paused {
+					log = append(log, kept{now, e})
+				}
+				paused, _ = folds[0].Snapshot(fmt.Sprint("late", hour), "i")
+			}
+			for i, f := range folds {
+				read(f)
+				due, ok := f.SnapshotDue(fmt.Sprint("instance", i), retention)
+				if !ok || now.Before(due) {
+					continue
+				}
+				records, err := f.Snapshot(fmt.Sprint(i, "/", hour), "i")
+				if err != nil {
+					t.Fatal(err)
+				}
+				log = append(log, kept{now, records[0]})
+				snapshots++
+			}
+			for first < len(log) && now.Sub(log[first].at) > retention {
+				first++
+			}
+			if hour%8 != 0 {
+				continue
+			}
+			fresh := NewFold()
+			if read(fresh); !fresh.Ready() {
+				t.Fatalf("hour %d: a new instance finds no usable snapshot", hour)
+			}
+		}
+		if snapshots > hours*4/64+2 {
+			t.Fatalf("%d snapshots in %d h", snapshots, hours)
+		}
+	})
+}
+
+// Guards against unbounded memory of change ids, and against forgetting them too early.
+func TestRecentChangesAreBounded(t *testing.T) {
+	v := NewView().edit()
+	for i := range recentChanges + 5 {
+		v.remember(ChangeRef{ID: fmt.Sprint(i)})
+	}
+	_, kept := v.Change("5")
+	if _, old := v.Change("4"); old || !kept || v.changes.tree.Len() != recentChanges {
+		t.Fatal("the wrong ids were kept")
+	}
+}
+
+// Guards against a malformed record that changes the state or stops the fold.
+func TestMalformedRecords(t *testing.T) {
+	f := foldOf(1)
+	before := f.View()
+	for i, body := range []string{`{`, `{"base":1,"operations":[{"op":"put","kind":"adapter","id":"a","value":7}]}`,
+		`{"base":1,"operations":[{"op":"put","kind":"fleet","id":"x","value":{}}]}`,
+		`{"base":1,"operations":[{"op":"drop","kind":"adapter","id":"a"}]}`} {
+		e := record.Envelope{Kind: RecordChange, ID: fmt.Sprint("m", i), Body: json.RawMessage(body)}
+		if r := f.Apply(record.Entry{Offset: f.Next(), Envelope: e}); r.Outcome != Malformed || r.Err == nil {
+			t.Errorf("%s: %+v", body, r)
+		}
+		f.Advance(f.Next() + 1)
+	}
+	if f.View() != before {
+		t.Error("a malformed record changed the view")
+	}
+	if _, _, err := f.Import([]byte(`{"version":9,"next":3}`)); err == nil || !strings.Contains(err.Error(), "covers") {
+		t.Errorf("a state that covers less than its version was accepted: %v", err)
+	}
+}
+
+// foldOf returns a fold of one change that puts n adapters in five workspaces.
+func foldOf(n int) *Fold {
+	var ops []Operation
+	for i := range n {
+		o, _ := NewPut(KindAdapter, fmt.Sprintf("drying-note-%05d", i), Adapter{
+			Workspace: fmt.Sprint("crew-", i%5), BaseModel: "kelp-base-8b", Versions: []string{"v1", "v2"}, Default: "v2",
+			Class: Batch, DeadlineSeconds: 3600, Worth: 2})
+		ops = append(ops, o)
+	}
+	e, err := NewChange("first", "i", Change{Operations: ops, Author: "a"})
+	if err != nil {
+		panic(err)
+	}
+	f := NewFold()
+	if r := f.Apply(record.Entry{Envelope: e, UnixMilli: 1}); r.Outcome != Accepted {
+		panic(r.Err)
+	}
+	f.Advance(1)
+	return f
+}
--- /dev/null
+++ b/internal/state/config/view.go
@@ -0,0 +1,400 @@
+package config
+
+import (
+	"encoding/json"
+	"iter"
+	"slices"
+	"sync/atomic"
+	"unique"
+
+	"github.com/gravitational/trace"
+	"github.com/tidwall/btree"
+
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/keys"
+)
+
+// nodeDegree is the degree of the trees that hold the objects. A change copies one path of nodes, so
+// a smaller degree copies less; 16 keeps 93,000 adapters at four levels.
+const nodeDegree = 16
+
+// recentChanges is how many change ids are remembered to drop duplicates. At 9,700 changes a day it
+// covers ten hours; a writer repeats an append for minutes.
+const recentChanges = 4096
+
+// View is one version of the configuration. It is immutable and safe for concurrent use. Objects
+// that it returns must not be modified.
+type View struct {
+	version Version
+	last    ChangeRef
+	fleet   Fleet
+
+	workspaces table[Workspace]
+	keys       table[Key]
+	adapters   table[Adapter]
+	routes     table[Route]
+	servers    table[BackendServer]
+	// owned holds the adapter names of each workspace.
+	owned table[nameSet]
+
+	// changes finds a remembered change by id; order lists the ids from the oldest on.
+	changes table[ChangeRef]
+	order   *btree.Map[uint64, string]
+	nextSeq uint64
+
+	// generation marks the tree copies that this view may modify while it is edited.
+	generation uint64
+}
+
+// ChangeRef identifies a change that the fold remembers.
+type ChangeRef struct {
+	ID     string `json:"id"`
+	Author string `json:"author"`
+	// Version is the version that the change made, or zero if it was refused.
+	Version Version `json:"version"`
+	// UnixMilli is when the log accepted the change, by the log's clock.
+	UnixMilli int64 `json:"unix_milli"`
+}
+
+type nameSet struct {
+	names      *btree.Map[string, struct{}]
+	generation uint64
+}
+
+// table is a copy-on-write map from id to object.
+type table[T any] struct {
+	tree       *btree.Map[string, *T]
+	generation uint64
+}
+
+func newTable[T any]() table[T] { return table[T]{tree: btree.NewMap[string, *T](nodeDegree)} }
+
+func (t *table[T]) get(id string) (*T, bool) { return t.tree.Get(id) }
+
+func (t *table[T]) put(generation uint64, id string, v *T) {
+	t.writable(generation)
+	t.tree.Set(id, v)
+}
+
+func (t *table[T]) drop(generation uint64, id string) {
+	t.writable(generation)
+	t.tree.Delete(id)
+}
+
+func (t *table[T]) writable(generation uint64) {
+	if t.generation != generation {
+		t.tree, t.generation = copyTree(t.tree), generation
+	}
+}
+
+func (t *table[T]) all() iter.Seq2[string, *T] {
+	return func(yield func(string, *T) bool) { t.tree.Scan(yield) }
+}
+
+// copyTree returns a copy that shares nodes with m. Copy writes to its receiver, so it is called on
+// a copy of the header: concurrent readers and editors of m then see no write.
+func copyTree[K string | uint64, V any](m *btree.Map[K, V]) *btree.Map[K, V] {
+	header := *m
+	return header.Copy()
+}
+
+var lastGeneration atomic.Uint64
+
+// NewView returns the empty configuration, version zero.
+func NewView() *View {
+	return &View{
+		workspaces: newTable[Workspace](), keys: newTable[Key](), adapters: newTable[Adapter](),
+		routes: newTable[Route](), servers: newTable[BackendServer](), owned: newTable[nameSet](),
+		changes: newTable[ChangeRef](), order: btree.NewMap[uint64, string](nodeDegree),
+	}
+}
+
+// ViewOf returns the view of a document at a version. The document is not checked.
+func ViewOf(version Version, d Document) *View {
+	v := NewView().edit()
+	v.version, v.fleet = version, d.Fleet
+	for id, w := range d.Workspaces {
+		v.workspaces.put(v.generation, id, &w)
+	}
+	for id, k := range d.Keys {
+		v.keys.put(v.generation, id, &k)
+	}
+	for id, a := range d.Adapters {
+		a.Versions = slices.Clone(a.Versions)
+		v.putAdapter(id, &a)
+	}
+	for id, r := range d.Routes {
+		v.routes.put(v.generation, id, &r)
+	}
+	for id, b := range d.BackendServers {
+		v.servers.put(v.generation, id, &b)
+	}
+	return v
+}
+
+// Version returns the version of the configuration.
+func (v *View) Version() Version { return v.version }
+
+// LastChange returns the change that made this version; it is zero at version zero.
+func (v *View) LastChange() ChangeRef { return v.last }
+
+// Change returns a recent change by id, and whether it is still remembered.
+func (v *View) Change(id string) (ChangeRef, bool) {
+	c, ok := v.changes.get(id)
+	if !ok {
+		return ChangeRef{}, false
+	}
+	return *c, true
+}
+
+// Fleet returns the settings of the whole fleet.
+func (v *View) Fleet() Fleet { return v.fleet }
+
+// Workspace returns a workspace, and whether it exists.
+func (v *View) Workspace(id string) (*Workspace, bool) { return v.workspaces.get(id) }
+
+// Workspaces yields all workspaces in the order of their ids.
+func (v *View) Workspaces() iter.Seq2[string, *Workspace] { return v.workspaces.all() }
+
+// Adapter returns an adapter, and whether it exists.
+func (v *View) Adapter(name string) (*Adapter, bool) { return v.adapters.get(name) }
+
+// Adapters yields all adapters in the order of their names.
+func (v *View) Adapters() iter.Seq2[string, *Adapter] { return v.adapters.all() }
+
+// AdapterCount returns the number of adapters.
+func (v *View) AdapterCount() int { return v.adapters.tree.Len() }
+
+// AdaptersOf yields the adapters of a workspace in the order of their names.
+func (v *View) AdaptersOf(workspace string) iter.Seq2[string, *Adapter] {
+	return func(yield func(string, *Adapter) bool) {
+		set, ok := v.owned.get(workspace)
+		if !ok {
+			return
+		}
+		set.names.Scan(func(name string, _ struct{}) bool {
+			a, _ := v.adapters.get(name)
+			return yield(name, a)
+		})
+	}
+}
+
+// Route returns a route, and whether it exists.
+func (v *View) Route(id string) (*Route, bool) { return v.routes.get(id) }
+
+// Routes yields all routes in the order of their ids.
+func (v *View) Routes() iter.Seq2[string, *Route] { return v.routes.all() }
+
+// RoutesOf yields the routes of a workspace in the order of their ids.
+func (v *View) RoutesOf(workspace string) iter.Seq2[string, *Route] {
+	return func(yield func(string, *Route) bool) {
+		for id, r := range v.routes.all() {
+			if r.Workspace == workspace && !yield(id, r) {
+				return
+			}
+		}
+	}
+}
+
+// BackendServer returns a backend server, and whether it exists.
+func (v *View) BackendServer(id string) (*BackendServer, bool) { return v.servers.get(id) }
+
+// BackendServers yields all backend servers in the order of their ids.
+func (v *View) BackendServers() iter.Seq2[string, *BackendServer] { return v.servers.all() }
+
+// Key returns a key by its public id, and whether it exists.
+func (v *View) Key(id string) (*Key, bool) { return v.keys.get(id) }
+
+// Authenticate returns the id and record of the key that a caller's secret proves, and whether there
+// is one. The secret is compared as a hash in constant time.
+func (v *View) Authenticate(secret string) (string, *Key, bool) {
+	id, ok := keys.ID(secret)
+	if !ok {
+		return "", nil, false
+	}
+	k, ok := v.keys.get(id)
+	if !ok || !keys.Match(secret, k.Hash) {
+		return "", nil, false
+	}
+	return id, k, true
+}
+
+// Resolve returns the adapter version that a model name means, and whether it exists.
+func (v *View) Resolve(model string) (adapter.Ref, *Adapter, bool) {
+	ref := adapter.Parse(model)
+	a, ok := v.adapters.get(ref.Name)
+	if !ok {
+		return ref, nil, false
+	}
+	if ref.Version == "" {
+		ref.Version = a.Default
+	}
+	for _, version := range a.Versions {
+		if version == ref.Version {
+			return ref, a, true
+		}
+	}
+	return ref, a, false
+}
+
+// Document returns the configuration as one document. It costs time and memory in proportion to the
+// number of objects.
+func (v *View) Document() Document {
+	return Document{
+		Fleet: v.fleet, Workspaces: toMap(&v.workspaces), Keys: toMap(&v.keys),
+		Adapters: toMap(&v.adapters), Routes: toMap(&v.routes), BackendServers: toMap(&v.servers),
+	}
+}
+
+func toMap[T any](t *table[T]) map[string]T {
+	m := make(map[string]T, t.tree.Len())
+	for id, o := range t.all() {
+		m[id] = *o
+	}
+	return m
+}
+
+// edit returns a copy that may be modified until it is given to readers.
+func (v *View) edit() *View {
+	c := *v
+	c.generation = lastGeneration.Add(1)
+	return &c
+}
+
+// apply carries out one operation on a view from edit. It fails on an unknown kind or a value that is
+// not of the kind's type.
+func (v *View) apply(o Operation) error {
+	if o.Op != OpPut && o.Op != OpDelete {
+		return trace.BadParameter("unknown operation %q", o.Op)
+	}
+	switch o.Kind {
+	case KindFleet:
+		if o.Op == OpDelete || o.ID != FleetID {
+			return trace.BadParameter("the fleet's settings can only be put, under the id %q", FleetID)
+		}
+		f, err := decode[Fleet](o)
+		if err == nil {
+			v.fleet = *f
+		}
+		return err
+	case KindWorkspace:
+		return applyTo(v, &v.workspaces, o, nil)
+	case KindKey:
+		return applyTo(v, &v.keys, o, func(k *Key) { k.Workspace = intern(k.Workspace) })
+	case KindAdapter:
+		return v.applyAdapter(o)
+	case KindRoute:
+		return applyTo(v, &v.routes, o, nil)
+	case KindBackendServer:
+		return applyTo(v, &v.servers, o, nil)
+	}
+	return trace.BadParameter("unknown kind %q", o.Kind)
+}
+
+func applyTo[T any](v *View, t *table[T], o Operation, compact func(*T)) error {
+	if o.Op == OpDelete {
+		t.drop(v.generation, o.ID)
+		return nil
+	}
+	value, err := decode[T](o)
+	if err != nil {
+		return err
+	}
+	if compact != nil {
+		compact(value)
+	}
+	t.put(v.generation, o.ID, value)
+	return nil
+}
+
+func (v *View) applyAdapter(o Operation) error {
+	if o.Op == OpDelete {
+		v.dropAdapter(o.ID)
+		return nil
+	}
+	a, err := decode[Adapter](o)
+	if err != nil {
+		return err
+	}
+	v.putAdapter(o.ID, a)
+	return nil
+}
+
+func (v *View) putAdapter(name string, a *Adapter) {
+	// Most adapters repeat these few strings; sharing them saves memory at 93,000 adapters.
+	a.Workspace, a.BaseModel, a.Default = intern(a.Workspace), intern(a.BaseModel), intern(a.Default)
+	for i, version := range a.Versions {
+		a.Versions[i] = intern(version)
+	}
+	old, had := v.adapters.get(name)
+	v.adapters.put(v.generation, name, a)
+	if had && old.Workspace == a.Workspace {
+		return
+	}
+	if had {
+		v.ownedNames(old.Workspace).Delete(name)
+	}
+	v.ownedNames(a.Workspace).Set(name, struct{}{})
+}
+
+func (v *View) dropAdapter(name string) {
+	old, had := v.adapters.get(name)
+	if !had {
+		return
+	}
+	v.adapters.drop(v.generation, name)
+	names := v.ownedNames(old.Workspace)
+	names.Delete(name)
+	if names.Len() == 0 {
+		v.owned.drop(v.generation, old.Workspace)
+	}
+}
+
+// ownedNames returns a workspace's set of adapter names for modification.
+func (v *View) ownedNames(workspace string) *btree.Map[string, struct{}] {
+	set, ok := v.owned.get(workspace)
+	if ok && set.generation == v.generation {
+		return set.names
+	}
+	names := btree.NewMap[string, struct{}](nodeDegree)
+	if ok {
+		names = copyTree(set.names)
+	}
+	v.owned.put(v.generation, workspace, &nameSet{names: names, generation: v.generation})
+	return names
+}
+
+// remember adds a change to the ones that later duplicates are compared with, and forgets the oldest.
+func (v *View) remember(c ChangeRef) {
+	v.order = copyTree(v.order)
+	v.order.Set(v.nextSeq, c.ID)
+	v.nextSeq++
+	v.changes.put(v.generation, c.ID, &c)
+	for v.order.Len() > recentChanges {
+		_, id, _ := v.order.PopMin()
+		v.changes.drop(v.generation, id)
+	}
+}
+
+// recent yields the remembered changes from the oldest on.
+func (v *View) recent() iter.Seq[ChangeRef] {
+	return func(yield func(ChangeRef) bool) {
+		v.order.Scan(func(_ uint64, id string) bool {
+			c, _ := v.changes.get(id)
+			return yield(*c)
+		})
+	}
+}
+
+func decode[T any](o Operation) (*T, error) {
+	value := new(T)
+	if len(o.Value) == 0 || string(o.Value) == "null" {
+		return nil, trace.BadParameter("%s %q has no value", o.Kind, o.ID)
+	}
+	if err := json.Unmarshal(o.Value, value); err != nil {
+		return nil, trace.BadParameter("%s %q: %v", o.Kind, o.ID, err)
+	}
+	return value, nil
+}
+
+func intern(s string) string { return unique.Make(s).Value() }
