placement, loadbudget, replay: add the decision types and a replay in virtual time

Cause: nothing decides where a request runs, which adapter is evicted and which is loaded next, and no measure compares such decisions.

--- /dev/null
+++ b/internal/coordination/loadbudget/queue.go
@@ -0,0 +1,210 @@
+package loadbudget
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+)
+
+// QueueConfig sets a Queue's back-off and order.
+type QueueConfig struct {
+	// Backoff is the longest wait before the second attempt of a load; it doubles with each
+	// further failure up to MaxBackoff. The wait is drawn evenly from its upper half.
+	Backoff, MaxBackoff time.Duration
+	// AgeWeight is how many waiting requests one second of waiting counts as in the order within
+	// a workspace, so that an adapter with one request does not wait for ever.
+	AgeWeight float64
+	// AvoidEngines is how many engines that failed a load are remembered per adapter.
+	AvoidEngines int
+}
+
+// DefaultQueueConfig returns the settings used in production.
+func DefaultQueueConfig() QueueConfig {
+	return QueueConfig{
+		Backoff: 250 * time.Millisecond, MaxBackoff: 10 * time.Second, AgeWeight: 1, AvoidEngines: 3,
+	}
+}
+
+// Load is one adapter that must be loaded. All requests that miss it share one Load.
+type Load struct {
+	Adapter   adapter.Ref
+	Workspace string
+	// Waiting counts the requests that wait for the adapter.
+	Waiting int
+	// Popularity is the adapter's request rate; it orders loads on a cold start, when equally
+	// many requests wait.
+	Popularity float64
+	// Failures counts failed attempts.
+	Failures int
+	// Avoid lists the engines that failed it most recently.
+	Avoid []string
+
+	since     time.Time
+	notBefore time.Time
+	loading   bool
+}
+
+// Queue orders the loads that wait for a permit: fairly among workspaces by start-time fair queueing
+// with one load as the unit, and within a workspace by waiting requests, age and popularity. A grant
+// scans the waiting loads; at most a few tens of grants a second keep that cheap.
+type Queue struct {
+	cfg     QueueConfig
+	rnd     *rand.Rand
+	loads   map[adapter.Ref]*Load
+	spaces  map[string]*space
+	order   []string // workspaces in order of first use, so that iteration is deterministic
+	virtual float64
+}
+
+type space struct {
+	loads  []*Load
+	finish float64 // virtual time at which the workspace's last granted load ends
+	weight float64
+}
+
+// NewQueue returns an empty queue. The random source spreads retries.
+func NewQueue(c QueueConfig, rnd *rand.Rand) *Queue {
+	return &Queue{cfg: c, rnd: rnd, loads: map[adapter.Ref]*Load{}, spaces: map[string]*space{}}
+}
+
+// SetWeight sets a workspace's share among workspaces with waiting loads; the default is 1.
+func (q *Queue) SetWeight(workspace string, weight float64) {
+	if weight > 0 {
+		q.space(workspace).weight = weight
+	}
+}
+
+func (q *Queue) space(workspace string) *space {
+	s := q.spaces[workspace]
+	if s == nil {
+		s = &space{weight: 1}
+		q.spaces[workspace] = s
+		q.order = append(q.order, workspace)
+	}
+	return s
+}
+
+// Want asks for an adapter. For an adapter that is already wanted it only updates the number of
+// waiting requests and the popularity, and reports false.
+func (q *Queue) Want(a adapter.Ref, workspace string, waiting int, popularity float64, now time.Time) bool {
+	if l := q.loads[a]; l != nil {
+		l.Waiting, l.Popularity = waiting, popularity
+		return false
+	}
+	l := &Load{Adapter: a, Workspace: workspace, Waiting: waiting, Popularity: popularity, since: now}
+	q.loads[a] = l
+	s := q.space(workspace)
+	s.loads = append(s.loads, l)
+	return true
+}
+
+// Cancel drops a load that nobody waits for any more, unless it is under way.
+func (q *Queue) Cancel(a adapter.Ref) {
+	if l := q.loads[a]; l != nil && !l.loading {
+		q.remove(l)
+	}
+}
+
+// Next returns the load to start now and marks it as under way. It returns nil when every wanted
+// load is under way or backs off. The caller has taken a permit before.
+func (q *Queue) Next(now time.Time) *Load {
+	var best *Load
+	var from *space
+	var start float64
+	for _, w := range q.order {
+		s := q.spaces[w]
+		l := s.first(now, q.cfg.AgeWeight)
+		if l == nil {
+			continue
+		}
+		// A workspace that was idle starts at the current virtual time and keeps no credit.
+		if at := max(s.finish, q.virtual); best == nil || at < start {
+			best, from, start = l, s, at
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.loading = true
+	q.virtual, from.finish = start, start+1/from.weight
+	return best
+}
+
+// first returns the workspace's most urgent load that may start.
+func (s *space) first(now time.Time, ageWeight float64) *Load {
+	var best *Load
+	var rank float64
+	for _, l := range s.loads {
+		if l.loading || l.notBefore.After(now) {
+			continue
+		}
+		r := float64(l.Waiting) + ageWeight*now.Sub(l.since).Seconds()
+		if best == nil || r > rank || r == rank && l.Popularity > best.Popularity {
+			best, rank = l, r
+		}
+	}
+	return best
+}
+
+// Loaded ends a load that succeeded.
+func (q *Queue) Loaded(a adapter.Ref) {
+	if l := q.loads[a]; l != nil {
+		q.remove(l)
+	}
+}
+
+// Failed ends an attempt that failed on an engine. The requests keep waiting, and the next attempt
+// backs off and avoids the engine. It returns the earliest time of the next attempt.
+func (q *Queue) Failed(a adapter.Ref, engine string, now time.Time) time.Time {
+	l := q.loads[a]
+	if l == nil {
+		return now
+	}
+	l.loading = false
+	wait := q.cfg.Backoff << min(l.Failures, 16)
+	if wait <= 0 || wait > q.cfg.MaxBackoff {
+		wait = q.cfg.MaxBackoff
+	}
+	l.Failures++
+	if engine != "" {
+		l.Avoid = append(l.Avoid, engine)
+		if n := len(l.Avoid) - q.cfg.AvoidEngines; n > 0 {
+			l.Avoid = l.Avoid[n:]
+		}
+	}
+	l.notBefore = now.Add(wait/2 + time.Duration(q.rnd.Int64N(int64(wait/2)+1)))
+	return l.notBefore
+}
+
+// Postpone returns a load for which no engine has a usable slot now. It counts as no failure.
+func (q *Queue) Postpone(a adapter.Ref, until time.Time) {
+	if l := q.loads[a]; l != nil {
+		l.loading, l.notBefore = false, until
+	}
+}
+
+// Waiting returns how many loads wait for a permit.
+func (q *Queue) Waiting() int {
+	n := 0
+	for _, l := range q.loads {
+		if !l.loading {
+			n++
+		}
+	}
+	return n
+}
+
+// Wanted reports whether the adapter is wanted or under way.
+func (q *Queue) Wanted(a adapter.Ref) bool { return q.loads[a] != nil }
+
+func (q *Queue) remove(l *Load) {
+	delete(q.loads, l.Adapter)
+	s := q.spaces[l.Workspace]
+	for i, o := range s.loads {
+		if o == l {
+			s.loads = append(s.loads[:i], s.loads[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/placement/best.go
@@ -0,0 +1,24 @@
+package placement
+
+import "math/rand/v2"
+
+// Best picks the candidate with the highest score and breaks ties at random, so that instances with
+// the same view do not all choose the same engine.
+type Best struct{}
+
+// Pick implements Picker.
+func (Best) Pick(c []Candidate, rnd *rand.Rand) int {
+	best, ties := -1, 0
+	for i := range c {
+		switch {
+		case best < 0 || c[i].Score > c[best].Score:
+			best, ties = i, 1
+		case c[i].Score == c[best].Score:
+			ties++
+			if rnd.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/coordination/placement/model.go
@@ -0,0 +1,7 @@
+package placement
+
+// Model keeps engines that run the adapter's base model.
+type Model struct{}
+
+// Keep implements Filter.
+func (Model) Keep(r *Request, c *Candidate) bool { return c.Engine.spec.BaseModel == r.BaseModel }
--- /dev/null
+++ b/internal/coordination/placement/victim.go
@@ -0,0 +1,54 @@
+package placement
+
+import "time"
+
+// victim returns the engine's least valuable slot that may be evicted, and its value. An adapter in
+// use, or the last copy of one that requests wait for, is never chosen. An adapter loaded within MinResidence is chosen only when there is no other.
+func (f *Fleet) victim(e *Engine, now time.Time) (*Slot, float64) {
+	var best, young *Slot
+	var bestValue, youngValue float64
+	for _, s := range e.slots {
+		if !s.evictable() || s.copies.waiting > 0 && len(s.copies.slots)-s.copies.loading == 1 {
+			continue
+		}
+		v := f.value(s, now)
+		if now.Sub(s.changed) < f.policy.MinResidence {
+			if young == nil || v < youngValue {
+				young, youngValue = s, v
+			}
+			continue
+		}
+		if best == nil || v < bestValue {
+			best, bestValue = s, v
+		}
+	}
+	if best == nil {
+		return young, youngValue
+	}
+	return best, bestValue
+}
+
+// value is the expected loading time per second that keeping the slot saves: the adapter's rate
+// times the cost of a load, reduced while other copies would take its requests.
+func (f *Fleet) value(s *Slot, now time.Time) float64 {
+	v := f.pop.rateOf(s.hash, now) * f.LoadCost.Seconds()
+	if n := len(s.copies.slots) - s.copies.loading; n > 1 {
+		v *= f.policy.ReplicaValue / float64(n)
+	}
+	return v
+}
+
+// WorthReplicating reports whether a further copy of the adapter is worth the eviction of the
+// place's victim. The newcomer must exceed the victim by margin (1.5 means half again), so that two
+// adapters of similar value do not replace each other in turn.
+func (f *Fleet) WorthReplicating(r Request, p Place, margin float64, now time.Time) bool {
+	e := f.engines[p.Engine]
+	if e == nil {
+		return false
+	}
+	s := e.find(p.Victim)
+	if s == nil {
+		return true
+	}
+	return f.pop.Rate(r.Adapter, now)*f.LoadCost.Seconds() > margin*f.value(s, now)
+}
--- /dev/null
+++ b/internal/replay/replay.go
@@ -0,0 +1,172 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"sort"
+	"text/tabwriter"
+	"time"
+)
+
+// Result is what one policy did with a case. Warm-up and drain are not measured, except for lost and
+// doubled requests.
+type Result struct {
+	Policy string
+	// Loads is the adapter loads ordered.
+	Loads int
+	// Stalls is the requests that waited for a load; -1 where the policy has none.
+	Stalls int
+	// Efficiency is the part of the usable places in batches that was used. A place is usable
+	// while its engine is up and a request in the system could take it; a single queue with full
+	// knowledge and no loads reaches 1.
+	Efficiency float64
+	// WorstShare is the least service of a workspace relative to its fair share, which is its
+	// part of the service given to all by max-min fairness with equal weights.
+	WorstShare float64
+	// P50, P95 and P99 are percentiles of the time from arrival to the last start.
+	P50, P95, P99 time.Duration
+	Requests      int
+	// Lost and Doubled are requests that never finished or finished more than once.
+	Lost, Doubled int
+	// Errors are orders that an engine could not carry out, such as evicting an adapter in use.
+	Errors []string
+}
+
+// The policies in the order of the table.
+const (
+	Turmeric      = "turmeric"
+	LeastLoaded   = "least-loaded LRU"
+	ResidentFirst = "resident-first LRU"
+	RoundRobin    = "round robin"
+	FCFS          = "first come"
+	StaticSplit   = "static split"
+	Clairvoyant   = "clairvoyant"
+)
+
+// Run plays a case under the given policies, all when none is given.
+func Run(c Case, policies ...string) []Result {
+	w := generate(c)
+	if len(policies) == 0 {
+		policies = []string{Turmeric, LeastLoaded, ResidentFirst, RoundRobin, FCFS, StaticSplit, Clairvoyant}
+	}
+	var out []Result
+	for _, name := range policies {
+		if name == Clairvoyant {
+			out = append(out, clairvoyant(c, w))
+			continue
+		}
+		s := newSim(c, w)
+		s.run(newDispatcher(name, s))
+		out = append(out, s.result(name))
+	}
+	return out
+}
+
+func newDispatcher(name string, s *sim) dispatcher {
+	switch name {
+	case LeastLoaded:
+		return newAssigned(s, leastLoaded)
+	case ResidentFirst:
+		return newAssigned(s, residentFirst)
+	case RoundRobin:
+		return newAssigned(s, roundRobin)
+	case StaticSplit:
+		return newAssigned(s, staticSplit)
+	default:
+		return newPlaced(s, name == FCFS)
+	}
+}
+
+func (s *sim) result(name string) Result {
+	r := Result{Policy: name, Loads: s.loads, Efficiency: s.usedSeats / s.seats, Errors: s.errors}
+	var waits []time.Duration
+	demand := make([]float64, len(s.c.Shares))
+	for _, j := range s.jobs {
+		switch {
+		case j.done == 0:
+			r.Lost++
+		case j.done > 1:
+			r.Doubled++
+		}
+		if j.at < s.c.Warmup {
+			continue
+		}
+		r.Requests++
+		demand[j.space] += j.service.Seconds()
+		if j.stalled {
+			r.Stalls++
+		}
+		if j.done > 0 {
+			waits = append(waits, j.started-j.at)
+		}
+	}
+	r.percentiles(waits)
+	r.WorstShare = worstShare(demand, s.served)
+	return r
+}
+
+func (r *Result) percentiles(waits []time.Duration) {
+	if len(waits) == 0 {
+		return
+	}
+	slices.Sort(waits)
+	at := func(q float64) time.Duration { return waits[int(q*float64(len(waits)-1))] }
+	r.P50, r.P95, r.P99 = at(0.5), at(0.95), at(0.99)
+}
+
+// worstShare divides the service given to all by max-min fairness and returns the least part that a
+// workspace got of its own.
+func worstShare(demand, served []float64) float64 {
+	order := make([]int, len(demand))
+	left := 0.0
+	for i := range order {
+		order[i] = i
+		left += served[i]
+	}
+	sort.Slice(order, func(a, b int) bool { return demand[order[a]] < demand[order[b]] })
+	worst := math.Inf(1)
+	for k, i := range order {
+		fair := min(demand[i], left/float64(len(order)-k))
+		left -= fair
+		if fair > 0 {
+			worst = min(worst, served[i]/fair)
+		}
+	}
+	return worst
+}
+
+// Table is the results of one case.
+type Table struct {
+	Case    Case
+	Results []Result
+}
+
+// bound returns the clairvoyant bound on loads, or zero when it was not run.
+func (t Table) bound() int {
+	for _, r := range t.Results {
+		if r.Policy == Clairvoyant {
+			return r.Loads
+		}
+	}
+	return 0
+}
+
+// Fprint writes a table as text.
+func Fprint(out io.Writer, tab Table) error {
+	c := tab.Case
+	_, err := fmt.Fprintf(out, "%s: seed %d, %d engines, %d slots, batch %d, %.3g requests/s, skew %.3g\n",
+		c.Name, c.Seed, c.Engines, c.Slots, c.Batch, c.Rate, c.Skew)
+	if err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "policy\tloads\tof bound\tstalls\tefficiency\tworst share\tp50 s\tp95 s\tp99 s\tlost\tdoubled\terrors\t")
+	for _, r := range tab.Results {
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%.2f\t%d\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\t\n", r.Policy, r.Loads,
+			float64(r.Loads)/float64(tab.bound()), r.Stalls, r.Efficiency, r.WorstShare,
+			r.P50.Seconds(), r.P95.Seconds(), r.P99.Seconds(), r.Lost, r.Doubled, len(r.Errors))
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/replay/workload.go
@@ -0,0 +1,214 @@
+// Package replay runs placement, load budget and fair order over a synthetic workload in virtual
+// time, next to simpler policies and bounds that know the future.
+//
+// It models one deciding instance. Reports of engines lag, loads fail, engines restart and the
+// weight store is as slow as its limits say.
+package replay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+)
+
+// Case is one workload and fleet.
+type Case struct {
+	Name    string
+	Seed    uint64
+	Engines int
+	// Slots is the adapters that one engine holds.
+	Slots int
+	// Batch is the requests that one engine runs at once.
+	Batch    int
+	Store    config.WeightStore
+	Adapters int
+	// Skew is the exponent of the Zipf popularity.
+	Skew float64
+	// Shares are the workspaces' parts of the request rate.
+	Shares []float64
+	// Rate is requests per second over the fleet.
+	Rate float64
+	// Overload multiplies the rate of the first workspace; zero means 1.
+	Overload float64
+	// Shift makes that part of the adapters wake or fall idle at a random time of the run.
+	Shift float64
+	// Warmup is not measured; Duration follows it.
+	Warmup, Duration time.Duration
+	// RestartEvery is the time between restarts of a random engine; zero means none.
+	RestartEvery time.Duration
+	// LoadFailures is the part of loads that fail.
+	LoadFailures float64
+}
+
+// Limits of the synthetic requests. Sessions model a crew that sends a few requests for the same
+// adapter; bursts model the end of a shift.
+const (
+	sessionLength  = 3.0
+	sessionGap     = 10 * time.Second
+	serviceMedian  = 3.0 // seconds
+	serviceSpread  = 0.6
+	serviceMin     = 0.5
+	serviceMax     = 20.0
+	burstEvery     = 10 * time.Minute
+	burstDuration  = 30 * time.Second
+	burstFactor    = 2.0
+	loadDuration   = 250 * time.Millisecond
+	restartTakes   = 10 * time.Second
+	wokenPerHour   = 0.39
+	overloadFactor = 5
+)
+
+func base(name string, seed uint64) Case {
+	return Case{
+		Name: name, Seed: seed, Slots: 8, Batch: 8, Adapters: 3000, Skew: 1.1,
+		Shares: []float64{0.4, 0.3, 0.15, 0.1, 0.05},
+		Warmup: 15 * time.Minute, Duration: time.Hour,
+		RestartEvery: 20 * time.Minute, LoadFailures: 0.02,
+	}
+}
+
+// Rausu returns the steady case of the first deployment.
+func Rausu(seed uint64) Case {
+	c := base("rausu", seed)
+	c.Engines, c.Rate = 9, 8
+	c.Store = config.WeightStore{LoadsPerSecond: 3.5, FullSpeed: 1, MaxInFlight: 8}
+	return c
+}
+
+// Glenbrae returns the steady case of the second deployment.
+func Glenbrae(seed uint64) Case {
+	c := base("glenbrae", seed)
+	c.Engines, c.Rate = 18, 16
+	c.Store = config.WeightStore{LoadsPerSecond: 7, FullSpeed: 3, MaxInFlight: 24}
+	return c
+}
+
+// Shifting returns the case with 39% of the adapters waking or falling idle within the hour.
+func (c Case) Shifting() Case {
+	c.Name += " shift"
+	c.Shift = wokenPerHour
+	return c
+}
+
+// Overloaded returns the case with the first workspace at five times its rate.
+func (c Case) Overloaded() Case {
+	c.Name += " overload"
+	c.Overload = overloadFactor
+	return c
+}
+
+// request is one request of the workload.
+type request struct {
+	at      time.Duration
+	adapter int
+	space   int
+	service time.Duration
+}
+
+// workload is the requests of a case in order of arrival, and who owns each adapter.
+type workload struct {
+	requests []request
+	refs     []adapter.Ref
+	owner    []int // workspace of each adapter
+	spaces   []string
+	end      time.Duration
+}
+
+func generate(c Case) *workload {
+	rnd := rand.New(rand.NewPCG(c.Seed, 1))
+	w := &workload{owner: make([]int, c.Adapters), end: c.Warmup + c.Duration}
+	weights := make([]float64, c.Adapters)
+	total := 0.0
+	assigned := make([]float64, len(c.Shares))
+	for i := range weights {
+		weights[i] = math.Pow(float64(i+1), -c.Skew)
+		total += weights[i]
+		w.refs = append(w.refs, adapter.Ref{Name: fmt.Sprintf("adapter-%05d", i), Version: "1"})
+		// The workspace that is furthest below its share gets the adapter, so that the rates
+		// follow the shares even though the first adapters carry much of the traffic.
+		best := 0
+		for s, share := range c.Shares {
+			if assigned[s]/share < assigned[best]/c.Shares[best] {
+				best = s
+			}
+		}
+		assigned[best] += weights[i]
+		w.owner[i] = best
+	}
+	for s := range c.Shares {
+		w.spaces = append(w.spaces, fmt.Sprintf("workspace-%d", s))
+	}
+	factor := 1.0
+	if c.Overload > 0 {
+		for i, s := range w.owner {
+			if s == 0 {
+				weights[i] *= c.Overload
+				factor += weights[i] * (c.Overload - 1) / c.Overload / total
+			}
+		}
+	}
+	changes := shiftTimes(c, weights, rnd)
+	w.arrivals(c, weights, changes, factor, rnd)
+	sort.SliceStable(w.requests, func(i, j int) bool { return w.requests[i].at < w.requests[j].at })
+	return w
+}
+
+// change hands the popularity of one adapter, which falls idle, to another, which wakes.
+type change struct {
+	at       time.Duration
+	from, to int
+}
+
+func shiftTimes(c Case, weights []float64, rnd *rand.Rand) []change {
+	n := int(c.Shift * c.Duration.Hours() * float64(c.Adapters))
+	chosen := rnd.Perm(c.Adapters)[:n/2*2]
+	var out []change
+	for i := 0; i < len(chosen); i += 2 {
+		weights[chosen[i+1]] = 0
+		at := c.Warmup + time.Duration(rnd.Float64()*float64(c.Duration))
+		out = append(out, change{at, chosen[i], chosen[i+1]})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].at < out[j].at })
+	return out
+}
+
+func (w *workload) arrivals(c Case, weights []float64, changes []change, factor float64, rnd *rand.Rand) {
+	cum := make([]float64, len(weights))
+	sum := func() {
+		t := 0.0
+		for i, x := range weights {
+			t += x
+			cum[i] = t
+		}
+	}
+	sum()
+	rate := c.Rate * factor / sessionLength
+	for t := time.Duration(0); t < w.end; {
+		r := rate
+		if t%burstEvery < burstDuration && t >= burstEvery {
+			r *= burstFactor
+		}
+		t += time.Duration(rnd.ExpFloat64() / r * float64(time.Second))
+		for len(changes) > 0 && changes[0].at <= t {
+			weights[changes[0].to], weights[changes[0].from] = weights[changes[0].from], 0
+			changes = changes[1:]
+			sum()
+		}
+		a := sort.SearchFloat64s(cum, rnd.Float64()*cum[len(cum)-1])
+		for at := t; at < w.end; {
+			s := min(serviceMax, max(serviceMin, serviceMedian*math.Exp(serviceSpread*rnd.NormFloat64())))
+			w.requests = append(w.requests, request{
+				at: at, adapter: a, space: w.owner[a], service: time.Duration(s * float64(time.Second)),
+			})
+			if rnd.Float64() < 1/sessionLength {
+				break
+			}
+			at += time.Duration(rnd.ExpFloat64() * float64(sessionGap))
+		}
+	}
+}
