coordination: add the weighted fair queue

Cause: requests of one workspace could take all service of an instance, and work that may wait could starve. Change: internal/coordination/fairqueue orders waiting requests by normalised service over the fleet. Classes with ageing, deadlines, worth and the preference for resident adapters choose only among the workspaces that the fairness bound permits. Requests whose deadline cannot be met are refused early with verdict not-run; queues are bounded per workspace and in all.

--- /dev/null
+++ b/internal/coordination/fairqueue/deadline.go
@@ -0,0 +1,151 @@
+package fairqueue
+
+import (
+	"math"
+	"time"
+)
+
+// shareRate returns the tokens per second that fairness gives a workspace while the present
+// workspaces are backlogged, or 0 while the service rate is unknown.
+func (q *Queue) shareRate(w *workspace) float64 {
+	total := q.totalWeight
+	if w.waiting == 0 {
+		total += w.weight
+	}
+	return q.rate.tokensPerSecond * w.weight / total
+}
+
+// feasible refuses a request whose deadline cannot be met at the workspace's share of the service
+// rate, in deadline order, or whose service would make one accepted earlier miss its deadline.
+func (q *Queue) feasible(w *workspace, it *item, now time.Time) error {
+	if it.latest.IsZero() {
+		return nil
+	}
+	if it.latest.Before(now) {
+		return refuse(statusServiceUnavailable, "deadline_unmet", "the deadline is too close", 0)
+	}
+	rate := q.shareRate(w)
+	if rate <= 0 {
+		return nil
+	}
+	// The new request is dispatched once those with earlier deadlines are served; its own
+	// service time is part of latest.
+	ahead := 0.0
+	placed := false
+	for _, o := range w.byLatest {
+		if !placed && it.latest.Before(o.latest) {
+			placed = true
+			if late(it, ahead, rate, now) {
+				return tooLate(ahead, rate, it, now)
+			}
+		}
+		if placed && !late(o, ahead, rate, now) && late(o, ahead+it.Tokens, rate, now) {
+			return tooLate(ahead+it.Tokens, rate, o, now)
+		}
+		ahead += o.Tokens
+	}
+	if !placed && late(it, ahead, rate, now) {
+		return tooLate(ahead, rate, it, now)
+	}
+	return nil
+}
+
+func late(it *item, ahead, rate float64, now time.Time) bool {
+	return now.Add(seconds(ahead / rate)).After(it.latest)
+}
+
+func tooLate(ahead, rate float64, it *item, now time.Time) error {
+	wait := now.Add(seconds(ahead / rate)).Sub(it.latest)
+	return refuse(statusServiceUnavailable, "deadline_unmet",
+		"the deadline cannot be met at the present rate of service", max(wait, time.Second))
+}
+
+// rateTolerance is the relative change of a workspace's rate that is ignored in urgentAt.
+const rateTolerance = 0.05
+
+// urgent reports whether requests must be taken in deadline order now: the earliest latest dispatch
+// time, less the service that is due before it, is past.
+func (q *Queue) urgent(w *workspace, now time.Time) bool {
+	if len(w.byLatest) == 0 {
+		return false
+	}
+	rate := q.shareRate(w)
+	if w.stale || math.Abs(rate-w.urgentRate) > rateTolerance*w.urgentRate {
+		w.setUrgentAt(rate)
+	}
+	return !now.Before(w.urgentAt)
+}
+
+func (w *workspace) setUrgentAt(rate float64) {
+	w.stale, w.urgentRate = false, rate
+	ahead := 0.0
+	if rate > 0 {
+		// A request that is due may find one in service that was just taken.
+		ahead = w.largest
+	}
+	for i, it := range w.byLatest {
+		at := it.latest
+		if rate > 0 {
+			at = at.Add(-seconds(ahead / rate))
+		}
+		if i == 0 || at.Before(w.urgentAt) {
+			w.urgentAt = at
+		}
+		ahead += it.Tokens
+	}
+}
+
+// maxSeconds keeps conversions to time.Duration from overflowing.
+const maxSeconds = 365 * 24 * 3600
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, maxSeconds) * float64(time.Second))
+}
+
+// rateHorizon is the busy time over which the service rate is averaged. It spans some tens of
+// requests, so one long request does not move the estimate by much.
+const rateHorizon = 20 * time.Second
+
+// rateEstimate measures reserved tokens settled per second of busy time. Idle time does not count.
+// Reservations are the unit because the waiting requests are known by their reservations only.
+type rateEstimate struct {
+	tokensPerSecond float64
+	fixed           bool
+	tokens          float64
+	busy            time.Duration
+	last            time.Time
+}
+
+// minBusy is the busy time before the first estimate: fewer samples would refuse requests wrongly.
+const minBusy = 2 * time.Second
+
+// pass accounts for the time since the last event, in which requests ran or none did.
+func (e *rateEstimate) pass(now time.Time, busy bool) {
+	if busy && now.After(e.last) {
+		d := now.Sub(e.last)
+		keep := float64(rateHorizon) / float64(rateHorizon+d)
+		e.tokens *= keep
+		e.busy = time.Duration(float64(e.busy+d) * keep)
+	}
+	if now.After(e.last) {
+		e.last = now
+	}
+}
+
+func (e *rateEstimate) served(tokens float64) {
+	e.tokens += tokens
+	if !e.fixed && e.busy >= minBusy {
+		e.tokensPerSecond = e.tokens / e.busy.Seconds()
+	}
+}
+
+// SetRate fixes the service rate of this instance in tokens per second; zero returns to the
+// estimate from settled requests.
+func (q *Queue) SetRate(tokensPerSecond float64) {
+	q.rate.fixed = tokensPerSecond > 0
+	q.rate.tokensPerSecond = tokensPerSecond
+}
+
+// Rate returns the service rate in use, in tokens per second; zero means that it is not known yet and
+// no request is refused for its deadline.
+func (q *Queue) Rate() float64 { return q.rate.tokensPerSecond }
--- /dev/null
+++ b/internal/coordination/fairqueue/fairqueue_test.go
@@ -0,0 +1,450 @@
+package fairqueue
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func resident(*Request) Fit { return Resident }
+
+func ref(name string) adapter.Ref { return adapter.Ref{Name: name, Version: "1"} }
+
+// Guards against unfair service, lost or doubled requests and late dispatch over random operations.
+// The oracle is the set of waiting requests and the tokens dispatched per workspace.
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := config.Policy{
+			WorstServed: rapid.Float64Range(0, 4).Draw(t, "worst served"),
+			Worth:       rapid.Float64Range(0, 2).Draw(t, "worth"),
+		}
+		q := New(Settings{MaxPerWorkspace: 40, MaxTotal: 90, Policy: policy})
+		weights := map[string]float64{}
+		for i := range 4 {
+			w := fmt.Sprint("w", i)
+			weights[w] = rapid.SampledFrom([]float64{0.5, 1, 2, 4}).Draw(t, "weight")
+			q.SetWeight(w, weights[w])
+		}
+		now, waiting, runs := start, map[string]Request{}, []Request(nil)
+		service := map[string]float64{} // Normalised service, raised to the least when a workspace joins.
+		count := map[string]int{}
+		largest, next := 0.0, 0
+		drop := func(r Request) {
+			if _, ok := waiting[r.ID]; !ok {
+				t.Fatalf("request %s is not waiting: lost or doubled", r.ID)
+			}
+			delete(waiting, r.ID)
+			count[r.Workspace]--
+		}
+		settles := rapid.Bool().Draw(t, "settles")
+		enqueue := func(t *rapid.T) {
+			r := Request{
+				ID: fmt.Sprint("r", next), Workspace: fmt.Sprint("w", rapid.IntRange(0, 3).Draw(t, "workspace")),
+				Adapter: ref(fmt.Sprint("a", rapid.IntRange(0, 4).Draw(t, "adapter"))),
+				Class:   rapid.SampledFrom([]config.Class{config.Interactive, config.Standard, config.Batch}).Draw(t, "class"),
+				Worth:   rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "worth"),
+				Tokens:  float64(rapid.IntRange(1, 2000).Draw(t, "tokens")), Arrived: now,
+			}
+			if rapid.Bool().Draw(t, "deadline") {
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second)
+			}
+			next++
+			joins, others := count[r.Workspace] == 0, len(waiting)
+			displaced, err := q.Enqueue(r, now)
+			if err != nil {
+				if verdict.Of(err).Verdict != verdict.NotRun {
+					t.Fatalf("a refusal without verdict not-run: %v", err)
+				}
+				return
+			}
+			if displaced != nil {
+				drop(*displaced)
+			}
+			waiting[r.ID] = r
+			count[r.Workspace]++
+			largest = max(largest, r.Tokens/weights[r.Workspace])
+			if joins && others > 0 {
+				least := math.Inf(1)
+				for w, n := range count {
+					if n > 0 && w != r.Workspace {
+						least = min(least, service[w])
+					}
+				}
+				joined := q.workspaces[r.Workspace].virtual
+				if joined < least-1e-6 && displaced == nil {
+					t.Fatalf("%s joins at %f with credit from idle time; the least served is at %f", r.Workspace, joined, least)
+				}
+				service[r.Workspace] = joined
+			} else if joins {
+				for w := range weights {
+					service[w] = q.workspace(w).virtual
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue": func(t *rapid.T) {
+				for range rapid.IntRange(1, 12).Draw(t, "requests") {
+					enqueue(t)
+				}
+			},
+			"next": func(t *rapid.T) {
+				for _, r := range q.Expire(now) {
+					drop(r)
+				}
+				r, ok := q.Next(now, resident)
+				if ok != (len(waiting) > 0) {
+					t.Fatalf("next returned %v with %d waiting", ok, len(waiting))
+				}
+				if !ok {
+					return
+				}
+				if !r.Deadline.IsZero() && now.After(r.Deadline) {
+					t.Fatalf("request %s was dispatched after its deadline", r.ID)
+				}
+				backlogged := map[string]bool{}
+				for w, n := range count {
+					backlogged[w] = n > 0
+				}
+				drop(r)
+				runs = append(runs, r)
+				service[r.Workspace] += r.Tokens / weights[r.Workspace]
+				for w, b := range backlogged {
+					if b && service[r.Workspace]-service[w] > largest+1e-6 {
+						t.Fatalf("%s leads %s by %f, more than the largest request over weight %f",
+							r.Workspace, w, service[r.Workspace]-service[w], largest)
+					}
+					if b && !settles && service[w]-service[r.Workspace] > largest+1e-6 {
+						t.Fatalf("%s lags %s by more than %f", r.Workspace, w, largest)
+					}
+				}
+			},
+			"settle": func(t *rapid.T) {
+				if !settles || len(runs) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(runs)-1).Draw(t, "run")
+				r := runs[i]
+				used := float64(rapid.IntRange(0, int(r.Tokens)).Draw(t, "used"))
+				before := q.workspaces[r.Workspace].virtual
+				if !q.Settle(r.ID, used, now) || q.Settle(r.ID, used, now) {
+					t.Fatalf("request %s was not settled exactly once", r.ID)
+				}
+				service[r.Workspace] += q.workspaces[r.Workspace].virtual - before
+				runs = slices.Delete(runs, i, i+1)
+			},
+			"cancel": func(t *rapid.T) {
+				id := fmt.Sprint("r", rapid.IntRange(0, max(0, next-1)).Draw(t, "id"))
+				r, ok := waiting[id]
+				if q.Cancel(id) != ok {
+					t.Fatalf("cancel of %s did not return %v", id, ok)
+				}
+				if ok {
+					drop(r)
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(waiting) {
+					t.Fatalf("%d wait instead of %d", q.Len(), len(waiting))
+				}
+			},
+		})
+	})
+}
+
+// Guards against an accepted request that misses its deadline although the service rate is as
+// promised and interactive work keeps arriving (a batch request that starves).
+func TestAcceptedMeetDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, size = 1000.0, 100.0
+		q := New(Settings{})
+		q.SetRate(rate)
+		now, batch, next := start, map[string]bool{}, 0
+		offer := func(w string, c config.Class, deadline time.Duration) (string, bool) {
+			next++
+			id := fmt.Sprint(next)
+			_, err := q.Enqueue(Request{ID: id, Workspace: w, Adapter: ref(string(c)), Class: c, Tokens: size,
+				Arrived: now, Deadline: now.Add(deadline)}, now)
+			return id, err == nil
+		}
+		load := rapid.IntRange(0, 15).Draw(t, "interactive requests per ten steps")
+		// The workspaces are backlogged from the start, so each one's promised share is constant.
+		for _, w := range []string{"a", "b"} {
+			for range 20 {
+				offer(w, config.Standard, time.Hour)
+			}
+		}
+		for range rapid.IntRange(1, 10).Draw(t, "batch requests") {
+			if id, ok := offer("a", config.Batch, time.Duration(rapid.IntRange(1, 40).Draw(t, "deadline"))*time.Second); ok {
+				batch[id] = true
+			}
+		}
+		for step := range 600 {
+			if step*load/10 != (step+1)*load/10 {
+				offer("a", config.Interactive, time.Minute)
+			}
+			offer("b", config.Interactive, time.Minute)
+			for _, r := range q.Expire(now) {
+				if batch[r.ID] {
+					t.Fatalf("batch request %s missed its deadline", r.ID)
+				}
+			}
+			if r, ok := q.Next(now, resident); ok {
+				delete(batch, r.ID)
+				q.Settle(r.ID, r.Tokens, now)
+			}
+			now = now.Add(time.Duration(size / rate * float64(time.Second)))
+		}
+		if len(batch) > 0 {
+			t.Fatalf("%d batch requests were never served", len(batch))
+		}
+	})
+}
+
+// fleet serves requests on several queues that exchange virtual times every 5 steps of 100 ms.
+func fleet(queues []*Queue, steps int, arrive func(step int, offer func(instance int, w string))) map[string]float64 {
+	served, now, next := map[string]float64{}, start, 0
+	for step := range steps {
+		arrive(step, func(instance int, w string) {
+			next++
+			// A refusal is part of the load: the workspace sends more than its share.
+			_, _ = queues[instance].Enqueue(Request{ID: fmt.Sprint(next), Workspace: w, Adapter: ref(w), Tokens: 100, Arrived: now}, now)
+		})
+		for i, q := range queues {
+			for range 5 {
+				if r, ok := q.Next(now, resident); ok {
+					served[r.Workspace] += r.Tokens
+					q.Settle(r.ID, r.Tokens, now)
+				}
+			}
+			for j, p := range queues {
+				if i != j && step%5 == 0 {
+					p.Merge(fmt.Sprint(i), q.VirtualTimes())
+				}
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	return served
+}
+
+// Guards against one workspace at five times its rate taking service from the others.
+func TestFiveTimesItsRate(t *testing.T) {
+	Convey("Given three instances at capacity and five workspaces, one at five times its share", t, func() {
+		queues := []*Queue{New(Settings{}), New(Settings{}), New(Settings{})}
+		const steps = 1000
+		served := fleet(queues, steps, func(step int, offer func(int, string)) {
+			for w := range 5 {
+				n := 3
+				if w == 0 {
+					n = 15
+				}
+				for i := range n {
+					offer((step+i)%3, fmt.Sprint("w", w))
+				}
+			}
+		})
+		for w := 1; w < 5; w++ {
+			So(served[fmt.Sprint("w", w)], ShouldBeGreaterThanOrEqualTo, 0.9*3*100*steps)
+		}
+		t.Log("served", served)
+	})
+	Convey("Service on another instance counts: a workspace served there yields here", t, func() {
+		queues := []*Queue{New(Settings{}), New(Settings{})}
+		const steps = 1000
+		served := fleet(queues, steps, func(_ int, offer func(int, string)) {
+			for range 5 {
+				offer(0, "both")
+				offer(1, "both")
+				offer(1, "one")
+			}
+		})
+		So(served["one"], ShouldBeGreaterThanOrEqualTo, 0.9*5*100*steps)
+		t.Log("served", served)
+	})
+}
+
+func TestPreferences(t *testing.T) {
+	put := func(q *Queue, id string, edit func(*Request)) error {
+		r := Request{ID: id, Workspace: "w", Adapter: ref("a"), Tokens: 100, Arrived: start}
+		edit(&r)
+		_, err := q.Enqueue(r, r.Arrived)
+		return err
+	}
+	take := func(q *Queue, now time.Time, fit func(*Request) Fit) string {
+		r, _ := q.Next(now, fit)
+		return r.ID
+	}
+	Convey("An urgent class goes first, and ageing lets an old batch request pass", t, func() {
+		q := New(Settings{})
+		So(put(q, "batch", func(r *Request) { r.Class = config.Batch }), ShouldBeNil)
+		for i := range 3 {
+			So(put(q, fmt.Sprint("i", i), func(r *Request) {
+				r.Class, r.Adapter = config.Interactive, ref("b")
+				r.Arrived = start.Add(time.Duration(i) * time.Minute)
+			}), ShouldBeNil)
+		}
+		So(take(q, start, resident), ShouldEqual, "i0")
+		So(take(q, start.Add(time.Minute), resident), ShouldEqual, "batch")
+	})
+	Convey("Worth shares service within a workspace in proportion, and policy can ignore it", t, func() {
+		for worth, least := range map[float64]int{0: 45, 1: 70} {
+			q := New(Settings{Policy: config.Policy{WorstServed: 1, Worth: worth}})
+			for i := range 100 {
+				So(put(q, fmt.Sprint("x", i), func(r *Request) { r.Worth = 3 }), ShouldBeNil)
+				So(put(q, fmt.Sprint("y", i), func(r *Request) { r.Adapter = ref("b") }), ShouldBeNil)
+			}
+			n := 0
+			for range 100 {
+				if take(q, start, resident)[0] == 'x' {
+					n++
+				}
+			}
+			So(n, ShouldBeBetween, least, least+10)
+		}
+	})
+	Convey("A resident adapter goes first, but only within the batch window", t, func() {
+		q := New(Settings{BatchWindow: 500})
+		So(put(q, "cold", func(r *Request) { r.Adapter = ref("cold") }), ShouldBeNil)
+		for i := range 20 {
+			So(put(q, fmt.Sprint(i), func(*Request) {}), ShouldBeNil)
+		}
+		fit := func(r *Request) Fit {
+			if r.Adapter.Name == "cold" {
+				return NeedsLoad
+			}
+			return Resident
+		}
+		order := 0
+		for take(q, start, fit) != "cold" {
+			order++
+		}
+		So(order, ShouldBeBetween, 4, 7)
+	})
+	Convey("A blocked adapter is skipped and does not stop its workspace or another", t, func() {
+		q := New(Settings{})
+		So(put(q, "blocked", func(r *Request) { r.Adapter = ref("blocked") }), ShouldBeNil)
+		So(put(q, "free", func(*Request) {}), ShouldBeNil)
+		fit := func(r *Request) Fit {
+			if r.Adapter.Name == "blocked" {
+				return Blocked
+			}
+			return NeedsLoad
+		}
+		So(take(q, start, fit), ShouldEqual, "free")
+		So(take(q, start, fit), ShouldEqual, "")
+		So(q.Len(), ShouldEqual, 1)
+	})
+	Convey("A request that cannot meet its deadline is refused early with verdict not-run", t, func() {
+		q := New(Settings{})
+		q.SetRate(100)
+		So(put(q, "1", func(r *Request) { r.Deadline = start.Add(2 * time.Second) }), ShouldBeNil)
+		So(put(q, "2", func(r *Request) { r.Deadline = start.Add(2 * time.Second) }), ShouldBeNil)
+		err := put(q, "3", func(r *Request) { r.Deadline = start.Add(2 * time.Second) })
+		So(verdict.Of(err).Code, ShouldEqual, "deadline_unmet")
+		So(verdict.Of(err).Verdict, ShouldEqual, verdict.NotRun)
+	})
+	Convey("A request that would make one accepted earlier miss its deadline is refused", t, func() {
+		q := New(Settings{})
+		q.SetRate(100)
+		So(put(q, "1", func(r *Request) { r.Deadline = start.Add(1500 * time.Millisecond) }), ShouldBeNil)
+		err := put(q, "2", func(r *Request) { r.Tokens, r.Deadline = 200, start.Add(time.Second) })
+		So(verdict.Of(err).Code, ShouldEqual, "deadline_unmet")
+	})
+	Convey("A batch request that is due goes before another workspace's interactive request", t, func() {
+		q := New(Settings{})
+		So(put(q, "interactive", func(r *Request) { r.Class = config.Interactive }), ShouldBeNil)
+		So(put(q, "due", func(r *Request) {
+			r.Workspace, r.Class, r.Deadline = "other", config.Batch, start.Add(time.Second)
+		}), ShouldBeNil)
+		So(take(q, start.Add(750*time.Millisecond), resident), ShouldEqual, "due")
+	})
+	Convey("A refund for a dispatch before an idle time gives no credit for that time", t, func() {
+		q := New(Settings{})
+		So(put(q, "old", func(r *Request) { r.Tokens = 1000 }), ShouldBeNil)
+		So(take(q, start, resident), ShouldEqual, "old")
+		for i := range 60 {
+			So(put(q, fmt.Sprint("o", i), func(r *Request) { r.Workspace = "other" }), ShouldBeNil)
+		}
+		for range 30 {
+			take(q, start, resident)
+		}
+		for i := range 20 {
+			So(put(q, fmt.Sprint("w", i), func(*Request) {}), ShouldBeNil)
+		}
+		So(q.Settle("old", 0, start), ShouldBeTrue)
+		n := 0
+		for range 10 {
+			if take(q, start, resident)[0] == 'w' {
+				n++
+			}
+		}
+		So(n, ShouldBeBetween, 3, 7)
+	})
+	Convey("A full queue makes room for a workspace that waits with less", t, func() {
+		q := New(Settings{MaxTotal: 5, MaxPerWorkspace: 10})
+		for i := range 5 {
+			So(put(q, fmt.Sprint(i), func(*Request) {}), ShouldBeNil)
+		}
+		So(verdict.Of(put(q, "w", func(*Request) {})).Code, ShouldEqual, "queue_full")
+		displaced, err := q.Enqueue(Request{ID: "o", Workspace: "other", Tokens: 10, Arrived: start}, start)
+		So(err, ShouldBeNil)
+		So(displaced.ID, ShouldEqual, "4")
+		So(q.Len(), ShouldEqual, 5)
+	})
+	Convey("The service rate is estimated from busy time only", t, func() {
+		q := New(Settings{})
+		now := start
+		for i := range 100 {
+			So(put(q, fmt.Sprint(i), func(r *Request) { r.Arrived = now }), ShouldBeNil)
+			r, _ := q.Next(now, resident)
+			now = now.Add(100 * time.Millisecond)
+			q.Settle(r.ID, 50, now)
+			now = now.Add(time.Second)
+		}
+		So(q.Rate(), ShouldAlmostEqual, 1000, 50)
+	})
+}
+
+func benchmarkQueue(b *testing.B, workspaces, adapters, depth int) {
+	q := New(Settings{MaxPerWorkspace: depth, MaxTotal: workspaces * depth})
+	q.SetRate(1e9)
+	requests := make([]Request, workspaces*depth)
+	for i := range requests {
+		requests[i] = Request{ID: fmt.Sprint(i), Workspace: fmt.Sprint("w", i%workspaces),
+			Adapter: ref(fmt.Sprint("a", i%adapters)), Tokens: 600, Arrived: start, Deadline: start.Add(time.Hour)}
+		if i%2 == 0 {
+			if _, err := q.Enqueue(requests[i], start); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	r := requests[1]
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := q.Enqueue(r, start); err != nil {
+			b.Fatal(err)
+		}
+		r, _ = q.Next(start, resident)
+		q.Settle(r.ID, 500, start)
+	}
+}
+
+func BenchmarkQueue(b *testing.B) {
+	for _, c := range []struct{ workspaces, adapters, depth int }{{5, 16, 32}, {5, 3000, 512}, {100, 3000, 16}} {
+		b.Run(fmt.Sprintf("workspaces=%d/adapters=%d/waiting=%d", c.workspaces, c.adapters, c.workspaces*c.depth/2),
+			func(b *testing.B) { benchmarkQueue(b, c.workspaces, c.adapters, c.depth) })
+	}
+}
