dispatch: place requests by fair queue, placement and crash attribution

Cause: the first router was least loaded, without a queue, retries by budget or attribution of engine crashes. Change: the scheduler joins fairqueue, placement, loadbudget's order and retry; a failed connection is followed by a question to the engine, so that a crash is attributed before anything runs again. Conclusion: the decision types drive the real path; loads are not yet bounded by the fleet's budget and orders have no owner.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
+	"github.com/turmericworks/turmericworks/internal/coordination/fairqueue"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
@@ -43,7 +44,7 @@
 	instanceList platform.InstanceList
 	fleet        *fleet.Registry
 	replica      *replica
-	router       *dispatch.LeastLoaded
+	scheduler    *dispatch.Scheduler
 	runner       *runner
 	entry        *entry.Server
 
@@ -65,8 +66,11 @@
 	d.instanceList = platformhttp.NewInstanceList(d.settings.Platform.ListURL, transport)
 	d.fleet = fleet.New(transport, d.engineReported)
 	d.replica = newReplica(d)
-	d.router = dispatch.NewLeastLoaded(d.fleet)
-	d.runner = &runner{Runner: dispatch.New(d.router, onceRetrier{}), daemon: d}
+	d.scheduler = dispatch.NewScheduler(dispatch.SchedulerOptions{
+		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: directLoader{}, Budget: unlimitedLoads{},
+		Queue: fairqueue.Settings{MaxTotal: d.settings.Limits.QueuedRequests}, Seed: seedOf(o.Incarnation),
+	})
+	d.runner = &runner{Runner: dispatch.New(d.scheduler), daemon: d}
 	d.entry = entry.New(entry.Options{
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Registry: d.registry,
 	})
@@ -148,6 +152,7 @@
 	}
 	supervisor.Add(callers)
 	supervisor.Add(d.fleet)
+	supervisor.Add(d.scheduler)
 	d.replica.addTo(supervisor)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
@@ -21,10 +24,11 @@
 		servers[id] = *s
 	}
 	d.fleet.Update(servers)
+	d.scheduler.Configure(v)
 	d.entry.ConfigChanged()
 }
 
-func (d *Daemon) engineReported(r fleet.Report) { d.router.Reported(r) }
+func (d *Daemon) engineReported(r fleet.Report) { d.scheduler.Reported(r) }
 
 // isLoopback reports whether an address can be reached from this machine only.
 func isLoopback(address string) bool {
@@ -36,14 +40,30 @@
 	return err == nil && ip.IsLoopback()
 }
 
-// onceRetrier permits one further attempt after a failure that surely did not run.
-type onceRetrier struct{}
+// directLoader sends orders without an owner.
+type directLoader struct{}
 
-func (onceRetrier) Retry(_ entry.Call, attempt int, err *verdict.Error, sent bool) bool {
-	return attempt == 1 && !sent && err.Verdict == verdict.NotRun
+// Load implements dispatch.Loader.
+func (directLoader) Load(ctx context.Context, e *fleet.Engine, a, victim adapter.Ref) error {
+	if victim != (adapter.Ref{}) {
+		if err := e.Client.Evict(ctx, backend.Order{Adapter: victim, IfIdle: true}); err != nil {
+			return err
+		}
+	}
+	return e.Client.Load(ctx, backend.Order{Adapter: a})
 }
 
-func (onceRetrier) Started(entry.Call) {}
+type unlimitedLoads struct{}
+
+func (unlimitedLoads) TakeLoad(time.Time) bool { return true }
+
+// seedOf derives a seed from an incarnation.
+func seedOf(incarnation string) uint64 {
+	h := fnv.New64a()
+	// Writing to a hash never fails.
+	_, _ = h.Write([]byte(incarnation))
+	return h.Sum64()
+}
 
 // runner runs completions and calls of plain services.
 type runner struct {
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -129,6 +129,8 @@
 	Service string `json:"service,omitempty"`
 	// Slots is how many adapters the engine holds at once.
 	Slots int `json:"slots,omitempty"`
+	// MaxBatch is how many requests the engine runs at once; zero means 32.
+	MaxBatch int `json:"max_batch,omitempty"`
 	// ChecksFence says that the engine refuses an order with an old fencing number.
 	ChecksFence bool `json:"checks_fence,omitempty"`
 	// EvictsOnlyIdle says that the engine can evict an adapter only if it is idle.
--- /dev/null
+++ b/internal/transport/dispatch/loads.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/loadbudget"
+	"github.com/turmericworks/turmericworks/internal/coordination/placement"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/transport/fleet"
+)
+
+// startLoads starts the loads that are due and within the budget. The caller holds the lock.
+func (s *Scheduler) startLoads(now time.Time) {
+	for s.loads.Waiting() > 0 {
+		l := s.loads.Next(now)
+		if l == nil {
+			return
+		}
+		p, ok := s.placeLoad(l, now)
+		if !ok {
+			s.loads.Postpone(l.Adapter, now.Add(noPlaceDelay))
+			continue
+		}
+		if !s.budget.TakeLoad(now) {
+			s.loads.Postpone(l.Adapter, now.Add(tick))
+			return
+		}
+		s.startLoad(l, p, now)
+	}
+}
+
+// placeLoad finds a place that is worth the load. The caller holds the lock.
+func (s *Scheduler) placeLoad(l *loadbudget.Load, now time.Time) (placement.Place, bool) {
+	r := placement.Request{Adapter: l.Adapter, BaseModel: s.modelOf(l.Adapter), DataCentre: s.dataCentre}
+	p, ok := s.place.PlaceLoad(r, l.Avoid, now)
+	if !ok {
+		return p, false
+	}
+	replica := len(s.place.Resident(nil, l.Adapter)) > 0
+	if replica && !s.place.WorthReplicating(r, p, replicateMargin, now) {
+		s.loads.Loaded(l.Adapter)
+		return p, false
+	}
+	return p, true
+}
+
+// modelOf returns the base model of an adapter that a request waits for.
+func (s *Scheduler) modelOf(a adapter.Ref) string {
+	for _, w := range s.waiters {
+		if w.call.Adapter == a {
+			return w.call.BaseModel
+		}
+	}
+	return ""
+}
+
+// startLoad orders a load. The caller holds the lock.
+func (s *Scheduler) startLoad(l *loadbudget.Load, p placement.Place, now time.Time) {
+	engine := s.fleet.Engine(p.Engine)
+	if p.Victim != (adapter.Ref{}) {
+		s.place.Removed(p.Engine, p.Incarnation, p.Victim, now)
+	}
+	if engine == nil || !s.place.LoadStarted(p.Engine, l.Adapter, now) {
+		s.loads.Failed(l.Adapter, p.Engine, now)
+		return
+	}
+	go s.runLoad(engine, p, l.Adapter)
+}
+
+// runLoad waits for a load and takes over its result.
+func (s *Scheduler) runLoad(engine *fleet.Engine, p placement.Place, a adapter.Ref) {
+	err := s.loader.Load(s.ctx, engine, a, p.Victim)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err == nil && s.place.Loaded(p.Engine, p.Incarnation, a, now):
+		s.loads.Loaded(a)
+	default:
+		s.place.Removed(p.Engine, p.Incarnation, a, now)
+		s.loads.Failed(a, p.Engine, now)
+	}
+	s.pump(now)
+}
--- /dev/null
+++ b/internal/transport/dispatch/scheduler.go
@@ -0,0 +1,383 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/turmericworks/turmericworks/internal/coordination/fairqueue"
+	"github.com/turmericworks/turmericworks/internal/coordination/loadbudget"
+	"github.com/turmericworks/turmericworks/internal/coordination/placement"
+	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/entry"
+	"github.com/turmericworks/turmericworks/internal/transport/fleet"
+)
+
+const (
+	// tick is how often waiting requests and loads are looked at without an event.
+	tick = 50 * time.Millisecond
+	// noPlaceDelay is the pause before a load for which no engine has a usable slot is tried again.
+	noPlaceDelay = 100 * time.Millisecond
+	// defaultMaxBatch is the batch of an engine whose configuration names none.
+	defaultMaxBatch = 32
+	// replicateMargin is how much more valuable a further copy must be than what it replaces.
+	replicateMargin = 1.5
+)
+
+// popularity uses the decay that lost fewest loads in the replay (internal/replay).
+var popularity = placement.PopularityConfig{
+	Adapters: 100_000, Slow: 10 * time.Minute, Fast: 30 * time.Second, FastWeight: 0,
+}
+
+// Loader orders an adapter load on an engine, after the eviction of victim unless that is the zero
+// Ref. It returns when the adapter is resident, or with the reason why it is not.
+type Loader interface {
+	Load(ctx context.Context, engine *fleet.Engine, a, victim adapter.Ref) error
+}
+
+// LoadBudget bounds the loads of the whole fleet.
+type LoadBudget interface {
+	// TakeLoad takes the permission for one load, or returns false.
+	TakeLoad(now time.Time) bool
+}
+
+// Scheduler finds places for requests: it queues them fairly, places them on engines and has missing
+// adapters loaded. It is safe for concurrent use. Its lock is never held during I/O.
+type Scheduler struct {
+	fleet      *fleet.Registry
+	dataCentre string
+	loader     Loader
+	budget     LoadBudget
+	ctx        context.Context
+
+	mu      sync.Mutex
+	place   *placement.Fleet
+	queue   *fairqueue.Queue
+	loads   *loadbudget.Queue
+	blame   *retry.Blame
+	ejector map[string]*retry.Ejector // by base model
+	down    map[string]bool           // engines whose last report failed
+	runs    map[string]string         // engine to incarnation
+	models  map[string]string         // engine to base model
+	waiters map[string]*waiter
+	// waiting counts the waiters by adapter version.
+	waiting map[adapter.Ref]int
+	publish func(retry.BlameRecord)
+}
+
+// waiter is one attempt that waits for a place.
+type waiter struct {
+	call        entry.Call
+	fingerprint retry.Fingerprint
+	// decision is the last one of fit, which dispatch carries out.
+	decision placement.Decision
+	result   chan acquired
+}
+
+type acquired struct {
+	place Place
+	err   error
+}
+
+// SchedulerOptions are what a Scheduler needs.
+type SchedulerOptions struct {
+	Fleet      *fleet.Registry
+	DataCentre string
+	Loader     Loader
+	Budget     LoadBudget
+	// Queue bounds and weighs the queue.
+	Queue fairqueue.Settings
+	// Publish appends a record about an engine crash to the log. It must not block.
+	Publish func(retry.BlameRecord)
+	// Seed makes random draws differ between instances.
+	Seed uint64
+}
+
+// NewScheduler returns a scheduler without engines.
+func NewScheduler(o SchedulerOptions) *Scheduler {
+	rnd := rand.New(rand.NewPCG(o.Seed, 0))
+	pop := placement.NewPopularity(popularity, time.Now())
+	return &Scheduler{
+		fleet: o.Fleet, dataCentre: o.DataCentre, loader: o.Loader, budget: o.Budget, publish: o.Publish,
+		ctx: context.Background(), place: placement.New(placement.DefaultPolicy(), pop, rnd), queue: fairqueue.New(o.Queue),
+		loads: loadbudget.NewQueue(loadbudget.DefaultQueueConfig(), rnd), blame: retry.NewBlame(),
+		ejector: map[string]*retry.Ejector{}, down: map[string]bool{}, runs: map[string]string{},
+		models: map[string]string{}, waiters: map[string]*waiter{}, waiting: map[adapter.Ref]int{},
+	}
+}
+
+// Serve looks at waiting requests until the context ends. It implements suture.Service.
+func (s *Scheduler) Serve(ctx context.Context) error {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			s.mu.Lock()
+			s.pump(now)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// Configure takes over the engines, weights and policy of a configuration.
+func (s *Scheduler) Configure(v *config.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.SetPolicy(v.Fleet().Policy)
+	for id, w := range v.Workspaces() {
+		s.queue.SetWeight(id, max(w.Weight, 1))
+		s.loads.SetWeight(id, max(w.Weight, 1))
+	}
+	byModel := map[string][]string{}
+	models := map[string]string{}
+	for id, b := range v.BackendServers() {
+		if b.Kind != config.KindEngine {
+			continue
+		}
+		capacity := b.MaxBatch
+		if capacity == 0 {
+			capacity = defaultMaxBatch
+		}
+		s.place.SetEngine(placement.Spec{
+			ID: id, BaseModel: b.BaseModel, DataCentre: b.DataCentre, Slots: b.Slots, Capacity: capacity,
+		})
+		s.place.SetLeaving(id, b.Leaving)
+		models[id] = b.BaseModel
+		byModel[b.BaseModel] = append(byModel[b.BaseModel], id)
+	}
+	for id := range s.models {
+		if _, ok := models[id]; !ok {
+			s.place.RemoveEngine(id)
+		}
+	}
+	s.models = models
+	for model, ids := range byModel {
+		if s.ejector[model] == nil {
+			s.ejector[model] = retry.NewEjector(retry.EjectSettings{})
+		}
+		s.ejector[model].Set(ids)
+	}
+}
+
+// Reported takes over an engine's report. A failed one takes the engine out of use until the next good
+// one.
+func (s *Scheduler) Reported(r fleet.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.down[r.EngineID] = r.Err != nil
+	if r.Err == nil {
+		s.newRun(r.EngineID, r.Status.Incarnation, now)
+		s.place.Report(r.EngineID, placementReport(r.Status))
+	}
+	s.updateEjected(r.EngineID)
+	s.pump(now)
+}
+
+// newRun notes the incarnation of an engine; another one than before means a crash or a restart.
+func (s *Scheduler) newRun(engine, incarnation string, now time.Time) {
+	old := s.runs[engine]
+	s.runs[engine] = incarnation
+	if old == "" || old == incarnation {
+		return
+	}
+	if _, rec := s.blame.Crashed(retry.Crash{Engine: engine, Incarnation: old}, now); rec != nil && s.publish != nil {
+		s.publish(*rec)
+	}
+}
+
+func placementReport(st backend.Status) placement.Report {
+	r := placement.Report{
+		Incarnation: st.Incarnation, Sequence: st.Sequence, Running: st.Running, Queued: st.Queued,
+		Leaving: st.Leaving, SampledAt: st.SampledAt,
+	}
+	for _, a := range st.Resident {
+		r.Resident = append(r.Resident, placement.ReportedSlot{Adapter: a.Adapter, Running: a.Running})
+	}
+	return r
+}
+
+// updateEjected applies ejection to the placement. The caller holds the lock.
+func (s *Scheduler) updateEjected(engine string) {
+	e := s.ejector[s.models[engine]]
+	s.place.SetEjected(engine, s.down[engine] || e != nil && !e.Usable(engine))
+}
+
+// MergeBlame takes over a record about an engine crash from the log.
+func (s *Scheduler) MergeBlame(rec retry.BlameRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.blame.Merge(rec, time.Now())
+}
+
+// Acquire implements Router.
+func (s *Scheduler) Acquire(ctx context.Context, c entry.Call) (Place, error) {
+	w := &waiter{
+		call: c, fingerprint: retry.NewFingerprint(c.Workspace, c.Adapter, c.Path, c.Body), result: make(chan acquired, 1),
+	}
+	id := uuid.NewString()
+	if err := s.enqueue(id, w); err != nil {
+		return Place{}, err
+	}
+	select {
+	case r := <-w.result:
+		return r.place, r.err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	waiting := s.queue.Cancel(id)
+	if waiting {
+		s.forget(id)
+	}
+	s.mu.Unlock()
+	if !waiting {
+		// The place was given at the same moment; it is returned unused.
+		if r := <-w.result; r.err == nil {
+			r.place.Release(Outcome{Err: errUnused})
+		}
+	}
+	return Place{}, verdict.Wrap(ctx.Err(), verdict.NotRun, http.StatusGatewayTimeout, "deadline", "the request ended while it waited for an engine")
+}
+
+var errUnused = verdict.New(verdict.NotRun, http.StatusGatewayTimeout, "deadline", "the place was not used")
+
+func (s *Scheduler) enqueue(id string, w *waiter) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if err := s.blame.Check(w.fingerprint, now); err != nil {
+		return err
+	}
+	s.place.Requested(w.call.Adapter, 1, now)
+	displaced, err := s.queue.Enqueue(fairqueue.Request{
+		ID: id, Workspace: w.call.Workspace, Adapter: w.call.Adapter, Class: w.call.Class, Worth: w.call.Worth,
+		Tokens: float64(w.call.Tokens), Arrived: now, Deadline: w.call.Deadline,
+	}, now)
+	if err != nil {
+		return err
+	}
+	s.waiters[id] = w
+	s.countWaiting(w.call.Adapter, 1)
+	if displaced != nil {
+		s.answer(displaced.ID, acquired{err: fairqueue.Displaced()})
+	}
+	s.pump(now)
+	return nil
+}
+
+// answer ends the wait of a request. The caller holds the lock.
+func (s *Scheduler) answer(id string, r acquired) {
+	if w := s.waiters[id]; w != nil {
+		w.result <- r
+		s.forget(id)
+	}
+}
+
+// forget drops a waiter, and the load that nobody else waits for. The caller holds the lock.
+func (s *Scheduler) forget(id string) {
+	w := s.waiters[id]
+	delete(s.waiters, id)
+	s.countWaiting(w.call.Adapter, -1)
+}
+
+// countWaiting counts the waiters of an adapter. The caller holds the lock.
+func (s *Scheduler) countWaiting(a adapter.Ref, n int) {
+	s.waiting[a] += n
+	s.place.SetWaiting(a, s.waiting[a])
+	if s.waiting[a] == 0 {
+		delete(s.waiting, a)
+		s.loads.Cancel(a)
+	}
+}
+
+// pump dispatches what can be dispatched and starts loads. The caller holds the lock.
+func (s *Scheduler) pump(now time.Time) {
+	for _, late := range s.queue.Expire(now) {
+		s.answer(late.ID, acquired{err: fairqueue.Late()})
+	}
+	for {
+		r, ok := s.queue.Next(now, func(r *fairqueue.Request) fairqueue.Fit { return s.fit(r, now) })
+		if !ok {
+			break
+		}
+		s.dispatch(r, now)
+	}
+	s.startLoads(now)
+}
+
+func (s *Scheduler) placementRequest(c *entry.Call) placement.Request {
+	return placement.Request{Adapter: c.Adapter, BaseModel: c.BaseModel, DataCentre: s.dataCentre}
+}
+
+// fit says whether a request can start now, and asks for a load when its adapter is missing.
+func (s *Scheduler) fit(r *fairqueue.Request, now time.Time) fairqueue.Fit {
+	w := s.waiters[r.ID]
+	if w == nil {
+		return fairqueue.Blocked
+	}
+	d := s.place.Decide(s.placementRequest(&w.call), now)
+	w.decision = d
+	if d.Action == placement.NeedLoad || d.Replicate {
+		s.loads.Want(r.Adapter, r.Workspace, s.waiting[r.Adapter], 0, now)
+	}
+	if d.Action != placement.Dispatch || d.Full {
+		return fairqueue.Blocked
+	}
+	if !s.blame.MayStart(w.fingerprint, retry.Crash{Engine: d.Engine, Incarnation: d.Incarnation}, now) {
+		return fairqueue.Blocked
+	}
+	return fairqueue.Resident
+}
+
+// dispatch gives a place to a request that fit accepted. The caller holds the lock.
+func (s *Scheduler) dispatch(r fairqueue.Request, now time.Time) {
+	w := s.waiters[r.ID]
+	d := w.decision
+	engine := s.fleet.Engine(d.Engine)
+	if engine == nil {
+		s.queue.Settle(r.ID, 0, now)
+		s.answer(r.ID, acquired{err: errNoEngine})
+		return
+	}
+	run := retry.Crash{Engine: d.Engine, Incarnation: d.Incarnation}
+	s.place.Started(d.Engine, r.Adapter, now)
+	s.blame.Started(r.ID, w.fingerprint, run)
+	var once sync.Once
+	release := func(o Outcome) { once.Do(func() { s.release(r, run, o) }) }
+	s.answer(r.ID, acquired{place: Place{Engine: engine, Release: release}})
+}
+
+// release takes a place back.
+func (s *Scheduler) release(r fairqueue.Request, run retry.Crash, o Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.queue.Settle(r.ID, float64(o.Tokens), now)
+	s.place.Finished(run.Engine, r.Adapter, now)
+	for _, rec := range s.blame.Finished(r.ID, run, o.Err == nil) {
+		if s.publish != nil {
+			s.publish(rec)
+		}
+	}
+	if e := s.ejector[s.models[run.Engine]]; e != nil && !o.refused() {
+		e.Result(run.Engine, o.Err == nil, now)
+		s.updateEjected(run.Engine)
+	}
+	s.pump(now)
+}
+
+var errNoEngine = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_engine", "no engine can take the request now").
+	WithRetryAfter(retryAfter)
--- a/internal/transport/dispatch/stream.go
+++ b/internal/transport/dispatch/stream.go
@@ -4,49 +4,44 @@
 	"context"
 	"net/http"
 
+	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 )
 
-// maxResumes bounds how often one attempt's stream is resumed.
-const maxResumes = 3
-
 // stream is one streamed answer over all its attempts. It hands on each position once and in order.
 type stream struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	runner *Runner
 	call   entry.Call
+	retry  *retry.Call
 
-	attempt int
-	resumes int
-	avoid   []string
 	place   Place
 	held    bool
 	request backend.Request
 	reader  backend.ChunkReader
 	// next is the position of the next chunk to hand on.
-	next int
+	next  int
+	usage backend.Usage
 }
 
 // open starts attempts until one streams.
 func (s *stream) open() error {
 	for {
-		s.attempt++
-		s.resumes = 0
 		err := s.openOnce()
 		if err == nil {
 			return nil
 		}
-		if !s.mayRetry(err) {
-			return err
+		if s.runner.failed(s.ctx, s.retry, err, false).Action != retry.Retry {
+			return giveUp(s.retry, err)
 		}
 	}
 }
 
 func (s *stream) openOnce() error {
-	place, err := s.runner.router.Acquire(s.ctx, s.call, s.avoid)
+	place, err := s.runner.router.Acquire(s.ctx, s.call)
 	if err != nil {
 		return err
 	}
@@ -59,20 +54,16 @@
 	return err
 }
 
-func (s *stream) mayRetry(err error) bool {
-	return s.ctx.Err() == nil && s.runner.retrier.Retry(s.call, s.attempt, verdict.Of(err), s.next > 0)
-}
-
-// release gives the place back and remembers the engine of a failed attempt.
+// release gives the place back. After a connection failed, the engine is asked for its state first.
 func (s *stream) release(err error) {
 	if !s.held {
 		return
 	}
 	s.held = false
-	s.place.Release(err)
-	if err != nil {
-		s.avoid = append(s.avoid, s.place.Engine.ID)
+	if err != nil && s.ctx.Err() == nil && verdict.Of(err).Verdict == verdict.MayHaveRun {
+		s.runner.probe(s.ctx, s.place.Engine)
 	}
+	s.place.Release(Outcome{Err: err, Tokens: s.usage.TotalTokens})
 }
 
 // Next implements backend.ChunkReader.
@@ -82,20 +73,32 @@
 		if err == nil {
 			err = s.check(chunk)
 		}
-		if err == nil {
-			if chunk.Done {
-				s.release(nil)
-				return chunk, nil
+		if err != nil {
+			if err := s.recover(err); err != nil {
+				return backend.Chunk{}, err
 			}
-			s.next = chunk.Position + 1
+			continue
+		}
+		if chunk.Done {
+			s.release(nil)
 			return chunk, nil
 		}
-		if err := s.recover(err); err != nil {
-			return backend.Chunk{}, err
+		if chunk.Usage != nil {
+			s.usage = *chunk.Usage
 		}
+		s.next = chunk.Position + 1
+		s.runner.sent(s.retry, s.next)
+		return chunk, nil
 	}
 }
 
+// sent tells the retry state that the answer has begun.
+func (r *Runner) sent(c *retry.Call, position int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.Sent(position)
+}
+
 // check refuses a chunk of another adapter version or out of order.
 func (s *stream) check(chunk backend.Chunk) error {
 	if chunk.Done {
@@ -114,22 +117,26 @@
 // nothing was handed on.
 func (s *stream) recover(cause error) error {
 	_ = s.reader.Close()
-	for s.ctx.Err() == nil && s.resumes < maxResumes && cause != errWrongAdapter {
-		s.resumes++
-		reader, err := s.place.Engine.Client.Resume(s.ctx, s.request, s.next)
-		if err == nil {
-			s.reader = reader
-			return nil
-		}
-		if verdict.Of(err).Verdict == verdict.NotRun {
-			break
+	resumable := verdict.Of(cause).Code == "stream_broken"
+	for {
+		d := s.runner.failed(s.ctx, s.retry, cause, resumable)
+		switch d.Action {
+		case retry.Resume:
+			reader, err := s.place.Engine.Client.Resume(s.ctx, s.request, s.next)
+			if err == nil {
+				s.reader = reader
+				return nil
+			}
+			// An engine that does not know the request has restarted or dropped it.
+			resumable = verdict.Of(err).Verdict != verdict.NotRun || verdict.Of(err).Code == "engine_unreachable"
+		case retry.Retry:
+			s.release(cause)
+			return s.open()
+		default:
+			s.release(cause)
+			return giveUp(s.retry, cause)
 		}
 	}
-	s.release(cause)
-	if s.next > 0 || !s.mayRetry(cause) {
-		return cause
-	}
-	return s.open()
 }
 
 // Close implements backend.ChunkReader. It cancels an unfinished request on its engine.
