admin, turmericctl: add the operators' HTTP API and its tool

Cause: nothing served or changed the configuration of a running fleet. Measured: handler and tool tests pass against a daemon in memory that folds a real log, with lost answers and racing changes (go test -race ./internal/transport/admin ./cmd/turmericctl). Conclusion: the daemon needs to implement three methods to be operated.

--- /dev/null
+++ b/cmd/turmericctl/app.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/transport/admin"
+)
+
+// maxInputBytes bounds a document or object read from a file.
+const maxInputBytes = 64 << 20
+
+// options are the flags of every command.
+type options struct {
+	Server    string        `long:"server" env:"TURMERIC_SERVER" default:"http://127.0.0.1:8081" description:"admin address of an entry instance"`
+	TokenFile string        `long:"token-file" env:"TURMERIC_TOKEN_FILE" description:"file that holds the operator token"`
+	CAFile    string        `long:"ca-file" env:"TURMERIC_CA_FILE" description:"PEM file of the certificate authority; default: the system's"`
+	PlainText bool          `long:"allow-plain-text" description:"send the token without TLS to an address that is not loopback"`
+	Timeout   time.Duration `long:"timeout" default:"30s" description:"longest time for all requests of the command"`
+}
+
+// app is the state of one run.
+type app struct {
+	ctx            context.Context
+	stdin          io.Reader
+	stdout, stderr io.Writer
+	options        options
+}
+
+// register adds the commands to the parser. It fails only on a programming mistake in a flag's tag.
+func (a *app) register(p *flags.Parser) error {
+	if _, err := p.AddGroup("Options", "", &a.options); err != nil {
+		return trace.Wrap(err)
+	}
+	commands := []struct {
+		name, text string
+		data       any
+	}{
+		{"keygen", "make a key and print its secret once", &keygen{app: a}},
+		{"validate", "check a document", &validate{app: a}},
+		{"diff", "compare a document with the configuration in force", &diff{app: a}},
+		{"publish", "put a document in force", &publish{app: a}},
+		{"get", "print the configuration in force", &get{app: a}},
+		{"status", "show the instances", &status{app: a}},
+		{"keys", "create, withdraw and list keys", &struct {
+			Create   keysCreate   `command:"create" description:"make a key, put it in force and print its secret once"`
+			Withdraw keysWithdraw `command:"withdraw" description:"withdraw a key"`
+			List     keysList     `command:"list" description:"list keys"`
+		}{keysCreate{app: a}, keysWithdraw{app: a}, keysList{app: a}}},
+		{"workspaces", "workspaces", a.objects(config.KindWorkspace, "workspaces")},
+		{"adapters", "adapters", a.objects(config.KindAdapter, "adapters")},
+		{"routes", "routes", a.objects(config.KindRoute, "routes")},
+		{"servers", "backend servers", a.objects(config.KindBackendServer, "backend_servers")},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.text, "", c.data); err != nil {
+			return trace.Wrap(err, "command %s", c.name)
+		}
+	}
+	return nil
+}
+
+// printf writes to a standard stream, whose errors have no one to be reported to.
+func (a *app) printf(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
+
+// printJSON writes indented JSON to the standard output.
+func (a *app) printJSON(v any) error {
+	e := json.NewEncoder(a.stdout)
+	e.SetIndent("", "  ")
+	return trace.Wrap(e.Encode(v))
+}
+
+// read returns the contents of a file, or of the standard input for "-".
+func (a *app) read(name string) ([]byte, error) {
+	in := a.stdin
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	data, err := io.ReadAll(io.LimitReader(in, maxInputBytes+1))
+	if err != nil {
+		return nil, trace.Wrap(err, "reading %s", name)
+	}
+	if len(data) > maxInputBytes {
+		return nil, trace.BadParameter("%s is larger than 64 MiB", name)
+	}
+	return data, nil
+}
+
+// client returns a client with the operator's token. It refuses to send the token in plain text over a
+// network.
+func (a *app) client() (*admin.Client, context.Context, context.CancelFunc, error) {
+	address, err := url.Parse(a.options.Server)
+	if err != nil || address.Host == "" {
+		return nil, nil, nil, usageError("--server %q is not a URL", a.options.Server)
+	}
+	if ip := net.ParseIP(address.Hostname()); address.Scheme != "https" && (ip == nil || !ip.IsLoopback()) && !a.options.PlainText {
+		return nil, nil, nil, usageError("--server %q would get the token in plain text; use https or --allow-plain-text", a.options.Server)
+	}
+	if a.options.TokenFile == "" {
+		return nil, nil, nil, usageError("--token-file or TURMERIC_TOKEN_FILE is needed")
+	}
+	token, err := os.ReadFile(a.options.TokenFile)
+	if err != nil {
+		return nil, nil, nil, trace.ConvertSystemError(err)
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13}}
+	if a.options.CAFile != "" {
+		pem, err := os.ReadFile(a.options.CAFile)
+		if err != nil {
+			return nil, nil, nil, trace.ConvertSystemError(err)
+		}
+		transport.TLSClientConfig.RootCAs = x509.NewCertPool()
+		if !transport.TLSClientConfig.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, nil, nil, trace.BadParameter("%s holds no certificate", a.options.CAFile)
+		}
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, a.options.Timeout)
+	c := &admin.Client{URL: a.options.Server, Token: strings.TrimSpace(string(token)), HTTP: &http.Client{Transport: transport}}
+	return c, ctx, func() { cancel(); transport.CloseIdleConnections() }, nil
+}
+
+// current reads the configuration in force.
+func (a *app) current() (admin.ConfigAnswer, error) {
+	c, ctx, done, err := a.client()
+	if err != nil {
+		return admin.ConfigAnswer{}, err
+	}
+	defer done()
+	return c.Config(ctx)
+}
+
+// change sends operations and returns the answer of an accepted change. A trace.CompareFailed error
+// names both sides of the conflict; after any other, the change may have taken effect under its id.
+func (a *app) change(base config.Version, flags changeFlags, ops []config.Operation) (admin.ChangeAnswer, error) {
+	if flags.ID == "" {
+		flags.ID = uuid.NewString()
+	}
+	c, ctx, done, err := a.client()
+	if err != nil {
+		return admin.ChangeAnswer{}, err
+	}
+	defer done()
+	answer, err := c.Change(ctx, admin.ChangeRequest{ID: flags.ID, Base: base, Operations: ops, Author: flags.Author})
+	switch {
+	case trace.IsConnectionProblem(err):
+		return answer, trace.Wrap(err, "change %s may have taken effect; repeat it with --base %d --id %s", flags.ID, base, flags.ID)
+	case err != nil:
+		return answer, err
+	case answer.Refusal != nil:
+		r := answer.Refusal
+		return answer, trace.CompareFailed("change %s by %q was made for version %d, but change %s by %q made version %d",
+			flags.ID, flags.Author, r.Base, r.Theirs.ID, r.Theirs.Author, r.Current)
+	case !answer.Accepted:
+		return answer, trace.CompareFailed("change %s was refused at version %d", flags.ID, answer.Version)
+	}
+	return answer, nil
+}
+
+// report prints the outcome of an accepted change.
+func (a *app) report(answer admin.ChangeAnswer, asJSON bool) error {
+	if asJSON {
+		return a.printJSON(answer)
+	}
+	a.printf(a.stdout, "version %d, in force at %d instances\n", answer.Version, len(answer.ConfirmedBy))
+	if len(answer.Unconfirmed) > 0 {
+		a.printf(a.stdout, "not confirmed by: %s\n", strings.Join(answer.Unconfirmed, " "))
+	}
+	return nil
+}
+
+// changeFlags are the flags of commands that change the configuration.
+type changeFlags struct {
+	Base   *uint64 `long:"base" description:"version that the change was made for; default: the version just read"`
+	ID     string  `long:"id" description:"id of the change, a UUID, to repeat one whose answer was lost"`
+	Author string  `long:"author" env:"USER" description:"name recorded with the change"`
+}
+
+// or returns the base given by flag, or else the version just read.
+func (f changeFlags) or(read config.Version) config.Version {
+	if f.Base != nil {
+		return config.Version(*f.Base)
+	}
+	return read
+}
--- /dev/null
+++ b/internal/transport/admin/admintest/daemon.go
@@ -0,0 +1,95 @@
+// Package admintest is an entry daemon in memory for tests of the operators' API and its clients. It
+// folds a real log, but has one instance and no network.
+package admintest
+
+import (
+	"context"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/admin"
+)
+
+// Daemon implements admin.Daemon. It is safe for concurrent use.
+type Daemon struct {
+	mu   sync.Mutex
+	fold *config.Fold
+	// loseAnswers is how many of the next publications take effect but fail.
+	loseAnswers int
+	// race runs once before the next publication.
+	race func()
+	// appends counts the records of the log.
+	appends int
+}
+
+// New returns a daemon with an empty configuration.
+func New() *Daemon { return &Daemon{fold: config.NewFold()} }
+
+// LoseAnswers makes the next n publications take effect and then fail.
+func (d *Daemon) LoseAnswers(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.loseAnswers = n
+}
+
+// Race runs f once just before the next publication reaches the log.
+func (d *Daemon) Race(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.race = f
+}
+
+// Appends returns the number of records in the log.
+func (d *Daemon) Appends() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.appends
+}
+
+// View implements admin.Daemon.
+func (d *Daemon) View() *config.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fold.View()
+}
+
+// Publish implements admin.Daemon.
+func (d *Daemon) Publish(_ context.Context, id string, c config.Change) (admin.ChangeAnswer, error) {
+	d.mu.Lock()
+	race := d.race
+	d.race = nil
+	d.mu.Unlock()
+	if race != nil {
+		race()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, err := config.NewChange(id, "memory", c)
+	if err != nil {
+		return admin.ChangeAnswer{}, trace.Wrap(err)
+	}
+	r := d.fold.Apply(record.Entry{Offset: d.fold.Next(), UnixMilli: 1, Envelope: e})
+	d.fold.Advance(d.fold.Next() + 1)
+	d.appends++
+	if d.loseAnswers > 0 {
+		d.loseAnswers--
+		return admin.ChangeAnswer{}, trace.ConnectionProblem(nil, "the log gave no answer")
+	}
+	switch {
+	case r.Outcome == config.Refused:
+		return admin.ChangeAnswer{Version: r.Refusal.Current, Refusal: admin.RefusalOf(*r.Refusal)}, nil
+	case r.Change.Version > 0:
+		return admin.ChangeAnswer{Accepted: true, Version: r.Change.Version, ConfirmedBy: []string{"memory"}}, nil
+	}
+	return admin.ChangeAnswer{}, trace.BadParameter("the change was not accepted: %v", r.Err)
+}
+
+// Status implements admin.Daemon.
+func (d *Daemon) Status(context.Context) (admin.StatusAnswer, error) {
+	return admin.StatusAnswer{Instances: []admin.InstanceStatus{{
+		ID: "memory", DataCentre: "here", Incarnation: "1", ConfigVersion: d.View().Version(), Ready: true, LeaseValid: true,
+	}}}, nil
+}
--- /dev/null
+++ b/internal/transport/admin/client.go
@@ -0,0 +1,122 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/turmericworks/turmericworks/internal/state/config"
+)
+
+// attempts is how often a request is sent while the instance is unavailable. A change keeps its id, so
+// it takes effect once.
+const attempts = 3
+
+// defaultRetryWait is the pause between attempts; the server asks for the same.
+const defaultRetryWait = time.Second
+
+// Client calls the API of one instance.
+type Client struct {
+	// URL is the base address of the instance.
+	URL string
+	// Token is the operator token.
+	Token string
+	// HTTP sends the requests.
+	HTTP *http.Client
+	// RetryWait is the pause between attempts; zero means 1 s.
+	RetryWait time.Duration
+}
+
+// Config reads the configuration in force. It fails with a trace error of the status' type.
+func (c *Client) Config(ctx context.Context) (ConfigAnswer, error) {
+	var a ConfigAnswer
+	err := c.call(ctx, http.MethodGet, "/admin/v1/config", nil, &a)
+	return a, err
+}
+
+// Status reads the state of the instances. It fails with a trace error of the status' type.
+func (c *Client) Status(ctx context.Context) (StatusAnswer, error) {
+	var a StatusAnswer
+	err := c.call(ctx, http.MethodGet, "/admin/v1/status", nil, &a)
+	return a, err
+}
+
+// Change asks for a change. A refusal is an answer, not an error. After a connection problem the
+// change may have taken effect. Faults of the operations are an error of type config.Problems.
+func (c *Client) Change(ctx context.Context, r ChangeRequest) (ChangeAnswer, error) {
+	var a ChangeAnswer
+	body, err := json.Marshal(r)
+	if err != nil {
+		return a, trace.Wrap(err, "encoding the change")
+	}
+	err = c.call(ctx, http.MethodPost, "/admin/v1/changes", body, &a)
+	return a, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	wait := c.RetryWait
+	if wait == 0 {
+		wait = defaultRetryWait
+	}
+	for i := 1; ; i++ {
+		err := c.once(ctx, method, path, body, answer)
+		if err == nil || !trace.IsConnectionProblem(err) || i == attempts {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (c *Client) once(ctx context.Context, method, path string, body []byte, answer any) error {
+	r, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.URL, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return trace.BadParameter("%v", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.Token)
+	r.Header.Set("Content-Type", "application/json")
+	response, err := c.HTTP.Do(r)
+	if err != nil {
+		return trace.ConnectionProblem(err, "no answer from %s: %v", c.URL, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return trace.ConnectionProblem(err, "the answer from %s broke off: %v", c.URL, err)
+	}
+	if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusConflict {
+		if err := json.Unmarshal(data, answer); err != nil {
+			return trace.BadParameter("decoding the answer from %s: %v", c.URL, err)
+		}
+		return nil
+	}
+	return failure(response.StatusCode, data)
+}
+
+// failure returns the error that an answer describes.
+func failure(status int, data []byte) error {
+	var e ErrorAnswer
+	_ = json.Unmarshal(data, &e)
+	message := e.Error.Message
+	if message == "" {
+		message = http.StatusText(status)
+	}
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
+		return trace.ConnectionProblem(nil, "%s", message)
+	case status == http.StatusUnauthorized || status == http.StatusForbidden:
+		return trace.AccessDenied("%s", message)
+	case len(e.Error.Problems) > 0:
+		return trace.Wrap(config.Problems(e.Error.Problems))
+	}
+	return trace.BadParameter("status %d: %s", status, message)
+}
