--- /dev/null
+++ b/internal/coordination/shares/bench_test.go
@@ -0,0 +1,93 @@
+package shares
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/state/ledger"
+	"github.com/turmericworks/turmericworks/internal/state/members"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+)
+
+type always struct{}
+
+func (always) Valid(time.Duration) bool { return true }
+
+// fleet returns the manager of the first of n members with the workspaces, and the reports of a peer.
+func fleet(n, workspaces int) (*Manager, []Report) {
+	set := members.New()
+	m := New("m0000", set, always{})
+	apply := func(offset int, kind record.Kind, inc string, body any) {
+		env, err := record.New(kind, fmt.Sprint(offset), inc, body)
+		if err != nil {
+			panic(err)
+		}
+		e := record.Entry{Offset: uint64(offset), Envelope: env}
+		set.Apply(e)
+		m.Apply(time.Second, e)
+	}
+	for i := range n {
+		apply(i, members.KindJoin, fmt.Sprintf("m%04d", i), members.Join{Instance: fmt.Sprint(i)})
+	}
+	var reports []Report
+	for i := range workspaces {
+		ws := fmt.Sprintf("workspace-%02d", i)
+		m.Configure(time.Second, ws, 10_000*Microtokens, 20_000*Microtokens)
+		apply(n+i, ledger.KindGrant, "m0000", ledger.Grant{Workspace: ws})
+		reports = append(reports, Report{Workspace: ws, Demand: 1000, Free: 1000, Parts: 10})
+	}
+	for i := 1; i < n; i++ {
+		m.PeerReports(time.Second, fmt.Sprintf("m%04d", i), reports)
+	}
+	return m, reports
+}
+
+func BenchmarkReserveSettle(b *testing.B) {
+	m, _ := fleet(860, 50)
+	now := time.Second
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		r, _, out := m.Reserve(now, "workspace-07", 5*Microtokens)
+		if out != Granted {
+			b.Fatal(out)
+		}
+		m.Settle(now, r, 4*Microtokens)
+	}
+}
+
+func BenchmarkPeerReports(b *testing.B) {
+	each(b, func(b *testing.B, m *Manager, reports []Report) {
+		now := time.Second
+		for b.Loop() {
+			now += time.Millisecond
+			m.PeerReports(now, "m0001", reports)
+		}
+	})
+}
+
+// BenchmarkPush measures the work of one instance every half second.
+func BenchmarkPush(b *testing.B) {
+	each(b, func(b *testing.B, m *Manager, _ []Report) {
+		now := time.Second
+		for b.Loop() {
+			now++
+			m.nextPush = 0
+			m.Push(now)
+			m.Reports(now)
+		}
+	})
+}
+
+func each(b *testing.B, f func(*testing.B, *Manager, []Report)) {
+	for _, n := range []int{7, 70, 430, 860} {
+		for _, workspaces := range []int{5, 50} {
+			b.Run(fmt.Sprintf("members=%d/workspaces=%d", n, workspaces), func(b *testing.B) {
+				m, reports := fleet(n, workspaces)
+				b.ReportAllocs()
+				f(b, m, reports)
+			})
+		}
+	}
+}
