action: decide calls that may not be repeated

Cause: a lot logging or print order that runs twice invoices twice, and a refusal that says not-run must stay true while appends are lost, delayed or repeated.

Change: internal/state/intent folds intents and outcomes; internal/coordination/action decides one call and batches records into appends. An abandoned call appends its intent again together with a not-run outcome, so that no later landing of the first append can leave the key open.

--- /dev/null
+++ b/internal/coordination/action/action_test.go
@@ -0,0 +1,204 @@
+package action
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/state/intent"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+)
+
+// TestLostAppendAnswer guards against a dispatch without an owned intent, and against a refusal not-run
+// that a late append makes false.
+func TestLostAppendAnswer(t *testing.T) {
+	Convey("Given a call whose intent append got no answer", t, func() {
+		s := newSim(t, 2)
+		c := s.request(s.instances[0], "k", "b")
+		s.report(s.appends[0], AppendUnknown)
+
+		Convey("it dispatches once when the intent is read back in time", func() {
+			s.land(s.appends[0])
+			s.read(s.instances[0], 1)
+			So(s.runs, ShouldHaveLength, 1)
+		})
+		Convey("with the log down it is refused not-run at 2 s and never dispatched", func() {
+			s.logDown = true
+			s.advance(DefaultRefuseAfter - time.Millisecond)
+			So(c.answers, ShouldEqual, 0)
+			s.advance(time.Millisecond)
+			So(c.answers, ShouldEqual, 1)
+			So(c.notRun, ShouldBeTrue)
+			s.logDown = false
+			s.land(s.appends[0])
+			s.read(s.instances[0], 1)
+			So(s.runs, ShouldBeEmpty)
+			Convey("and a resend elsewhere runs once the intent is closed", func() {
+				s.read(s.instances[1], 1)
+				s.request(s.instances[1], "k", "b")
+				s.heal()
+				So(s.ranKey["k"], ShouldEqual, 1)
+			})
+		})
+	})
+}
+
+// TestPausedAuthor guards against an instance that dispatches on waking although its caller was or must
+// be refused by then.
+func TestPausedAuthor(t *testing.T) {
+	Convey("An instance that slept past the wait for its intent does not dispatch it", t, func() {
+		s := newSim(t, 1)
+		in := s.instances[0]
+		c := s.request(in, "k", "b")
+		s.land(s.appends[0])
+		in.paused = true
+		s.advance(time.Minute)
+		in.paused = false
+		s.read(in, 1)
+		So(s.runs, ShouldBeEmpty)
+		So(c.notRun, ShouldBeTrue)
+	})
+	Convey("An instance without a valid lease does not dispatch", t, func() {
+		s := newSim(t, 1)
+		s.request(s.instances[0], "k", "b")
+		s.land(s.appends[0])
+		s.instances[0].noLease = true
+		s.read(s.instances[0], 1)
+		So(s.runs, ShouldBeEmpty)
+	})
+}
+
+// TestKilledDispatcher guards against a second run when the dispatcher died and the caller sends again,
+// and against a resend that hangs until its deadline.
+func TestKilledDispatcher(t *testing.T) {
+	Convey("Given a dispatcher that was killed after its dispatch", t, func() {
+		s := newSim(t, 2)
+		s.request(s.instances[0], "k", "b")
+		s.land(s.appends[0])
+		s.read(s.instances[0], 1)
+		So(s.runs, ShouldHaveLength, 1)
+		s.execute(s.runs[0])
+		s.read(s.instances[1], 1)
+
+		Convey("a resend waits while the dispatcher may live", func() {
+			c := s.request(s.instances[1], "k", "b")
+			So(c.answers, ShouldEqual, 0)
+			Convey("and is told may-have-run once it is withdrawn", func() {
+				s.kill(s.instances[0])
+				s.read(s.instances[1], 0)
+				So(c.answers, ShouldEqual, 1)
+				So(c.notRun, ShouldBeFalse)
+				So(s.ranKey["k"], ShouldEqual, 1)
+			})
+		})
+		Convey("another body under the same key is refused not-run", func() {
+			So(s.request(s.instances[1], "k", "other").notRun, ShouldBeTrue)
+		})
+	})
+}
+
+// TestOversizedAnswer guards against a resend that gets part of an answer too large to record.
+func TestOversizedAnswer(t *testing.T) {
+	Convey("A resend after an answer that was not recorded is told that the call ran", t, func() {
+		s := newSim(t, 1)
+		in := s.instances[0]
+		s.request(in, "k", "b")
+		s.land(s.appends[0])
+		s.read(in, 1)
+		s.execute(s.runs[0])
+		s.answer["k"].Body = make([]byte, intent.MaxAnswerBytes+1)
+		s.runs[0].done = true
+		s.step(in, s.runs[0].call, Dispatched{Result: intent.Ran, Answer: s.answer["k"]})
+		s.heal()
+		_, acts := New(Request{Key: s.runs[0].call.key, BodyHash: "b", Created: s.created(), ID: "r2",
+			Incarnation: in.incarnation, Deadline: s.now.Add(callDeadline)}, Timing{}, s.now,
+			View{State: in.fold.Lookup(s.runs[0].call.key)})
+		So(acts[0].(Refuse).Err.Verdict, ShouldEqual, verdict.Ran)
+	})
+}
+
+// TestBatcher guards against appends beyond their bounds, lost or reordered records and a record that
+// waits longer than the linger.
+func TestBatcher(t *testing.T) {
+	now := time.UnixMilli(0)
+	rec := func(id string, n int) record.Envelope {
+		return record.Envelope{Kind: "intent", ID: id, Body: make([]byte, n)}
+	}
+	Convey("Records wait for the linger of the first", t, func() {
+		b := NewBatcher(Bounds{Records: 3, Bytes: 1000, Linger: 20 * time.Millisecond})
+		So(b.Add(now, []record.Envelope{rec("1", 10)}), ShouldBeEmpty)
+		So(b.Add(now.Add(5*time.Millisecond), []record.Envelope{rec("2", 10)}), ShouldBeEmpty)
+		So(b.Tick(now.Add(19*time.Millisecond)), ShouldBeNil)
+		batch := b.Tick(now.Add(20 * time.Millisecond))
+		So(batch, ShouldHaveLength, 2)
+		So(batch[0].ID+batch[1].ID, ShouldEqual, "12")
+		_, waiting := b.Due()
+		So(waiting, ShouldBeFalse)
+	})
+	Convey("A full batch goes at once and a large record goes alone", t, func() {
+		b := NewBatcher(Bounds{Records: 3, Bytes: 1000, Linger: time.Second})
+		So(b.Add(now, []record.Envelope{rec("1", 10), rec("2", 10)}), ShouldBeEmpty)
+		out := b.Add(now, []record.Envelope{rec("3", 2000)})
+		So(out, ShouldHaveLength, 2)
+		So(out[0], ShouldHaveLength, 2)
+		So(out[1], ShouldHaveLength, 1)
+	})
+}
+
+// BenchmarkAppends gives appends and bytes per call on 7 instances whose linger keeps them at 300
+// appends a second. The service answers 1 KiB after 50 ms.
+func BenchmarkAppends(b *testing.B) {
+	const instances, perSecond, serviceTime = 7, 300, 50 * time.Millisecond
+	for _, rate := range []int{10, 100, 1000, 10_000, 100_000} {
+		b.Run(strconv.Itoa(rate)+"-calls-per-s", func(b *testing.B) {
+			batchers := make([]*Batcher, instances)
+			for i := range batchers {
+				batchers[i] = NewBatcher(Bounds{Records: 512, Bytes: 512 << 10, Linger: LingerFor(instances, perSecond)})
+			}
+			appends, bytes, records := 0, 0, 0
+			count := func(batch []record.Envelope) {
+				if batch != nil {
+					data, _ := record.Encode(batch)
+					appends, bytes, records = appends+1, bytes+len(data), records+len(batch)
+				}
+			}
+			add := func(now time.Time, i int, acts []Action) {
+				for _, a := range acts {
+					if ap, ok := a.(Append); ok {
+						for _, batch := range batchers[i%instances].Add(now, ap.Records) {
+							count(batch)
+						}
+					}
+				}
+			}
+			start := time.UnixMilli(1_800_000_000_000)
+			at := func(i int) time.Time { return start.Add(time.Duration(i) * time.Second / time.Duration(rate)) }
+			calls, answered := make([]*Call, b.N), 0
+			for i := range b.N {
+				now := at(i)
+				for _, bt := range batchers {
+					count(bt.Tick(now))
+				}
+				c, acts := New(Request{Key: intent.Key{Workspace: "glenbrae-counter", Route: "print-orders",
+					Hash: intent.Hash([]byte{byte(i)})}, BodyHash: intent.Hash([]byte("b")), Created: now,
+					ID: "01890a5d-ac96-774b-bcce-b302099a8057", Deadline: now.Add(callDeadline),
+					Incarnation: "0123456789abcdef0123456789abcdef"}, Timing{}, now, View{})
+				calls[i] = c
+				add(now, i, acts)
+				for ; !at(answered).Add(serviceTime).After(now) && answered < i; answered++ {
+					c := calls[answered]
+					c.Step(now, Observed{View{State: intent.State{Body: "b", IntentID: c.IntentID()}, LeaseValid: true}})
+					add(now, answered, c.Step(now, Dispatched{Result: intent.Ran,
+						Answer: &intent.Answer{Status: 201, Body: make([]byte, 1024)}}))
+				}
+			}
+			n := float64(answered)
+			b.ReportMetric(float64(appends)/n, "appends/call")
+			b.ReportMetric(float64(bytes)/n, "log-bytes/call")
+			b.ReportMetric(float64(records)/float64(appends), "records/append")
+			b.ReportMetric(float64(appends)/at(b.N).Sub(start).Seconds(), "appends/s")
+		})
+	}
+}
