--- a/cmd/turmericd/main.go
+++ b/cmd/turmericd/main.go
@@ -90,10 +90,6 @@
 		return trace.Wrap(err)
 	}
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
-	d, err := daemon.New(daemon.Options{Settings: s, Network: n, Log: log, Incarnation: uuid.NewString()})
-	if err != nil {
-		return err
-	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	ctx, stop := context.WithCancel(context.Background())
@@ -105,9 +101,16 @@
 		<-signals
 		stop()
 	}()
-	err = d.Run(ctx, drain)
-	if errors.Is(err, context.Canceled) {
-		return nil
+	o := daemon.Options{Settings: s, Network: n, Log: log}
+	for {
+		o.Incarnation = uuid.NewString()
+		d, err := daemon.New(o)
+		if err != nil {
+			return err
+		}
+		if err := d.Run(ctx, drain); !errors.Is(err, daemon.ErrWithdrawn) {
+			return err
+		}
+		o.Previous = o.Incarnation
 	}
-	return err
 }
--- /dev/null
+++ b/internal/daemon/actions.go
@@ -0,0 +1,357 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"github.com/turmericworks/turmericworks/internal/coordination/action"
+	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/state/intent"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
+	"github.com/turmericworks/turmericworks/internal/transport/entry"
+	"github.com/turmericworks/turmericworks/internal/transport/tail"
+)
+
+const (
+	// keyFutureSkew is how far a caller's clock may be ahead.
+	keyFutureSkew = 5 * time.Second
+	// batchRecords and batchBytes bound one append.
+	batchRecords = 256
+	batchBytes   = 512 << 10
+	// batchInstances and batchAppendsPerSecond set how long a record waits for others: seven
+	// instances then make at most 300 of the several hundred appends a second that the log takes.
+	batchInstances        = 7
+	batchAppendsPerSecond = 300
+	// appendTimeout bounds one append.
+	appendTimeout = 2 * time.Second
+)
+
+// errActionLog refuses a call that may not be repeated while its intent cannot be recorded.
+var errActionLog = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "log_unavailable",
+	"calls that may not be repeated cannot be recorded now").WithRetryAfter(2 * time.Second)
+
+// actions runs calls that may not be repeated. Lock order: mu before the lock of control.
+type actions struct {
+	daemon *Daemon
+	rule   intent.KeyRule
+	tail   *tail.Tail
+
+	mu      sync.Mutex
+	ctx     context.Context
+	fold    *intent.Fold
+	atTail  bool
+	logDown bool
+	batcher *action.Batcher
+	// added wakes the appender after a record was added.
+	added chan struct{}
+	// pending holds the append results that are due, in the order of their records.
+	pending []appendWaiter
+	calls   map[*actionCall]struct{}
+}
+
+// appendWaiter gets the result of the append that holds its records.
+type appendWaiter struct {
+	call   *actionCall
+	serial int
+	count  int
+}
+
+// actionCall is one call in progress. It goes on without its caller until its outcome is recorded.
+type actionCall struct {
+	owner   *actions
+	call    *action.Call
+	key     intent.Key
+	created int64
+	entry   entry.ServiceCall
+	events  chan action.Event
+	changed chan struct{}
+	answer  chan actionAnswer
+}
+
+type actionAnswer struct {
+	answer backend.ServiceAnswer
+	err    error
+}
+
+func newActions(d *Daemon) *actions {
+	a := &actions{
+		daemon: d, ctx: context.Background(), calls: map[*actionCall]struct{}{}, added: make(chan struct{}, 1),
+		rule: intent.KeyRule{Retention: d.settings.Platform.Retention(), FutureSkew: keyFutureSkew},
+		batcher: action.NewBatcher(action.Bounds{
+			Records: batchRecords, Bytes: batchBytes, Linger: action.LingerFor(batchInstances, batchAppendsPerSecond),
+		}),
+	}
+	a.fold = intent.NewFold(a.rule)
+	a.tail = tail.New(d.platformLog, platform.StreamActions, 0, tail.Events{
+		Records: a.records, Gap: func(uint64) {}, AtTail: a.reachedTail, Unavailable: a.unavailable,
+	})
+	return a
+}
+
+// addTo starts the stream's reader and the appender.
+func (a *actions) addTo(s *suture.Supervisor) {
+	s.Add(a.tail)
+	s.Add(a)
+}
+
+// Serve appends batches until the context ends. It implements suture.Service.
+func (a *actions) Serve(ctx context.Context) error {
+	a.mu.Lock()
+	a.ctx = ctx
+	a.mu.Unlock()
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.added:
+		case <-t.C:
+		}
+		a.mu.Lock()
+		a.flush(a.batcher.Tick(time.Now()))
+		if due, ok := a.batcher.Due(); ok {
+			t.Reset(time.Until(due))
+		}
+		a.mu.Unlock()
+	}
+}
+
+// flush appends a batch in the background. The caller holds the lock.
+func (a *actions) flush(batch []record.Envelope) {
+	if len(batch) == 0 {
+		return
+	}
+	var waiters []appendWaiter
+	for left := len(batch); left > 0; {
+		w := a.pending[0]
+		a.pending = a.pending[1:]
+		left -= w.count
+		waiters = append(waiters, w)
+	}
+	go a.append(a.ctx, batch, waiters)
+}
+
+func (a *actions) append(ctx context.Context, batch []record.Envelope, waiters []appendWaiter) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	status := action.Appended
+	if _, err := a.tail.Append(ctx, batch); err != nil {
+		status = action.AppendUnknown
+	}
+	for _, w := range waiters {
+		w.call.send(action.AppendResult{Serial: w.serial, Status: status})
+	}
+}
+
+func (a *actions) records(entries []record.Entry, _ uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, e := range entries {
+		a.fold.Apply(e)
+	}
+	a.notify()
+}
+
+// notify makes every call look at the state again. The caller holds the lock.
+func (a *actions) notify() {
+	for c := range a.calls {
+		select {
+		case c.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// observeAll makes every call look at the lease and the members again.
+func (a *actions) observeAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.notify()
+}
+
+func (a *actions) reachedTail(time.Time, uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.atTail, a.logDown = true, false
+}
+
+func (a *actions) unavailable(error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.logDown = true
+}
+
+// inProgress returns how many calls have no recorded outcome yet.
+func (a *actions) inProgress() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.calls)
+}
+
+// view returns what the instance knows for a call. The caller holds the lock.
+func (a *actions) view(key intent.Key, intentID string, created int64) action.View {
+	state := a.fold.Lookup(key)
+	return action.View{
+		State: state, Lost: a.fold.Lost(key, intentID), Expired: a.fold.Expired(created),
+		LeaseValid: a.daemon.control.valid(), DispatcherGone: a.daemon.control.gone(state.Dispatcher),
+	}
+}
+
+// run runs a call and returns its answer.
+func (a *actions) run(ctx context.Context, c entry.ServiceCall) (backend.ServiceAnswer, error) {
+	created, err := intent.Created(c.IdempotencyKey, c.KeyCreated)
+	if err != nil {
+		return backend.ServiceAnswer{}, err
+	}
+	if err := a.rule.Check(created, time.Now()); err != nil {
+		return backend.ServiceAnswer{}, err
+	}
+	ac, err := a.start(c, created)
+	if err != nil {
+		return backend.ServiceAnswer{}, err
+	}
+	select {
+	case r := <-ac.answer:
+		return r.answer, r.err
+	case <-ctx.Done():
+		return backend.ServiceAnswer{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, http.StatusGatewayTimeout,
+			"caller_gone", "the caller left before the outcome")
+	}
+}
+
+func (a *actions) start(c entry.ServiceCall, created time.Time) (*actionCall, error) {
+	key := intent.Key{Workspace: c.Workspace, Route: c.RouteName, Hash: intent.Hash([]byte(c.IdempotencyKey))}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.atTail || a.logDown && !a.fold.Lookup(key).Known() {
+		return nil, errActionLog
+	}
+	ac := &actionCall{
+		owner: a, key: key, created: created.UnixMilli(), entry: c, events: make(chan action.Event, 16),
+		changed: make(chan struct{}, 1), answer: make(chan actionAnswer, 1),
+	}
+	call, acts := action.New(action.Request{
+		Key: key, BodyHash: hashCall(c.Request), Created: created, ID: c.RequestID,
+		Incarnation: a.daemon.opts.Incarnation, Deadline: c.Deadline,
+	}, action.Timing{}, time.Now(), a.view(key, "", created.UnixMilli()))
+	ac.call = call
+	a.calls[ac] = struct{}{}
+	go ac.loop(acts)
+	return ac, nil
+}
+
+// hashCall hashes what makes two calls the same.
+func hashCall(r backend.ServiceRequest) string {
+	return intent.Hash(bytes.Join([][]byte{[]byte(r.Method), []byte(r.Path), []byte(r.Query), r.Body}, []byte{0}))
+}
+
+// send gives an event to the call's loop, unless the call has ended.
+func (c *actionCall) send(e action.Event) {
+	select {
+	case c.events <- e:
+	default:
+		// The loop has at most one append and one dispatch under way, so a full channel means
+		// that it has ended.
+	}
+}
+
+// loop feeds the decision with events until it needs no more.
+func (c *actionCall) loop(acts []action.Action) {
+	a := c.owner
+	defer func() {
+		a.mu.Lock()
+		delete(a.calls, c)
+		a.mu.Unlock()
+	}()
+	c.carryOut(acts)
+	for !c.call.Finished() {
+		event, ok := c.wait()
+		if !ok {
+			return
+		}
+		c.carryOut(c.call.Step(time.Now(), event))
+	}
+}
+
+// wait returns the next event, or false when the instance stops.
+func (c *actionCall) wait() (action.Event, bool) {
+	var wake <-chan time.Time
+	if at, ok := c.call.WakeAt(); ok {
+		t := time.NewTimer(time.Until(at))
+		defer t.Stop()
+		wake = t.C
+	}
+	a := c.owner
+	a.mu.Lock()
+	ctx := a.ctx
+	a.mu.Unlock()
+	select {
+	case e := <-c.events:
+		return e, true
+	case <-c.changed:
+	case <-wake:
+	case <-ctx.Done():
+		return nil, false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return action.Observed{View: a.view(c.key, c.call.IntentID(), c.created)}, true
+}
+
+func (c *actionCall) carryOut(acts []action.Action) {
+	for _, act := range acts {
+		switch x := act.(type) {
+		case action.Append:
+			c.append(x)
+		case action.Dispatch:
+			go c.dispatch()
+		case action.Answer:
+			c.answer <- actionAnswer{answer: backend.ServiceAnswer{
+				Status: x.Answer.Status, Header: http.Header(x.Answer.Header), Body: x.Answer.Body,
+			}}
+		case action.Refuse:
+			c.answer <- actionAnswer{err: x.Err}
+		}
+	}
+}
+
+func (c *actionCall) append(x action.Append) {
+	a := c.owner
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	full := a.batcher.Add(time.Now(), x.Records)
+	a.pending = append(a.pending, appendWaiter{call: c, serial: x.Serial, count: len(x.Records)})
+	for _, batch := range full {
+		a.flush(batch)
+	}
+	select {
+	case a.added <- struct{}{}:
+	default:
+	}
+}
+
+// dispatch sends the call. It does not end with the caller, since its outcome must be recorded.
+func (c *actionCall) dispatch() {
+	ctx, cancel := context.WithDeadline(context.Background(), c.entry.Deadline)
+	defer cancel()
+	answer, err := dispatch.CallOne(ctx, c.owner.daemon.fleet.Services(c.entry.Route.Service), c.entry.Request)
+	if err == nil {
+		c.send(action.Dispatched{Result: intent.Ran, Answer: &intent.Answer{
+			Status: answer.Status, Header: answer.Header, Body: answer.Body,
+		}})
+		return
+	}
+	result := intent.Unknown
+	if verdict.Of(err).Verdict == verdict.NotRun {
+		result = intent.NotRun
+	}
+	c.send(action.Dispatched{Result: result})
+}
--- /dev/null
+++ b/internal/daemon/controlstep.go
@@ -0,0 +1,297 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/turmericworks/turmericworks/internal/coordination/lease"
+	"github.com/turmericworks/turmericworks/internal/coordination/shares"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/ledger"
+	"github.com/turmericworks/turmericworks/internal/state/members"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/peer"
+)
+
+// peerClients sends messages to other instances by address.
+type peerClients interface {
+	Heartbeat(ctx context.Context, addr string, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error)
+	Transfer(ctx context.Context, addr string, r *peerpb.TransferRequest) (*peerpb.TransferResponse, error)
+	RequestShare(ctx context.Context, addr string, r *peerpb.ShareRequest) (*peerpb.ShareResponse, error)
+	FrozenCounters(ctx context.Context, addr string, r *peerpb.FrozenCountersRequest) (*peerpb.FrozenCountersResponse, error)
+}
+
+// step does what is due: records to append and messages to send.
+func (c *control) step(ctx context.Context) {
+	// The scheduler's lock is taken before this one's elsewhere, so it cannot be taken under it.
+	times := c.daemon.scheduler.VirtualTimes()
+	c.mu.Lock()
+	now := c.now()
+	var sends []func()
+	for _, env := range c.dueRecords(now) {
+		sends = append(sends, func() { c.appendRecord(ctx, env) })
+	}
+	sends = append(sends, c.dueHeartbeats(ctx, now, times)...)
+	sends = append(sends, c.dueTransfers(ctx, now)...)
+	sends = append(sends, c.dueQuestions(ctx, now)...)
+	lost := c.leaseChanged(now)
+	c.updateElectorate()
+	c.wake()
+	c.mu.Unlock()
+	for _, send := range sends {
+		go send()
+	}
+	if lost {
+		c.daemon.entry.LeaseLost()
+	}
+}
+
+// leaseChanged logs the lease's changes of state and reports whether it was lost. The caller holds the
+// lock.
+func (c *control) leaseChanged(now time.Duration) bool {
+	valid := c.lease.Valid(now)
+	if valid == c.wasValid {
+		return false
+	}
+	c.wasValid = valid
+	c.daemon.leaseEvent(valid)
+	return !valid
+}
+
+// dueRecords returns the records to append now. The caller holds the lock.
+func (c *control) dueRecords(now time.Duration) []record.Envelope {
+	var out []record.Envelope
+	self := c.daemon.opts.Incarnation
+	add := func(kind record.Kind, id string, body any) {
+		// These bodies are structs of strings and integers, which always encode.
+		if env, err := record.New(kind, id, self, body); err == nil {
+			out = append(out, env)
+		}
+	}
+	if !c.leaving && !c.members.Active(self) && !c.members.Ended(self) && now-c.joinTried >= joinRetry {
+		c.joinTried = now
+		s := c.daemon.settings
+		add(members.KindJoin, self+"/join", members.Join{
+			Instance: s.Instance, PeerAddr: s.PeerAddress, DataCentre: s.DataCentre, Previous: c.daemon.opts.Previous,
+		})
+	}
+	for _, ws := range c.settlement.Grants(now) {
+		add(ledger.KindGrant, uuid.NewString(), ledger.Grant{Workspace: ws})
+	}
+	if r, ok := c.settlement.Regrant(now); ok {
+		add(ledger.KindRegrant, uuid.NewString(), r)
+	}
+	return out
+}
+
+func (c *control) appendRecord(ctx context.Context, env record.Envelope) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := c.tail.Append(ctx, []record.Envelope{env}); err != nil {
+		c.logFailed()
+	}
+}
+
+// dueHeartbeats returns the heartbeats to send and the withdrawals to append. The caller holds the lock.
+func (c *control) dueHeartbeats(ctx context.Context, now time.Duration, times map[string]float64) []func() {
+	var out []func()
+	actions := c.view.Tick(now)
+	for _, w := range actions.Withdraw {
+		env, err := record.New(members.KindWithdraw, uuid.NewString(), c.daemon.opts.Incarnation, w)
+		if err == nil {
+			out = append(out, func() { c.appendRecord(ctx, env) })
+		}
+	}
+	if len(actions.Heartbeat) == 0 {
+		if len(c.members.List()) == 1 {
+			c.lease.Round(now)
+		}
+		return out
+	}
+	c.lease.Round(now)
+	request := c.heartbeat(now, times)
+	addresses := map[string]string{}
+	for _, p := range c.view.Peers(now) {
+		addresses[p.Instance] = p.PeerAddr
+	}
+	for _, instance := range actions.Heartbeat {
+		if address := addresses[instance]; address != "" {
+			out = append(out, func() { c.sendHeartbeat(ctx, instance, address, now, request) })
+		}
+	}
+	return out
+}
+
+// heartbeat returns what this instance tells every peer. The caller holds the lock.
+func (c *control) heartbeat(now time.Duration, times map[string]float64) *peerpb.HeartbeatRequest {
+	demand := peer.DemandMessages(c.shares.Reports(now))
+	for _, d := range demand {
+		d.VirtualTime = times[d.Workspace]
+	}
+	return &peerpb.HeartbeatRequest{
+		Instance: c.daemon.settings.Instance, Incarnation: c.daemon.opts.Incarnation,
+		Positions: peer.PositionMessages(c.positions), Hlc: c.daemon.events.now(), Demand: demand,
+		WantPromise: c.lease.WantPromise(), Silent: c.view.Silent(now),
+	}
+}
+
+func (c *control) sendHeartbeat(ctx context.Context, instance, address string, asked time.Duration, r *peerpb.HeartbeatRequest) {
+	answer, err := c.peers.Heartbeat(ctx, address, r)
+	if err != nil {
+		return
+	}
+	c.daemon.events.observe(answer.GetHlc())
+	positions := peer.Positions(answer.GetPositions())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.members.Ended(answer.GetIncarnation()) {
+		return
+	}
+	c.view.Heard(c.now(), instance, answer.GetIncarnation(), positions[lease.Control], nil)
+	if answer.GetPromised() {
+		c.lease.Acknowledged(lease.Ack{
+			Instance: instance, Incarnation: answer.GetIncarnation(), Asked: asked, Positions: positions,
+		})
+	}
+}
+
+// address returns where an incarnation is reached, or an empty string. The caller holds the lock.
+func (c *control) address(incarnation string) string {
+	m, ok := c.members.Get(incarnation)
+	if !ok {
+		return ""
+	}
+	return m.PeerAddr
+}
+
+// dueTransfers returns the transfers to send. The caller holds the lock.
+func (c *control) dueTransfers(ctx context.Context, now time.Duration) []func() {
+	list := c.shares.Push(now)
+	if now-c.resent >= resendInterval {
+		c.resent = now
+		for _, m := range c.members.List() {
+			list = append(list, c.shares.Counters().Pending(m.Incarnation)...)
+		}
+	}
+	out := c.sendTransfers(ctx, list)
+	return append(out, c.sendAsks(ctx)...)
+}
+
+// sendTransfers returns the functions that send transfers. The caller holds the lock.
+func (c *control) sendTransfers(ctx context.Context, list []ledger.Transfer) []func() {
+	var out []func()
+	for _, t := range list {
+		if address := c.address(t.To); address != "" {
+			out = append(out, func() { c.sendTransfer(ctx, address, t) })
+		}
+	}
+	return out
+}
+
+func (c *control) sendTransfer(ctx context.Context, address string, t ledger.Transfer) {
+	answer, err := c.peers.Transfer(ctx, address, peer.TransferMessage(t))
+	if err != nil || !answer.GetAccepted() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shares.Acknowledged(t.To, t.Number)
+}
+
+// sendAsks returns the functions that ask peers for tokens. The caller holds the lock.
+func (c *control) sendAsks(ctx context.Context) []func() {
+	var out []func()
+	for _, q := range c.shares.TakeAsks() {
+		if address := c.address(q.To); address != "" {
+			message := peer.AskMessage(c.daemon.opts.Incarnation, q)
+			// The answer holds nothing that the transfer, which follows by itself, does not.
+			out = append(out, func() { _, _ = c.peers.RequestShare(ctx, address, message) })
+		}
+	}
+	return out
+}
+
+// dueQuestions returns the questions for frozen counters. The caller holds the lock.
+func (c *control) dueQuestions(ctx context.Context, now time.Duration) []func() {
+	ended, from := c.settlement.Missing(now)
+	if len(from) == 0 || now-c.asked < resendInterval {
+		return nil
+	}
+	c.asked = now
+	var out []func()
+	for _, incarnation := range from {
+		if address := c.address(incarnation); address != "" {
+			out = append(out, func() { c.askCounters(ctx, incarnation, address, ended) })
+		}
+	}
+	return out
+}
+
+func (c *control) askCounters(ctx context.Context, incarnation, address string, ended []string) {
+	answer, err := c.peers.FrozenCounters(ctx, address, &peerpb.FrozenCountersRequest{WithdrawnIncarnations: ended})
+	if err != nil || !answer.GetFrozen() || answer.GetIncarnation() != incarnation {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settlement.Reported(incarnation, ended, peer.Counters(answer.GetCounters()))
+}
+
+// takeTokens reserves tokens for a request. It waits up to shares.MaxWait for transfers.
+func (c *control) takeTokens(ctx context.Context, workspace string, tokens int) (shares.Reservation, shares.Outcome) {
+	amount := microtokens(float64(tokens))
+	c.mu.Lock()
+	r, deadline, outcome := c.shares.Reserve(c.now(), workspace, amount)
+	for outcome == shares.Wait {
+		changed := c.changed
+		sends := c.sendAsks(ctx)
+		left := deadline - c.now()
+		c.mu.Unlock()
+		for _, send := range sends {
+			go send()
+		}
+		c.waitFor(ctx, changed, left)
+		c.mu.Lock()
+		r, outcome = c.shares.Retry(c.now(), workspace, amount, deadline)
+	}
+	c.mu.Unlock()
+	return r, outcome
+}
+
+func (c *control) waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(max(d, 0))
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// settleTokens ends a reservation with what the request used.
+func (c *control) settleTokens(r shares.Reservation, used int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shares.Settle(c.now(), r, microtokens(float64(used)))
+}
+
+// TakeLoad implements dispatch.LoadBudget: one load is one token of the weight store's account.
+func (c *control) TakeLoad(time.Time) bool {
+	c.mu.Lock()
+	if _, limited := c.workspaces[loadsAccount]; !limited {
+		valid := c.lease.Valid(c.now())
+		c.mu.Unlock()
+		return valid
+	}
+	r, _, outcome := c.shares.Reserve(c.now(), loadsAccount, shares.Microtokens)
+	if outcome == shares.Granted {
+		c.shares.Settle(c.now(), r, shares.Microtokens)
+	}
+	sends := c.sendAsks(context.Background())
+	c.mu.Unlock()
+	for _, send := range sends {
+		go send()
+	}
+	return outcome == shares.Granted
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,13 +16,16 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 	"github.com/turmericworks/turmericworks/internal/coordination/fairqueue"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
+	"github.com/turmericworks/turmericworks/internal/transport/peer"
 	"github.com/turmericworks/turmericworks/internal/transport/platformhttp"
+	"google.golang.org/grpc"
 )
 
 // Options are what a Daemon needs besides its settings.
@@ -31,6 +35,8 @@
 	Log      zerolog.Logger
 	// Incarnation identifies this run of the instance. It must never be used twice.
 	Incarnation string
+	// Previous is the incarnation that the same process had before, if it was withdrawn.
+	Previous string
 }
 
 // Daemon is one instance.
@@ -44,6 +50,11 @@
 	instanceList platform.InstanceList
 	fleet        *fleet.Registry
 	replica      *replica
+	control      *control
+	actions      *actions
+	events       *events
+	peers        *peer.Clients
+	peerServer   *grpc.Server
 	scheduler    *dispatch.Scheduler
 	runner       *runner
 	entry        *entry.Server
@@ -65,10 +76,17 @@
 	d.platformLog = platformhttp.NewLog(d.settings.Platform.LogURL, transport)
 	d.instanceList = platformhttp.NewInstanceList(d.settings.Platform.ListURL, transport)
 	d.fleet = fleet.New(transport, d.engineReported)
+	d.events = newEvents(d.settings)
 	d.replica = newReplica(d)
+	d.control = newControl(d)
+	d.actions = newActions(d)
+	d.peers = peer.NewClients(nil, o.Network.Dial, d.control.refused)
+	d.control.peers = d.peers
+	d.peerServer = peer.NewServer(nil)
+	peerpb.RegisterPeerServer(d.peerServer, &peer.Service{Shares: d.control})
 	d.scheduler = dispatch.NewScheduler(dispatch.SchedulerOptions{
-		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: directLoader{}, Budget: unlimitedLoads{},
-		Queue: fairqueue.Settings{MaxTotal: d.settings.Limits.QueuedRequests}, Seed: seedOf(o.Incarnation),
+		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: directLoader{}, Budget: d.control,
+		Queue: fairqueue.Settings{MaxTotal: d.settings.Limits.QueuedRequests}, Publish: d.publishBlame, Seed: seedOf(o.Incarnation),
 	})
 	d.runner = &runner{Runner: dispatch.New(d.scheduler), daemon: d}
 	d.entry = entry.New(entry.Options{
@@ -82,7 +100,14 @@
 	"the instance is stopping; send the request again, to any instance").WithRetryAfter(time.Second)
 
 var errStarting = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "starting",
-	"the instance has no configuration yet").WithRetryAfter(time.Second)
+	"the instance has no configuration or no token shares yet").WithRetryAfter(time.Second)
+
+// errNoLease refuses requests while the instance cannot know whether its configuration is current.
+var errNoLease = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "not_fresh",
+	"the instance has lost touch with the platform's log and its peers").WithRetryAfter(time.Second)
+
+// ErrWithdrawn means that this incarnation's membership has ended. The process must go on with a new one.
+var ErrWithdrawn = errors.New("the incarnation's membership has ended")
 
 // admit returns an error while the instance must not admit requests.
 func (d *Daemon) admit() error {
@@ -91,6 +116,8 @@
 		return errDraining
 	case !d.replica.ready():
 		return errStarting
+	case !d.control.valid():
+		return errNoLease
 	}
 	return nil
 }
@@ -100,7 +127,13 @@
 	if d.draining.Load() {
 		return errDraining
 	}
-	return d.admit()
+	if err := d.admit(); err != nil {
+		return err
+	}
+	if !d.control.hasShares() {
+		return errStarting
+	}
+	return nil
 }
 
 const (
@@ -143,6 +176,34 @@
 	}
 }
 
+// listenPeers opens the listener for other instances.
+func (d *Daemon) listenPeers() (suture.Service, error) {
+	l, err := d.opts.Network.Listen(d.settings.Listen.Peers)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening on %s", d.settings.Listen.Peers)
+	}
+	return &grpcService{server: d.peerServer, listener: l}, nil
+}
+
+// grpcService serves other instances under the supervisor.
+type grpcService struct {
+	server   *grpc.Server
+	listener net.Listener
+}
+
+// Serve implements suture.Service.
+func (s *grpcService) Serve(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- s.server.Serve(s.listener) }()
+	select {
+	case <-done:
+		return suture.ErrDoNotRestart
+	case <-ctx.Done():
+		s.server.Stop()
+		return ctx.Err()
+	}
+}
+
 // Run serves until the context ends, which is an unplanned stop, or until a drain has finished.
 func (d *Daemon) Run(ctx context.Context, drain <-chan struct{}) error {
 	supervisor := suture.New("instance", suture.Spec{EventHook: d.supervisorEvent})
@@ -150,10 +211,23 @@
 	if err != nil {
 		return err
 	}
-	supervisor.Add(callers)
+	peers, err := d.listenPeers()
+	if err != nil {
+		return err
+	}
+	admin, err := d.listen(d.settings.Listen.Admin, d.adminHandler())
+	if err != nil {
+		return err
+	}
+	for _, s := range []suture.Service{callers, peers, admin} {
+		supervisor.Add(s)
+	}
 	supervisor.Add(d.fleet)
 	supervisor.Add(d.scheduler)
 	d.replica.addTo(supervisor)
+	d.control.addTo(supervisor)
+	d.actions.addTo(supervisor)
+	defer d.peers.Close()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	done := supervisor.ServeBackground(ctx)
@@ -162,6 +236,11 @@
 	case <-drain:
 		d.drain(ctx)
 		stop()
+	case <-d.control.withdrawn:
+		d.log.Warn().Int("cut_requests", d.entry.InFlight()).Msg("membership ended; joining as a new incarnation")
+		stop()
+		<-done
+		return ErrWithdrawn
 	case <-ctx.Done():
 		d.log.Warn().Int("cut_requests", d.entry.InFlight()).Msg("instance stopped at once")
 	}
@@ -175,26 +254,3 @@
 		d.log.Error().Str("event", e.String()).Msg("a part of the instance failed and is restarted")
 	}
 }
-
-// balancerDelay is how long an instance serves on after its readiness went off, so that the balancer
-// has noticed before new work is refused.
-const balancerDelay = 2 * time.Second
-
-// drain stops without cutting a request off.
-func (d *Daemon) drain(ctx context.Context) {
-	d.draining.Store(true)
-	d.log.Info().Int("in_flight", d.entry.InFlight()).Msg("draining")
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Limits.DrainSeconds)*time.Second)
-	defer cancel()
-	select {
-	case <-time.After(balancerDelay):
-	case <-ctx.Done():
-	}
-	d.refusing.Store(true)
-	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			d.log.Warn().Err(err).Int("cut_requests", d.entry.InFlight()).Msg("requests were cut off by the end of the drain time")
-		}
-	}
-	d.log.Info().Msg("drained")
-}
--- /dev/null
+++ b/internal/daemon/failure_test.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/standin/stack"
+)
+
+// reply is an HTTP answer read whole.
+type reply struct {
+	status  int
+	verdict string
+	body    string
+}
+
+// call sends one request to an instance.
+func (f *testFleet) call(i int, method, path, body string, header http.Header) (reply, error) {
+	req, err := http.NewRequest(method, "http://"+f.instances[i].address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return reply{}, err
+	}
+	if header != nil {
+		req.Header = header
+	}
+	req.Header.Set("Authorization", "Bearer "+f.secret)
+	client := f.httpClient()
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, verdict: resp.Header.Get("Turmeric-Verdict"), body: string(data)}, err
+}
+
+// logLot logs a harvest lot with an idempotency key.
+func (f *testFleet) logLot(i int, key, body string) (reply, error) {
+	return f.call(i, http.MethodPost, "/services/lots/log", body, http.Header{"Idempotency-Key": {key}})
+}
+
+func (f *testFleet) complete(i int) (reply, error) {
+	return f.call(i, http.MethodPost, "/v1/completions", `{"model":"summary","prompt":"x","max_tokens":2}`, nil)
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// Guards against a lot that is logged twice when its caller sends it again through any instance, also
+// while the log's answers are lost.
+func TestLotIsLoggedOnceAcrossResends(t *testing.T) {
+	runFleet(t, 3, nil, func(f *testFleet) {
+		Convey("Every resend gets the first answer", t, func() {
+			key := newKey()
+			f.stack.Log.LoseAnswers(3)
+			first, err := f.logLot(0, key, "lot 1")
+			So(err, ShouldBeNil)
+			So(first.status, ShouldEqual, http.StatusCreated)
+			So(first.verdict, ShouldEqual, "ran")
+			for i := range f.instances {
+				again, err := f.logLot(i, key, "lot 1")
+				So(err, ShouldBeNil)
+				So(again, ShouldResemble, first)
+			}
+			So(len(f.stack.Service.Entries()), ShouldEqual, 1)
+			other, err := f.logLot(1, key, "lot 2")
+			So(err, ShouldBeNil)
+			So(other.status, ShouldEqual, http.StatusUnprocessableEntity)
+			So(other.verdict, ShouldEqual, "not-run")
+			missing, err := f.call(1, http.MethodPost, "/services/lots/log", "lot 3", nil)
+			So(err, ShouldBeNil)
+			So(missing.verdict, ShouldEqual, "not-run")
+			So(len(f.stack.Service.Entries()), ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against a second run of a call whose dispatcher was killed before the outcome was recorded.
+func TestKilledDispatcherThenResend(t *testing.T) {
+	slow := func(o *stack.Options) { o.ServiceDelay = 2 * time.Second }
+	runFleet(t, 3, slow, func(f *testFleet) {
+		Convey("The resend is told may-have-run and nothing runs twice", t, func() {
+			key := newKey()
+			done := make(chan error, 1)
+			go func() {
+				_, err := f.logLot(0, key, "lot 1")
+				done <- err
+			}()
+			time.Sleep(time.Second)
+			f.kill(0)
+			So(<-done, ShouldNotBeNil)
+			again, err := f.logLot(1, key, "lot 1")
+			So(err, ShouldBeNil)
+			So(again.verdict, ShouldEqual, "may-have-run")
+			time.Sleep(time.Minute)
+			again, err = f.logLot(2, key, "lot 1")
+			So(err, ShouldBeNil)
+			So(again.verdict, ShouldEqual, "may-have-run")
+			So(len(f.stack.Service.Entries()), ShouldBeLessThanOrEqualTo, 1)
+		})
+	})
+}
+
+// Guards against an outage of the log that stops service, or that lets a call which may not be repeated
+// hang or run unrecorded.
+func TestLogOutageOfAnHour(t *testing.T) {
+	runFleet(t, 3, nil, func(f *testFleet) {
+		Convey("Completions go on and lots are refused not-run within 2 s", t, func() {
+			warm, err := f.complete(0)
+			So(err, ShouldBeNil)
+			So(warm.status, ShouldEqual, http.StatusOK)
+			f.stack.Log.SetDown(true)
+			for minute := range 60 {
+				time.Sleep(time.Minute)
+				r, err := f.complete(minute % len(f.instances))
+				So(err, ShouldBeNil)
+				So(r.status, ShouldEqual, http.StatusOK)
+				asked := time.Now()
+				lot, err := f.logLot(minute%len(f.instances), newKey(), "lot")
+				So(err, ShouldBeNil)
+				So(lot.verdict, ShouldEqual, "not-run")
+				So(time.Since(asked), ShouldBeLessThanOrEqualTo, 2*time.Second)
+			}
+			So(f.stack.Service.Entries(), ShouldBeEmpty)
+			f.stack.Log.SetDown(false)
+			time.Sleep(testSettleTime)
+			lot, err := f.logLot(0, newKey(), "lot")
+			So(err, ShouldBeNil)
+			So(lot.verdict, ShouldEqual, "ran")
+		})
+	})
+}
+
+// Guards against an instance that serves on without knowing whether keys were withdrawn.
+func TestInstanceCutOffFromLogAndPeersStops(t *testing.T) {
+	runFleet(t, 3, nil, func(f *testFleet) {
+		Convey("It refuses not-run within 3 s, and serves again when healed", t, func() {
+			cutOff := f.instances[0].name
+			f.net.Cut(func(from, to string) bool {
+				peer := bytes.HasSuffix([]byte(to), []byte(":2")) || to == "log:1"
+				return peer && (from == cutOff || to == cutOff+":2")
+			})
+			time.Sleep(3 * time.Second)
+			r, err := f.complete(0)
+			So(err, ShouldBeNil)
+			So(r.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(r.verdict, ShouldEqual, "not-run")
+			other, err := f.complete(1)
+			So(err, ShouldBeNil)
+			So(other.status, ShouldEqual, http.StatusOK)
+			f.net.Cut(nil)
+			time.Sleep(30 * time.Second)
+			r, err = f.complete(0)
+			So(err, ShouldBeNil)
+			So(fmt.Sprint(r), ShouldContainSubstring, "200")
+		})
+	})
+}
+
+// Guards against a planned stop that cuts off a request.
+func TestRollingReplacementCutsOffNothing(t *testing.T) {
+	runFleet(t, 3, nil, func(f *testFleet) {
+		Convey("All instances are replaced in turn under load", t, func() {
+			ctx, stop := context.WithCancel(context.Background())
+			result := make(chan string, 1)
+			go func() { result <- f.loadReadyInstances(ctx) }()
+			for i := range 3 {
+				f.instances[i].stopPlanned()
+				f.start(fmt.Sprintf("replacement%d", i+1))
+				time.Sleep(testSettleTime)
+			}
+			stop()
+			So(<-result, ShouldEqual, "")
+		})
+	})
+}
+
+// loadReadyInstances sends requests to ready instances, as the balancer does, and returns the first
+// failure that is not a true not-run refusal.
+func (f *testFleet) loadReadyInstances(ctx context.Context) string {
+	for n := 0; ctx.Err() == nil; n++ {
+		i := n % f.count()
+		ready, err := f.call(i, http.MethodGet, "/readyz", "", nil)
+		if err != nil || ready.status != http.StatusOK {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		r, err := f.complete(i)
+		if err != nil || r.status != http.StatusOK {
+			return fmt.Sprintf("instance %d: %v %v", i, r, err)
+		}
+	}
+	return ""
+}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -32,7 +33,7 @@
 	version   config.Version
 	secret    string
 	instances []*testInstance
-	headersMu sync.Mutex
+	mu        sync.Mutex
 	headers   []http.Header
 }
 
@@ -42,7 +43,7 @@
 	address string
 	drain   chan struct{}
 	stop    context.CancelFunc
-	done    chan error
+	done    chan struct{}
 }
 
 // testSettleTime is enough for a configuration to be in force everywhere.
@@ -94,8 +95,8 @@
 }
 
 func (f *testFleet) seeHeader(h http.Header) {
-	f.headersMu.Lock()
-	defer f.headersMu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.headers = append(f.headers, h)
 }
 
@@ -178,7 +179,7 @@
 	s.Platform = PlatformSettings{LogURL: "http://log:1", ListURL: "http://list:1", RetentionSeconds: 24 * 3600}
 	s.TLS.PlainText = true
 	ctx, stop := context.WithCancel(context.Background())
-	i := &testInstance{name: name, address: s.Listen.Callers, drain: make(chan struct{}), stop: stop, done: make(chan error, 1)}
+	i := &testInstance{name: name, address: s.Listen.Callers, drain: make(chan struct{}), stop: stop, done: make(chan struct{})}
 	var err error
 	i.Daemon, err = New(Options{
 		Settings: s, Network: f.net.Host(name), Log: zerolog.New(zerolog.NewTestWriter(f.t)).Level(zerolog.WarnLevel),
@@ -187,11 +188,53 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	go func() { i.done <- i.Run(ctx, i.drain) }()
+	go func() {
+		defer close(i.done)
+		i.runAll(ctx, f)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.instances = append(f.instances, i)
 	return i
 }
 
+// runAll runs the instance and, after each end of its membership, its next incarnation.
+func (i *testInstance) runAll(ctx context.Context, f *testFleet) {
+	d := i.Daemon
+	for n := 1; ; n++ {
+		err := d.Run(ctx, i.drain)
+		if !errors.Is(err, ErrWithdrawn) {
+			return
+		}
+		o := d.opts
+		o.Previous, o.Incarnation = o.Incarnation, fmt.Sprintf("%s-again-%d", i.name, n)
+		if d, err = New(o); err != nil {
+			f.t.Error(err)
+			return
+		}
+	}
+}
+
+// stopPlanned drains the instance and waits for its end.
+func (i *testInstance) stopPlanned() {
+	close(i.drain)
+	<-i.done
+}
+
+// kill ends an instance as a kill signal does.
+func (f *testFleet) kill(i int) {
+	f.net.Kill(f.instances[i].name)
+	f.instances[i].stop()
+	<-f.instances[i].done
+}
+
+// count returns the number of instances started so far.
+func (f *testFleet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.instances)
+}
+
 func (f *testFleet) close() {
 	for _, i := range f.instances {
 		i.stop()
--- /dev/null
+++ b/internal/daemon/peerserver.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/lease"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/transport/peer"
+)
+
+// Heartbeat implements peer.Shares.
+func (c *control) Heartbeat(_ context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	d := c.daemon
+	d.events.observe(r.GetHlc())
+	times := map[string]float64{}
+	for _, m := range r.GetDemand() {
+		times[m.GetWorkspace()] = m.GetVirtualTime()
+	}
+	c.mu.Lock()
+	answer := &peerpb.HeartbeatResponse{
+		Instance: d.settings.Instance, Incarnation: d.opts.Incarnation,
+		Positions: peer.PositionMessages(c.positions), Hlc: d.events.now(),
+	}
+	ended := c.members.Ended(r.GetIncarnation())
+	answer.Withdrawn = ended
+	if !ended {
+		now := c.now()
+		position := peer.Positions(r.GetPositions())[lease.Control]
+		c.view.Heard(now, r.GetInstance(), r.GetIncarnation(), position, r.GetSilent())
+		c.settlement.Heard(r.GetIncarnation(), position)
+		c.shares.PeerReports(now, r.GetIncarnation(), peer.Reports(r.GetDemand()))
+		if r.GetWantPromise() && c.members.Active(d.opts.Incarnation) {
+			answer.Promised = c.promises.Answer(now, r.GetIncarnation(), c.members.Active(r.GetIncarnation()))
+		}
+	}
+	c.mu.Unlock()
+	if !ended {
+		d.scheduler.MergeVirtualTimes(r.GetIncarnation(), times)
+	}
+	return answer, nil
+}
+
+// Transfer implements peer.Shares.
+func (c *control) Transfer(_ context.Context, r *peerpb.TransferRequest) (*peerpb.TransferResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	accepted := c.shares.Receive(c.now(), peer.Transfer(r))
+	if accepted {
+		c.wake()
+	}
+	return &peerpb.TransferResponse{Accepted: accepted}, nil
+}
+
+// RequestShare implements peer.Shares. What is given follows as a transfer.
+func (c *control) RequestShare(_ context.Context, r *peerpb.ShareRequest) (*peerpb.ShareResponse, error) {
+	c.mu.Lock()
+	t, ok := c.shares.Give(c.now(), peer.Ask(r), r.GetFromIncarnation())
+	if !ok {
+		c.mu.Unlock()
+		return &peerpb.ShareResponse{Incarnation: c.daemon.opts.Incarnation}, nil
+	}
+	address := c.address(t.To)
+	c.mu.Unlock()
+	if address != "" {
+		// The transfer outlives the call that asked for it.
+		go c.sendTransfer(context.Background(), address, t)
+	}
+	return &peerpb.ShareResponse{
+		Number: t.Number, Parts: t.Parts, Microtokens: t.Microtokens, Incarnation: c.daemon.opts.Incarnation,
+	}, nil
+}
+
+// FrozenCounters implements peer.Shares.
+func (c *control) FrozenCounters(_ context.Context, r *peerpb.FrozenCountersRequest) (*peerpb.FrozenCountersResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	net, frozen := c.settlement.Frozen(c.now(), r.GetWithdrawnIncarnations())
+	return &peerpb.FrozenCountersResponse{
+		Incarnation: c.daemon.opts.Incarnation, Frozen: frozen, Counters: peer.CounterMessages(net),
+	}, nil
+}
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
+	"github.com/turmericworks/turmericworks/internal/coordination/lease"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/record"
@@ -65,6 +66,7 @@
 	if after != before {
 		r.publish(after)
 	}
+	r.daemon.control.configRead(next)
 }
 
 // publish puts a new configuration in force.
@@ -87,15 +89,17 @@
 	delete(r.waiting, res.Change.ID)
 }
 
-func (r *replica) configAtTail(_ time.Time, _ uint64) {
+func (r *replica) configAtTail(asked time.Time, _ uint64) {
 	r.mu.Lock()
 	ready := r.fold.Ready()
 	r.mu.Unlock()
 	if ready {
 		r.folded.Store(true)
+		r.daemon.control.readTail(lease.Config, asked)
 	}
 }
 
 func (r *replica) unavailable(err error) {
 	r.daemon.log.Debug().Err(err).Msg("reading the log failed")
+	r.daemon.control.logFailed()
 }
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -8,9 +8,13 @@
 	"net/netip"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/coordination/shares"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/record"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
@@ -25,6 +29,7 @@
 	}
 	d.fleet.Update(servers)
 	d.scheduler.Configure(v)
+	d.control.configure(v)
 	d.entry.ConfigChanged()
 }
 
@@ -53,10 +58,6 @@
 	return e.Client.Load(ctx, backend.Order{Adapter: a})
 }
 
-type unlimitedLoads struct{}
-
-func (unlimitedLoads) TakeLoad(time.Time) bool { return true }
-
 // seedOf derives a seed from an incarnation.
 func seedOf(incarnation string) uint64 {
 	h := fnv.New64a()
@@ -73,14 +74,134 @@
 
 // CallService implements entry.Runner for plain services.
 func (r *runner) CallService(ctx context.Context, c entry.ServiceCall) (a backend.ServiceAnswer, err error) {
+	tokens := max(c.Route.Tokens, 1)
+	reservation, err := r.reserve(ctx, c.Workspace, tokens)
+	if err != nil {
+		return a, err
+	}
+	defer func() { r.daemon.control.settleTokens(reservation, chargedTokens(tokens, tokens, err)) }()
 	if c.Route.NonIdempotent {
-		return a, errNoActions
+		return r.daemon.actions.run(ctx, c)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	return dispatch.CallOne(ctx, r.daemon.fleet.Services(c.Route.Service), c.Request)
 }
 
-// errNoActions refuses calls that may not be repeated.
-var errNoActions = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "actions_unavailable",
-	"calls that may not be repeated are not accepted now")
+// Complete implements entry.Runner.
+func (r *runner) Complete(ctx context.Context, c entry.Call) (backend.Answer, error) {
+	reservation, err := r.reserve(ctx, c.Workspace, c.Tokens)
+	if err != nil {
+		return backend.Answer{}, err
+	}
+	answer, err := r.Runner.Complete(ctx, c)
+	r.daemon.control.settleTokens(reservation, chargedTokens(c.Tokens, answer.Usage.TotalTokens, err))
+	return answer, err
+}
+
+// Stream implements entry.Runner.
+func (r *runner) Stream(ctx context.Context, c entry.Call) (backend.ChunkReader, error) {
+	reservation, err := r.reserve(ctx, c.Workspace, c.Tokens)
+	if err != nil {
+		return nil, err
+	}
+	chunks, err := r.Runner.Stream(ctx, c)
+	if err != nil {
+		r.daemon.control.settleTokens(reservation, chargedTokens(c.Tokens, 0, err))
+		return nil, err
+	}
+	return &chargedStream{ChunkReader: chunks, call: c, settle: func(used int, err error) {
+		r.daemon.control.settleTokens(reservation, chargedTokens(c.Tokens, used, err))
+	}}, nil
+}
+
+// chargedStream settles a reservation when its stream ends.
+type chargedStream struct {
+	backend.ChunkReader
+	call   entry.Call
+	settle func(used int, err error)
+	used   int
+	err    error
+	done   bool
+}
+
+// Next implements backend.ChunkReader.
+func (s *chargedStream) Next() (backend.Chunk, error) {
+	chunk, err := s.ChunkReader.Next()
+	if chunk.Usage != nil {
+		s.used = chunk.Usage.TotalTokens
+	}
+	s.err, s.done = err, chunk.Done
+	return chunk, err
+}
+
+// Close implements backend.ChunkReader. A stream that ended early is charged in full, since what it used
+// is not known.
+func (s *chargedStream) Close() error {
+	used := s.used
+	if !s.done && s.used == 0 {
+		used = s.call.Tokens
+	}
+	s.settle(used, s.err)
+	return s.ChunkReader.Close()
+}
+
+// chargedTokens returns what a request costs: nothing if it surely did not run, what it used if that is
+// known, and else what was reserved.
+func chargedTokens(reserved, used int, err error) int {
+	switch {
+	case err == nil && used > 0:
+		return min(used, reserved)
+	case err != nil && verdict.Of(err).Verdict == verdict.NotRun:
+		return 0
+	default:
+		return reserved
+	}
+}
+
+// reserve takes a request's tokens, or returns its refusal.
+func (r *runner) reserve(ctx context.Context, workspace string, tokens int) (shares.Reservation, error) {
+	reservation, outcome := r.daemon.control.takeTokens(ctx, workspace, tokens)
+	switch outcome {
+	case shares.Granted:
+		return reservation, nil
+	case shares.TooLarge:
+		return reservation, verdict.New(verdict.NotRun, http.StatusBadRequest, "request_too_large",
+			"the request can use more tokens than the workspace's burst")
+	case shares.NoLease:
+		return reservation, errNoLease
+	case shares.Unknown:
+		return reservation, verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "workspace_unknown",
+			"the workspace has no rate yet").WithRetryAfter(time.Second)
+	default:
+		return reservation, verdict.New(verdict.NotRun, http.StatusTooManyRequests, "rate_limited",
+			"the workspace is over its rate").WithRetryAfter(time.Second)
+	}
+}
+
+// controlRecord hands a record of the control stream to the parts that fold it themselves.
+func (d *Daemon) controlRecord(e record.Entry) {
+	if e.Kind != retry.KindBlame {
+		return
+	}
+	var rec retry.BlameRecord
+	if err := e.Unmarshal(&rec); err == nil {
+		d.scheduler.MergeBlame(rec)
+	}
+}
+
+// publishBlame appends a record about an engine crash.
+func (d *Daemon) publishBlame(rec retry.BlameRecord) {
+	env, err := record.New(retry.KindBlame, uuid.NewString(), d.opts.Incarnation, rec)
+	if err != nil {
+		return
+	}
+	go d.control.appendRecord(context.Background(), env)
+}
+
+// adminHandler serves operators and the timeline.
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/events", d.events)
+	return mux
+}
--- a/internal/transport/dispatch/scheduler.go
+++ b/internal/transport/dispatch/scheduler.go
@@ -67,6 +67,8 @@
 	runs    map[string]string         // engine to incarnation
 	models  map[string]string         // engine to base model
 	waiters map[string]*waiter
+	// queued wakes Serve when a request begins to wait.
+	queued chan struct{}
 	// waiting counts the waiters by adapter version.
 	waiting map[adapter.Ref]int
 	publish func(retry.BlameRecord)
@@ -109,7 +111,7 @@
 		ctx: context.Background(), place: placement.New(placement.DefaultPolicy(), pop, rnd), queue: fairqueue.New(o.Queue),
 		loads: loadbudget.NewQueue(loadbudget.DefaultQueueConfig(), rnd), blame: retry.NewBlame(),
 		ejector: map[string]*retry.Ejector{}, down: map[string]bool{}, runs: map[string]string{},
-		models: map[string]string{}, waiters: map[string]*waiter{}, waiting: map[adapter.Ref]int{},
+		models: map[string]string{}, waiters: map[string]*waiter{}, waiting: map[adapter.Ref]int{}, queued: make(chan struct{}, 1),
 	}
 }
 
@@ -118,17 +120,21 @@
 	s.mu.Lock()
 	s.ctx = ctx
 	s.mu.Unlock()
-	t := time.NewTicker(tick)
+	t := time.NewTimer(tick)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-t.C:
-			s.mu.Lock()
-			s.pump(now)
-			s.mu.Unlock()
+		case <-s.queued:
+		case <-t.C:
 		}
+		s.mu.Lock()
+		s.pump(time.Now())
+		if len(s.waiters) > 0 {
+			t.Reset(tick)
+		}
+		s.mu.Unlock()
 	}
 }
 
@@ -223,6 +229,20 @@
 	s.blame.Merge(rec, time.Now())
 }
 
+// VirtualTimes returns the service by this instance, for heartbeats.
+func (s *Scheduler) VirtualTimes() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.VirtualTimes()
+}
+
+// MergeVirtualTimes counts the service of a peer.
+func (s *Scheduler) MergeVirtualTimes(incarnation string, times map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Merge(incarnation, times)
+}
+
 // Acquire implements Router.
 func (s *Scheduler) Acquire(ctx context.Context, c entry.Call) (Place, error) {
 	w := &waiter{
@@ -271,6 +291,10 @@
 	}
 	s.waiters[id] = w
 	s.countWaiting(w.call.Adapter, 1)
+	select {
+	case s.queued <- struct{}{}:
+	default:
+	}
 	if displaced != nil {
 		s.answer(displaced.ID, acquired{err: fairqueue.Displaced()})
 	}
--- a/internal/transport/tail/tail.go
+++ b/internal/transport/tail/tail.go
@@ -17,8 +17,10 @@
 	// longPoll is how long a read at the tail waits for a record. It is well below the freshness
 	// lease, so that each answer renews the lease in time.
 	longPoll = 500 * time.Millisecond
-	// retryDelay is the pause after a failed read.
-	retryDelay = 200 * time.Millisecond
+	// firstRetry and lastRetry bound the pause after a failed read, which doubles. The last is well
+	// below the time in which a configuration must be in force after an outage.
+	firstRetry = 200 * time.Millisecond
+	lastRetry  = 1600 * time.Millisecond
 )
 
 // Events are what a tail reports. The functions are called in stream order from one goroutine.
@@ -93,11 +95,16 @@
 
 // Serve follows the stream until the context ends. It implements suture.Service.
 func (t *Tail) Serve(ctx context.Context) error {
+	delay := firstRetry
 	for ctx.Err() == nil {
-		if err := t.readOnce(ctx); err != nil && ctx.Err() == nil {
-			t.events.Unavailable(err)
-			pause(ctx, retryDelay)
+		err := t.readOnce(ctx)
+		if err == nil || ctx.Err() != nil {
+			delay = firstRetry
+			continue
 		}
+		t.events.Unavailable(err)
+		pause(ctx, delay)
+		delay = min(2*delay, lastRetry)
 	}
 	return ctx.Err()
 }
