--- /dev/null
+++ b/internal/coordination/lease/lease_test.go
@@ -0,0 +1,92 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestLogEvidence guards against a lease that outlives the evidence, and against evidence from one stream only.
+func TestLogEvidence(t *testing.T) {
+	Convey("A lease lasts from the question about the stream read longer ago", t, func() {
+		l := New("a")
+		So(l.Valid(0), ShouldBeFalse)
+		l.ReadTail(Config, 5*time.Second)
+		So(l.Valid(5*time.Second), ShouldBeFalse)
+		l.ReadTail(Control, 4*time.Second)
+		So(l.Valid(6*time.Second-1), ShouldBeTrue)
+		So(l.Valid(6*time.Second), ShouldBeFalse)
+		Convey("a minute later nothing but new evidence renews it", func() {
+			So(l.Valid(time.Minute), ShouldBeFalse)
+			l.ReadTail(Config, time.Minute)
+			So(l.Valid(time.Minute), ShouldBeFalse)
+			l.ReadTail(Control, time.Minute)
+			So(l.Valid(time.Minute), ShouldBeTrue)
+			l.Withdrawn()
+			So(l.Valid(time.Minute), ShouldBeFalse)
+		})
+	})
+}
+
+// TestPromises guards against a lease on too few promises, on promises of stale instances, or while the log answers.
+func TestPromises(t *testing.T) {
+	Convey("With five members and the log down", t, func() {
+		l := New("a")
+		l.SetElectorate(Electorate{Members: []string{"a", "b", "c", "d", "e"}, Listed: []string{"B", "D"}})
+		promise := func(instance, inc string, at time.Duration, p Positions) {
+			l.Acknowledged(Ack{Instance: instance, Incarnation: inc, Asked: at, Positions: p})
+		}
+		l.Round(time.Second)
+		promise("B", "b", time.Second, Positions{})
+		promise("C", "c", time.Second, Positions{})
+		promise("E", "e", time.Second, Positions{})
+		l.LogFailed()
+		Convey("a majority is not enough without each listed instance", func() {
+			So(l.Valid(time.Second), ShouldBeFalse)
+			promise("D", "d2", time.Second/2, Positions{}) // restarted and not a member yet
+			So(l.Expires(), ShouldEqual, 2500*time.Millisecond)
+			l.SetElectorate(Electorate{Members: []string{"a", "b", "c", "d", "e"}, Listed: []string{"B"}}) // D is proven dead
+			So(l.Expires(), ShouldEqual, 3*time.Second)
+		})
+		Convey("a promise counts once its positions are reached", func() {
+			promise("D", "d", time.Second, Positions{3, 4})
+			l.Advance(Positions{3, 3})
+			So(l.Valid(time.Second), ShouldBeFalse)
+			l.Advance(Positions{0, 4})
+			So(l.Valid(time.Second), ShouldBeTrue)
+		})
+		Convey("promises stop counting when the log answers", func() {
+			l.LogAnswered()
+			promise("D", "d", time.Second, Positions{})
+			So(l.Valid(time.Second), ShouldBeFalse)
+			So(l.WantPromise(), ShouldBeFalse)
+		})
+	})
+	Convey("Two of four members are no majority", t, func() {
+		l := New("a")
+		l.SetElectorate(Electorate{Members: []string{"a", "b", "c", "d"}})
+		l.LogFailed()
+		l.Round(0)
+		l.Acknowledged(Ack{Instance: "B", Incarnation: "b"})
+		So(l.Valid(0), ShouldBeFalse)
+		l.Acknowledged(Ack{Instance: "C", Incarnation: "c"})
+		So(l.Valid(0), ShouldBeTrue)
+	})
+}
+
+// TestAnswer guards against counters reported while a promise still backs a lease.
+func TestAnswer(t *testing.T) {
+	Convey("A promise lapses after the lease and the margin", t, func() {
+		p := NewPromises()
+		So(p.Answer(time.Second, "a", true), ShouldBeTrue)
+		So(p.Lapsed(time.Minute, "a"), ShouldBeFalse)
+		p.End("a")
+		So(p.Answer(2*time.Second, "a", true), ShouldBeFalse)
+		So(p.Lapsed(3500*time.Millisecond-1, "a"), ShouldBeFalse)
+		So(p.Lapsed(3500*time.Millisecond, "a"), ShouldBeTrue)
+		So(p.Answer(0, "stranger", false), ShouldBeFalse)
+		p.EndAll()
+		So(p.Answer(0, "b", true), ShouldBeFalse)
+	})
+}
--- a/internal/coordination/shares/balance.go
+++ b/internal/coordination/shares/balance.go
@@ -93,7 +93,7 @@
 		return ledger.Transfer{}, false
 	}
 	if p := m.peers[from]; p != nil {
-		a.reports[p.index].demand = max(q.Demand, 0)
+		a.reports[p.index].demand = boundDemand(q.Demand)
 	}
 	parts := a.parts
 	if q.Microtokens < level {
--- a/internal/coordination/shares/manager.go
+++ b/internal/coordination/shares/manager.go
@@ -338,11 +338,26 @@
 		r := &reports[i]
 		if a := m.accounts[r.Workspace]; a != nil {
 			q := &a.reports[p.index]
-			q.at, q.valid, q.demand, q.free, q.parts = now, true, max(r.Demand, 0), r.Free, r.Parts
+			q.at, q.valid, q.demand = now, true, boundDemand(r.Demand)
+			q.free = min(max(r.Free, 0), MaxMicrotokens)
+			q.parts = min(max(r.Parts, 0), ledger.Whole)
 		}
 	}
 }
 
+// boundDemand keeps a peer's statement from upsetting the arithmetic: a NaN or an infinity would spread
+// to every decision about the workspace.
+func boundDemand(d float64) float64 {
+	const largest = 1000 * float64(MaxMicrotokens)
+	if d > 0 && d <= largest {
+		return d
+	}
+	if d > largest {
+		return largest
+	}
+	return 0
+}
+
 func (m *Manager) freeIndex(incarnation string) int {
 	for i, inc := range m.byIndex {
 		if inc == "" {
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -8,7 +8,7 @@
 package ledger
 
 import (
-	"sort"
+	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/members"
 	"github.com/turmericworks/turmericworks/internal/state/record"
@@ -23,6 +23,9 @@
 	KindRegrant record.Kind = "regrant"
 )
 
+// forgetAfter is how long a settled member is kept, by the log's clock. Its late records have passed by then.
+const forgetAfter = time.Hour
+
 // Grant gives the whole of a new workspace to the writer.
 type Grant struct {
 	Workspace string `json:"workspace"`
@@ -44,7 +47,7 @@
 type Fold struct {
 	members *members.Set
 	base    map[string]map[string]int64 // workspace, incarnation
-	settled map[string]bool
+	settled map[string]int64            // when, in milliseconds by the log's clock
 	next    uint64
 	index   int
 }
@@ -53,7 +56,7 @@
 type Snapshot struct {
 	Next    uint64                      `json:"next"`
 	Base    map[string]map[string]int64 `json:"base"`
-	Settled []string                    `json:"settled,omitempty"`
+	Settled map[string]int64            `json:"settled,omitempty"`
 }
 
 // Effect is what one entry changed.
@@ -70,7 +73,7 @@
 
 // NewFold returns empty accounts over the member set.
 func NewFold(m *members.Set) *Fold {
-	return &Fold{members: m, base: map[string]map[string]int64{}, settled: map[string]bool{}}
+	return &Fold{members: m, base: map[string]map[string]int64{}, settled: map[string]int64{}}
 }
 
 // Apply folds one entry. The first valid grant of a workspace and the first valid regrant of a member
@@ -81,6 +84,8 @@
 	}
 	f.next, f.index = e.Offset+1, e.Index+1
 	switch e.Kind {
+	case members.KindJoin:
+		f.forget(e.UnixMilli)
 	case KindGrant:
 		var g Grant
 		if e.Unmarshal(&g) != nil || g.Workspace == "" || f.base[g.Workspace] != nil || !f.members.Active(e.Incarnation) {
@@ -93,7 +98,7 @@
 		if e.Unmarshal(&r) != nil || !f.members.Active(e.Incarnation) || !f.complete(r) {
 			return Effect{}
 		}
-		return f.regrant(e.Incarnation, r)
+		return f.regrant(e.Incarnation, e.UnixMilli, r)
 	}
 	return Effect{}
 }
@@ -155,13 +160,13 @@
 	return total
 }
 
-func (f *Fold) regrant(author string, r Regrant) Effect {
+func (f *Fold) regrant(author string, unixMilli int64, r Regrant) Effect {
 	total := f.Regrantable(r)
 	for _, i := range r.Ended {
 		for _, accounts := range f.base {
 			delete(accounts, i)
 		}
-		f.settled[i] = true
+		f.settled[i] = unixMilli
 	}
 	for i, net := range r.Reports {
 		for ws, parts := range net {
@@ -178,18 +183,23 @@
 func (f *Fold) Unsettled() []members.Member {
 	var out []members.Member
 	for _, m := range f.members.EndedList() {
-		if !f.settled[m.Incarnation] {
+		if _, ok := f.settled[m.Incarnation]; !ok {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
-// Forget drops the note that a member is settled, together with the member itself.
-func (f *Fold) Forget(incarnation string) {
-	if f.settled[incarnation] {
-		delete(f.settled, incarnation)
-		f.members.Forget(incarnation)
+// forget drops the members settled long before the time, so that restarts do not fill the state. Members
+// that may still run, cut off, are kept: QuorumHeld needs them. They are dropped once the same process joins again.
+func (f *Fold) forget(unixMilli int64) {
+	for i, at := range f.settled {
+		m, ok := f.members.Get(i)
+		if unixMilli-at < forgetAfter.Milliseconds() || (ok && m.Reason == members.Silent) {
+			continue
+		}
+		delete(f.settled, i)
+		f.members.Forget(i)
 	}
 }
 
@@ -202,7 +212,7 @@
 
 // Export returns the state at the current offset.
 func (f *Fold) Export() Snapshot {
-	s := Snapshot{Next: f.next, Base: map[string]map[string]int64{}}
+	s := Snapshot{Next: f.next, Base: map[string]map[string]int64{}, Settled: map[string]int64{}}
 	for ws, accounts := range f.base {
 		c := make(map[string]int64, len(accounts))
 		for i, parts := range accounts {
@@ -212,10 +222,9 @@
 		}
 		s.Base[ws] = c
 	}
-	for i := range f.settled {
-		s.Settled = append(s.Settled, i)
+	for i, at := range f.settled {
+		s.Settled[i] = at
 	}
-	sort.Strings(s.Settled)
 	return s
 }
 
@@ -225,15 +234,15 @@
 	if s.Next <= f.next {
 		return false
 	}
-	f.base, f.settled = map[string]map[string]int64{}, map[string]bool{}
+	f.base, f.settled = map[string]map[string]int64{}, map[string]int64{}
 	for ws, accounts := range s.Base {
 		f.base[ws] = make(map[string]int64, len(accounts))
 		for i, parts := range accounts {
 			f.base[ws][i] = parts
 		}
 	}
-	for _, i := range s.Settled {
-		f.settled[i] = true
+	for i, at := range s.Settled {
+		f.settled[i] = at
 	}
 	f.next, f.index = s.Next, 1<<30
 	return true
--- /dev/null
+++ b/internal/transport/peer/client.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+)
+
+// CallTimeout is the deadline of a call. A connection on which a call reaches it is closed and replaced, since some
+// connections go silent for good while new ones work.
+const CallTimeout = 2 * time.Second
+
+// reconnect retries a failed connection soon, because a restarted instance serves the same address.
+var reconnect = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+	MinConnectTimeout: CallTimeout / 2, // so that a call outlives one attempt that goes silent
+}
+
+// Clients holds one connection per peer address. It is safe for concurrent use.
+type Clients struct {
+	conf    *tls.Config
+	refused func(addr string)
+	mu      sync.Mutex
+	conns   map[string]*grpc.ClientConn
+	done    bool
+}
+
+// NewClients returns clients without connections. The configuration holds this instance's certificate and the
+// authority that signs those of its peers; nil means plain text. Refused is called, from any goroutine and at the
+// time it happens, when a host refuses a connection because no process listens at the address. It is
+// not an error of a call: calls fail for some time after a refusal, when a new process may listen.
+func NewClients(conf *tls.Config, refused func(addr string)) *Clients {
+	return &Clients{conf: conf, refused: refused, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Heartbeat sends a heartbeat.
+func (c *Clients) Heartbeat(ctx context.Context, addr string, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.Heartbeat)
+}
+
+// Transfer sends a transfer. It may be repeated under the same number.
+func (c *Clients) Transfer(ctx context.Context, addr string, r *peerpb.TransferRequest) (*peerpb.TransferResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.Transfer)
+}
+
+// RequestShare asks for a transfer. If the answer is lost, the peer repeats the transfer itself.
+func (c *Clients) RequestShare(ctx context.Context, addr string, r *peerpb.ShareRequest) (*peerpb.ShareResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.RequestShare)
+}
+
+// FrozenCounters asks for the counters with ended members.
+func (c *Clients) FrozenCounters(ctx context.Context, addr string, r *peerpb.FrozenCountersRequest) (*peerpb.FrozenCountersResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.FrozenCounters)
+}
+
+type method[Q, A any] func(peerpb.PeerClient, context.Context, *Q, ...grpc.CallOption) (*A, error)
+
+func call[Q, A any](ctx context.Context, c *Clients, addr string, q *Q, m method[Q, A]) (*A, error) {
+	k, err := c.conn(addr)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	limited, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	a, err := m(peerpb.NewPeerClient(k), limited, q)
+	if err == nil {
+		return a, nil
+	}
+	if status.Code(err) == codes.DeadlineExceeded && limited.Err() != nil && ctx.Err() == nil {
+		c.replace(addr, k)
+	}
+	return nil, trace.Wrap(err, "calling the peer at %s", addr)
+}
+
+func (c *Clients) conn(addr string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.done {
+		return nil, trace.ConnectionProblem(nil, "the clients are closed")
+	}
+	if k := c.conns[addr]; k != nil {
+		return k, nil
+	}
+	k, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(transportCredentials(c.conf)),
+		grpc.WithContextDialer(c.dial),
+		grpc.WithConnectParams(reconnect),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
+	)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c.conns[addr] = k
+	return k, nil
+}
+
+func (c *Clients) dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.refused(addr)
+	}
+	return nc, err
+}
+
+// replace closes the connection, so that the next call opens a new one.
+func (c *Clients) replace(addr string, k *grpc.ClientConn) {
+	c.mu.Lock()
+	if c.conns[addr] == k {
+		delete(c.conns, addr)
+	}
+	c.mu.Unlock()
+	_ = k.Close() // the connection is given up whatever Close says
+}
+
+// Forget closes the connection to an address that is no longer a peer's.
+func (c *Clients) Forget(addr string) {
+	c.mu.Lock()
+	k := c.conns[addr]
+	c.mu.Unlock()
+	if k != nil {
+		c.replace(addr, k)
+	}
+}
+
+// Close closes all connections. Calls in flight fail.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	conns := c.conns
+	c.conns, c.done = nil, true
+	c.mu.Unlock()
+	for _, k := range conns {
+		_ = k.Close() // nothing is left to do with the connection
+	}
+}
--- /dev/null
+++ b/internal/transport/peer/convert.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"github.com/turmericworks/turmericworks/internal/coordination/lease"
+	"github.com/turmericworks/turmericworks/internal/coordination/shares"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/state/ledger"
+)
+
+// TransferMessage returns the wire form of a transfer.
+func TransferMessage(t ledger.Transfer) *peerpb.TransferRequest {
+	return &peerpb.TransferRequest{
+		FromIncarnation: t.From,
+		ToIncarnation:   t.To,
+		Number:          t.Number,
+		Workspace:       t.Workspace,
+		Parts:           t.Parts,
+		Microtokens:     t.Microtokens,
+	}
+}
+
+// Transfer returns the transfer that a message carries. The ledger checks its values.
+func Transfer(m *peerpb.TransferRequest) ledger.Transfer {
+	return ledger.Transfer{
+		From:        m.GetFromIncarnation(),
+		To:          m.GetToIncarnation(),
+		Number:      m.GetNumber(),
+		Workspace:   m.GetWorkspace(),
+		Parts:       m.GetParts(),
+		Microtokens: m.GetMicrotokens(),
+	}
+}
+
+// AskMessage returns the wire form of an ask by the incarnation.
+func AskMessage(from string, q shares.Ask) *peerpb.ShareRequest {
+	return &peerpb.ShareRequest{
+		FromIncarnation:       from,
+		Workspace:             q.Workspace,
+		Microtokens:           q.Microtokens,
+		DemandTokensPerSecond: q.Demand / float64(shares.Microtokens),
+	}
+}
+
+// Ask returns the ask that a message carries.
+func Ask(m *peerpb.ShareRequest) shares.Ask {
+	return shares.Ask{
+		Workspace:   m.GetWorkspace(),
+		Microtokens: m.GetMicrotokens(),
+		Demand:      m.GetDemandTokensPerSecond() * float64(shares.Microtokens),
+	}
+}
+
+// DemandMessages returns the wire form of an instance's reports. Virtual times are added by the queue.
+func DemandMessages(reports []shares.Report) []*peerpb.WorkspaceDemand {
+	out := make([]*peerpb.WorkspaceDemand, len(reports))
+	for i, r := range reports {
+		out[i] = &peerpb.WorkspaceDemand{
+			Workspace:             r.Workspace,
+			DemandTokensPerSecond: r.Demand / float64(shares.Microtokens),
+			FreeTokens:            float64(r.Free) / float64(shares.Microtokens),
+			Parts:                 r.Parts,
+		}
+	}
+	return out
+}
+
+// Reports returns the reports that a heartbeat carries.
+func Reports(messages []*peerpb.WorkspaceDemand) []shares.Report {
+	out := make([]shares.Report, len(messages))
+	for i, m := range messages {
+		out[i] = shares.Report{
+			Workspace: m.GetWorkspace(),
+			Demand:    m.GetDemandTokensPerSecond() * float64(shares.Microtokens),
+			Free:      int64(min(m.GetFreeTokens()*float64(shares.Microtokens), float64(shares.MaxMicrotokens))),
+			Parts:     m.GetParts(),
+		}
+	}
+	return out
+}
+
+// CounterMessages returns the wire form of frozen counters. Only the difference of sent and received
+// matters to a regrant, so one of the two is zero.
+func CounterMessages(net ledger.Net) []*peerpb.Counter {
+	out := make([]*peerpb.Counter, 0, len(net))
+	for ws, parts := range net {
+		out = append(out, &peerpb.Counter{Workspace: ws, OutParts: max(parts, 0), InParts: max(-parts, 0)})
+	}
+	return out
+}
+
+// Counters returns the counters that a message carries.
+func Counters(messages []*peerpb.Counter) ledger.Net {
+	out := make(ledger.Net, len(messages))
+	for _, m := range messages {
+		out[m.GetWorkspace()] += m.GetOutParts() - m.GetInParts()
+	}
+	return out
+}
+
+// PositionMessages returns the wire form of the positions that back a lease.
+func PositionMessages(p lease.Positions) []*peerpb.Position {
+	return []*peerpb.Position{
+		{Stream: string(platform.StreamConfig), Next: p[lease.Config]},
+		{Stream: string(platform.StreamControl), Next: p[lease.Control]},
+	}
+}
+
+// Positions returns the positions that a message carries. Streams that do not back a lease are left out.
+func Positions(messages []*peerpb.Position) lease.Positions {
+	var p lease.Positions
+	for _, m := range messages {
+		switch platform.Stream(m.GetStream()) {
+		case platform.StreamConfig:
+			p[lease.Config] = m.GetNext()
+		case platform.StreamControl:
+			p[lease.Control] = m.GetNext()
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/transport/peer/server.go
@@ -0,0 +1,78 @@
+// Package peer carries the messages between instances over gRPC.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+)
+
+const (
+	// maxMessage bounds a message in bytes. A heartbeat of 50 workspaces takes 2.5 KB, without engines.
+	maxMessage = 8 << 20
+	// keepaliveTime is how long a connection may be idle before it is pinged: the least that grpc-go allows a
+	// client. The deadline of each call notices a silent connection earlier.
+	keepaliveTime = 10 * time.Second
+	// keepaliveTimeout is how long a ping may go unanswered.
+	keepaliveTimeout = 2 * time.Second
+)
+
+// Shares answers the messages about liveness and shares. Implementations must be safe for concurrent use.
+type Shares interface {
+	Heartbeat(context.Context, *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error)
+	Transfer(context.Context, *peerpb.TransferRequest) (*peerpb.TransferResponse, error)
+	RequestShare(context.Context, *peerpb.ShareRequest) (*peerpb.ShareResponse, error)
+	FrozenCounters(context.Context, *peerpb.FrozenCountersRequest) (*peerpb.FrozenCountersResponse, error)
+}
+
+// NewServer returns a gRPC server without services. The configuration must require and verify client
+// certificates; nil means plain text, which the caller permits on loopback or by an explicit setting only.
+func NewServer(conf *tls.Config) *grpc.Server {
+	return grpc.NewServer(
+		grpc.Creds(transportCredentials(conf)),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+	)
+}
+
+func transportCredentials(conf *tls.Config) credentials.TransportCredentials {
+	if conf == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(conf)
+}
+
+// Service serves the messages about liveness and shares; the other methods of the peer service are
+// unimplemented until a type that embeds it implements them.
+type Service struct {
+	peerpb.UnimplementedPeerServer
+	Shares Shares
+}
+
+// Heartbeat implements peerpb.PeerServer.
+func (s *Service) Heartbeat(ctx context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return s.Shares.Heartbeat(ctx, r)
+}
+
+// Transfer implements peerpb.PeerServer.
+func (s *Service) Transfer(ctx context.Context, r *peerpb.TransferRequest) (*peerpb.TransferResponse, error) {
+	return s.Shares.Transfer(ctx, r)
+}
+
+// RequestShare implements peerpb.PeerServer.
+func (s *Service) RequestShare(ctx context.Context, r *peerpb.ShareRequest) (*peerpb.ShareResponse, error) {
+	return s.Shares.RequestShare(ctx, r)
+}
+
+// FrozenCounters implements peerpb.PeerServer.
+func (s *Service) FrozenCounters(ctx context.Context, r *peerpb.FrozenCountersRequest) (*peerpb.FrozenCountersResponse, error) {
+	return s.Shares.FrozenCounters(ctx, r)
+}
