--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -40,7 +40,7 @@
 }
 
 // NewClients returns clients without connections. The configuration holds this instance's certificate and the
-// authority that signs those of its peers; nil means plain text. Refused is called, from any goroutine and at the
+// authority that signs those of its peers; nil means plain text. Dial opens a connection. Refused is called, from any goroutine and at the
 // time it happens, when a host refuses a connection because no process listens at the address. It is
 // not an error of a call: calls fail for some time after a refusal, when a new process may listen.
 func NewClients(conf *tls.Config, dial func(ctx context.Context, addr string) (net.Conn, error), refused func(addr string)) *Clients {
