fairqueue: meet accepted deadlines beside workspaces of other sizes

The plan counted neither the service that others are due when the workspace is ahead of them nor requests that cannot be interrupted. Change: admission and the switch to deadline order include that delay; while a request is due, workspaces that were served more than its own wait; a request is dropped only when it is late without the margin. Conclusion: accepted work meets its deadline while the rate and the set of backlogged workspaces stay as they were at admission.

--- a/internal/coordination/fairqueue/deadline.go
+++ b/internal/coordination/fairqueue/deadline.go
@@ -15,6 +15,25 @@
 	return q.rate.tokensPerSecond * w.weight / total
 }
 
+// delay returns the longest time by which a workspace's next service may lag its share: one request of
+// each other backlogged workspace and one that runs, and the service that others are due because the
+// workspace is ahead of them.
+func (q *Queue) delay(w *workspace) time.Duration {
+	if q.rate.tokensPerSecond <= 0 {
+		return 0
+	}
+	tokens := 0.0
+	if len(q.running) > 0 {
+		tokens = w.largest
+	}
+	for _, o := range q.backlogged {
+		if o != w {
+			tokens += o.largest + max(0, w.virtual-o.virtual)*o.weight
+		}
+	}
+	return seconds(tokens / q.rate.tokensPerSecond)
+}
+
 // feasible refuses a request whose deadline cannot be met at the workspace's share of the service
 // rate, in deadline order, or whose service would make one accepted earlier miss its deadline.
 func (q *Queue) feasible(w *workspace, it *item, now time.Time) error {
@@ -28,6 +47,7 @@
 	if rate <= 0 {
 		return nil
 	}
+	first := now.Add(q.delay(w))
 	// The new request is dispatched once those with earlier deadlines are served; its own
 	// service time is part of latest.
 	ahead := 0.0
@@ -35,33 +55,34 @@
 	for _, o := range w.byLatest {
 		if !placed && it.latest.Before(o.latest) {
 			placed = true
-			if late(it, ahead, rate, now) {
-				return tooLate(ahead, rate, it, now)
+			if late(it, ahead, rate, first) {
+				return tooLate(it, ahead, rate, first)
 			}
 		}
-		if placed && !late(o, ahead, rate, now) && late(o, ahead+it.Tokens, rate, now) {
-			return tooLate(ahead+it.Tokens, rate, o, now)
+		if placed && !late(o, ahead, rate, first) && late(o, ahead+it.Tokens, rate, first) {
+			return tooLate(o, ahead+it.Tokens, rate, first)
 		}
 		ahead += o.Tokens
 	}
-	if !placed && late(it, ahead, rate, now) {
-		return tooLate(ahead, rate, it, now)
+	if !placed && late(it, ahead, rate, first) {
+		return tooLate(it, ahead, rate, first)
 	}
 	return nil
 }
 
-func late(it *item, ahead, rate float64, now time.Time) bool {
-	return now.Add(seconds(ahead / rate)).After(it.latest)
+// late reports whether a request is too late behind a number of tokens served from first on.
+func late(it *item, ahead, rate float64, first time.Time) bool {
+	return first.Add(seconds(ahead / rate)).After(it.latest)
 }
 
-func tooLate(ahead, rate float64, it *item, now time.Time) error {
-	wait := now.Add(seconds(ahead / rate)).Sub(it.latest)
+func tooLate(it *item, ahead, rate float64, first time.Time) error {
+	wait := first.Add(seconds(ahead / rate)).Sub(it.latest)
 	return refuse(statusServiceUnavailable, "deadline_unmet",
 		"the deadline cannot be met at the present rate of service", max(wait, time.Second))
 }
 
 // rateTolerance is the relative change of a workspace's rate that is ignored in urgentAt.
-const rateTolerance = 0.05
+const rateTolerance = 0.01
 
 // urgent reports whether requests must be taken in deadline order now: the earliest latest dispatch
 // time, less the service that is due before it, is past.
@@ -70,21 +91,21 @@
 		return false
 	}
 	rate := q.shareRate(w)
-	if w.stale || math.Abs(rate-w.urgentRate) > rateTolerance*w.urgentRate {
-		w.setUrgentAt(rate)
+	if w.stale || w.urgentSizes != q.sizes || math.Abs(rate-w.urgentRate) > rateTolerance*w.urgentRate {
+		w.stale, w.urgentSizes, w.urgentRate = false, q.sizes, rate
+		w.setUrgentAt(rate, q.delay(w))
 	}
 	return !now.Before(w.urgentAt)
 }
 
-func (w *workspace) setUrgentAt(rate float64) {
-	w.stale, w.urgentRate = false, rate
+func (w *workspace) setUrgentAt(rate float64, delay time.Duration) {
 	ahead := 0.0
 	if rate > 0 {
-		// A request that is due may find one in service that was just taken.
+		// One more request may be taken out of deadline order before urgentAt.
 		ahead = w.largest
 	}
 	for i, it := range w.byLatest {
-		at := it.latest
+		at := it.latest.Add(-delay)
 		if rate > 0 {
 			at = at.Add(-seconds(ahead / rate))
 		}
--- a/internal/coordination/fairqueue/dispatch.go
+++ b/internal/coordination/fairqueue/dispatch.go
@@ -1,6 +1,9 @@
 package fairqueue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The weights of the preferences among the workspaces that the fairness bound permits. The lag of a
 // workspace, 0 to 1, is weighted by Policy.WorstServed.
@@ -22,7 +25,7 @@
 }
 
 // Next takes the request to dispatch and charges its workspace. fit says whether an adapter can be
-// placed now; it is asked once per waiting adapter and class. Next returns false when nothing that
+// placed now; it is asked at least once per waiting adapter and class. Next returns false when nothing that
 // waits can be placed. fit must not keep its argument. Call Expire first, so that no request is dispatched after its latest time.
 func (q *Queue) Next(now time.Time, fit func(*Request) Fit) (Request, bool) {
 	best, ok := q.choose(now, fit)
@@ -33,27 +36,30 @@
 	return best.item.Request, true
 }
 
+// choose returns the best candidate that the fairness bound permits. While a workspace has a request
+// that must run now, workspaces that were served more than it wait: otherwise one with small requests
+// could use up the bound again and again before one with large requests becomes eligible.
 func (q *Queue) choose(now time.Time, fit func(*Request) Fit) (candidate, bool) {
 	var buffer [16]candidate
 	candidates := buffer[:0]
-	bound, least, most := 0.0, 0.0, 0.0
+	bound, least, most, limit := 0.0, math.Inf(1), 0.0, math.Inf(1)
 	for _, w := range q.backlogged {
 		c, ok := q.pick(w, now, fit)
 		if !ok {
 			continue
 		}
-		if len(candidates) == 0 {
-			least, most = w.virtual, w.virtual
-		}
 		least, most = min(least, w.virtual), max(most, w.virtual)
 		bound = max(bound, w.largest/w.weight)
+		if c.urgent {
+			limit = min(limit, w.virtual)
+		}
 		candidates = append(candidates, c)
 	}
 	var best candidate
 	bestScore, found := 0.0, false
 	for _, c := range candidates {
 		w := c.workspace
-		if w.virtual > least && w.virtual+c.item.Tokens/w.weight > least+bound {
+		if w.virtual > limit || w.virtual > least && w.virtual+c.item.Tokens/w.weight > least+bound {
 			continue
 		}
 		score := q.score(c, bound, most)
--- a/internal/coordination/fairqueue/fairqueue.go
+++ b/internal/coordination/fairqueue/fairqueue.go
@@ -3,7 +3,8 @@
 // bounded preference for adapters that need no load.
 //
 // Guarantee: a workspace is served only if its normalised service (tokens by weight) then exceeds that
-// of no other backlogged workspace by more than the largest request over weight. Classes, deadlines,
+// of no other workspace with a request that can be placed by more than the largest request over weight.
+// Classes, deadlines,
 // batching and policy only choose among the workspaces that this bound permits, so no setting can
 // break fairness.
 //
@@ -63,7 +64,7 @@
 type item struct {
 	Request
 	seq uint64
-	// latest is the last time at which a dispatch still meets the deadline.
+	// latest is the last time at which a dispatch still meets the deadline with the margin.
 	latest time.Time
 	flow   *flow
 }
@@ -107,7 +108,9 @@
 	// urgentRate tokens per second. It is computed again when stale or when the rate moved.
 	urgentAt   time.Time
 	urgentRate float64
-	stale      bool
+	// urgentSizes is Queue.sizes at that computation.
+	urgentSizes uint64
+	stale       bool
 }
 
 type running struct {
@@ -130,8 +133,10 @@
 	// virtual is the system's virtual time: the smallest of the backlogged workspaces, or the
 	// largest of all when none is, never decreasing.
 	virtual float64
-	seq     uint64
-	rate    rateEstimate
+	// sizes counts the changes of a workspace's largest request, which change the delay of all.
+	sizes uint64
+	seq   uint64
+	rate  rateEstimate
 }
 
 // New returns an empty queue.
@@ -245,12 +250,14 @@
 	return ok
 }
 
-// Expire removes and returns the requests whose deadline can no longer be met. None of them ran.
+// Expire removes and returns the requests whose deadline can no longer be met, also without the margin.
+// None of them ran.
 func (q *Queue) Expire(now time.Time) []Request {
 	var late []Request
+	limit := now.Add(-q.settings.DeadlineMargin)
 	for i := len(q.backlogged) - 1; i >= 0; i-- {
 		w := q.backlogged[i]
-		for len(w.byLatest) > 0 && w.byLatest[0].latest.Before(now) {
+		for len(w.byLatest) > 0 && w.byLatest[0].latest.Before(limit) {
 			late = append(late, w.byLatest[0].Request)
 			q.remove(w.byLatest[0])
 		}
@@ -319,7 +326,10 @@
 	}
 	w.waiting++
 	w.tokens += it.Tokens
-	w.largest = max(w.largest, it.Tokens)
+	if it.Tokens > w.largest {
+		w.largest = it.Tokens
+		q.sizes++
+	}
 	key := flowKey{it.Adapter, it.Class}
 	f := w.flows[key]
 	if f == nil {
