daemon: publish through the operators' API and keep state past retention

Cause: operators could not publish through an instance, and configuration and shares would have been lost with the log's oldest records. Ruled out: a gap in the log. The reader now advances before each record. Conclusion: configuration and shares outlive retention and replacement.

--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/coordination/membership"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/admin"
+)
+
+const (
+	// publishRetry is how long an append's record may take to come back before it is appended again.
+	publishRetry = time.Second
+	// confirmTimeout is how long a publication waits for live instances to have it in force: the
+	// bound within which a configuration must be in force everywhere.
+	confirmTimeout = 5 * time.Second
+)
+
+// adminDaemon implements admin.Daemon.
+type adminDaemon struct{ *Daemon }
+
+// View implements admin.Daemon.
+func (d *adminDaemon) View() *config.View { return d.replica.view() }
+
+// Publish implements admin.Daemon. A lost answer is settled by the record's id.
+func (d *adminDaemon) Publish(ctx context.Context, id string, c config.Change) (admin.ChangeAnswer, error) {
+	result, err := d.replica.change(ctx, id, c)
+	if err != nil {
+		return admin.ChangeAnswer{}, err
+	}
+	switch {
+	case result.Refusal != nil:
+		return admin.ChangeAnswer{Version: result.Refusal.Current, Refusal: admin.RefusalOf(*result.Refusal)}, nil
+	case result.Change.Version == 0:
+		return admin.ChangeAnswer{}, trace.BadParameter("the change was not accepted: %v", result.Err)
+	}
+	answer := admin.ChangeAnswer{Accepted: true, Version: result.Change.Version}
+	confirm, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	waitUntil(confirm, func() bool {
+		answer.ConfirmedBy, answer.Unconfirmed = d.control.confirmations(uint64(answer.Version))
+		return len(answer.Unconfirmed) == 0
+	})
+	return answer, nil
+}
+
+// Status implements admin.Daemon.
+func (d *adminDaemon) Status(context.Context) (admin.StatusAnswer, error) {
+	ready := d.ready() == nil
+	return admin.StatusAnswer{Instances: d.control.status(ready, d.replica.view().Version())}, nil
+}
+
+// change appends a change until the fold has decided on it.
+func (r *replica) change(ctx context.Context, id string, c config.Change) (config.Result, error) {
+	env, err := config.NewChange(id, r.daemon.opts.Incarnation, c)
+	if err != nil {
+		return config.Result{}, trace.Wrap(err)
+	}
+	done, earlier := r.await(id)
+	if earlier != nil {
+		return *earlier, nil
+	}
+	defer r.forget(id)
+	for {
+		appendCtx, cancel := context.WithTimeout(ctx, publishRetry)
+		// An error leaves open whether the record is in the log; the fold tells.
+		_, appendErr := r.configTail.Append(appendCtx, []record.Envelope{env})
+		cancel()
+		t := time.NewTimer(publishRetry)
+		select {
+		case <-done:
+			t.Stop()
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return r.results[id], nil
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return config.Result{}, trace.ConnectionProblem(appendErr, "the change may have taken effect; send it again with the same id")
+		}
+	}
+}
+
+// await returns a channel that is closed when the fold has decided on the change, or the decision if an
+// earlier record with the id was accepted.
+func (r *replica) await(id string) (<-chan struct{}, *config.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ref, ok := r.fold.View().Change(id); ok && ref.Version > 0 {
+		return nil, &config.Result{Outcome: config.Accepted, Change: ref}
+	}
+	done := r.waiting[id]
+	if done == nil {
+		done = make(chan struct{})
+		r.waiting[id] = done
+	}
+	return done, nil
+}
+
+func (r *replica) forget(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, id)
+	delete(r.results, id)
+}
+
+// confirmations returns the live instances by whether they have a configuration version in force.
+func (c *control) confirmations(version uint64) (confirmed, unconfirmed []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	confirmed = append(confirmed, c.daemon.settings.Instance)
+	for _, p := range c.view.Peers(c.now()) {
+		switch {
+		case p.Status == membership.Dead || p.Incarnation == "":
+		case c.heard[p.Instance].config >= version:
+			confirmed = append(confirmed, p.Instance)
+		default:
+			unconfirmed = append(unconfirmed, p.Instance)
+		}
+	}
+	return confirmed, unconfirmed
+}
+
+// status returns what is known of all instances.
+func (c *control) status(ready bool, version config.Version) []admin.InstanceStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	out := []admin.InstanceStatus{{
+		ID: c.daemon.settings.Instance, DataCentre: c.daemon.settings.DataCentre, Incarnation: c.daemon.opts.Incarnation,
+		ConfigVersion: version, Ready: ready, LeaseValid: c.lease.Valid(now),
+	}}
+	for _, p := range c.view.Peers(now) {
+		h := c.heard[p.Instance]
+		live := p.Status == membership.Live
+		out = append(out, admin.InstanceStatus{
+			ID: p.Instance, DataCentre: p.DataCentre, Incarnation: p.Incarnation, ConfigVersion: config.Version(h.config),
+			Ready: live && h.ready, LeaseValid: live && h.leaseValid,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/config_test.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/standin/stack"
+	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/transport/admin"
+)
+
+// putAdapter returns the change that adds an adapter.
+func putAdapter(name string) []config.Operation {
+	op, err := config.NewPut(config.KindAdapter, name, config.Adapter{
+		Workspace: "racks", BaseModel: "base", Versions: []string{"1"}, Default: "1",
+	})
+	if err != nil {
+		panic(err)
+	}
+	return []config.Operation{op}
+}
+
+// publish publishes through one instance's API for operators.
+func (f *testFleet) publish(i int, base config.Version, ops []config.Operation) (admin.ChangeAnswer, error) {
+	d := &adminDaemon{f.instances[i].Daemon}
+	return d.Publish(context.Background(), uuid.NewString(), config.Change{Base: base, Operations: ops, Author: fmt.Sprintf("operator%d", i)})
+}
+
+// Guards against two operators who overwrite each other, and against a publication that is called
+// accepted before it is in force.
+func TestRacingOperatorsAndConfirmation(t *testing.T) {
+	runFleet(t, 3, nil, func(f *testFleet) {
+		Convey("One change is accepted and confirmed by all, the other names both sides", t, func() {
+			answers := make([]admin.ChangeAnswer, 2)
+			errs := make([]error, 2)
+			asked := time.Now()
+			var wg sync.WaitGroup
+			for i := range answers {
+				wg.Go(func() { answers[i], errs[i] = f.publish(i, f.version, putAdapter(fmt.Sprintf("new%d", i))) })
+			}
+			wg.Wait()
+			So(errs, ShouldResemble, []error{nil, nil})
+			winner, loser := answers[0], answers[1]
+			if !winner.Accepted {
+				winner, loser = loser, winner
+			}
+			So(winner.Accepted, ShouldBeTrue)
+			So(len(winner.ConfirmedBy), ShouldEqual, 3)
+			So(time.Since(asked), ShouldBeLessThan, 5*time.Second)
+			So(loser.Accepted, ShouldBeFalse)
+			So(loser.Refusal.Base, ShouldEqual, f.version)
+			So(loser.Refusal.Current, ShouldEqual, winner.Version)
+			for _, i := range f.instances {
+				So(i.replica.view().Version(), ShouldEqual, winner.Version)
+			}
+		})
+	})
+}
+
+// Guards against a publication whose append was answered with an error and that then takes effect twice
+// or not at all.
+func TestPublishWithLostAppendAnswer(t *testing.T) {
+	runFleet(t, 1, nil, func(f *testFleet) {
+		Convey("The change is accepted once", t, func() {
+			f.stack.Log.LoseAnswers(1)
+			answer, err := f.publish(0, f.version, putAdapter("late"))
+			So(err, ShouldBeNil)
+			So(answer.Accepted, ShouldBeTrue)
+			_, ok := f.instances[0].replica.view().Adapter("late")
+			So(ok, ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against state that is lost or reverts when the log drops old records and every instance that
+// knew them is replaced.
+func TestStateOutlivesRetention(t *testing.T) {
+	short := func(o *stack.Options) { o.Retention = 10 * time.Minute }
+	runFleet(t, 3, short, func(f *testFleet) {
+		Convey("New instances serve the same configuration with the same shares", t, func() {
+			answer, err := f.publish(0, f.version, putAdapter("kept"))
+			So(err, ShouldBeNil)
+			So(answer.Accepted, ShouldBeTrue)
+			time.Sleep(25 * time.Minute)
+			for i := range 3 {
+				f.start(fmt.Sprintf("replacement%d", i+1))
+				time.Sleep(10 * time.Second)
+				f.instances[i].stopPlanned()
+			}
+			var parts int64
+			for _, i := range f.instances[3:] {
+				So(i.replica.view().Version(), ShouldEqual, answer.Version)
+				i.control.mu.Lock()
+				parts += i.control.shares.Parts("racks")
+				i.control.mu.Unlock()
+			}
+			So(parts, ShouldEqual, 1_000_000)
+			r, err := f.call(3, http.MethodPost, "/v1/completions", `{"model":"kept","prompt":"x","max_tokens":2}`, nil)
+			So(err, ShouldBeNil)
+			So(r.status, ShouldEqual, http.StatusOK)
+		})
+	})
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -30,6 +30,15 @@
 	loadsAccount = "~loads"
 )
 
+// peerState is what a peer's last heartbeat said of it.
+type peerState struct {
+	incarnation string
+	// config is the position in the configuration stream up to which its state is in force.
+	config     uint64
+	ready      bool
+	leaseValid bool
+}
+
 // control is the instance's part in the fleet: membership, freshness lease and token shares. One lock
 // guards all decision types; it is never held during I/O, and no other lock of this package is taken
 // while it is held.
@@ -47,6 +56,8 @@
 	shares     *shares.Manager
 	settlement *shares.Settlement
 	positions  lease.Positions
+	// heard is what peers said of themselves in their last heartbeat, by instance.
+	heard      map[string]peerState
 	workspaces map[string]struct{}
 	joinTried  time.Duration
 	resent     time.Duration
@@ -55,6 +66,12 @@
 	// joinedAt is when this incarnation was first seen as a member.
 	joinedAt time.Duration
 	leaving  bool
+	// buffering is set while records before bufferedFrom are missing and no snapshot was read that
+	// covers them; buffered holds the records read since.
+	buffering    bool
+	bufferedFrom uint64
+	buffered     []record.Entry
+	snapshotAt   time.Time
 	// changed is closed and replaced when tokens may have arrived.
 	changed chan struct{}
 	// withdrawn is closed when this incarnation's membership has ended.
@@ -64,7 +81,7 @@
 func newControl(d *Daemon) *control {
 	c := &control{
 		daemon: d, start: time.Now(), members: members.New(), promises: lease.NewPromises(),
-		workspaces: map[string]struct{}{}, changed: make(chan struct{}), withdrawn: make(chan struct{}),
+		workspaces: map[string]struct{}{}, heard: map[string]peerState{}, changed: make(chan struct{}), withdrawn: make(chan struct{}),
 		joinTried: -joinRetry, resent: -resendInterval, asked: -resendInterval,
 	}
 	self := d.opts.Incarnation
@@ -103,6 +120,11 @@
 func (c *control) hasShares() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.sharesHeld()
+}
+
+// sharesHeld is hasShares for callers that hold the lock.
+func (c *control) sharesHeld() bool {
 	if c.joinedAt == 0 {
 		return false
 	}
@@ -185,6 +207,7 @@
 func (c *control) records(entries []record.Entry, next uint64) {
 	c.mu.Lock()
 	now := c.now()
+	entries = c.receive(entries)
 	for _, e := range entries {
 		if c.members.Apply(e) {
 			c.view.SetMembers(now, c.members.List())
@@ -229,7 +252,14 @@
 	c.changed = make(chan struct{})
 }
 
-func (c *control) atTail(asked time.Time, _ uint64) { c.readTail(lease.Control, asked) }
+func (c *control) atTail(asked time.Time, _ uint64) {
+	c.mu.Lock()
+	buffering := c.buffering
+	c.mu.Unlock()
+	if !buffering {
+		c.readTail(lease.Control, asked)
+	}
+}
 
 // readTail renews the lease after a read reached a stream's tail.
 func (c *control) readTail(s lease.Stream, asked time.Time) {
@@ -256,10 +286,12 @@
 // gap is called when retention dropped records that were not read. An instance that missed the end of
 // its own or another membership cannot tell what its shares are worth, so it joins anew.
 func (c *control) gap(first uint64) {
-	c.daemon.log.Error().Uint64("first", first).Msg("records of the control stream expired before they were read")
+	c.daemon.log.Warn().Uint64("first", first).Msg("records of the control stream expired before they were read")
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.members.Next() == 0 {
+		// A new process reads on and takes the state from the next snapshot.
+		c.buffering, c.bufferedFrom, c.buffered = true, first, nil
 		return
 	}
 	c.lease.Withdrawn()
--- a/internal/daemon/controlstep.go
+++ b/internal/daemon/controlstep.go
@@ -133,6 +133,7 @@
 		Instance: c.daemon.settings.Instance, Incarnation: c.daemon.opts.Incarnation,
 		Positions: peer.PositionMessages(c.positions), Hlc: c.daemon.events.now(), Demand: demand,
 		WantPromise: c.lease.WantPromise(), Silent: c.view.Silent(now),
+		Ready: c.sharesHeld(), LeaseValid: c.lease.Valid(now),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/admin"
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
@@ -55,6 +56,7 @@
 	events       *events
 	peers        *peer.Clients
 	peerServer   *grpc.Server
+	operators    http.Handler
 	scheduler    *dispatch.Scheduler
 	runner       *runner
 	entry        *entry.Server
@@ -83,6 +85,11 @@
 	d.peers = peer.NewClients(nil, o.Network.Dial, d.control.refused)
 	d.control.peers = d.peers
 	d.peerServer = peer.NewServer(nil)
+	operators, err := admin.NewHandler(&adminDaemon{d}, o.Settings.Operators)
+	if err != nil {
+		return nil, err
+	}
+	d.operators = operators
 	peerpb.RegisterPeerServer(d.peerServer, &peer.Service{Shares: d.control})
 	d.scheduler = dispatch.NewScheduler(dispatch.SchedulerOptions{
 		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: directLoader{}, Budget: d.control,
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -32,6 +32,7 @@
 	doc       config.Document
 	version   config.Version
 	secret    string
+	retention time.Duration
 	instances []*testInstance
 	mu        sync.Mutex
 	headers   []http.Header
@@ -84,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.stack = s
+	f.stack, f.retention = s, o.Retention
 	f.doc, f.secret = testDocument(o)
 	f.publishDocument()
 	for i := range n {
@@ -176,7 +177,7 @@
 	s.Instance, s.DataCentre = name, "dc1"
 	s.Listen = Listen{Callers: name + ":1", Peers: name + ":2", Admin: name + ":3"}
 	s.PeerAddress = s.Listen.Peers
-	s.Platform = PlatformSettings{LogURL: "http://log:1", ListURL: "http://list:1", RetentionSeconds: 24 * 3600}
+	s.Platform = PlatformSettings{LogURL: "http://log:1", ListURL: "http://list:1", RetentionSeconds: int(f.retention.Seconds())}
 	s.TLS.PlainText = true
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{name: name, address: s.Listen.Callers, drain: make(chan struct{}), stop: stop, done: make(chan struct{})}
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -27,6 +27,10 @@
 		now := c.now()
 		position := peer.Positions(r.GetPositions())[lease.Control]
 		c.view.Heard(now, r.GetInstance(), r.GetIncarnation(), position, r.GetSilent())
+		c.heard[r.GetInstance()] = peerState{
+			incarnation: r.GetIncarnation(), config: peer.Positions(r.GetPositions())[lease.Config],
+			ready: r.GetReady(), leaseValid: r.GetLeaseValid(),
+		}
 		c.settlement.Heard(r.GetIncarnation(), position)
 		c.shares.PeerReports(now, r.GetIncarnation(), peer.Reports(r.GetDemand()))
 		if r.GetWantPromise() && c.members.Active(d.opts.Incarnation) {
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/thejerf/suture/v4"
 	"github.com/turmericworks/turmericworks/internal/coordination/lease"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
@@ -28,6 +30,9 @@
 	configTail *tail.Tail
 }
 
+// snapshotInterval is how often an instance asks whether it should append a snapshot.
+const snapshotInterval = 10 * time.Second
+
 func newReplica(d *Daemon) *replica {
 	r := &replica{
 		daemon: d, fold: config.NewFold(), results: map[string]config.Result{}, waiting: map[string]chan struct{}{},
@@ -40,7 +45,58 @@
 }
 
 // addTo starts the tails under a supervisor.
-func (r *replica) addTo(s *suture.Supervisor) { s.Add(r.configTail) }
+func (r *replica) addTo(s *suture.Supervisor) {
+	s.Add(r.configTail)
+	s.Add(r)
+}
+
+// Serve appends snapshots when they are due, so that the configuration outlives the log's retention. It
+// implements suture.Service.
+func (r *replica) Serve(ctx context.Context) error {
+	t := time.NewTicker(snapshotInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			r.snapshot(ctx, now)
+			r.daemon.control.snapshot(ctx, now)
+		}
+	}
+}
+
+// snapshot appends a configuration snapshot if it is this instance's turn. Without the log's last records
+// the state may be old; the fold ignores a snapshot that is.
+func (r *replica) snapshot(ctx context.Context, now time.Time) {
+	s := r.daemon.settings
+	r.mu.Lock()
+	due, ok := r.fold.SnapshotDue(s.Instance, s.Platform.Retention())
+	if !ok || now.Before(due) || !r.daemon.control.valid() {
+		r.mu.Unlock()
+		return
+	}
+	capture, err := r.fold.Capture()
+	r.mu.Unlock()
+	var chunks []record.Envelope
+	if err == nil {
+		chunks, err = capture.Snapshot(uuid.NewString(), r.daemon.opts.Incarnation)
+	}
+	if err != nil {
+		r.daemon.log.Error().Err(err).Msg("the configuration could not be encoded")
+		return
+	}
+	for _, chunk := range chunks {
+		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err := r.configTail.Append(appendCtx, []record.Envelope{chunk})
+		cancel()
+		if err != nil {
+			// The next turn appends a whole new snapshot.
+			r.daemon.control.logFailed()
+			return
+		}
+	}
+}
 
 // view returns the configuration in force.
 func (r *replica) view() *config.View { return r.current.Load() }
@@ -58,6 +114,9 @@
 	r.mu.Lock()
 	before := r.fold.View()
 	for _, e := range entries {
+		// One read can return several appends, and the tail skips records that nobody can decode:
+		// without this the fold would take the next offset for a gap.
+		r.fold.Advance(e.Offset)
 		r.settle(r.fold.Apply(e))
 	}
 	r.fold.Advance(next)
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -202,6 +202,7 @@
 // adminHandler serves operators and the timeline.
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("/admin/v1/", d.operators)
 	mux.Handle("GET /debug/events", d.events)
 	return mux
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/transport/admin"
 )
 
 // Settings are the settings of one instance, written in JSON.
@@ -25,7 +26,7 @@
 	// TLS holds certificates. Leave a part out only on loopback or with plain_text.
 	TLS TLSSettings `json:"tls,omitzero"`
 	// Operators are the credentials of the operators' API.
-	Operators []Operator `json:"operators,omitempty"`
+	Operators []admin.Token `json:"operators,omitempty"`
 	// Limits bound what callers can take up.
 	Limits Limits `json:"limits,omitzero"`
 	// LogLevel is one of debug, info, warn, error. Default: info.
@@ -81,16 +82,6 @@
 	KeyFile  string `json:"key_file"`
 }
 
-// Operator is a credential of the operators' API.
-type Operator struct {
-	// Name appears in the log and in the configuration's history.
-	Name string `json:"name"`
-	// Hash is the SHA-256 of the token, in hexadecimal.
-	Hash string `json:"hash"`
-	// Roles are read, keys and publish. Give each operator only those needed.
-	Roles []string `json:"roles"`
-}
-
 // Limits bound what callers can take up.
 type Limits struct {
 	// MaxConnections is the largest number of open caller connections. Default: 4096.
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -18,6 +18,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/keys"
 	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/admin"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/internal/transport/platformhttp"
 )
@@ -51,7 +52,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s.Operators = []daemon.Operator{{Name: "operator", Hash: token.Hash, Roles: []string{"read", "keys", "publish"}}}
+	s.Operators = []admin.Token{{
+		Name: "operator", Hash: token.Hash, Roles: []admin.Role{admin.RoleRead, admin.RoleKeys, admin.RolePublish},
+	}}
 	o := stack.Options{
 		LogAddress: logAddress, ListAddress: listAddress, ServiceAddress: serviceAddress,
 		EngineAddresses: []string{engineAddress1, engineAddress2},
