slots: decide engine ownership and eviction

Cause: an adapter that serves a request must never be evicted, also while owners are paused, killed or replaced and engines ignore the fence.

Stricter than the design: evictions are recorded unless the engine both checks the fence and evicts only idle adapters; the engine's report about a paused, withdrawn member must be sampled after the quarantine; orders of earlier owners stay open for the quarantine on engines that check the fence too, since a restarted engine may have forgotten it; Retire and Unretire carry a round.

--- /dev/null
+++ b/internal/coordination/slots/events.go
@@ -0,0 +1,179 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/ownership"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+)
+
+// The defaults of Settings.
+const (
+	// DefaultQuarantine is the longest pause of a process that is tolerated.
+	DefaultQuarantine = 15 * time.Minute
+	// DefaultResendEvery is the pause before a message or an append is repeated.
+	DefaultResendEvery = 500 * time.Millisecond
+	// DefaultRetireFor is how long an eviction waits for its members and for its record.
+	DefaultRetireFor = 5 * time.Second
+	// DefaultCoolDown is how long an adapter version whose eviction failed is no victim.
+	DefaultCoolDown = 30 * time.Second
+)
+
+// Settings describe one engine and the durations of its owner. Zero durations take the defaults.
+type Settings struct {
+	Engine string
+	// Slots is how many adapters the engine holds.
+	Slots int
+	// ChecksFence says that the engine refuses orders with an old fence.
+	ChecksFence bool
+	// EvictsOnlyIdle says that the engine itself refuses to evict an adapter that serves a request.
+	EvictsOnlyIdle bool
+	Quarantine     time.Duration
+	ResendEvery    time.Duration
+	RetireFor      time.Duration
+	CoolDown       time.Duration
+}
+
+// records reports whether an order must be a record before it is sent. An eviction needs none only if
+// the engine guards it twice: by the fence, and by refusing if the adapter is in use. The fence alone
+// does not protect from a member that joined while the current owner was paused.
+func (s Settings) records(op ownership.Op) bool {
+	return !s.ChecksFence || op == ownership.Evict && !s.EvictsOnlyIdle
+}
+
+// Gone is a member that was withdrawn and not seen to stop.
+type Gone struct {
+	// At is when this instance read the withdrawal.
+	At time.Time
+	// Dead says that the process was proven dead by a refused connection, so it can't wake up.
+	Dead bool
+}
+
+// View is what an instance knows when an event occurs.
+type View struct {
+	Engine ownership.Engine
+	// Members are the live incarnations of the engine's region, this one included.
+	Members []string
+	// Gone are the withdrawn incarnations of the region, kept for at least twice the quarantine, so
+	// that a request sent at its end has ended. A member that left in a planned stop is not among
+	// them.
+	Gone map[string]Gone
+	// OwnerGone says that Engine.Owner left or was withdrawn. It must be read from the same position
+	// of the stream as Engine.
+	OwnerGone bool
+	// LeaseValid says that this instance may act now.
+	LeaseValid bool
+	// LogUp says that the log answers.
+	LogUp bool
+}
+
+// Event is something that happened to an engine.
+type Event interface{ event() }
+
+// Observed reports that the fold, the membership or the lease changed.
+type Observed struct{ View }
+
+// Wanted asks for an adapter version to be made resident.
+type Wanted struct{ Adapter adapter.Ref }
+
+// Unwanted withdraws a Wanted.
+type Unwanted struct{ Adapter adapter.Ref }
+
+// Report is an engine's report of itself.
+type Report struct {
+	Incarnation string
+	// NotBefore is a lower bound, by this instance's clock, of the time the report was sampled.
+	NotBefore time.Time
+	// Running counts requests per resident adapter version.
+	Running map[adapter.Ref]int
+}
+
+// OrderStatus is the result of an order.
+type OrderStatus int
+
+// The results of an order.
+const (
+	// OrderDone means that the engine carried the order out.
+	OrderDone OrderStatus = iota + 1
+	// OrderRefused means that the order had no effect and never will.
+	OrderRefused
+	// OrderUnknown means that the order may take effect, now or later.
+	OrderUnknown
+)
+
+// OrderResult reports the result of a SendOrder.
+type OrderResult struct {
+	Fence, Seq uint64
+	Status     OrderStatus
+}
+
+// NoopResult reports that the engine accepted a SendNoop, whose fields it carries.
+type NoopResult struct{ Fence, Number uint64 }
+
+// Tick reports that time passed.
+type Tick struct{}
+
+func (Observed) event()      {}
+func (Wanted) event()        {}
+func (Unwanted) event()      {}
+func (Report) event()        {}
+func (OrderResult) event()   {}
+func (NoopResult) event()    {}
+func (RetireReply) event()   {}
+func (InFlightReply) event() {}
+func (Tick) event()          {}
+
+// Action is something that the caller of Step must do.
+type Action interface{ action() }
+
+// Append asks for a record to be appended. Its result need not be reported: the owner repeats it until
+// it reads the record back.
+type Append struct{ Record record.Envelope }
+
+// SendRetire asks for a Retire to be sent to a member.
+type SendRetire struct {
+	Member string
+	Retire
+}
+
+// SendUnretire asks for an Unretire to be sent to a member.
+type SendUnretire struct {
+	Member string
+	Retire
+}
+
+// SendInFlight asks for an AskInFlight to be sent to a member.
+type SendInFlight struct {
+	Member string
+	AskInFlight
+}
+
+// SendNoop asks for a no-op order, which tells the engine the new fence. Number tells no-op orders under
+// one fence apart.
+type SendNoop struct{ Fence, Number uint64 }
+
+// SendOrder asks for an order to be sent to the engine, once: a transport that replays it could let the
+// copy take effect after the adapter version was loaded again. An attempt that was not sent after a
+// pause of the process longer than the quarantine must be dropped.
+type SendOrder struct {
+	Fence, Seq uint64
+	Op         ownership.Op
+	Adapter    adapter.Ref
+	// IfIdle asks the engine to refuse the eviction of an adapter in use.
+	IfIdle bool
+}
+
+// LoadEnded reports the end of a load to placement.
+type LoadEnded struct {
+	Adapter adapter.Ref
+	OK      bool
+}
+
+func (Append) action()       {}
+func (SendRetire) action()   {}
+func (SendUnretire) action() {}
+func (SendInFlight) action() {}
+func (SendNoop) action()     {}
+func (SendOrder) action()    {}
+func (LoadEnded) action()    {}
--- /dev/null
+++ b/internal/coordination/slots/slots_test.go
@@ -0,0 +1,188 @@
+package slots
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+)
+
+// loaded returns a simulation with both slots taken and the owner.
+func loaded(t *testing.T, set Settings) (*sim, *instance) {
+	s := newSim(t, 3, set)
+	s.settle(3)
+	s.wantAll(refs[0])
+	s.wantAll(refs[1])
+	s.settle(5)
+	for _, in := range s.instances {
+		if in.owner.Owns() {
+			return s, in
+		}
+	}
+	t.Fatal("nobody owns the engine")
+	return nil, nil
+}
+
+// another returns an instance other than in.
+func (s *sim) another(in *instance) *instance {
+	for _, o := range s.instances {
+		if o != in {
+			return o
+		}
+	}
+	return nil
+}
+
+// TestLateOrderOfStaleOwner guards against an eviction by an owner that was paused past its lease and
+// replaced, on an engine that ignores the fence.
+func TestLateOrderOfStaleOwner(t *testing.T) {
+	Convey("Given an owner that was paused between the check and the sending of an eviction", t, func() {
+		s, old := loaded(t, Settings{})
+		s.wantAll(refs[2])
+		for range 20 {
+			if len(s.packets) > 0 {
+				break
+			}
+			for _, e := range s.appends {
+				s.land(e)
+			}
+			s.appends = nil
+			for _, in := range s.instances {
+				s.read(in, len(s.log))
+			}
+			net := s.net
+			s.net = nil
+			for _, f := range net {
+				f()
+			}
+		}
+		So(s.packets, ShouldHaveLength, 1)
+		victim := s.packets[0].order.Adapter
+		old.paused = true
+		s.withdraw(old.self)
+		for range 5 {
+			late := s.packets
+			s.packets = nil
+			s.settle(1)
+			s.packets = late
+		}
+		next := s.another(old)
+		Convey("nobody dispatches to the victim and the new owner does not count on it", func() {
+			for _, in := range s.instances {
+				if in.owner.Owns() && in != old {
+					next = in
+				}
+			}
+			So(next.owner.Owns(), ShouldBeTrue)
+			So(next.owner.Resident(), ShouldNotContain, victim)
+			So(s.begin(next, victim), ShouldBeFalse)
+			Convey("so the late order evicts no adapter in use", func() {
+				p := s.packets[0]
+				s.wake(old)
+				s.send(p)
+				s.arrive(p)
+				So(s.evictions, ShouldEqual, 1)
+			})
+		})
+	})
+}
+
+// TestWithdrawnMember guards against an eviction while a withdrawn member may wake and dispatch.
+func TestWithdrawnMember(t *testing.T) {
+	Convey("An unguarded eviction waits for the quarantine of a paused member", t, func() {
+		s, owner := loaded(t, Settings{})
+		member := s.another(owner)
+		member.paused = true
+		s.withdraw(member.self)
+		s.settle(3)
+		s.wantAll(refs[2])
+		s.settle(40)
+		So(s.evictions, ShouldEqual, 0)
+		s.advance(DefaultQuarantine)
+		s.wake(member)
+		s.settle(40)
+		So(s.evictions, ShouldEqual, 1)
+	})
+	Convey("A dead member needs the engine's report only", t, func() {
+		s, owner := loaded(t, Settings{})
+		member := s.another(owner)
+		self := member.self
+		s.kill(member)
+		s.withdraw(self)
+		s.settle(3)
+		s.wantAll(refs[2])
+		s.settle(15)
+		So(s.evictions, ShouldEqual, 1)
+	})
+}
+
+// TestNoOwner guards against resident adapters that stop serving when the owner dies.
+func TestNoOwner(t *testing.T) {
+	Convey("Without an owner and with the log down, resident adapters serve", t, func() {
+		s, owner := loaded(t, Settings{})
+		s.withdraw(owner.self)
+		s.kill(owner)
+		other := s.another(owner)
+		s.read(other, len(s.log))
+		s.logDown = true
+		s.advance(time.Hour)
+		So(s.begin(other, refs[0]), ShouldBeTrue)
+	})
+}
+
+// TestDelayedMessages guards against a delayed or repeated message that lifts a newer Retire.
+func TestDelayedMessages(t *testing.T) {
+	Convey("Messages of older rounds and other fences have no effect", t, func() {
+		s, owner := loaded(t, Settings{})
+		d, f := s.another(owner).disp, owner.owner.Fence()
+		msg := func(fence, round uint64) Retire {
+			return Retire{Engine: "e", Adapter: refs[0], Fence: fence, Round: round}
+		}
+		d.Begin("e", refs[0])
+		r, ok := d.Retire(msg(f, 11))
+		So(ok, ShouldBeTrue)
+		So(r.InFlight, ShouldEqual, 1)
+		for _, m := range []Retire{msg(f, 10), msg(f-1, 12), msg(f+1, 12)} {
+			_, ok = d.Unretire(m)
+			So(ok, ShouldBeFalse)
+			So(d.Retired("e", refs[0]), ShouldBeTrue)
+		}
+		d.End("e", refs[0])
+		So(d.InFlight("e", refs[0]), ShouldEqual, 0)
+		d.Unretire(msg(f, 12))
+		_, ok = d.Retire(msg(f, 11))
+		So(ok, ShouldBeFalse)
+		So(d.Begin("e", refs[0]), ShouldBeTrue)
+	})
+}
+
+// BenchmarkRetire gives the cost and the bytes of the messages of one eviction.
+func BenchmarkRetire(b *testing.B) {
+	for _, members := range []int{7, 78, 172} {
+		b.Run(strconv.Itoa(members)+"-members", func(b *testing.B) {
+			dispatchers := make([]*Dispatcher, members)
+			for i := range dispatchers {
+				dispatchers[i] = NewDispatcher(strconv.Itoa(i))
+			}
+			m := Retire{Engine: "engine-0123", Adapter: adapter.Ref{Name: "rack-notes-00042", Version: "v17"}}
+			// Fields of a protobuf message: a byte of tag each, a byte of length per string, and
+			// fence, round and count as varints.
+			request := 2 + len(m.Engine) + 2 + len(m.Adapter.String()) + 1 + 5 + 1 + 3
+			bytes := 0
+			b.ReportAllocs()
+			for i := range b.N {
+				bytes = 0
+				for round := range 2 { // Retire, then Unretire
+					m.Round = uint64(2*i + round + 1)
+					for _, d := range dispatchers {
+						_, _ = d.apply(m, round == 0)
+						bytes += request + 4
+					}
+				}
+			}
+			b.ReportMetric(float64(bytes), "bytes/eviction")
+		})
+	}
+}
