slots: test the loss of an ownership and the restart of an engine

Cause: three faults planted on trial passed the tests: a former owner that closes an order which it still may send, marks of a withdrawn owner that stay, and a restarted engine that is not told the fence again.

Change: focused tests for the three.

Conclusion: each of the three faults now fails a test.

--- a/internal/coordination/slots/slots_test.go
+++ b/internal/coordination/slots/slots_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/ownership"
 )
 
 // loaded returns a simulation with both slots taken and the owner.
@@ -81,6 +82,11 @@
 			Convey("so the late order evicts no adapter in use", func() {
 				p := s.packets[0]
 				s.wake(old)
+				s.appends = nil
+				s.read(old, len(s.log))
+				for _, e := range s.appends { // its order is under way, so it must not close it
+					So(e.Kind, ShouldNotEqual, ownership.KindSlotDone)
+				}
 				s.send(p)
 				s.arrive(p)
 				So(s.evictions, ShouldEqual, 1)
@@ -122,9 +128,12 @@
 func TestNoOwner(t *testing.T) {
 	Convey("Without an owner and with the log down, resident adapters serve", t, func() {
 		s, owner := loaded(t, Settings{})
+		other := s.another(owner)
+		_, ok := other.disp.Retire(Retire{Engine: "e", Adapter: refs[0], Fence: owner.owner.Fence(), Round: 99})
+		So(ok, ShouldBeTrue)
+		So(s.begin(other, refs[0]), ShouldBeFalse)
 		s.withdraw(owner.self)
 		s.kill(owner)
-		other := s.another(owner)
 		s.read(other, len(s.log))
 		s.logDown = true
 		s.advance(time.Hour)
@@ -132,6 +141,16 @@
 	})
 }
 
+// TestRestartForgetsFence guards against a restarted engine that accepts the orders of stale owners.
+func TestRestartForgetsFence(t *testing.T) {
+	Convey("The owner tells a restarted engine its fence again", t, func() {
+		s, owner := loaded(t, Settings{ChecksFence: true})
+		s.restart()
+		s.settle(3)
+		So(s.engine.fence, ShouldEqual, owner.owner.Fence())
+	})
+}
+
 // TestDelayedMessages guards against a delayed or repeated message that lifts a newer Retire.
 func TestDelayedMessages(t *testing.T) {
 	Convey("Messages of older rounds and other fences have no effect", t, func() {
