--- a/internal/coordination/shares/world_test.go
+++ b/internal/coordination/shares/world_test.go
@@ -63,6 +63,7 @@
 	w             *world
 	slot          int
 	inc, previous string
+	former        *node // of the same process, if it joined again
 	// Faults: stale keeps an old platform list.
 	dead, hostGone, cutLog, cutPeers, stale bool
 	paused                                  time.Duration
@@ -371,6 +372,7 @@
 	if n.members.Ended(n.inc) && n.w.nodes[n.slot] == n {
 		n.lease.Withdrawn()
 		n.w.nodes[n.slot] = n.w.start(n.slot, n.inc)
+		n.w.nodes[n.slot].former = n
 	}
 }
 
