shares: ask further peers when reports are out of date

Reports are up to a heartbeat old, and every round asked the same peer, which had given already.

Change: what was asked for isn't counted as free until the next report, and peers that reported nothing free are asked last. The time between rounds doubles until a transfer arrives. The focused tests no longer depend on the order of a map.

--- a/internal/coordination/shares/balance.go
+++ b/internal/coordination/shares/balance.go
@@ -15,8 +15,10 @@
 	pushInterval = 500 * time.Millisecond
 	// roundTrip is how much later than a push a peer's report must be to include it.
 	roundTrip = 100 * time.Millisecond
-	// askInterval is the shortest time between two rounds of asking for one workspace.
-	askInterval = 20 * time.Millisecond
+	// minAskGap and maxAskGap bound the time between two rounds of asking for one workspace. It doubles until a
+	// transfer arrives, so that an overloaded workspace does not fill the network with asks.
+	minAskGap = 20 * time.Millisecond
+	maxAskGap = 640 * time.Millisecond
 	// maxAsked is the largest number of peers asked in a round.
 	maxAsked = 8
 	// askAhead is how much demand an ask covers beyond the shortage, in seconds, so that a shift of load
@@ -50,17 +52,19 @@
 }
 
 // ask plans requests to the peers with most free tokens until they cover the shortage and the demand
-// ahead.
+// ahead. What was asked for isn't counted as free until the peer's next report, so the next round goes to others, and in the
+// end to peers that reported nothing free: reports are up to a heartbeat old, and a shift of load outdates them all.
 func (m *Manager) ask(now time.Duration, a *account, shortage int64) {
 	if now < a.nextAsk {
 		return
 	}
-	a.nextAsk = now + askInterval
+	a.askGap = min(max(2*a.askGap, minAskGap), maxAskGap)
+	a.nextAsk = now + a.askGap
 	rate := a.demand.rate(now)
 	want := shortage + int64(rate*askAhead)
 	var richest []int
 	for i := range a.reports {
-		if m.fresh(now, a, i) && a.reports[i].free > 0 {
+		if m.fresh(now, a, i) {
 			richest = append(richest, i)
 		}
 	}
@@ -69,14 +73,23 @@
 		if x.free != y.free {
 			return x.free > y.free
 		}
+		if x.asked != y.asked {
+			return x.asked < y.asked
+		}
 		return m.byIndex[richest[i]] < m.byIndex[richest[j]]
 	})
 	for n, i := range richest {
 		if n == maxAsked || want <= 0 {
 			break
 		}
-		m.asks = append(m.asks, Ask{To: m.byIndex[i], Workspace: a.workspace, Microtokens: min(want, a.reports[i].free), Demand: rate})
-		want -= a.reports[i].free
+		r := &a.reports[i]
+		amount := want
+		if r.free > 0 {
+			amount = min(want, r.free)
+			want -= amount
+		}
+		r.free, r.asked = max(r.free-amount, 0), now
+		m.asks = append(m.asks, Ask{To: m.byIndex[i], Workspace: a.workspace, Microtokens: amount, Demand: rate})
 	}
 }
 
--- a/internal/coordination/shares/manager.go
+++ b/internal/coordination/shares/manager.go
@@ -72,6 +72,7 @@
 	removed   bool
 	reports   []report // by peer index
 	nextAsk   time.Duration
+	askGap    time.Duration // before the next round of asks
 	pending   []pendingParts
 }
 
@@ -83,11 +84,13 @@
 
 // report is a peer's last report of one workspace.
 type report struct {
-	at, pushed time.Duration
-	valid      bool
-	demand     float64
-	free       int64
-	parts      int64
+	at     time.Duration
+	pushed time.Duration // when parts were last pushed to the peer
+	asked  time.Duration // when the peer was last asked
+	valid  bool
+	demand float64
+	free   int64
+	parts  int64
 }
 
 type peerState struct {
@@ -394,6 +397,7 @@
 		a := m.account(t.Workspace)
 		m.advance(now, a)
 		a.put(t.Parts, t.Microtokens)
+		a.askGap, a.nextAsk = 0, min(a.nextAsk, now+minAskGap)
 	}
 	return accepted
 }
--- a/internal/coordination/shares/shift_test.go
+++ b/internal/coordination/shares/shift_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,7 +50,7 @@
 func (tr *trial) run(d time.Duration, count bool, choose func(ws string) int) {
 	w := tr.w
 	until := w.now + d
-	for ws := range tr.central {
+	for _, ws := range slices.Sorted(maps.Keys(tr.central)) {
 		var next func()
 		next = func() {
 			if w.now >= until {
--- a/internal/coordination/shares/world_test.go
+++ b/internal/coordination/shares/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -220,7 +221,8 @@
 
 // configure takes a changed configuration with a chance, so that instances change at different times.
 func (n *node) configure(now time.Duration) {
-	for ws, c := range n.w.configs {
+	for _, ws := range slices.Sorted(maps.Keys(n.w.configs)) {
+		c := n.w.configs[ws]
 		if n.configs[ws] != c && (n.configs[ws] == [2]int64{} || n.w.rng.IntN(4) == 0) {
 			n.w.limit(ws)
 			n.configs[ws] = c
