--- a/internal/coordination/shares/world_test.go
+++ b/internal/coordination/shares/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -63,6 +64,7 @@
 	w             *world
 	slot          int
 	inc, previous string
+	former        *node // of the same process, if it joined again
 	// Faults: stale keeps an old platform list.
 	dead, hostGone, cutLog, cutPeers, stale bool
 	paused                                  time.Duration
@@ -219,7 +221,8 @@
 
 // configure takes a changed configuration with a chance, so that instances change at different times.
 func (n *node) configure(now time.Duration) {
-	for ws, c := range n.w.configs {
+	for _, ws := range slices.Sorted(maps.Keys(n.w.configs)) {
+		c := n.w.configs[ws]
 		if n.configs[ws] != c && (n.configs[ws] == [2]int64{} || n.w.rng.IntN(4) == 0) {
 			n.w.limit(ws)
 			n.configs[ws] = c
@@ -371,6 +374,7 @@
 	if n.members.Ended(n.inc) && n.w.nodes[n.slot] == n {
 		n.lease.Withdrawn()
 		n.w.nodes[n.slot] = n.w.start(n.slot, n.inc)
+		n.w.nodes[n.slot].former = n
 	}
 }
 
