--- a/internal/state/config/fold_test.go
+++ b/internal/state/config/fold_test.go
@@ -216,19 +216,27 @@
 			return func(t *rapid.T) { m.append(m.change(t, kind, del)) }
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"":              m.check,
-			"put adapter":   publish(KindAdapter, false),
-			"drop adapter":  publish(KindAdapter, true),
-			"put key":       publish(KindKey, false),
-			"withdraw key":  publish(KindKey, true),
-			"two at once":   func(t *rapid.T) { m.append(m.change(t, KindKey, true), m.change(t, KindKey, true)) },
-			"lost answer":   m.repeat,
-			"read":          func(t *rapid.T) { i, _ := m.fold(t); m.read(t, i, rapid.IntRange(1, 8).Draw(t, "n")) },
+			"":             m.check,
+			"put adapter":  publish(KindAdapter, false),
+			"drop adapter": publish(KindAdapter, true),
+			"put key":      publish(KindKey, false),
+			"withdraw key": publish(KindKey, true),
+			"two at once":  func(t *rapid.T) { m.append(m.change(t, KindKey, true), m.change(t, KindKey, true)) },
+			"lost answer":  m.repeat,
+			"read":         func(t *rapid.T) { i, _ := m.fold(t); m.read(t, i, rapid.IntRange(1, 8).Draw(t, "n")) },
+			"read one":     func(t *rapid.T) { i, _ := m.fold(t); m.read(t, i, 1) },
+			"follow": func(t *rapid.T) {
+				i, _ := m.fold(t)
+				m.append(m.change(t, KindAdapter, false))
+				m.read(t, i, len(m.log))
+			},
 			"take snapshot": m.snapshot,
 			"append chunk":  m.appendLate,
-			"retention":     func(t *rapid.T) { m.first = uint64(rapid.IntRange(int(m.first), len(m.log)).Draw(t, "first")) },
-			"restart":       m.restart,
-			"peer state":    m.importPeer,
+			"retention": func(t *rapid.T) {
+				m.first = min(m.first+rapid.Uint64Range(0, 4).Draw(t, "dropped"), uint64(len(m.log)))
+			},
+			"restart":    m.restart,
+			"peer state": m.importPeer,
 		})
 	})
 }
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -240,11 +240,11 @@
 
 // replay applies the changes that were buffered and are not part of the state.
 func (f *Fold) replay() []Result {
-	entries := f.buffered
+	entries, covered := f.buffered, uint64(f.view.version)
 	f.buffered = nil
 	var results []Result
 	for _, e := range entries {
-		if e.Offset >= uint64(f.view.version) {
+		if e.Offset >= covered {
 			results = append(results, f.change(e))
 		} else if c, ok := f.view.Change(e.ID); ok {
 			// The state holds the change's outcome.
