placement, loadbudget, replay: add tests with the stated targets

Cause: the targets of the design were not checked, and the replay lost a request. Change: property tests of the residency index and the permits, fairness and order of loads, allocation bound, benchmark at three sizes, and one test per stated target. Faults found by the replay and fixed, each with a test: an adapter whose requests had waited since before its load could be evicted before their dispatch; waiting requests of a restarted engine were tried again only after its recovery.

--- a/internal/coordination/placement/fleet.go
+++ b/internal/coordination/placement/fleet.go
@@ -235,8 +235,26 @@
 // SetWaiting tells how many of this instance's requests wait for the adapter, so that its last copy is
 // not evicted between its load and their dispatch.
 func (f *Fleet) SetWaiting(a adapter.Ref, n int) {
-	if c := f.index[a]; c != nil {
-		c.waiting = n
+	if c := f.index[a]; c != nil || n > 0 {
+		f.copiesOf(a).waiting = n
+		f.forget(a)
+	}
+}
+
+// copiesOf returns the index entry of an adapter version and makes it when there is none.
+func (f *Fleet) copiesOf(a adapter.Ref) *copies {
+	c := f.index[a]
+	if c == nil {
+		c = &copies{}
+		f.index[a] = c
+	}
+	return c
+}
+
+// forget drops an index entry that holds nothing.
+func (f *Fleet) forget(a adapter.Ref) {
+	if c := f.index[a]; len(c.slots) == 0 && c.waiting == 0 {
+		delete(f.index, a)
 	}
 }
 
@@ -253,11 +271,7 @@
 }
 
 func (f *Fleet) add(e *Engine, a adapter.Ref, now time.Time) *Slot {
-	c := f.index[a]
-	if c == nil {
-		c = &copies{}
-		f.index[a] = c
-	}
+	c := f.copiesOf(a)
 	s := &Slot{Adapter: a, hash: hashRef(a), engine: e, copies: c, at: len(c.slots), changed: now}
 	c.slots = append(c.slots, s)
 	c.loading++
@@ -280,9 +294,7 @@
 	if !s.resident {
 		c.loading--
 	}
-	if len(c.slots) == 0 {
-		delete(f.index, s.Adapter)
-	}
+	f.forget(s.Adapter)
 	for i, o := range e.slots {
 		if o == s {
 			e.slots = append(e.slots[:i], e.slots[i+1:]...)
--- /dev/null
+++ b/internal/coordination/placement/placement_test.go
@@ -0,0 +1,302 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func ref(i int) adapter.Ref { return adapter.Ref{Name: fmt.Sprintf("a%d", i), Version: "1"} }
+
+func testFleet(adapters, engines, slots int, fill bool) *Fleet {
+	pop := NewPopularity(PopularityConfig{Adapters: adapters, Slow: time.Minute, Fast: 10 * time.Second, FastWeight: 0.5}, t0)
+	f := New(DefaultPolicy(), pop, rand.New(rand.NewPCG(1, 1)))
+	for i := range engines {
+		id := fmt.Sprintf("e%d", i)
+		f.SetEngine(Spec{ID: id, BaseModel: "m", DataCentre: fmt.Sprintf("dc%d", i%3), Slots: slots, Capacity: 8})
+		r := Report{Incarnation: "1", Sequence: 1, SampledAt: t0}
+		for s := 0; fill && s < slots; s++ {
+			r.Resident = append(r.Resident, ReportedSlot{Adapter: ref((i*slots + s) % adapters)})
+		}
+		f.Report(id, r)
+	}
+	return f
+}
+
+func req(i int) Request {
+	return Request{Adapter: ref(i), BaseModel: "m", DataCentre: "dc0", Prefix: 7}
+}
+
+func TestDecide(t *testing.T) {
+	Convey("Given two engines, of which e0 holds a0", t, func() {
+		f := testFleet(100, 2, 2, false)
+		f.Report("e0", Report{Incarnation: "1", Sequence: 2, SampledAt: t0, Resident: []ReportedSlot{{Adapter: ref(0)}}})
+		Convey("a request for a0 goes there", func() {
+			So(f.Decide(req(0), t0).Engine, ShouldEqual, "e0")
+		})
+		Convey("an adapter that is nowhere is loaded, once", func() {
+			So(f.Decide(req(1), t0).Action, ShouldEqual, NeedLoad)
+			So(f.LoadStarted("e1", ref(1), t0), ShouldBeTrue)
+			So(f.Decide(req(1), t0).Action, ShouldEqual, Wait)
+		})
+		Convey("a leaving, ejected or retired engine gets no new work at once", func() {
+			f.SetLeaving("e0", true)
+			So(f.Decide(req(0), t0).Action, ShouldEqual, NeedLoad)
+			p, ok := f.PlaceLoad(req(0), nil, t0)
+			So(ok && p.Engine == "e1", ShouldBeTrue)
+			f.SetLeaving("e0", false)
+			f.SetEjected("e0", true)
+			So(f.Decide(req(0), t0).Action, ShouldEqual, NeedLoad)
+			f.SetEjected("e0", false)
+			So(f.Retire("e0", ref(0)), ShouldEqual, 0)
+			So(f.Decide(req(0), t0).Action, ShouldEqual, NeedLoad)
+		})
+		Convey("another base model or role is not used", func() {
+			r := req(0)
+			r.BaseModel = "other"
+			So(f.Decide(r, t0).Action, ShouldEqual, NeedLoad)
+			f.SetRole("e0", RolePrefill)
+			r = req(0)
+			r.Role = RoleDecode
+			So(f.Decide(r, t0).Action, ShouldEqual, NeedLoad)
+		})
+		Convey("a restart empties the slots, and an old report does not fill them", func() {
+			f.Report("e0", Report{Incarnation: "2", Sequence: 1, SampledAt: t0})
+			So(f.Decide(req(0), t0).Action, ShouldEqual, NeedLoad)
+			So(f.Loaded("e0", "1", ref(0), t0), ShouldBeFalse)
+		})
+		Convey("a report sampled before an eviction does not bring the adapter back", func() {
+			f.Removed("e0", "1", ref(0), t0.Add(time.Second))
+			f.Report("e0", Report{Incarnation: "1", Sequence: 3, SampledAt: t0, Resident: []ReportedSlot{{Adapter: ref(0)}}})
+			So(f.Decide(req(0), t0).Action, ShouldEqual, NeedLoad)
+		})
+		Convey("a full engine asks for a copy", func() {
+			for range 8 {
+				f.Started("e0", ref(0), t0)
+			}
+			d := f.Decide(req(0), t0)
+			So(d.Full && d.Replicate, ShouldBeTrue)
+		})
+	})
+}
+
+// TestVictim guards against evicting an adapter that is in use, awaited, popular or just loaded.
+func TestVictim(t *testing.T) {
+	Convey("Given one engine with four adapters", t, func() {
+		f := testFleet(100, 1, 4, true)
+		now := t0.Add(time.Minute)
+		f.Requested(ref(0), 10, now)
+		Convey("the least popular idle one goes", func() {
+			f.Requested(ref(2), 2, now)
+			f.Started("e0", ref(1), now)
+			p, ok := f.PlaceLoad(req(9), nil, now)
+			So(ok, ShouldBeTrue)
+			So(p.Victim, ShouldResemble, ref(3))
+		})
+		Convey("an adapter that requests wait for stays, also when they waited before its load", func() {
+			f.SetWaiting(ref(9), 1)
+			f.Removed("e0", "1", ref(3), now)
+			So(f.LoadStarted("e0", ref(9), now), ShouldBeTrue)
+			So(f.Loaded("e0", "1", ref(9), now), ShouldBeTrue)
+			for i := range 3 {
+				f.Started("e0", ref(i), now)
+			}
+			_, ok := f.PlaceLoad(req(8), nil, now.Add(time.Hour))
+			So(ok, ShouldBeFalse)
+		})
+		Convey("with all in use there is no place", func() {
+			for i := range 4 {
+				f.Started("e0", ref(i), now)
+			}
+			_, ok := f.PlaceLoad(req(9), nil, now)
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
+
+// TestLaggingReport guards against counting our own requests twice or not at all.
+func TestLaggingReport(t *testing.T) {
+	Convey("Requests started after the sample are added to the report", t, func() {
+		f := testFleet(10, 1, 4, true)
+		f.Started("e0", ref(0), t0)
+		f.Started("e0", ref(0), t0.Add(time.Second))
+		f.Report("e0", Report{Incarnation: "1", Sequence: 2, Running: 3, SampledAt: t0.Add(500 * time.Millisecond),
+			Resident: []ReportedSlot{{Adapter: ref(0), Running: 1}}})
+		So(f.engines["e0"].Load(), ShouldEqual, 4)
+		f.Finished("e0", ref(0), t0.Add(2*time.Second))
+		So(f.engines["e0"].Load(), ShouldEqual, 3)
+	})
+}
+
+// TestPrefixGap guards against hints that outlive lost events.
+func TestPrefixGap(t *testing.T) {
+	Convey("A gap drops the older hints, a late event changes nothing", t, func() {
+		var p prefixCache
+		p.apply(PrefixEvent{Sequence: 1, Adapter: ref(0), Prefix: 5, Stored: true})
+		So(p.has(ref(0), 5), ShouldBeTrue)
+		p.apply(PrefixEvent{Sequence: 3, Adapter: ref(0), Prefix: 6, Stored: true})
+		So(p.has(ref(0), 5), ShouldBeFalse)
+		p.apply(PrefixEvent{Sequence: 2, Adapter: ref(0), Prefix: 6})
+		So(p.has(ref(0), 6), ShouldBeTrue)
+	})
+}
+
+// TestResidencyIndex compares the index with a plain map under random events.
+func TestResidencyIndex(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const engines, adapters, slots = 3, 6, 3
+		f := testFleet(adapters, engines, slots, false)
+		now, seq := t0, uint64(1)
+		inc := map[string]int{"e0": 1, "e1": 1, "e2": 1}
+		type key struct {
+			e string
+			a int
+		}
+		want := map[key]bool{} // true when resident, false while loading
+		held := func(e string) (n int) {
+			for k := range want {
+				if k.e == e {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now, seq = now.Add(time.Second), seq+1
+			k := key{fmt.Sprintf("e%d", rapid.IntRange(0, engines-1).Draw(t, "engine")), rapid.IntRange(0, adapters-1).Draw(t, "adapter")}
+			run := fmt.Sprint(inc[k.e])
+			resident, present := want[k]
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				ok := !present && held(k.e) < slots
+				if f.LoadStarted(k.e, ref(k.a), now) != ok {
+					t.Fatalf("LoadStarted: want %v", ok)
+				}
+				if ok {
+					want[k] = false
+				}
+			case 1:
+				if f.Loaded(k.e, run, ref(k.a), now) != present {
+					t.Fatalf("Loaded: want %v", present)
+				}
+				if present {
+					want[k] = true
+				}
+			case 2:
+				f.Removed(k.e, run, ref(k.a), now)
+				delete(want, k)
+			case 3: // a restart
+				inc[k.e]++
+				f.Report(k.e, Report{Incarnation: fmt.Sprint(inc[k.e]), Sequence: seq, SampledAt: now})
+				for x := range want {
+					if x.e == k.e {
+						delete(want, x)
+					}
+				}
+			case 4: // an exact report, or one that was sampled before everything and must change nothing
+				at := now
+				r := Report{Incarnation: run, Sequence: seq}
+				if rapid.Bool().Draw(t, "late") {
+					at = t0.Add(-time.Second)
+				}
+				for x, res := range want {
+					if x.e == k.e && res {
+						r.Resident = append(r.Resident, ReportedSlot{Adapter: ref(x.a)})
+					}
+				}
+				r.SampledAt = at
+				f.Report(k.e, r)
+			}
+			_ = resident
+			for a := range adapters {
+				var ids []string
+				for x, res := range want {
+					if x.a == a && res {
+						ids = append(ids, x.e)
+					}
+				}
+				got := f.Resident(nil, ref(a))
+				slices.Sort(ids)
+				slices.Sort(got)
+				if !slices.Equal(ids, got) {
+					t.Fatalf("adapter %d: resident on %v, want %v", a, got, ids)
+				}
+			}
+		}
+	})
+}
+
+// TestPopularityBounded guards against a table that grows with the number of adapters or that
+// forgets the popular ones.
+func TestPopularityBounded(t *testing.T) {
+	Convey("After many cold adapters, a hot one is still known", t, func() {
+		p := NewPopularity(PopularityConfig{Adapters: 1000, Slow: time.Minute, Fast: time.Second}, t0)
+		p.Add(ref(0), 100, t0)
+		for i := 1; i < 50000; i++ {
+			p.Add(ref(i), 1, t0)
+		}
+		So(len(p.sets)*ways, ShouldBeLessThan, 4000)
+		So(p.Rate(ref(0), t0), ShouldBeGreaterThan, p.Rate(ref(49999), t0))
+	})
+}
+
+// TestDecisionAllocations guards against garbage on the request path: the target is at most two
+// allocations per decision.
+func TestDecisionAllocations(t *testing.T) {
+	f := testFleet(3000, 18, 8, true)
+	i := 0
+	if n := testing.AllocsPerRun(1000, func() {
+		i++
+		if f.Decide(req1[i%len(req1)], t0).Action == NeedLoad {
+			f.PlaceLoad(req1[i%len(req1)], nil, t0.Add(time.Minute))
+		}
+	}); n > 2 {
+		t.Errorf("a decision allocates %v times, want at most 2", n)
+	}
+}
+
+var req1 = func() (out []Request) {
+	for i := range 1024 {
+		out = append(out, req(i))
+	}
+	return out
+}()
+
+func BenchmarkDecide(b *testing.B) {
+	for _, s := range []struct{ adapters, engines int }{{3000, 18}, {17000, 300}, {93000, 4900}} {
+		for _, miss := range []bool{false, true} {
+			f := testFleet(s.adapters, s.engines, 8, true)
+			now := t0.Add(time.Minute)
+			for i := range s.adapters {
+				f.Requested(ref(i), float64(1+i%7), now)
+			}
+			held := min(s.adapters, s.engines*8)
+			reqs := make([]Request, 4096)
+			rnd := rand.New(rand.NewPCG(2, 2))
+			for i := range reqs {
+				reqs[i] = req(rnd.IntN(held))
+				if miss {
+					reqs[i] = req(s.adapters + i)
+				}
+			}
+			b.Run(fmt.Sprintf("adapters=%d/engines=%d/miss=%v", s.adapters, s.engines, miss), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					r := reqs[i%len(reqs)]
+					if f.Decide(r, now).Action == NeedLoad {
+						f.PlaceLoad(r, nil, now)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/replay/assigned.go
+++ b/internal/replay/assigned.go
@@ -11,12 +11,16 @@
 type assigned struct {
 	s      *sim
 	choose func(j *job) *engine
-	queues [][]*job // by engine
+	queues [][]*job      // by engine
+	needed []map[int]int // by engine, queued requests by adapter
 	next   int
 }
 
 func newAssigned(s *sim, choose func(a *assigned, j *job) *engine) *assigned {
 	a := &assigned{s: s, queues: make([][]*job, len(s.engines))}
+	for range s.engines {
+		a.needed = append(a.needed, map[int]int{})
+	}
 	a.choose = func(j *job) *engine { return choose(a, j) }
 	return a
 }
@@ -97,6 +101,7 @@
 func (a *assigned) arrive(j *job) {
 	e := a.choose(j)
 	a.queues[e.id] = append(a.queues[e.id], j)
+	a.needed[e.id][j.adapter]++
 	a.serve(e)
 }
 
@@ -105,22 +110,23 @@
 		return
 	}
 	q := a.queues[e.id]
-	needed := map[int]bool{}
-	for _, j := range q {
-		needed[j.adapter] = true
-	}
-	keep := q[:0]
-	for _, j := range q {
+	keep, room := q[:0], true
+	for i, j := range q {
+		if !room && len(e.running) >= a.s.c.Batch { // nothing further can start or be loaded
+			keep = append(keep, q[i:]...)
+			break
+		}
 		sl := e.slots[j.adapter]
 		switch {
 		case sl == nil:
 			j.stalled = true
-			if a.makeRoom(e, needed) {
+			if room = room && a.makeRoom(e); room {
 				a.s.load(e, j.adapter)
 			}
 		case !sl.resident:
 			j.stalled = true
 		case len(e.running) < a.s.c.Batch:
+			a.needed[e.id][j.adapter]--
 			a.s.send(j, e)
 			continue
 		}
@@ -130,14 +136,14 @@
 }
 
 // makeRoom frees a slot by least recent use. Adapters that queued requests need are kept.
-func (a *assigned) makeRoom(e *engine, needed map[int]bool) bool {
+func (a *assigned) makeRoom(e *engine) bool {
 	if len(e.slots) < a.s.c.Slots {
 		return true
 	}
 	victim, used := -1, time.Duration(0)
 	for _, id := range sortedSlots(e) {
 		sl := e.slots[id]
-		if sl.resident && sl.jobs == 0 && !needed[id] && (victim < 0 || sl.used < used) {
+		if sl.resident && sl.jobs == 0 && a.needed[e.id][id] == 0 && (victim < 0 || sl.used < used) {
 			victim, used = id, sl.used
 		}
 	}
@@ -155,6 +161,7 @@
 func (a *assigned) restarted(e *engine, lost []*job) {
 	waiting := append(lost, a.queues[e.id]...)
 	a.queues[e.id] = nil
+	clear(a.needed[e.id])
 	for _, j := range waiting {
 		a.arrive(j)
 	}
--- a/internal/replay/bound.go
+++ b/internal/replay/bound.go
@@ -21,6 +21,7 @@
 		next[i], seen[a] = seen[a], i
 	}
 	use := make(map[int]int, c.Engines*c.Slots) // resident adapter to its next use
+	order := &uses{}                            // may hold outdated entries
 	loads := 0
 	for i, r := range w.requests {
 		if _, ok := use[r.adapter]; !ok {
@@ -28,16 +29,15 @@
 				loads++
 			}
 			if len(use) >= c.Engines*c.Slots {
-				victim, furthest := -1, -1
-				for a, u := range use {
-					if u > furthest || u == furthest && a < victim {
-						victim, furthest = a, u
-					}
+				top := heap.Pop(order).(nextUse)
+				for u, ok := use[top.adapter]; !ok || u != top.at; u, ok = use[top.adapter] {
+					top = heap.Pop(order).(nextUse)
 				}
-				delete(use, victim)
+				delete(use, top.adapter)
 			}
 		}
 		use[r.adapter] = next[i]
+		heap.Push(order, nextUse{r.adapter, next[i]})
 	}
 	return loads
 }
@@ -77,3 +77,24 @@
 	*d = old[:len(old)-1]
 	return x
 }
+
+// nextUse is when an adapter is used next, as an index of requests.
+type nextUse struct{ adapter, at int }
+
+// uses is a heap with the furthest next use first.
+type uses []nextUse
+
+func (u uses) Len() int           { return len(u) }
+func (u uses) Less(i, j int) bool { return u[i].at > u[j].at }
+func (u uses) Swap(i, j int)      { u[i], u[j] = u[j], u[i] }
+
+// Push implements heap.Interface.
+func (u *uses) Push(x any) { *u = append(*u, x.(nextUse)) }
+
+// Pop implements heap.Interface.
+func (u *uses) Pop() any {
+	old := *u
+	x := old[len(old)-1]
+	*u = old[:len(old)-1]
+	return x
+}
--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -91,14 +91,15 @@
 	loads                 int
 	inSystem, running, up int
 	last                  time.Duration
-	usedSeats, seats      float64 // seat-seconds used and usable while measured
-	served                []float64
+	usedSeats, seats      float64   // seat-seconds used and usable while measured
+	served                []float64 // seat-seconds by workspace while measured
+	active                []int     // running requests by workspace
 	errors                []string
 }
 
 func newSim(c Case, w *workload) *sim {
 	s := &sim{
-		c: c, w: w, up: c.Engines, served: make([]float64, len(c.Shares)),
+		c: c, w: w, up: c.Engines, served: make([]float64, len(c.Shares)), active: make([]int, len(c.Shares)),
 		faults: rand.New(rand.NewPCG(c.Seed, 2)),
 	}
 	for i := range c.Engines {
@@ -125,10 +126,8 @@
 	dt := (to - from).Seconds()
 	s.usedSeats += dt * float64(s.running)
 	s.seats += dt * float64(min(s.inSystem, s.up*s.c.Batch))
-	for _, e := range s.engines {
-		for _, j := range e.running {
-			s.served[j.space] += dt
-		}
+	for space, n := range s.active {
+		s.served[space] += dt * float64(n)
 	}
 }
 
@@ -175,6 +174,7 @@
 		e.queue = e.queue[1:]
 		e.running = append(e.running, j)
 		s.running++
+		s.active[j.space]++
 		j.started = s.now
 		incarnation := e.incarnation
 		s.after(j.service, func() {
@@ -193,6 +193,7 @@
 		}
 	}
 	s.running--
+	s.active[j.space]--
 	s.inSystem--
 	j.done++
 	e.slots[j.adapter].jobs--
@@ -249,6 +250,9 @@
 	if e.up && s.now < s.w.end {
 		lost := append(append([]*job{}, e.running...), e.queue...)
 		s.running -= len(e.running)
+		for _, j := range e.running {
+			s.active[j.space]--
+		}
 		e.running, e.queue, e.slots, e.up = nil, nil, map[int]*slot{}, false
 		e.incarnation++
 		s.up--
--- a/internal/replay/placed.go
+++ b/internal/replay/placed.go
@@ -80,6 +80,7 @@
 			p.s.after(reportLag, func() {
 				if r.Incarnation == incarnation(e) && e.up {
 					p.f.Report(engineID(e), r)
+					p.fill(e) // the report may show more room than was estimated
 				}
 			})
 		}
@@ -123,8 +124,10 @@
 
 // try sends the adapter's waiting requests as far as engines have room, and asks for a load when the
 // adapter is resident nowhere or every engine that holds it is full.
-func (p *placed) try(a int) {
-	for len(p.waiting[a]) > 0 {
+func (p *placed) try(a int) { p.tryUpTo(a, len(p.waiting[a])) }
+
+func (p *placed) tryUpTo(a, limit int) {
+	for range limit {
 		j := p.waiting[a][0]
 		d := p.f.Decide(p.request(a), p.s.time())
 		if d.Action != placement.Dispatch {
@@ -234,22 +237,13 @@
 			return
 		}
 		n := len(p.waiting[best])
-		p.tryOne(best)
+		p.tryUpTo(best, 1) // one at a time, so that the order decides anew
 		if len(p.waiting[best]) == n {
 			blocked[best] = true
 		}
 	}
 }
 
-// tryOne sends at most one waiting request of the adapter, so that the order decides anew.
-func (p *placed) tryOne(a int) {
-	rest := p.waiting[a][1:]
-	p.waiting[a] = p.waiting[a][:1:1]
-	p.try(a)
-	p.waiting[a] = append(p.waiting[a], rest...)
-	p.f.SetWaiting(p.s.ref(a), len(p.waiting[a]))
-}
-
 func (p *placed) loaded(e *engine, a int, ok bool) {
 	now := p.s.time()
 	p.share.Finish(now)
@@ -272,15 +266,16 @@
 	for _, j := range lost {
 		p.enqueue(j)
 	}
-	for _, j := range lost {
-		p.try(j.adapter)
-	}
-	p.pump()
+	p.tryAll()
 }
 
 func (p *placed) recovered(e *engine) {
 	p.f.SetEjected(engineID(e), false)
 	p.report(e)
+	p.tryAll()
+}
+
+func (p *placed) tryAll() {
 	for a := range p.waiting {
 		p.try(a)
 	}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,159 @@
+package replay
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/turmericworks/turmericworks/internal/knownred"
+)
+
+// targetSeed is the seed of the runs that check the stated targets.
+const targetSeed = 1
+
+var (
+	rausu    = Rausu(targetSeed)
+	glenbrae = Glenbrae(targetSeed)
+
+	mu   sync.Mutex
+	done = map[string]Result{}
+)
+
+// play runs one policy on a case once for all tests.
+func play(c Case, policy string) Result {
+	mu.Lock()
+	defer mu.Unlock()
+	key := fmt.Sprint(c.Name, c.Seed, policy)
+	r, ok := done[key]
+	if !ok {
+		r = Run(c, policy)[0]
+		done[key] = r
+	}
+	return r
+}
+
+// checkLoads guards against evictions that make the fleet load adapters again and again.
+func checkLoads(t *testing.T, c Case, bound float64) {
+	t.Helper()
+	got := float64(play(c, Turmeric).Loads) / float64(play(c, Clairvoyant).Loads)
+	knownred.Check(t, knownred.Target{
+		Name: fmt.Sprintf("%s, seed %d: loads over the clairvoyant bound", c.Name, c.Seed), Bound: bound,
+	}, got)
+}
+
+func TestLoadsSteadyRausu(t *testing.T)    { checkLoads(t, rausu, 1.25) }
+func TestLoadsSteadyGlenbrae(t *testing.T) { checkLoads(t, glenbrae, 1.25) }
+func TestLoadsShiftRausu(t *testing.T)     { checkLoads(t, rausu.Shifting(), 1.5) }
+func TestLoadsShiftGlenbrae(t *testing.T)  { checkLoads(t, glenbrae.Shifting(), 1.5) }
+
+// checkStalls guards against routing that makes requests wait for loads.
+func checkStalls(t *testing.T, c Case) {
+	t.Helper()
+	got := float64(play(c, LeastLoaded).Stalls) / float64(play(c, Turmeric).Stalls)
+	knownred.Check(t, knownred.Target{
+		Name:  fmt.Sprintf("%s, seed %d: stalls of least loaded with LRU over ours", c.Name, c.Seed),
+		Bound: 3, AtLeast: true,
+	}, got)
+}
+
+func TestStallsRausu(t *testing.T)         { checkStalls(t, rausu) }
+func TestStallsGlenbrae(t *testing.T)      { checkStalls(t, glenbrae) }
+func TestStallsShiftRausu(t *testing.T)    { checkStalls(t, rausu.Shifting()) }
+func TestStallsShiftGlenbrae(t *testing.T) { checkStalls(t, glenbrae.Shifting()) }
+
+// checkEfficiency guards against places in batches left empty while requests wait.
+func checkEfficiency(t *testing.T, c Case) {
+	t.Helper()
+	got := play(c, Turmeric).Efficiency / play(c, Clairvoyant).Efficiency
+	knownred.Check(t, knownred.Target{
+		Name:  fmt.Sprintf("%s, seed %d: batch efficiency over the all-knowing queue's", c.Name, c.Seed),
+		Bound: 0.9, AtLeast: true,
+	}, got)
+}
+
+func TestBatchEfficiencyRausu(t *testing.T)            { checkEfficiency(t, rausu) }
+func TestBatchEfficiencyGlenbrae(t *testing.T)         { checkEfficiency(t, glenbrae) }
+func TestBatchEfficiencyShiftRausu(t *testing.T)       { checkEfficiency(t, rausu.Shifting()) }
+func TestBatchEfficiencyShiftGlenbrae(t *testing.T)    { checkEfficiency(t, glenbrae.Shifting()) }
+func TestBatchEfficiencyOverloadRausu(t *testing.T)    { checkEfficiency(t, rausu.Overloaded()) }
+func TestBatchEfficiencyOverloadGlenbrae(t *testing.T) { checkEfficiency(t, glenbrae.Overloaded()) }
+
+// checkWorstServed guards against one workspace at five times its rate starving another.
+func checkWorstServed(t *testing.T, c Case) {
+	t.Helper()
+	knownred.Check(t, knownred.Target{
+		Name:  fmt.Sprintf("%s, seed %d: worst-served workspace's part of its fair share", c.Name, c.Seed),
+		Bound: 0.9, AtLeast: true,
+	}, play(c, Turmeric).WorstShare)
+}
+
+func TestWorstServedRausu(t *testing.T)    { checkWorstServed(t, rausu.Overloaded()) }
+func TestWorstServedGlenbrae(t *testing.T) { checkWorstServed(t, glenbrae.Overloaded()) }
+
+// TestNoRequestLostOrDoubled guards against requests that are forgotten after a failed load, an
+// eviction or an engine restart, that run twice, and against orders that evict an adapter in use.
+func TestNoRequestLostOrDoubled(t *testing.T) {
+	for seed := uint64(targetSeed); seed <= 3; seed++ {
+		for _, c := range []Case{Rausu(seed), Glenbrae(seed)} {
+			for _, c := range []Case{c, c.Shifting(), c.Overloaded()} {
+				if seed > targetSeed { // shorter runs, with restarts and failures as frequent
+					c.Warmup, c.Duration, c.RestartEvery = time.Minute, 4*time.Minute, time.Minute
+				}
+				r := play(c, Turmeric)
+				if r.Lost+r.Doubled+len(r.Errors) > 0 || r.Requests == 0 {
+					t.Errorf("%s seed %d: %d requests, %d lost, %d doubled, errors %v",
+						c.Name, seed, r.Requests, r.Lost, r.Doubled, r.Errors)
+				}
+			}
+		}
+	}
+}
+
+// TestBaselinesFinish guards against a comparison with a baseline that drops requests.
+func TestBaselinesFinish(t *testing.T) {
+	c := rausu
+	c.Warmup, c.Duration, c.RestartEvery = time.Minute, 2*time.Minute, time.Minute
+	for _, r := range Run(c) {
+		if r.Lost+r.Doubled+len(r.Errors) > 0 {
+			t.Errorf("%s: %d lost, %d doubled, errors %v", r.Policy, r.Lost, r.Doubled, r.Errors)
+		}
+	}
+}
+
+// TestBelady guards against a bound that is too low or too high, on a sequence worked out by hand.
+func TestBelady(t *testing.T) {
+	Convey("With two slots, a b c a b needs four loads", t, func() {
+		w := &workload{}
+		for _, a := range []int{0, 1, 2, 0, 1} {
+			w.requests = append(w.requests, request{adapter: a})
+		}
+		So(clairvoyantLoads(Case{Engines: 1, Slots: 2, Adapters: 3}, w), ShouldEqual, 4)
+	})
+}
+
+// TestWorstShare guards against a fairness measure that blames a workspace's own low demand.
+func TestWorstShare(t *testing.T) {
+	Convey("A workspace that got all it asked for has its fair share", t, func() {
+		So(worstShare([]float64{1, 100}, []float64{1, 9}), ShouldEqual, 1)
+	})
+	Convey("A starved workspace is measured against an equal share", t, func() {
+		So(worstShare([]float64{50, 50}, []float64{2, 8}), ShouldAlmostEqual, 0.4)
+	})
+}
+
+// TestPlot guards against a plot that cannot be written.
+func TestPlot(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "table.png")
+	err := Plot(file, []Table{{Case: rausu, Results: []Result{{Policy: Turmeric, Loads: 2}, {Policy: Clairvoyant, Loads: 1}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if st, err := os.Stat(file); err != nil || st.Size() == 0 {
+		t.Fatalf("the plot is empty: %v", err)
+	}
+}
--- a/internal/replay/workload.go
+++ b/internal/replay/workload.go
@@ -35,7 +35,7 @@
 	Rate float64
 	// Overload multiplies the rate of the first workspace; zero means 1.
 	Overload float64
-	// Shift makes that part of the adapters wake or fall idle at a random time of the run.
+	// Shift makes that part of the adapters per hour wake or fall idle, at random times of the run.
 	Shift float64
 	// Warmup is not measured; Duration follows it.
 	Warmup, Duration time.Duration
@@ -67,8 +67,8 @@
 	return Case{
 		Name: name, Seed: seed, Slots: 8, Batch: 8, Adapters: 3000, Skew: 1.1,
 		Shares: []float64{0.4, 0.3, 0.15, 0.1, 0.05},
-		Warmup: 15 * time.Minute, Duration: time.Hour,
-		RestartEvery: 20 * time.Minute, LoadFailures: 0.02,
+		Warmup: 15 * time.Minute, Duration: 30 * time.Minute,
+		RestartEvery: 7 * time.Minute, LoadFailures: 0.02,
 	}
 }
 
@@ -95,10 +95,12 @@
 	return c
 }
 
-// Overloaded returns the case with the first workspace at five times its rate.
+// Overloaded returns the case with the first workspace at five times its rate. It is shorter, since
+// the backlog must drain within the run to show that no request is lost.
 func (c Case) Overloaded() Case {
 	c.Name += " overload"
 	c.Overload = overloadFactor
+	c.Warmup, c.Duration = 2*time.Minute, 10*time.Minute
 	return c
 }
 
