daemon: record timeline events of requests, shares, membership and configuration

Cause: the timeline had a recorder and a command but nothing recorded. Change: entry, dispatch and control record typed events; /debug/events needs an operator token, and turmeric-timeline sends one. Membership is recorded when the fold changes, not per record: two members withdrew the same incarnation and the test saw 10 events instead of 8. Measured: go test -run Timeline ./internal/daemon passes; merged events of two processes are in order and hold neither key nor prompt. Conclusion: a request can be followed over processes, also after one was killed.

--- a/cmd/turmeric-timeline/main.go
+++ b/cmd/turmeric-timeline/main.go
@@ -28,6 +28,7 @@
 	Engine    string  `long:"engine" description:"only events of this backend server"`
 	Format    string  `long:"format" choice:"text" choice:"json" choice:"html" default:"text" description:"form of the output"`
 	Output    string  `long:"output" description:"file to write, instead of standard output"`
+	TokenFile string  `long:"token-file" env:"TURMERIC_TOKEN_FILE" description:"file with an operator token, for instances given by URL"`
 	Timeout   float64 `long:"timeout" default:"10" description:"longest time for one instance, in seconds"`
 	Args      struct {
 		Sources []string `positional-arg-name:"SOURCE" required:"1" description:"file with a JSON list of events, - for standard input, or URL of an instance"`
--- a/cmd/turmeric-timeline/source.go
+++ b/cmd/turmeric-timeline/source.go
@@ -27,15 +27,15 @@
 	results := make([]result, len(o.Args.Sources))
 	var wg sync.WaitGroup
 	for i, source := range o.Args.Sources {
-		wg.Go(func() { results[i] = read(source, o.Timeout, stdin) })
+		wg.Go(func() { results[i] = read(source, o, stdin) })
 	}
 	wg.Wait()
 	return results
 }
 
-func read(source string, timeout float64, stdin io.Reader) result {
+func read(source string, o options, stdin io.Reader) result {
 	if strings.HasPrefix(source, "http://") || strings.HasPrefix(source, "https://") {
-		return fetch(source, time.Duration(timeout*float64(time.Second)))
+		return fetch(source, o)
 	}
 	if source == "-" {
 		return decode(stdin)
@@ -56,7 +56,7 @@
 	return result{events: events, err: err}
 }
 
-func fetch(source string, timeout time.Duration) result {
+func fetch(source string, o options) result {
 	u, err := url.Parse(source)
 	if err != nil {
 		return result{err: trace.BadParameter("not a URL: %v", err)}
@@ -64,12 +64,19 @@
 	if u.Path == "" || u.Path == "/" {
 		u.Path = eventsPath
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(o.Timeout*float64(time.Second)))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return result{err: trace.Wrap(err)}
 	}
+	if o.TokenFile != "" {
+		token, err := os.ReadFile(o.TokenFile)
+		if err != nil {
+			return result{err: trace.ConvertSystemError(err)}
+		}
+		req.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return result{err: trace.ConnectionProblem(err, "no answer")}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -11,6 +11,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/shares"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/members"
 	"github.com/turmericworks/turmericworks/internal/state/record"
 	"github.com/turmericworks/turmericworks/internal/transport/tail"
@@ -210,6 +211,7 @@
 	entries = c.receive(entries)
 	for _, e := range entries {
 		if c.members.Apply(e) {
+			c.daemon.events.record(event.Event{Kind: event.Membership, Peer: e.Incarnation, Code: string(e.Kind), Sequence: e.Offset})
 			c.view.SetMembers(now, c.members.List())
 			for _, m := range c.members.EndedList() {
 				c.promises.End(m.Incarnation)
--- a/internal/daemon/controlstep.go
+++ b/internal/daemon/controlstep.go
@@ -8,6 +8,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/lease"
 	"github.com/turmericworks/turmericworks/internal/coordination/shares"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/ledger"
 	"github.com/turmericworks/turmericworks/internal/state/members"
 	"github.com/turmericworks/turmericworks/internal/state/record"
@@ -191,6 +192,10 @@
 }
 
 func (c *control) sendTransfer(ctx context.Context, address string, t ledger.Transfer) {
+	c.daemon.events.record(event.Event{
+		Kind: event.Transfer, Workspace: t.Workspace, Peer: t.To, Parts: t.Parts, Tokens: t.Microtokens / shares.Microtokens,
+		Sequence: t.Number,
+	})
 	answer, err := c.peers.Transfer(ctx, address, peer.TransferMessage(t))
 	if err != nil || !answer.GetAccepted() {
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,9 +95,9 @@
 		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: directLoader{}, Budget: d.control,
 		Queue: fairqueue.Settings{MaxTotal: d.settings.Limits.QueuedRequests}, Publish: d.publishBlame, Seed: seedOf(o.Incarnation),
 	})
-	d.runner = &runner{Runner: dispatch.New(d.scheduler), daemon: d}
+	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.events.record), daemon: d}
 	d.entry = entry.New(entry.Options{
-		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Registry: d.registry,
+		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Record: d.events.record, Registry: d.registry,
 	})
 	return d, nil
 }
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -14,8 +14,10 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/record"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/admin"
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
@@ -31,6 +33,7 @@
 	d.scheduler.Configure(v)
 	d.control.configure(v)
 	d.entry.ConfigChanged()
+	d.events.record(event.Event{Kind: event.Configuration, Sequence: uint64(v.Version()), Code: "in_force"})
 }
 
 func (d *Daemon) engineReported(r fleet.Report) { d.scheduler.Reported(r) }
@@ -203,6 +206,6 @@
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/admin/v1/", d.operators)
-	mux.Handle("GET /debug/events", d.events)
+	mux.Handle("GET /debug/events", admin.RequireToken(d.settings.Operators, d.events))
 	return mux
 }
--- a/internal/transport/admin/handler.go
+++ b/internal/transport/admin/handler.go
@@ -99,6 +99,12 @@
 	return mux, nil
 }
 
+// RequireToken protects a handler with the operators' tokens; every token may read.
+func RequireToken(tokens []Token, next http.Handler) http.Handler {
+	h := &handler{tokens: tokens}
+	return h.authenticated(func(w http.ResponseWriter, r *http.Request, _ Token) { next.ServeHTTP(w, r) })
+}
+
 // authenticated passes a request on with its token, or answers 401.
 func (h *handler) authenticated(next func(http.ResponseWriter, *http.Request, Token)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
@@ -48,13 +49,27 @@
 // Runner runs admitted requests. It is safe for concurrent use.
 type Runner struct {
 	router Router
+	record func(event.Event)
 
 	mu     sync.Mutex
 	budget retry.Budget
 }
 
-// New returns a runner.
-func New(r Router) *Runner { return &Runner{router: r} }
+// New returns a runner. record adds an event to the timeline.
+func New(r Router, record func(event.Event)) *Runner { return &Runner{router: r, record: record} }
+
+// acquire waits for a place and records the dispatch.
+func (r *Runner) acquire(ctx context.Context, c entry.Call) (Place, error) {
+	start := time.Now()
+	place, err := r.router.Acquire(ctx, c)
+	if err == nil {
+		r.record(event.Event{
+			Kind: event.Dispatch, RequestID: c.RequestID, Workspace: c.Workspace, Adapter: c.Adapter.Name,
+			Version: c.Adapter.Version, Engine: place.Engine.ID, Duration: time.Since(start),
+		})
+	}
+	return place, err
+}
 
 // errWrongAdapter means that the engine ran another adapter version than asked for.
 var errWrongAdapter = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "wrong_adapter",
@@ -138,7 +153,7 @@
 }
 
 func (r *Runner) completeOnce(ctx context.Context, c entry.Call) (backend.Answer, error) {
-	place, err := r.router.Acquire(ctx, c)
+	place, err := r.acquire(ctx, c)
 	if err != nil {
 		return backend.Answer{}, err
 	}
--- a/internal/transport/dispatch/stream.go
+++ b/internal/transport/dispatch/stream.go
@@ -41,7 +41,7 @@
 }
 
 func (s *stream) openOnce() error {
-	place, err := s.runner.router.Acquire(s.ctx, s.call)
+	place, err := s.runner.acquire(s.ctx, s.call)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -9,6 +9,7 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/protocol/openai"
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 )
 
@@ -32,6 +33,9 @@
 	if err != nil {
 		return err
 	}
+	s.recordAdmission(r, event.Event{
+		Workspace: call.Workspace, Adapter: call.Adapter.Name, Version: call.Adapter.Version, Tokens: int64(call.Tokens),
+	})
 	if parsed.Stream {
 		return s.stream(w, r, call)
 	}
@@ -92,7 +96,8 @@
 	w.WriteHeader(http.StatusOK)
 	if err := s.copyStream(w, r, chunks, first); err != nil {
 		err = s.cancelledStream(r, err)
-		w.verdict = verdict.Of(err).Verdict.String()
+		w.failure = verdict.Of(err)
+		w.verdict = w.failure.Verdict.String()
 		s.metrics.brokenSent.Inc()
 		// A failed write means that the caller has gone; the connection then ends uncleanly.
 		_ = writeEvent(w, openai.EncodeError(verdict.Of(err)))
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 )
 
 // Call is one admitted completion request.
@@ -64,6 +65,8 @@
 	Admit func() error
 	// Ready returns an error while the balancer should send nothing.
 	Ready func() error
+	// Record adds an event to the timeline.
+	Record func(event.Event)
 	// Registry collects the server's metrics.
 	Registry *prometheus.Registry
 }
--- a/internal/transport/entry/guard.go
+++ b/internal/transport/entry/guard.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/turmericworks/turmericworks/internal/protocol/openai"
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 )
 
@@ -25,6 +26,8 @@
 	start  time.Time
 	caller caller
 	view   *config.View
+	// admitted is the event of the request's admission, if it was admitted.
+	admitted event.Event
 }
 
 // handler serves one request. An error that it returns is written as the answer, unless a stream has
@@ -36,6 +39,8 @@
 	http.ResponseWriter
 	status  int
 	verdict string
+	// failure is the error that the answer carries, or nil.
+	failure *verdict.Error
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -61,9 +66,35 @@
 			s.answerError(rec, r, err)
 		}
 		s.metrics.done(kind, rec.status, rec.verdict, r.start)
+		s.recordEnd(rec, r, err)
 	}
 }
 
+// recordEnd adds the end of a request to the timeline. Requests that only read what the instance holds
+// are not of interest there.
+func (s *Server) recordEnd(rec *recorder, r *request, err error) {
+	if r.admitted.Kind == "" && err == nil {
+		return
+	}
+	e := r.admitted
+	if e.Workspace == "" {
+		e.Workspace = r.caller.workspace
+	}
+	e.Kind, e.RequestID, e.Duration = event.Settled, r.id, time.Since(r.start)
+	e.Verdict = event.Verdict(verdict.Ran)
+	if rec.failure != nil {
+		e.Verdict, e.Code = event.Verdict(rec.failure.Verdict), rec.failure.Code
+	}
+	s.opts.Record(e)
+}
+
+// recordAdmission adds the admission of a request to the timeline.
+func (s *Server) recordAdmission(r *request, e event.Event) {
+	e.Kind, e.RequestID = event.Admission, r.id
+	r.admitted = e
+	s.opts.Record(e)
+}
+
 func (s *Server) serve(rec *recorder, r *request, h handler) error {
 	if err := s.opts.Admit(); err != nil {
 		return err
@@ -106,7 +137,7 @@
 // answerError writes an error as the answer. When the caller has gone there is nobody to write to.
 func (s *Server) answerError(w *recorder, _ *request, err error) {
 	e := verdict.Of(err)
-	w.verdict = e.Verdict.String()
+	w.verdict, w.failure = e.Verdict.String(), e
 	if w.status != 0 {
 		return
 	}
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -5,6 +5,7 @@
 	"path"
 
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 )
 
@@ -32,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	s.recordAdmission(r, event.Event{Workspace: route.Workspace, Tokens: int64(max(route.Tokens, 1))})
 	answer, err := s.opts.Runner.CallService(r.Context(), ServiceCall{
 		RequestID: r.id, Workspace: route.Workspace, RouteName: name, Route: *route,
 		IdempotencyKey: r.Header.Get(IdempotencyKeyHeader), KeyCreated: r.Header.Get(KeyCreatedHeader),
