--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -59,7 +59,7 @@
 		LogAddress: logAddress, ListAddress: listAddress, ServiceAddress: serviceAddress,
 		EngineAddresses: []string{engineAddress1, engineAddress2},
 		Engine: engine.Options{
-			Slots: 8, MaxBatch: 64, Prefill: 40 * time.Millisecond, TokenTime: 20 * time.Millisecond, ChecksFence: true,
+			Slots: 8, MaxBatch: 256, Prefill: 40 * time.Millisecond, TokenTime: 20 * time.Millisecond, ChecksFence: true,
 		},
 		Store:     weightstore.Limits{LoadTime: 250 * time.Millisecond, MaxInFlight: 8},
 		Retention: s.Platform.Retention(),
@@ -139,7 +139,7 @@
 	for i, address := range o.EngineAddresses {
 		d.BackendServers[fmt.Sprintf("engine-%d", i+1)] = config.BackendServer{
 			Kind: config.KindEngine, URL: "http://" + address, DataCentre: "local", BaseModel: "base",
-			Slots: o.Engine.Slots, ChecksFence: true, EvictsOnlyIdle: true,
+			Slots: o.Engine.Slots, MaxBatch: o.Engine.MaxBatch, ChecksFence: true, EvictsOnlyIdle: true,
 		}
 	}
 	return d
