placement: load a further copy only when it exceeds its victim's value

Cause: a further copy was loaded whatever it evicted, so two adapters of similar value could replace each other in turn. Change: Policy.ReplicateMargin (1.5) is the hysteresis; the replay applies it. It stays as a guard: the compared victims are already the least valuable adapters.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -92,6 +92,9 @@
 	MinResidence time.Duration
 	// ReplicaValue scales the value of an adapter's copy while it has others, in [0, 1].
 	ReplicaValue float64
+	// ReplicateMargin is how many times the value of its victim a further copy must have, so that
+	// two adapters of similar value do not replace each other in turn.
+	ReplicateMargin float64
 	// Draws is how many engines are compared for a load.
 	Draws int
 }
@@ -106,10 +109,11 @@
 		Load: []Weighted{
 			{VictimWorth{}, 4}, {Load{}, 0.5}, {Distance{}, 0.1},
 		},
-		Picker:       Best{},
-		ReplicateAt:  1,
-		MinResidence: 2 * time.Second,
-		ReplicaValue: 0.1,
-		Draws:        2,
+		Picker:          Best{},
+		ReplicateAt:     1,
+		MinResidence:    2 * time.Second,
+		ReplicaValue:    0.1,
+		ReplicateMargin: 1.5,
+		Draws:           2,
 	}
 }
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -133,6 +133,14 @@
 			_, ok := f.PlaceLoad(req(8), nil, now.Add(time.Hour))
 			So(ok, ShouldBeFalse)
 		})
+		Convey("a further copy must be worth clearly more than its victim", func() {
+			p := Place{Engine: "e0", Victim: ref(0)}
+			f.Requested(ref(8), 12, now)
+			So(f.WorthReplicating(req(8), p, now), ShouldBeFalse)
+			f.Requested(ref(8), 5, now)
+			So(f.WorthReplicating(req(8), p, now), ShouldBeTrue)
+			So(f.WorthReplicating(req(8), Place{Engine: "e0"}, now), ShouldBeTrue)
+		})
 		Convey("with all in use there is no place", func() {
 			for i := range 4 {
 				f.Started("e0", ref(i), now)
--- a/internal/coordination/placement/victim.go
+++ b/internal/coordination/placement/victim.go
@@ -39,9 +39,8 @@
 }
 
 // WorthReplicating reports whether a further copy of the adapter is worth the eviction of the
-// place's victim. The newcomer must exceed the victim by margin (1.5 means half again), so that two
-// adapters of similar value do not replace each other in turn.
-func (f *Fleet) WorthReplicating(r Request, p Place, margin float64, now time.Time) bool {
+// place's victim: it must exceed the victim's value by Policy.ReplicateMargin.
+func (f *Fleet) WorthReplicating(r Request, p Place, now time.Time) bool {
 	e := f.engines[p.Engine]
 	if e == nil {
 		return false
@@ -50,5 +49,5 @@
 	if s == nil {
 		return true
 	}
-	return f.pop.Rate(r.Adapter, now)*f.LoadCost.Seconds() > margin*f.value(s, now)
+	return f.pop.Rate(r.Adapter, now)*f.LoadCost.Seconds() > f.policy.ReplicateMargin*f.value(s, now)
 }
--- a/internal/replay/placed.go
+++ b/internal/replay/placed.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/coordination/loadbudget"
 	"github.com/turmericworks/turmericworks/internal/coordination/placement"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
 )
 
 const (
@@ -184,6 +185,10 @@
 			p.q.Postpone(l.Adapter, now.Add(postpone))
 			continue
 		}
+		if p.resident(l.Adapter) && !p.f.WorthReplicating(p.request(a), place, now) {
+			p.q.Loaded(l.Adapter)
+			continue
+		}
 		p.share.Start(now)
 		e := p.s.engines[engineIndex(place.Engine)]
 		if place.Victim.Name != "" {
@@ -196,6 +201,11 @@
 	p.planWake()
 }
 
+// resident reports whether an engine that takes new work holds the adapter.
+func (p *placed) resident(a adapter.Ref) bool {
+	return p.f.Decide(p.request(p.index[a.Name]), p.s.time()).Action == placement.Dispatch
+}
+
 // planWake calls pump again when the next permit is ready.
 func (p *placed) planWake() {
 	if p.q.Waiting() == 0 {
