loadbudget: divide permits by max-min fairness over the instances

Cause: an instance gave permits only when it had more than its own loads needed, so one with a long tail of cold adapters kept them all and another never loaded. Change: Balance divides the permits that are known to be held by max-min fairness over the demands; the giver keeps its own part. Conclusion: permits follow demand and none is stranded or made.

--- a/internal/coordination/loadbudget/share.go
+++ b/internal/coordination/loadbudget/share.go
@@ -12,6 +12,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/config"
@@ -181,30 +182,50 @@
 // Demand is what an instance tells its peers in heartbeats.
 type Demand struct {
 	Instance string
-	// Waiting is how many loads wait for a permit.
-	Waiting int
+	// Loads is how many loads wait for a permit or hold one.
+	Loads int
 	// Held is how many permits the instance holds.
 	Held int
 }
 
-// Balance returns how many permits this instance should give to which peer: the peer with the most
-// waiting loads per permit, as long as the giver has idle permits that its own loads do not need.
+// Balance returns how many permits this instance should give to which peer. The permits that are
+// known to be held are divided by max-min fairness over the instances' demands, so an instance with
+// many loads cannot keep another one from loading. The giver keeps its own part, and the peer that
+// is furthest below its part gets what the giver can spare. All instances need the same view to
+// agree; with views that differ a permit may move twice, which harms nothing.
 func (s *Share) Balance(own int, peers []Demand) (to string, n int) {
-	spare := len(s.ready) - own
-	if own > 0 && spare <= 0 {
-		return "", 0
-	}
-	var best Demand
-	for _, p := range peers {
-		if p.Instance == s.self || p.Waiting <= p.Held {
-			continue
-		}
-		if best.Instance == "" || p.Waiting*(best.Held+1) > best.Waiting*(p.Held+1) {
-			best = p
+	all := append([]Demand{{Instance: s.self, Loads: own, Held: s.Held()}}, peers...)
+	slices.SortFunc(all, func(a, b Demand) int { return strings.Compare(a.Instance, b.Instance) })
+	part := divide(all)
+	spare, most := 0, 0
+	for i, d := range all {
+		if d.Instance == s.self {
+			spare = min(len(s.ready), d.Held-part[i])
+		} else if short := part[i] - d.Held; short > most {
+			to, most = d.Instance, short
 		}
 	}
-	if best.Instance == "" {
+	if n = min(spare, most); n <= 0 {
 		return "", 0
 	}
-	return best.Instance, min(spare, best.Waiting-best.Held)
+	return to, n
+}
+
+// divide hands out the held permits one at a time to the instances that want more.
+func divide(all []Demand) []int {
+	left, part := 0, make([]int, len(all))
+	for _, d := range all {
+		left += d.Held
+	}
+	for given := true; left > 0 && given; {
+		given = false
+		for i, d := range all {
+			if left > 0 && part[i] < d.Loads {
+				part[i]++
+				left--
+				given = true
+			}
+		}
+	}
+	return part
 }
