placement: report the slope of a decision's cost

Cause: the benchmark gave no figure for growth with the fleet. Change: BenchmarkDecide reports nanoseconds per doubling of the engines.

--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -299,7 +300,11 @@
 	return out
 }()
 
+// BenchmarkDecide measures one decision at both fleet sizes and one between, and reports how many
+// nanoseconds a doubling of the engines adds. The targets are 5 us at the smallest size and 10 us at
+// the largest.
 func BenchmarkDecide(b *testing.B) {
+	base := map[bool]float64{}
 	for _, s := range []struct{ adapters, engines int }{{3000, 18}, {17000, 300}, {93000, 4900}} {
 		for _, miss := range []bool{false, true} {
 			f := testFleet(s.adapters, s.engines, 8, true)
@@ -324,6 +329,12 @@
 						f.PlaceLoad(r, nil, now)
 					}
 				}
+				ns := float64(b.Elapsed().Nanoseconds()) / float64(b.N)
+				if s.engines == 18 {
+					base[miss] = ns
+				} else {
+					b.ReportMetric((ns-base[miss])/math.Log2(float64(s.engines)/18), "ns/doubling")
+				}
 			})
 		}
 	}
