--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -89,6 +90,26 @@
 	})
 }
 
+// TestRoom guards against a full engine nearby being preferred to one with room further away, which
+// left requests waiting without a further copy being loaded.
+func TestRoom(t *testing.T) {
+	Convey("Given a0 on a full engine nearby and on one with room elsewhere", t, func() {
+		f := testFleet(100, 2, 2, false)
+		for _, e := range []string{"e0", "e1"} {
+			f.Report(e, Report{Incarnation: "1", Sequence: 2, SampledAt: t0, Resident: []ReportedSlot{{Adapter: ref(0)}}})
+		}
+		for range 8 {
+			f.Started("e0", ref(0), t0)
+		}
+		for range 7 {
+			f.Started("e1", ref(0), t0)
+		}
+		d := f.Decide(req(0), t0)
+		So(d.Engine, ShouldEqual, "e1")
+		So(d.Full || d.Replicate, ShouldBeFalse)
+	})
+}
+
 // TestVictim guards against evicting an adapter that is in use, awaited, popular or just loaded.
 func TestVictim(t *testing.T) {
 	Convey("Given one engine with four adapters", t, func() {
@@ -113,6 +134,14 @@
 			_, ok := f.PlaceLoad(req(8), nil, now.Add(time.Hour))
 			So(ok, ShouldBeFalse)
 		})
+		Convey("a further copy must be worth clearly more than its victim", func() {
+			p := Place{Engine: "e0", Victim: ref(0)}
+			f.Requested(ref(8), 12, now)
+			So(f.WorthReplicating(req(8), p, now), ShouldBeFalse)
+			f.Requested(ref(8), 5, now)
+			So(f.WorthReplicating(req(8), p, now), ShouldBeTrue)
+			So(f.WorthReplicating(req(8), Place{Engine: "e0"}, now), ShouldBeTrue)
+		})
 		Convey("with all in use there is no place", func() {
 			for i := range 4 {
 				f.Started("e0", ref(i), now)
@@ -271,7 +300,11 @@
 	return out
 }()
 
+// BenchmarkDecide measures one decision at both fleet sizes and one between, and reports how many
+// nanoseconds a doubling of the engines adds. The targets are 5 us at the smallest size and 10 us at
+// the largest.
 func BenchmarkDecide(b *testing.B) {
+	base := map[bool]float64{}
 	for _, s := range []struct{ adapters, engines int }{{3000, 18}, {17000, 300}, {93000, 4900}} {
 		for _, miss := range []bool{false, true} {
 			f := testFleet(s.adapters, s.engines, 8, true)
@@ -296,6 +329,12 @@
 						f.PlaceLoad(r, nil, now)
 					}
 				}
+				ns := float64(b.Elapsed().Nanoseconds()) / float64(b.N)
+				if s.engines == 18 {
+					base[miss] = ns
+				} else {
+					b.ReportMetric((ns-base[miss])/math.Log2(float64(s.engines)/18), "ns/doubling")
+				}
 			})
 		}
 	}
