dispatch: follow placement's interface for further copies

Measured: go test ./internal/transport/... ./internal/daemon pass. Conclusion: one place holds these settings.

--- a/internal/transport/dispatch/loads.go
+++ b/internal/transport/dispatch/loads.go
@@ -37,7 +37,7 @@
 		return p, false
 	}
 	replica := len(s.place.Resident(nil, l.Adapter)) > 0
-	if replica && !s.place.WorthReplicating(r, p, replicateMargin, now) {
+	if replica && !s.place.WorthReplicating(r, p, now) {
 		s.loads.Loaded(l.Adapter)
 		return p, false
 	}
--- a/internal/transport/dispatch/scheduler.go
+++ b/internal/transport/dispatch/scheduler.go
@@ -25,17 +25,12 @@
 	tick = 50 * time.Millisecond
 	// noPlaceDelay is the pause before a load for which no engine has a usable slot is tried again.
 	noPlaceDelay = 100 * time.Millisecond
+	// maxAdapters is how many adapter versions popularity is kept for.
+	maxAdapters = 100_000
 	// defaultMaxBatch is the batch of an engine whose configuration names none.
 	defaultMaxBatch = 32
-	// replicateMargin is how much more valuable a further copy must be than what it replaces.
-	replicateMargin = 1.5
 )
 
-// popularity uses the decay that lost fewest loads in the replay (internal/replay).
-var popularity = placement.PopularityConfig{
-	Adapters: 100_000, Slow: 10 * time.Minute, Fast: 30 * time.Second, FastWeight: 0,
-}
-
 // Loader orders an adapter load on an engine, after the eviction of victim unless that is the zero
 // Ref. It returns when the adapter is resident, or with the reason why it is not.
 type Loader interface {
@@ -105,7 +100,7 @@
 // NewScheduler returns a scheduler without engines.
 func NewScheduler(o SchedulerOptions) *Scheduler {
 	rnd := rand.New(rand.NewPCG(o.Seed, 0))
-	pop := placement.NewPopularity(popularity, time.Now())
+	pop := placement.NewPopularity(placement.DefaultPopularity(maxAdapters), time.Now())
 	return &Scheduler{
 		fleet: o.Fleet, dataCentre: o.DataCentre, loader: o.Loader, budget: o.Budget, publish: o.Publish,
 		ctx: context.Background(), place: placement.New(placement.DefaultPolicy(), pop, rnd), queue: fairqueue.New(o.Queue),
