dispatch: probe ejected engines; daemon: report control state as metrics

Cause: an ejected engine never got the probe that takes it back; what an operator has to watch (lease, members, shares, failures by code) was not visible. Change: a good report reserves the probe, and the next fitting request is it; gauges of the control state and a counter of failures by code.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -208,6 +208,7 @@
 func (c *control) records(entries []record.Entry, next uint64) {
 	c.mu.Lock()
 	now := c.now()
+	var ended []string
 	entries = c.receive(entries)
 	for _, e := range entries {
 		if c.members.Apply(e) {
@@ -215,6 +216,7 @@
 			c.view.SetMembers(now, c.members.List())
 			for _, m := range c.members.EndedList() {
 				c.promises.End(m.Incarnation)
+				ended = append(ended, m.Incarnation)
 			}
 		}
 		c.shares.Apply(now, e)
@@ -232,6 +234,9 @@
 	for _, e := range entries {
 		c.daemon.controlRecord(e)
 	}
+	for _, incarnation := range ended {
+		c.daemon.scheduler.ForgetPeer(incarnation)
+	}
 	c.daemon.actions.observeAll()
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,6 +99,7 @@
 	d.entry = entry.New(entry.Options{
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Record: d.events.record, Registry: d.registry,
 	})
+	d.registry.MustRegister(newCollector(d))
 	return d, nil
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -79,6 +79,8 @@
 	leaving     bool
 	events      []backend.CacheEvent
 	evictedBusy int
+	failing     bool
+	crashes     int
 	life        context.Context
 	end         context.CancelFunc
 }
@@ -115,9 +117,30 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.crashes++
 	e.restart()
 }
 
+// Crashes counts the crashes.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// Resident counts the adapters that are loaded.
+func (e *Engine) Resident() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, loaded := range e.slots {
+		if loaded {
+			n++
+		}
+	}
+	return n
+}
+
 // SetLeaving announces that the engine is about to stop.
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
@@ -125,6 +148,13 @@
 	e.leaving = leaving
 }
 
+// SetFailing makes the engine answer every completion with an internal error, or serve again.
+func (e *Engine) SetFailing(failing bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failing = failing
+}
+
 // EvictedBusy counts evictions of an adapter that was serving a request. It must stay zero.
 func (e *Engine) EvictedBusy() int {
 	e.mu.Lock()
@@ -142,6 +172,9 @@
 func (e *Engine) submit(id string, ref adapter.Ref, p backend.Priority, prompt string, maxTokens int) (*run, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.failing {
+		return nil, &orderError{status: 500, code: "internal"}
+	}
 	if !e.slots[ref] {
 		return nil, &orderError{status: 404, code: "adapter_not_resident"}
 	}
--- a/internal/transport/dispatch/scheduler.go
+++ b/internal/transport/dispatch/scheduler.go
@@ -59,6 +59,7 @@
 	blame   *retry.Blame
 	ejector map[string]*retry.Ejector // by base model
 	down    map[string]bool           // engines whose last report failed
+	probing map[string]bool           // ejected engines that may get one request
 	runs    map[string]string         // engine to incarnation
 	models  map[string]string         // engine to base model
 	waiters map[string]*waiter
@@ -105,7 +106,7 @@
 		fleet: o.Fleet, dataCentre: o.DataCentre, loader: o.Loader, budget: o.Budget, publish: o.Publish,
 		ctx: context.Background(), place: placement.New(placement.DefaultPolicy(), pop, rnd), queue: fairqueue.New(o.Queue),
 		loads: loadbudget.NewQueue(loadbudget.DefaultQueueConfig(), rnd), blame: retry.NewBlame(),
-		ejector: map[string]*retry.Ejector{}, down: map[string]bool{}, runs: map[string]string{},
+		ejector: map[string]*retry.Ejector{}, down: map[string]bool{}, probing: map[string]bool{}, runs: map[string]string{},
 		models: map[string]string{}, waiters: map[string]*waiter{}, waiting: map[adapter.Ref]int{}, queued: make(chan struct{}, 1),
 	}
 }
@@ -184,10 +185,21 @@
 		s.newRun(r.EngineID, r.Status.Incarnation, now)
 		s.place.Report(r.EngineID, placementReport(r.Status))
 	}
+	if e := s.ejector[s.models[r.EngineID]]; r.Err == nil && e != nil && e.Probe(r.EngineID, now) {
+		// The next request that fits goes to the engine; its outcome decides about the return.
+		s.probing[r.EngineID] = true
+	}
 	s.updateEjected(r.EngineID)
 	s.pump(now)
 }
 
+// ForgetPeer drops what is kept about an instance whose membership has ended.
+func (s *Scheduler) ForgetPeer(incarnation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Forget(incarnation)
+}
+
 // newRun notes the incarnation of an engine; another one than before means a crash or a restart.
 func (s *Scheduler) newRun(engine, incarnation string, now time.Time) {
 	old := s.runs[engine]
@@ -214,7 +226,8 @@
 // updateEjected applies ejection to the placement. The caller holds the lock.
 func (s *Scheduler) updateEjected(engine string) {
 	e := s.ejector[s.models[engine]]
-	s.place.SetEjected(engine, s.down[engine] || e != nil && !e.Usable(engine))
+	ejected := e != nil && !e.Usable(engine) && !s.probing[engine]
+	s.place.SetEjected(engine, s.down[engine] || ejected)
 }
 
 // MergeBlame takes over a record about an engine crash from the log.
@@ -373,6 +386,10 @@
 	}
 	run := retry.Crash{Engine: d.Engine, Incarnation: d.Incarnation}
 	s.place.Started(d.Engine, r.Adapter, now)
+	if s.probing[d.Engine] {
+		delete(s.probing, d.Engine)
+		s.updateEjected(d.Engine)
+	}
 	s.blame.Started(r.ID, w.fingerprint, run)
 	var once sync.Once
 	release := func(o Outcome) { once.Do(func() { s.release(r, run, o) }) }
--- a/internal/transport/entry/guard.go
+++ b/internal/transport/entry/guard.go
@@ -66,6 +66,9 @@
 			s.answerError(rec, r, err)
 		}
 		s.metrics.done(kind, rec.status, rec.verdict, r.start)
+		if rec.failure != nil {
+			s.metrics.failures.WithLabelValues(rec.failure.Code).Inc()
+		}
 		s.recordEnd(rec, r, err)
 	}
 }
--- a/internal/transport/entry/metrics.go
+++ b/internal/transport/entry/metrics.go
@@ -9,6 +9,7 @@
 
 type metrics struct {
 	requests   *prometheus.CounterVec
+	failures   *prometheus.CounterVec
 	firstByte  prometheus.Histogram
 	duration   prometheus.Histogram
 	withdrawn  prometheus.Counter
@@ -23,6 +24,9 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "turmeric_requests_total", Help: "Requests of callers by kind, HTTP status and verdict.",
 		}, []string{"kind", "status", "verdict"}),
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "turmeric_failures_total", Help: "Requests that were refused or failed, by error code.",
+		}, []string{"code"}),
 		firstByte: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "turmeric_first_token_seconds", Help: "Time from a request's arrival to the first event of its stream.",
 			Buckets: latencyBuckets,
@@ -38,7 +42,7 @@
 			Name: "turmeric_broken_streams_total", Help: "Streams that ended in an error event.",
 		}),
 	}
-	r.MustRegister(m.requests, m.firstByte, m.duration, m.withdrawn, m.brokenSent)
+	r.MustRegister(m.requests, m.failures, m.firstByte, m.duration, m.withdrawn, m.brokenSent)
 	return m
 }
 
