--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -25,6 +26,7 @@
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/internal/transport/peer"
 	"github.com/turmericworks/turmericworks/internal/transport/platformhttp"
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 )
 
@@ -53,6 +55,7 @@
 	control      *control
 	actions      *actions
 	events       *events
+	secure       *secure
 	peers        *peer.Clients
 	peerServer   *grpc.Server
 	scheduler    *dispatch.Scheduler
@@ -72,7 +75,11 @@
 		log: o.Log.With().Str("instance", o.Settings.Instance).Logger(),
 	}
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	transport := network.HTTPTransport(o.Network)
+	var err error
+	if d.secure, err = newSecure(d.settings.TLS, o.Network); err != nil {
+		return nil, trace.Wrap(err, "reading the certificates")
+	}
+	transport := network.HTTPTransportOver(d.secure.dialPlain, d.secure.dialTLS)
 	d.platformLog = platformhttp.NewLog(d.settings.Platform.LogURL, transport)
 	d.instanceList = platformhttp.NewInstanceList(d.settings.Platform.ListURL, transport)
 	d.fleet = fleet.New(transport, d.engineReported)
@@ -80,9 +87,9 @@
 	d.replica = newReplica(d)
 	d.control = newControl(d)
 	d.actions = newActions(d)
-	d.peers = peer.NewClients(nil, o.Network.Dial, d.control.refused)
+	d.peers = peer.NewClients(d.secure.peerClient, d.secure.dialPeer, d.control.refused)
 	d.control.peers = d.peers
-	d.peerServer = peer.NewServer(nil)
+	d.peerServer = peer.NewServer(d.secure.peers)
 	peerpb.RegisterPeerServer(d.peerServer, &peer.Service{Shares: d.control})
 	d.scheduler = dispatch.NewScheduler(dispatch.SchedulerOptions{
 		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: directLoader{}, Budget: d.control,
@@ -91,6 +98,7 @@
 	d.runner = &runner{Runner: dispatch.New(d.scheduler), daemon: d}
 	d.entry = entry.New(entry.Options{
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Registry: d.registry,
+		MaxBodyMemory: int64(d.settings.Limits.MaxBodyMemoryBytes),
 	})
 	return d, nil
 }
@@ -139,20 +147,34 @@
 const (
 	// headerTimeout is how long a caller may take to send its header.
 	headerTimeout = 5 * time.Second
+	// handshakeTimeout is how long a TLS handshake with a backend server or the platform may take.
+	handshakeTimeout = 2 * time.Second
 	// idleTimeout is how long a caller's connection may be unused.
 	idleTimeout = 60 * time.Second
+	// adminConnections is the largest number of open connections of operators.
+	adminConnections = 256
 )
 
-// listen opens a listener and returns a service that serves it.
-func (d *Daemon) listen(address string, h http.Handler) (suture.Service, error) {
+// listen opens a listener for at most limit connections and returns a service that serves it. Further
+// connections wait in the operating system's queue. Without a TLS configuration it speaks plain text.
+func (d *Daemon) listen(address string, conf *tls.Config, limit int, h http.Handler) (suture.Service, error) {
 	l, err := d.opts.Network.Listen(address)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", address)
 	}
+	l = netutil.LimitListener(l, limit)
+	if conf != nil {
+		l = tls.NewListener(l, conf)
+	}
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes,
+		// "OPTIONS *" gets the handler's answer, with a verdict, like every other request.
+		DisableGeneralOptionsHandler: true,
+		// With HTTP/2 one connection could carry hundreds of requests, which max_connections does not bound.
+		Protocols: &http.Protocols{},
 	}
+	s.Protocols.SetHTTP1(true)
 	d.servers = append(d.servers, s)
 	return &httpService{server: s, listener: l}, nil
 }
@@ -207,7 +229,7 @@
 // Run serves until the context ends, which is an unplanned stop, or until a drain has finished.
 func (d *Daemon) Run(ctx context.Context, drain <-chan struct{}) error {
 	supervisor := suture.New("instance", suture.Spec{EventHook: d.supervisorEvent})
-	callers, err := d.listen(d.settings.Listen.Callers, d.entry.Handler())
+	callers, err := d.listen(d.settings.Listen.Callers, d.secure.callers, d.settings.Limits.MaxConnections, d.entry.Handler())
 	if err != nil {
 		return err
 	}
@@ -215,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	admin, err := d.listen(d.settings.Listen.Admin, d.adminHandler())
+	admin, err := d.listen(d.settings.Listen.Admin, d.secure.admin, adminConnections, d.adminHandler())
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,7 +24,7 @@
 
 // call sends one request to an instance.
 func (f *testFleet) call(i int, method, path, body string, header http.Header) (reply, error) {
-	req, err := http.NewRequest(method, "http://"+f.instances[i].address+path, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequest(method, scheme(f.authority)+f.instances[i].address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return reply{}, err
 	}
@@ -51,7 +52,16 @@
 	return f.call(i, http.MethodPost, "/v1/completions", `{"model":"summary","prompt":"x","max_tokens":2}`, nil)
 }
 
-func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+// newKey returns a UUIDv7 of the virtual time. uuid.NewV7 never goes back in time within a process, and
+// each bubble begins in the year 2000, so that after a test of an hour its keys are from the future.
+func newKey() string {
+	u := uuid.New()
+	var ms [8]byte
+	binary.BigEndian.PutUint64(ms[:], uint64(time.Now().UnixMilli()))
+	copy(u[:6], ms[2:])
+	u[6] = 0x70 | u[6]&0x0f
+	return u.String()
+}
 
 // Guards against a lot that is logged twice when its caller sends it again through any instance, also
 // while the log's answers are lost.
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/openai/openai-go/v3/option"
 	"github.com/rs/zerolog"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/standin/authority"
 	"github.com/turmericworks/turmericworks/internal/standin/engine"
 	"github.com/turmericworks/turmericworks/internal/standin/memnet"
 	"github.com/turmericworks/turmericworks/internal/standin/stack"
@@ -22,6 +23,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/keys"
 	"github.com/turmericworks/turmericworks/internal/state/record"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
+	"github.com/turmericworks/turmericworks/internal/transport/tlsconf"
 )
 
 // testFleet is several instances over stand-ins, in virtual time and in memory.
@@ -35,6 +37,7 @@
 	instances []*testInstance
 	mu        sync.Mutex
 	headers   []http.Header
+	authority *authority.Authority
 }
 
 type testInstance struct {
@@ -80,6 +83,7 @@
 	if change != nil {
 		change(&o)
 	}
+	f.authority = o.Authority
 	s, err := stack.Start(f.net.Host("platform"), o)
 	if err != nil {
 		t.Fatal(err)
@@ -124,12 +128,12 @@
 			"status": {Workspace: "racks", Service: "lots"},
 		},
 		BackendServers: map[string]config.BackendServer{
-			"lots-1": {Kind: config.KindService, URL: "http://" + o.ServiceAddress, DataCentre: "dc1", Service: "lots"},
+			"lots-1": {Kind: config.KindService, URL: scheme(o.Authority) + o.ServiceAddress, DataCentre: "dc1", Service: "lots"},
 		},
 	}
 	for i, address := range o.EngineAddresses {
 		d.BackendServers[fmt.Sprintf("engine-%d", i+1)] = config.BackendServer{
-			Kind: config.KindEngine, URL: "http://" + address, DataCentre: "dc1", BaseModel: "base", Slots: o.Engine.Slots,
+			Kind: config.KindEngine, URL: scheme(o.Authority) + address, DataCentre: "dc1", BaseModel: "base", Slots: o.Engine.Slots,
 			ChecksFence: o.Engine.ChecksFence, EvictsOnlyIdle: true,
 		}
 	}
@@ -176,8 +180,9 @@
 	s.Instance, s.DataCentre = name, "dc1"
 	s.Listen = Listen{Callers: name + ":1", Peers: name + ":2", Admin: name + ":3"}
 	s.PeerAddress = s.Listen.Peers
-	s.Platform = PlatformSettings{LogURL: "http://log:1", ListURL: "http://list:1", RetentionSeconds: 24 * 3600}
-	s.TLS.PlainText = true
+	s.Platform = PlatformSettings{LogURL: scheme(f.authority) + "log:1", ListURL: scheme(f.authority) + "list:1", RetentionSeconds: 24 * 3600}
+	s.TLS = f.tlsSettings(name)
+	s.Limits.MaxConnections, s.Limits.MaxBodyMemoryBytes = 64, 16<<20
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{name: name, address: s.Listen.Callers, drain: make(chan struct{}), stop: stop, done: make(chan struct{})}
 	var err error
@@ -247,15 +252,47 @@
 
 // httpClient returns a client on a host of its own.
 func (f *testFleet) httpClient() *http.Client {
-	transport := network.HTTPTransport(f.net.Host("caller"))
+	return &http.Client{Transport: f.transport("caller")}
+}
+
+// transport returns an HTTP transport on the named host that trusts the fleet's authority.
+func (f *testFleet) transport(host string) *http.Transport {
+	transport := network.HTTPTransport(f.net.Host(host))
+	if f.authority != nil {
+		pool, err := tlsconf.LoadPool(f.authority.CAFile())
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		transport.TLSClientConfig, _ = pool.Client()
+	}
 	f.t.Cleanup(transport.CloseIdleConnections)
-	return &http.Client{Transport: transport}
+	return transport
+}
+
+func scheme(a *authority.Authority) string {
+	if a != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+// tlsSettings issues an instance's certificate, when the fleet has an authority.
+func (f *testFleet) tlsSettings(name string) TLSSettings {
+	if f.authority == nil {
+		return TLSSettings{PlainText: true}
+	}
+	certFile, keyFile, err := f.authority.Issue(name, name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	pair, ca := KeyPair{CertFile: certFile, KeyFile: keyFile}, f.authority.CAFile()
+	return TLSSettings{Callers: pair, Admin: pair, Peers: pair, PeerCAFile: ca, BackendCAFile: ca}
 }
 
 // openAI returns the official client, pointed at one instance.
 func (f *testFleet) openAI(i int, secret string) openai.Client {
 	return openai.NewClient(
-		option.WithBaseURL("http://"+f.instances[i].address+"/v1/"), option.WithAPIKey(secret),
+		option.WithBaseURL(scheme(f.authority)+f.instances[i].address+"/v1/"), option.WithAPIKey(secret),
 		option.WithHTTPClient(f.httpClient()), option.WithMaxRetries(0),
 	)
 }
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -11,14 +11,11 @@
 	"github.com/openai/openai-go/v3"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
-	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/internal/transport/platformhttp"
 )
 
 func (f *testFleet) platformLog(host string) platform.Log {
-	transport := network.HTTPTransport(f.net.Host(host))
-	f.t.Cleanup(transport.CloseIdleConnections)
-	return platformhttp.NewLog("http://log:1", transport)
+	return platformhttp.NewLog(scheme(f.authority)+"log:1", f.transport(host))
 }
 
 func prompt(model string) openai.ChatCompletionNewParams {
--- /dev/null
+++ b/internal/daemon/secure_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/standin/authority"
+	"github.com/turmericworks/turmericworks/internal/standin/stack"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
+)
+
+// Guards against a listener or a client of the instance that does not use the certificates of the
+// settings, and against plain text to an address that is not loopback.
+func TestFleetOverTLS(t *testing.T) {
+	dir := t.TempDir()
+	runFleet(t, 2, func(o *stack.Options) { o.Authority, _ = authority.New(dir, "fleet") }, func(f *testFleet) {
+		Convey("Callers, peers, backend servers and the platform are reached over TLS only", t, func() {
+			for i := range f.instances {
+				r, err := f.complete(i)
+				So(err, ShouldBeNil)
+				So(r.status, ShouldEqual, http.StatusOK)
+				lot, err := f.logLot(i, newKey(), "lot")
+				So(err, ShouldBeNil)
+				So(lot.verdict, ShouldEqual, "ran")
+			}
+			f.stack.Log.SetDown(true)
+			time.Sleep(10 * time.Second)
+			// Without the log the lease depends on the peers' answers.
+			r, err := f.complete(0)
+			So(err, ShouldBeNil)
+			So(r.status, ShouldEqual, http.StatusOK)
+			for _, address := range []string{f.instances[0].settings.Listen.Callers, f.instances[0].settings.Listen.Admin} {
+				plain := network.HTTPTransport(f.net.Host("caller"))
+				resp, err := (&http.Client{Transport: plain}).Get("http://" + address + "/healthz")
+				So(err, ShouldBeNil)
+				So(resp.StatusCode, ShouldEqual, http.StatusBadRequest)
+				So(resp.Body.Close(), ShouldBeNil)
+				plain.CloseIdleConnections()
+			}
+			_, err = f.instances[0].secure.dialPlain(context.Background(), "instance2:2")
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
+
+// Guards against settings that send configuration or keys in plain text over a network.
+func TestPlainTextIsRefusedOutsideLoopback(t *testing.T) {
+	Convey("Every address outside loopback needs a certificate, https or plain_text", t, func() {
+		const rest = `"instance":"a","data_centre":"b","platform":{"log_url":"http://10.0.0.1:1","list_url":"http://[::1]"},"listen":{"callers":"10.0.0.2:1"}`
+		_, err := ParseSettings([]byte("{" + rest + "}"))
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "/listen/callers")
+		So(err.Error(), ShouldContainSubstring, "/platform/log_url")
+		So(err.Error(), ShouldNotContainSubstring, "/platform/list_url")
+		_, err = ParseSettings([]byte("{" + rest + `,"tls":{"plain_text":true}}`))
+		So(err, ShouldBeNil)
+	})
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -3,6 +3,8 @@
 import (
 	_ "embed"
 	"encoding/json"
+	"net"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -97,6 +99,10 @@
 	MaxConnections int `json:"max_connections,omitempty"`
 	// MaxHeaderBytes is the largest request header. Default: 32768. Unit: bytes.
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
+	// MaxBodyMemoryBytes is the largest number of bytes of request bodies in memory, counted as they
+	// arrive; a request past it is refused with 503 and not-run. Parsing holds copies, so allow about
+	// three times as much memory. Default: 268435456. Unit: bytes.
+	MaxBodyMemoryBytes int `json:"max_body_memory_bytes,omitempty"`
 	// QueuedRequests is the largest number of requests that wait for an engine. Default: 10000.
 	QueuedRequests int `json:"queued_requests,omitempty"`
 	// DrainSeconds is how long a planned stop waits for requests in flight. Default: 330, the
@@ -116,7 +122,7 @@
 		Platform: PlatformSettings{
 			LogURL: "http://127.0.0.1:8090", ListURL: "http://127.0.0.1:8091", RetentionSeconds: 7 * 24 * 3600,
 		},
-		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, QueuedRequests: 10_000, DrainSeconds: 330},
+		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, MaxBodyMemoryBytes: 256 << 20, QueuedRequests: 10_000, DrainSeconds: 330},
 		LogLevel: "info",
 	}
 }
@@ -153,6 +159,13 @@
 			p = append(p, config.Problem{Path: l.path, Message: "needs a certificate under /tls, or /tls/plain_text, since it is not a loopback address"})
 		}
 	}
+	for _, u := range []struct{ path, url string }{
+		{"/platform/log_url", s.Platform.LogURL}, {"/platform/list_url", s.Platform.ListURL},
+	} {
+		if address, plain := strings.CutPrefix(u.url, "http://"); plain && !s.TLS.PlainText && !isLoopback(withPort(address)) {
+			p = append(p, config.Problem{Path: u.path, Message: "needs https, or /tls/plain_text, since it is not a loopback address"})
+		}
+	}
 	if s.TLS.Peers != (KeyPair{}) && s.TLS.PeerCAFile == "" {
 		p = append(p, config.Problem{Path: "/tls/peer_ca_file", Message: "is missing: instances check each other's certificates"})
 	}
@@ -161,3 +174,11 @@
 	}
 	return nil
 }
+
+// withPort adds a port to an address that has none.
+func withPort(address string) string {
+	if _, _, err := net.SplitHostPort(address); err == nil {
+		return address
+	}
+	return net.JoinHostPort(strings.Trim(address, "[]"), "80")
+}
--- a/internal/protocol/backend/backend.go
+++ b/internal/protocol/backend/backend.go
@@ -120,8 +120,9 @@
 
 // ServiceRequest is one call of a plain service.
 type ServiceRequest struct {
-	ID          string
-	Method      string
+	ID     string
+	Method string
+	// Path begins with a slash and is not escaped.
 	Path        string
 	Query       string
 	Header      http.Header
--- a/internal/protocol/openai/openai.go
+++ b/internal/protocol/openai/openai.go
@@ -23,15 +23,25 @@
 // bytesPerToken estimates prompt tokens from bytes; the engine's usage settles the difference.
 const bytesPerToken = 4
 
+const (
+	// maxOutputTokens and maxChoices bound the fields that multiply into the reserved tokens, so that
+	// the product cannot overflow.
+	maxOutputTokens = 1 << 20
+	maxChoices      = 128
+)
+
 // Request holds the fields of a completion request that decide admission and routing.
 type Request struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	MaxTokens           int             `json:"max_tokens"`
-	MaxCompletionTokens int             `json:"max_completion_tokens"`
-	N                   int             `json:"n"`
-	Messages            json.RawMessage `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
+	Model               string
+	Stream              bool
+	MaxTokens           int
+	MaxCompletionTokens int
+	// N and BestOf are how many answers are generated for each prompt.
+	N        int
+	BestOf   int
+	Messages json.RawMessage
+	// Prompt is a string, an array of tokens, or an array of prompts.
+	Prompt json.RawMessage
 }
 
 // Parse reads a body of at most MaxBodyBytes. It refuses trailing data and deep nesting.
@@ -43,19 +53,68 @@
 	if depth(body) > MaxDepth {
 		return r, trace.BadParameter("the body is nested deeper than %d levels", MaxDepth)
 	}
-	if err := json.Unmarshal(body, &r); err != nil {
-		return r, trace.BadParameter("the body is not a completion request: %v", err)
+	if err := r.decode(body); err != nil {
+		return r, err
+	}
+	return r, r.check()
+}
+
+// decode reads the fields by their exact names. Decoding into a struct would also take MAX_TOKENS for
+// max_tokens, so that a request could reserve less than the engine then generates.
+func (r *Request) decode(body []byte) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
+		return trace.BadParameter("the body is not a JSON object")
+	}
+	for _, f := range []struct {
+		name string
+		to   any
+	}{
+		{"model", &r.Model}, {"stream", &r.Stream}, {"max_tokens", &r.MaxTokens},
+		{"max_completion_tokens", &r.MaxCompletionTokens}, {"n", &r.N}, {"best_of", &r.BestOf},
+		{"messages", &r.Messages}, {"prompt", &r.Prompt},
+	} {
+		raw := fields[f.name]
+		if raw == nil || string(raw) == "null" {
+			continue
+		}
+		if err := json.Unmarshal(raw, f.to); err != nil {
+			return trace.BadParameter("the field %s has the wrong type", f.name)
+		}
 	}
-	if r.Model == "" {
-		return r, trace.BadParameter("the field model is missing")
+	return nil
+}
+
+func (r *Request) check() error {
+	switch {
+	case r.Model == "":
+		return trace.BadParameter("the field model is missing")
+	case len(r.Messages) == 0 && len(r.Prompt) == 0:
+		return trace.BadParameter("neither messages nor prompt is present")
+	case len(r.Messages) > 0 && r.Messages[0] != '[':
+		return trace.BadParameter("the field messages has the wrong type")
+	case len(r.Prompt) > 0 && r.Prompt[0] != '[' && r.Prompt[0] != '"':
+		return trace.BadParameter("the field prompt has the wrong type")
+	case min(r.MaxTokens, r.MaxCompletionTokens, r.N, r.BestOf) < 0:
+		return trace.BadParameter("max_tokens, max_completion_tokens, n and best_of must not be negative")
+	case max(r.MaxTokens, r.MaxCompletionTokens) > maxOutputTokens:
+		return trace.BadParameter("max_tokens and max_completion_tokens must not exceed %d", maxOutputTokens)
+	case max(r.N, r.BestOf) > maxChoices:
+		return trace.BadParameter("n and best_of must not exceed %d", maxChoices)
 	}
-	if len(r.Messages) == 0 && len(r.Prompt) == 0 {
-		return r, trace.BadParameter("neither messages nor prompt is present")
+	return nil
+}
+
+// prompts returns how many prompts the request holds: an array of numbers is one prompt in tokens.
+func (r Request) prompts() int {
+	var list []json.RawMessage
+	if err := json.Unmarshal(r.Prompt, &list); err != nil || len(list) == 0 {
+		return 1
 	}
-	if r.MaxTokens < 0 || r.MaxCompletionTokens < 0 || r.N < 0 {
-		return r, trace.BadParameter("max_tokens, max_completion_tokens and n must not be negative")
+	if first := list[0][0]; first == '"' || first == '[' {
+		return len(list)
 	}
-	return r, nil
+	return 1
 }
 
 // depth returns the deepest nesting of valid JSON.
@@ -83,14 +142,12 @@
 
 // ReservedTokens is the most that the request can use: the estimated prompt and the largest output.
 func (r Request) ReservedTokens() int {
-	out := r.MaxCompletionTokens
-	if out == 0 {
-		out = r.MaxTokens
-	}
+	out := max(r.MaxCompletionTokens, r.MaxTokens)
 	if out == 0 {
 		out = defaultMaxTokens
 	}
-	return (len(r.Messages)+len(r.Prompt))/bytesPerToken + 1 + out*max(r.N, 1)
+	answers := max(r.N, r.BestOf, 1) * r.prompts()
+	return (len(r.Messages)+len(r.Prompt))/bytesPerToken + 1 + out*answers
 }
 
 // SetModel returns the body with its model replaced.
@@ -99,6 +156,9 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if fields == nil {
+		return nil, trace.BadParameter("the body is not a JSON object")
+	}
 	name, err := json.Marshal(model)
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -132,6 +132,13 @@
 	return e.evictedBusy
 }
 
+// Running counts the requests that run now.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 // wake tells the readers of a run that it changed. The caller holds the engine's lock.
 func (r *run) wake() {
 	close(r.changed)
--- a/internal/standin/stack/stack.go
+++ b/internal/standin/stack/stack.go
@@ -3,17 +3,21 @@
 package stack
 
 import (
+	"crypto/tls"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/standin/authority"
 	"github.com/turmericworks/turmericworks/internal/standin/engine"
 	"github.com/turmericworks/turmericworks/internal/standin/instancelist"
 	"github.com/turmericworks/turmericworks/internal/standin/logservice"
 	"github.com/turmericworks/turmericworks/internal/standin/service"
 	"github.com/turmericworks/turmericworks/internal/standin/weightstore"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
+	"github.com/turmericworks/turmericworks/internal/transport/tlsconf"
 )
 
 // Options are the addresses and properties of a stack.
@@ -38,6 +42,8 @@
 	Instances []platform.Instance
 	// SeeEngineHeader is called with the header of each request to an engine; it may be nil.
 	SeeEngineHeader func(http.Header)
+	// Authority issues the certificates of all listeners; nil means plain text.
+	Authority *authority.Authority
 }
 
 // Stack is a running set of stand-ins.
@@ -71,7 +77,7 @@
 		if address == "" {
 			continue
 		}
-		if err := s.serve(n, address, h); err != nil {
+		if err := s.serve(n, address, o.Authority, h); err != nil {
 			s.Close()
 			return nil, err
 		}
@@ -79,11 +85,18 @@
 	return s, nil
 }
 
-func (s *Stack) serve(n network.Network, address string, h http.Handler) error {
+func (s *Stack) serve(n network.Network, address string, a *authority.Authority, h http.Handler) error {
 	l, err := n.Listen(address)
 	if err != nil {
 		return trace.Wrap(err, "listening on %s", address)
 	}
+	if a != nil {
+		conf, err := certificate(a, address)
+		if err != nil {
+			return err
+		}
+		l = tls.NewListener(l, conf)
+	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	s.servers = append(s.servers, server)
 	go func() {
@@ -93,6 +106,23 @@
 	return nil
 }
 
+// certificate issues the certificate of a listener.
+func certificate(a *authority.Authority, address string) (*tls.Config, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	certFile, keyFile, err := a.Issue(host, host)
+	if err != nil {
+		return nil, err
+	}
+	pair, err := tlsconf.LoadPair(certFile, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	return pair.Server(), nil
+}
+
 // Close stops all stand-ins at once.
 func (s *Stack) Close() {
 	for _, server := range s.servers {
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -142,7 +142,12 @@
 	if err != nil {
 		return backend.Answer{}, err
 	}
-	answer, err := place.Engine.Client.Complete(ctx, request(c))
+	attempt := request(c)
+	answer, err := place.Engine.Client.Complete(ctx, attempt)
+	if err != nil && ctx.Err() != nil {
+		// Nobody waits for the answer any more.
+		cancelRequest(ctx, place.Engine, attempt.ID)
+	}
 	if err == nil && answer.Adapter != c.Adapter {
 		err = errWrongAdapter
 	}
@@ -166,3 +171,11 @@
 
 // cancelTimeout bounds the call that tells an engine to stop a request.
 const cancelTimeout = 2 * time.Second
+
+// cancelRequest tells an engine to stop a request. An engine that cannot be reached ends the request by
+// itself when its reader has left.
+func cancelRequest(ctx context.Context, e *fleet.Engine, id string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	_ = e.Client.Cancel(ctx, id)
+}
--- a/internal/transport/dispatch/stream.go
+++ b/internal/transport/dispatch/stream.go
@@ -144,10 +144,7 @@
 	defer s.cancel()
 	err := s.reader.Close()
 	if s.held {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
-		defer cancel()
-		// An engine that cannot be reached ends the request by itself when its reader has left.
-		_ = s.place.Engine.Client.Cancel(ctx, s.request.ID)
+		cancelRequest(s.ctx, s.place.Engine, s.request.ID)
 		s.release(nil)
 	}
 	return err
--- a/internal/transport/enginehttp/enginehttp.go
+++ b/internal/transport/enginehttp/enginehttp.go
@@ -120,14 +120,34 @@
 	if resp.StatusCode != http.StatusOK {
 		return backend.Answer{}, refused(resp, body)
 	}
+	return decodeAnswer(body)
+}
+
+// decodeAnswer reads the body of an answer with status 200.
+func decodeAnswer(body []byte) (backend.Answer, error) {
 	var b struct {
 		Model string        `json:"model"`
 		Usage backend.Usage `json:"usage"`
 	}
-	if err := json.Unmarshal(body, &b); err != nil {
+	err := json.Unmarshal(body, &b)
+	if err == nil {
+		err = checkUsage(b.Usage)
+	}
+	if err != nil {
 		return backend.Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_invalid", "the engine's answer is not valid")
 	}
-	return backend.Answer{Adapter: adapter.Parse(b.Model), Status: resp.StatusCode, Body: body, Usage: b.Usage}, nil
+	return backend.Answer{Adapter: adapter.Parse(b.Model), Status: http.StatusOK, Body: body, Usage: b.Usage}, nil
+}
+
+// maxUsage is more tokens than any request can use. A larger or negative number would distort the
+// workspace's share of the queue.
+const maxUsage = 1 << 31
+
+func checkUsage(u backend.Usage) error {
+	if min(u.PromptTokens, u.CompletionTokens, u.TotalTokens) < 0 || max(u.PromptTokens, u.CompletionTokens, u.TotalTokens) > maxUsage {
+		return trace.BadParameter("the usage is out of range")
+	}
+	return nil
 }
 
 // Stream implements backend.Engine.
--- a/internal/transport/enginehttp/reader.go
+++ b/internal/transport/enginehttp/reader.go
@@ -73,6 +73,9 @@
 	if err == nil {
 		err = json.Unmarshal([]byte(event.Data), &b)
 	}
+	if err == nil && b.Usage != nil {
+		err = checkUsage(*b.Usage)
+	}
 	if err != nil {
 		return backend.Chunk{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_invalid", "an event of the engine's stream is not valid")
 	}
--- a/internal/transport/entry/auth.go
+++ b/internal/transport/entry/auth.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/turmericworks/turmericworks/internal/state/config"
@@ -31,10 +32,11 @@
 		return caller{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "duplicate_authorization",
 			"the request has more than one Authorization header")
 	}
-	secret, ok := strings.CutPrefix(values[0], bearer)
-	if !ok {
+	// The scheme's name does not depend on case (RFC 9110).
+	if len(values[0]) < len(bearer) || !strings.EqualFold(values[0][:len(bearer)], bearer) {
 		return caller{}, errBadKey
 	}
+	secret := values[0][len(bearer):]
 	id, stored, ok := view.Authenticate(secret)
 	if !ok {
 		return caller{}, errBadKey
@@ -67,7 +69,8 @@
 	if c.secret == "" {
 		return false
 	}
-	if strings.Contains(r.URL.Path, c.secret) || strings.Contains(r.URL.RawQuery, c.secret) {
+	query, err := url.QueryUnescape(r.URL.RawQuery)
+	if err != nil || strings.Contains(r.URL.Path, c.secret) || strings.Contains(query, c.secret) {
 		return true
 	}
 	for name, values := range r.Header {
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -15,12 +15,9 @@
 // AdapterHeader names the adapter version that a request ran on.
 const AdapterHeader = "Turmeric-Adapter"
 
-// eventWriteTimeout is how long a caller may take to accept one event of a stream.
-const eventWriteTimeout = 10 * time.Second
-
 // completions serves /v1/chat/completions and /v1/completions.
 func (s *Server) completions(w *recorder, r *request) error {
-	body, err := readBody(w, r)
+	body, err := s.readBody(w, r)
 	if err != nil {
 		return err
 	}
@@ -68,7 +65,7 @@
 	return Call{
 		RequestID: r.id, Workspace: a.Workspace, Adapter: ref, BaseModel: a.BaseModel, Class: a.Class,
 		Worth: a.Worth, Path: r.URL.Path, Body: body, Tokens: parsed.ReservedTokens(),
-		Deadline: r.start.Add(a.Deadline()), TraceParent: r.Header.Get("Traceparent"),
+		Deadline: r.start.Add(a.Deadline()), TraceParent: traceParent(r.Header),
 	}, nil
 }
 
@@ -131,10 +128,8 @@
 	}
 }
 
-// writeEvent writes one server-sent event within eventWriteTimeout.
+// writeEvent writes one server-sent event.
 func writeEvent(w *recorder, data []byte) error {
-	control := http.NewResponseController(w.ResponseWriter)
-	_ = control.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
 	buf := make([]byte, 0, len(data)+8)
 	buf = append(buf, "data: "...)
 	buf = append(buf, data...)
@@ -142,7 +137,7 @@
 	if _, err := w.Write(buf); err != nil {
 		return err
 	}
-	return control.Flush()
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
 // models lists the adapters that the caller may use, with each version by its full name.
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -66,6 +66,8 @@
 	Ready func() error
 	// Registry collects the server's metrics.
 	Registry *prometheus.Registry
+	// MaxBodyMemory bounds the bytes of all request bodies in memory.
+	MaxBodyMemory int64
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -73,11 +75,12 @@
 	opts    Options
 	calls   *inFlight
 	metrics *metrics
+	bodies  bodyBudget
 }
 
 // New returns a server.
 func New(o Options) *Server {
-	return &Server{opts: o, calls: newInFlight(), metrics: newMetrics(o.Registry)}
+	return &Server{opts: o, calls: newInFlight(), metrics: newMetrics(o.Registry), bodies: bodyBudget{limit: o.MaxBodyMemory}}
 }
 
 // ConfigChanged stops the requests in flight of keys that are no longer in the configuration.
@@ -105,14 +108,27 @@
 	mux.HandleFunc("POST /v1/completions", s.guard("completions", s.completions))
 	mux.HandleFunc("GET /v1/models", s.guard("models", s.models))
 	mux.HandleFunc("GET /v1/models/{model}", s.guard("models", s.model))
-	mux.HandleFunc("/services/{route}/{rest...}", s.guard("services", s.service))
+	for _, method := range []string{"GET", "POST", "PUT", "PATCH", "DELETE"} {
+		mux.HandleFunc(method+" /services/{route}/{rest...}", s.guard("services", s.service))
+		mux.HandleFunc(method+" /services/{route}", s.guard("services", s.service))
+	}
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok\n") })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.opts.Registry, promhttp.HandlerOpts{}))
+	for path, allowed := range map[string]string{
+		"/v1/chat/completions": "POST", "/v1/completions": "POST", "/v1/models": "GET, HEAD", "/v1/models/{model}": "GET, HEAD",
+		"/services/{route}": serviceMethods, "/services/{route}/{rest...}": serviceMethods,
+		"/healthz": "GET, HEAD", "/readyz": "GET, HEAD", "/metrics": "GET, HEAD",
+	} {
+		mux.HandleFunc(path, s.guard("unknown", methodNotAllowed(allowed)))
+	}
 	mux.HandleFunc("/", s.guard("unknown", notFound))
-	return mux
+	return s.checked(mux)
 }
 
+// serviceMethods are the methods that plain services get.
+const serviceMethods = "GET, HEAD, POST, PUT, PATCH, DELETE"
+
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if err := s.opts.Ready(); err != nil {
 		writeText(w, http.StatusServiceUnavailable, err.Error()+"\n")
--- a/internal/transport/entry/guard.go
+++ b/internal/transport/entry/guard.go
@@ -18,6 +18,12 @@
 // bodyTimeout is how long a caller may take to send its body.
 const bodyTimeout = 30 * time.Second
 
+const (
+	// writeTimeout is how long a caller may take to accept writeChunk bytes of its answer.
+	writeTimeout = 10 * time.Second
+	writeChunk   = 64 << 10
+)
+
 // request is one request in the server, with what the guard found out.
 type request struct {
 	*http.Request
@@ -25,6 +31,8 @@
 	start  time.Time
 	caller caller
 	view   *config.View
+	// held is how many bytes of its body the request holds in memory.
+	held int64
 }
 
 // handler serves one request. An error that it returns is written as the answer, unless a stream has
@@ -46,6 +54,20 @@
 	r.ResponseWriter.WriteHeader(status)
 }
 
+// Write implements io.Writer. Each writeChunk bytes must be accepted within writeTimeout.
+func (r *recorder) Write(p []byte) (int, error) {
+	control := http.NewResponseController(r.ResponseWriter)
+	written := 0
+	for {
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := r.ResponseWriter.Write(p[written:min(written+writeChunk, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // Unwrap serves http.ResponseController.
 func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
 
@@ -56,6 +78,7 @@
 		rec := &recorder{ResponseWriter: w}
 		r := &request{Request: hr, id: uuid.NewString(), start: time.Now()}
 		rec.Header().Set("X-Request-Id", r.id)
+		defer func() { s.bodies.used.Add(-r.held) }()
 		err := s.serve(rec, r, h)
 		if err != nil {
 			s.answerError(rec, r, err)
@@ -116,32 +139,39 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int((e.RetryAfter+time.Second-1)/time.Second)))
 	}
-	if e.Status == http.StatusUnauthorized || e.Status == http.StatusServiceUnavailable || e.Status == http.StatusRequestEntityTooLarge {
+	switch e.Status {
+	case http.StatusUnauthorized, http.StatusServiceUnavailable, http.StatusRequestEntityTooLarge, http.StatusRequestTimeout:
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(e.Status)
 	_, _ = w.Write(openai.EncodeError(e))
 }
 
+var errBodyTooLarge = verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
+	"the body is larger than "+strconv.Itoa(openai.MaxBodyBytes)+" bytes")
+
 // readBody reads a bounded body within bodyTimeout.
-func readBody(w *recorder, r *request) ([]byte, error) {
-	control := http.NewResponseController(w.ResponseWriter)
-	// Connections without deadlines cannot be slowed down by their peer either.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+func (s *Server) readBody(w *recorder, r *request) ([]byte, error) {
+	if r.ContentLength > openai.MaxBodyBytes {
+		return nil, errBodyTooLarge
+	}
 	limited := http.MaxBytesReader(w.ResponseWriter, r.Body, openai.MaxBodyBytes)
-	body, err := io.ReadAll(limited)
-	// A deadline that stays set would end the request's context when it passes.
-	_ = control.SetReadDeadline(time.Time{})
+	body, err := io.ReadAll(&budgetReader{Reader: limited, budget: &s.bodies, held: &r.held})
+	if err == nil {
+		// A deadline that stays set would end the request's context when it passes.
+		_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
+	case errors.Is(err, errOverloaded):
+		return nil, errOverloaded
 	case err == nil && r.caller.leaksIn(body):
 		return nil, errKeyInRequest
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
-		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
-			"the body is larger than "+strconv.Itoa(openai.MaxBodyBytes)+" bytes")
+		return nil, errBodyTooLarge
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusRequestTimeout, "body_timeout", "the body did not arrive in time")
 	default:
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"path"
 
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
@@ -25,10 +24,11 @@
 		}
 		return verdict.New(verdict.NotRun, http.StatusNotFound, "route_not_found", "the route does not exist in this workspace")
 	}
-	if len(r.Header.Values(IdempotencyKeyHeader)) > 1 {
-		return verdict.New(verdict.NotRun, http.StatusBadRequest, "duplicate_idempotency_key", "the request has more than one Idempotency-Key header")
+	if len(r.Header.Values(IdempotencyKeyHeader)) > 1 || len(r.Header.Values(KeyCreatedHeader)) > 1 {
+		return verdict.New(verdict.NotRun, http.StatusBadRequest, "duplicate_idempotency_key",
+			"the request has more than one Idempotency-Key or Idempotency-Key-Created header")
 	}
-	body, err := readBody(w, r)
+	body, err := s.readBody(w, r)
 	if err != nil {
 		return err
 	}
@@ -36,8 +36,8 @@
 		RequestID: r.id, Workspace: route.Workspace, RouteName: name, Route: *route,
 		IdempotencyKey: r.Header.Get(IdempotencyKeyHeader), KeyCreated: r.Header.Get(KeyCreatedHeader),
 		Request: backend.ServiceRequest{
-			ID: r.id, Method: r.Method, Path: path.Clean("/" + r.PathValue("rest")), Query: r.URL.RawQuery,
-			Header: r.Header, Body: body, TraceParent: r.Header.Get("Traceparent"),
+			ID: r.id, Method: r.Method, Path: "/" + r.PathValue("rest"), Query: r.URL.RawQuery,
+			Header: r.Header, Body: body, TraceParent: traceParent(r.Header),
 		},
 		Deadline: r.start.Add(route.Deadline()),
 	})
--- a/internal/transport/network/network.go
+++ b/internal/transport/network/network.go
@@ -68,12 +68,24 @@
 // idleConnTimeout is how long an unused connection is kept.
 const idleConnTimeout = 30 * time.Second
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // HTTPTransport returns an HTTP client transport over n. It follows no proxy settings.
-func HTTPTransport(n Network) *http.Transport {
+func HTTPTransport(n Network) *http.Transport { return HTTPTransportOver(n.Dial, nil) }
+
+// HTTPTransportOver returns an HTTP client transport whose connections plain opens for http addresses
+// and secure, with TLS, for https addresses. A nil secure leaves TLS to net/http.
+func HTTPTransportOver(plain, secure DialFunc) *http.Transport {
+	var dialTLS func(ctx context.Context, network, address string) (net.Conn, error)
+	if secure != nil {
+		dialTLS = func(ctx context.Context, _, address string) (net.Conn, error) { return secure(ctx, address) }
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return n.Dial(ctx, address)
+			return plain(ctx, address)
 		},
+		DialTLSContext:      dialTLS,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -31,7 +31,7 @@
 
 // Clients holds one connection per peer address. It is safe for concurrent use.
 type Clients struct {
-	conf    *tls.Config
+	conf    func() (*tls.Config, error)
 	dialer  func(ctx context.Context, addr string) (net.Conn, error)
 	refused func(addr string)
 	mu      sync.Mutex
@@ -39,11 +39,11 @@
 	done    bool
 }
 
-// NewClients returns clients without connections. The configuration holds this instance's certificate and the
-// authority that signs those of its peers; nil means plain text. Dial opens a connection. Refused is called, from any goroutine and at the
+// NewClients returns clients without connections. The function makes the configuration of one connection, with this
+// instance's certificate and the authorities that sign those of its peers; nil means plain text. Dial opens a connection. Refused is called, from any goroutine and at the
 // time it happens, when a host refuses a connection because no process listens at the address. It is
 // not an error of a call: calls fail for some time after a refusal, when a new process may listen.
-func NewClients(conf *tls.Config, dial func(ctx context.Context, addr string) (net.Conn, error), refused func(addr string)) *Clients {
+func NewClients(conf func() (*tls.Config, error), dial func(ctx context.Context, addr string) (net.Conn, error), refused func(addr string)) *Clients {
 	return &Clients{conf: conf, dialer: dial, refused: refused, conns: map[string]*grpc.ClientConn{}}
 }
 
@@ -96,7 +96,7 @@
 		return k, nil
 	}
 	k, err := grpc.NewClient("passthrough:///"+addr,
-		grpc.WithTransportCredentials(transportCredentials(c.conf)),
+		grpc.WithTransportCredentials(clientCredentials(c.conf)),
 		grpc.WithContextDialer(c.dial),
 		grpc.WithConnectParams(reconnect),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -22,6 +22,8 @@
 	keepaliveTime = 10 * time.Second
 	// keepaliveTimeout is how long a ping may go unanswered.
 	keepaliveTimeout = 2 * time.Second
+	// handshakeTimeout is how long a new connection may take for its TLS and HTTP/2 handshakes.
+	handshakeTimeout = 5 * time.Second
 )
 
 // Shares answers the messages about liveness and shares. Implementations must be safe for concurrent use.
@@ -38,6 +40,7 @@
 	return grpc.NewServer(
 		grpc.Creds(transportCredentials(conf)),
 		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 	)
--- a/internal/transport/platformhttp/platformhttp.go
+++ b/internal/transport/platformhttp/platformhttp.go
@@ -71,7 +71,23 @@
 	for _, r := range answer.Records {
 		b.Records = append(b.Records, platform.Record{Offset: r.Offset, Time: time.UnixMilli(r.UnixMilli), Data: r.Data})
 	}
-	return b, nil
+	return b, checkBatch(b, from)
+}
+
+// checkBatch refuses an answer that no log can give: a fold that applied it would differ from the folds of
+// other instances for good.
+func checkBatch(b platform.Batch, from uint64) error {
+	least := max(from, b.First)
+	for _, r := range b.Records {
+		if r.Offset < least || r.Offset >= b.Next {
+			return fmt.Errorf("%w: the log's answer holds offset %d outside %d to %d", platform.ErrUnavailable, r.Offset, least, b.Next)
+		}
+		least = r.Offset + 1
+	}
+	if b.Next < max(from, b.First) {
+		return fmt.Errorf("%w: the log's next offset %d is below %d", platform.ErrUnavailable, b.Next, max(from, b.First))
+	}
+	return nil
 }
 
 // InstanceList is a client of the platform's list of instances.
--- a/internal/transport/servicehttp/servicehttp.go
+++ b/internal/transport/servicehttp/servicehttp.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync/atomic"
 
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
@@ -48,11 +49,9 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	url := s.base + r.Path
-	if r.Query != "" {
-		url += "?" + r.Query
-	}
-	req, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
+	// The path is escaped again: a decoded "?", "#" or "%" must not change what the service sees.
+	target := url.URL{Path: r.Path, RawQuery: r.Query}
+	req, err := http.NewRequestWithContext(ctx, r.Method, s.base+target.String(), bytes.NewReader(r.Body))
 	if err != nil {
 		return backend.ServiceAnswer{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "bad_path", "the path is not valid")
 	}
--- a/internal/transport/tlsconf/tlsconf.go
+++ b/internal/transport/tlsconf/tlsconf.go
@@ -1,7 +1,9 @@
-// Package tlsconf makes TLS configurations whose certificates are read again when their files change.
+// Package tlsconf makes TLS configurations whose certificates and authorities are read again when their
+// files change.
 package tlsconf
 
 import (
+	"bytes"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
@@ -14,47 +16,85 @@
 // recheckInterval is how old the knowledge of the files may be when a handshake begins.
 const recheckInterval = 10 * time.Second
 
-// Pair is a certificate with its key, read again when the files change. It is safe for concurrent use.
-type Pair struct {
-	certFile, keyFile string
+// watched is a value made from the contents of files. The contents are compared, not the modification
+// times: a replaced file may keep its time, and either file of a pair may change alone.
+type watched[T any] struct {
+	files []string
+	parse func(contents [][]byte) (T, error)
 
-	mu      sync.Mutex
-	checked time.Time
-	modTime time.Time
-	cert    *tls.Certificate
+	mu       sync.Mutex
+	loaded   bool
+	checked  time.Time
+	contents [][]byte
+	value    T
 }
 
+// current returns the value. While the files cannot be read or do not fit together, which happens in
+// the middle of a replacement, it keeps the value it has and looks again after recheckInterval.
+func (w *watched[T]) current() (T, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.loaded && time.Since(w.checked) < recheckInterval {
+		return w.value, nil
+	}
+	w.checked = time.Now()
+	err := w.read()
+	if w.loaded {
+		return w.value, nil
+	}
+	return w.value, err
+}
+
+// read takes over changed files. The caller holds the lock.
+func (w *watched[T]) read() error {
+	contents := make([][]byte, len(w.files))
+	changed := !w.loaded
+	for i, file := range w.files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		contents[i] = data
+		changed = changed || !bytes.Equal(data, w.contents[i])
+	}
+	if !changed {
+		return nil
+	}
+	value, err := w.parse(contents)
+	if err != nil {
+		return trace.Wrap(err, "reading %s", w.files[0])
+	}
+	w.value, w.contents, w.loaded = value, contents, true
+	return nil
+}
+
+// Pair is a certificate with its key. It is safe for concurrent use.
+type Pair struct{ watched[*tls.Certificate] }
+
 // LoadPair reads a certificate and its key.
 func LoadPair(certFile, keyFile string) (*Pair, error) {
-	p := &Pair{certFile: certFile, keyFile: keyFile}
+	p := &Pair{watched[*tls.Certificate]{files: []string{certFile, keyFile}, parse: func(c [][]byte) (*tls.Certificate, error) {
+		cert, err := tls.X509KeyPair(c[0], c[1])
+		return &cert, err
+	}}}
 	_, err := p.current()
 	return p, trace.Wrap(err)
 }
 
-// current returns the certificate. When a new file cannot be read it keeps the old certificate.
-func (p *Pair) current() (*tls.Certificate, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cert != nil && time.Since(p.checked) < recheckInterval {
-		return p.cert, nil
-	}
-	p.checked = time.Now()
-	info, err := os.Stat(p.keyFile)
-	if err == nil && p.cert != nil && info.ModTime().Equal(p.modTime) {
-		return p.cert, nil
-	}
-	cert, loadErr := tls.LoadX509KeyPair(p.certFile, p.keyFile)
-	if loadErr != nil {
-		if p.cert != nil {
-			return p.cert, nil
+// Pool is a set of certificate authorities. It is safe for concurrent use.
+type Pool struct{ watched[*x509.CertPool] }
+
+// LoadPool reads certificate authorities from a PEM file.
+func LoadPool(file string) (*Pool, error) {
+	p := &Pool{watched[*x509.CertPool]{files: []string{file}, parse: func(c [][]byte) (*x509.CertPool, error) {
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(c[0]) {
+			return nil, trace.BadParameter("%s holds no certificate", file)
 		}
-		return nil, trace.Wrap(loadErr, "reading the certificate %s", p.certFile)
-	}
-	p.cert = &cert
-	if err == nil {
-		p.modTime = info.ModTime()
-	}
-	return p.cert, nil
+		return pool, nil
+	}}}
+	_, err := p.current()
+	return p, trace.Wrap(err)
 }
 
 // Server returns the configuration of a listener that shows the certificate.
@@ -65,34 +105,48 @@
 	}
 }
 
-// Mutual returns the configurations of listener and client between instances: both sides show their
-// certificate and check the other's against the authorities in caFile.
-func (p *Pair) Mutual(caFile string) (server, client *tls.Config, err error) {
-	pool, err := LoadPool(caFile)
-	if err != nil {
-		return nil, nil, err
-	}
-	server = p.Server()
-	server.MinVersion = tls.VersionTLS13
-	server.ClientAuth = tls.RequireAndVerifyClientCert
-	server.ClientCAs = pool
-	client = &tls.Config{
-		MinVersion:           tls.VersionTLS13,
-		RootCAs:              pool,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.current() },
+// PeerServer returns the configuration of a listener that also demands a certificate of one of the
+// authorities from each client.
+func (p *Pair) PeerServer(ca *Pool) *tls.Config {
+	base := p.Server()
+	base.MinVersion = tls.VersionTLS13
+	base.ClientAuth = tls.RequireAndVerifyClientCert
+	base.NextProtos = []string{"h2"} // gRPC needs it
+	outer := base.Clone()
+	outer.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		pool, err := ca.current()
+		if err != nil {
+			return nil, err
+		}
+		conf := base.Clone()
+		conf.ClientCAs = pool
+		return conf, nil
 	}
-	return server, client, nil
+	return outer
 }
 
-// LoadPool reads certificate authorities from a PEM file.
-func LoadPool(file string) (*x509.CertPool, error) {
-	pem, err := os.ReadFile(file)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+// PeerClient returns a function that makes the configuration of one connection to an instance: it shows
+// the certificate and checks the server's against the authorities as they are now.
+func (p *Pair) PeerClient(ca *Pool) func() (*tls.Config, error) {
+	return func() (*tls.Config, error) {
+		conf, err := ca.Client()
+		if err != nil {
+			return nil, err
+		}
+		conf.MinVersion = tls.VersionTLS13
+		conf.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.current() }
+		return conf, nil
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, trace.BadParameter("%s holds no certificate", file)
+}
+
+// Client returns the configuration of one connection to a server that has a certificate of one of the
+// authorities. A nil pool stands for the system's authorities.
+func (p *Pool) Client() (*tls.Config, error) {
+	conf := &tls.Config{MinVersion: tls.VersionTLS12}
+	if p == nil {
+		return conf, nil
 	}
-	return pool, nil
+	pool, err := p.current()
+	conf.RootCAs = pool
+	return conf, err
 }
