daemon, entry: resolve the merge of TLS and bounded bodies with the timeline

Change: both sides are kept: TLS and body memory, and the operators' API, the timeline and the retention of tests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,16 +91,12 @@
 	d.actions = newActions(d)
 	d.peers = peer.NewClients(d.secure.peerClient, d.secure.dialPeer, d.control.refused)
 	d.control.peers = d.peers
-<<<<<<< HEAD
-	d.peerServer = peer.NewServer(nil)
+	d.peerServer = peer.NewServer(d.secure.peers)
 	operators, err := admin.NewHandler(&adminDaemon{d}, o.Settings.Operators)
 	if err != nil {
 		return nil, err
 	}
 	d.operators = operators
-=======
-	d.peerServer = peer.NewServer(d.secure.peers)
->>>>>>> edge
 	peerpb.RegisterPeerServer(d.peerServer, &peer.Service{Shares: d.control})
 	d.scheduler = dispatch.NewScheduler(dispatch.SchedulerOptions{
 		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: directLoader{}, Budget: d.control,
@@ -108,12 +104,8 @@
 	})
 	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.events.record), daemon: d}
 	d.entry = entry.New(entry.Options{
-<<<<<<< HEAD
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Record: d.events.record, Registry: d.registry,
-=======
-		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Registry: d.registry,
 		MaxBodyMemory: int64(d.settings.Limits.MaxBodyMemoryBytes),
->>>>>>> edge
 	})
 	d.registry.MustRegister(newCollector(d))
 	return d, nil
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -181,14 +181,9 @@
 	s.Instance, s.DataCentre = name, "dc1"
 	s.Listen = Listen{Callers: name + ":1", Peers: name + ":2", Admin: name + ":3"}
 	s.PeerAddress = s.Listen.Peers
-<<<<<<< HEAD
-	s.Platform = PlatformSettings{LogURL: "http://log:1", ListURL: "http://list:1", RetentionSeconds: int(f.retention.Seconds())}
-	s.TLS.PlainText = true
-=======
-	s.Platform = PlatformSettings{LogURL: scheme(f.authority) + "log:1", ListURL: scheme(f.authority) + "list:1", RetentionSeconds: 24 * 3600}
+	s.Platform = PlatformSettings{LogURL: scheme(f.authority) + "log:1", ListURL: scheme(f.authority) + "list:1", RetentionSeconds: int(f.retention.Seconds())}
 	s.TLS = f.tlsSettings(name)
 	s.Limits.MaxConnections, s.Limits.MaxBodyMemoryBytes = 64, 16<<20
->>>>>>> edge
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{name: name, address: s.Listen.Callers, drain: make(chan struct{}), stop: stop, done: make(chan struct{})}
 	var err error
--- a/internal/transport/entry/guard.go
+++ b/internal/transport/entry/guard.go
@@ -32,13 +32,10 @@
 	start  time.Time
 	caller caller
 	view   *config.View
-<<<<<<< HEAD
 	// admitted is the event of the request's admission, if it was admitted.
 	admitted event.Event
-=======
 	// held is how many bytes of its body the request holds in memory.
 	held int64
->>>>>>> edge
 }
 
 // handler serves one request. An error that it returns is written as the answer, unless a stream has
