--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -73,14 +73,17 @@
 	// BackendCAFile holds the authorities of backend servers and the platform (PEM). Default: the
 	// system's.
 	BackendCAFile string `json:"backend_ca_file,omitempty"`
-	// PlainText permits listeners without TLS on addresses other than loopback. Default: false.
+	// PlainText permits listeners and connections without TLS on addresses other than loopback. Set it
+	// only where something else protects the network. Default: false.
 	PlainText bool `json:"plain_text,omitempty"`
 }
 
 // KeyPair names a certificate and its key, both PEM files.
 type KeyPair struct {
+	// CertFile holds the certificate and the intermediate authorities (PEM).
 	CertFile string `json:"cert_file"`
-	KeyFile  string `json:"key_file"`
+	// KeyFile holds the private key (PEM).
+	KeyFile string `json:"key_file"`
 }
 
 // Operator is a credential of the operators' API.
@@ -100,8 +103,8 @@
 	// MaxHeaderBytes is the largest request header. Default: 32768. Unit: bytes.
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
 	// MaxBodyMemoryBytes is the largest number of bytes of request bodies in memory, counted as they
-	// arrive; a request past it is refused with 503 and not-run. Parsing holds copies, so allow about
-	// three times as much memory. Default: 268435456. Unit: bytes.
+	// arrive; a request past it is refused with 503 and not-run. Parsing holds further copies, which are
+	// not counted. Default: 268435456. Unit: bytes.
 	MaxBodyMemoryBytes int `json:"max_body_memory_bytes,omitempty"`
 	// QueuedRequests is the largest number of requests that wait for an engine. Default: 10000.
 	QueuedRequests int `json:"queued_requests,omitempty"`
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := publish(n, o, keyDir); err != nil {
+	if err := PublishExample(n, o, keyDir); err != nil {
 		st.Close()
 		return nil, err
 	}
@@ -86,8 +86,9 @@
 	return k, trace.ConvertSystemError(os.WriteFile(file, []byte(k.Secret+"\n"), keyFileMode))
 }
 
-// publish appends the example configuration to the empty log.
-func publish(n network.Network, o stack.Options, keyDir string) error {
+// PublishExample appends the example configuration to the empty log of the stand-ins, and writes a caller's
+// key to the file caller.key in keyDir.
+func PublishExample(n network.Network, o stack.Options, keyDir string) error {
 	key, err := writeKey(filepath.Join(keyDir, "caller.key"))
 	if err != nil {
 		return err
@@ -136,7 +137,7 @@
 	for i, address := range o.EngineAddresses {
 		d.BackendServers[fmt.Sprintf("engine-%d", i+1)] = config.BackendServer{
 			Kind: config.KindEngine, URL: "http://" + address, DataCentre: "local", BaseModel: "base",
-			Slots: o.Engine.Slots, ChecksFence: true, EvictsOnlyIdle: true,
+			Slots: o.Engine.Slots, MaxBatch: o.Engine.MaxBatch, ChecksFence: o.Engine.ChecksFence, EvictsOnlyIdle: true,
 		}
 	}
 	return d
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -47,6 +47,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
 	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
 	mux.HandleFunc("GET /v1/requests/{id}/stream", e.serveResume)
+	mux.HandleFunc("GET /v1/requests/{id}", e.serveState)
 	mux.HandleFunc("DELETE /v1/requests/{id}", e.serveCancel)
 	mux.HandleFunc("POST /v1/load_lora_adapter", e.serveLoad)
 	mux.HandleFunc("POST /v1/unload_lora_adapter", e.serveUnload)
@@ -234,6 +235,19 @@
 	e.stream(w, r, run, from, r.URL.Query().Get("chat") == "true")
 }
 
+// serveState tells whether a request is known and unfinished.
+func (e *Engine) serveState(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	run := e.runs[r.PathValue("id")]
+	finished := run != nil && run.finished
+	e.mu.Unlock()
+	if run == nil {
+		writeError(w, &orderError{status: 404, code: "request_unknown"})
+		return
+	}
+	writeJSON(w, 200, map[string]bool{"finished": finished})
+}
+
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	if !e.cancelRun(r.PathValue("id")) {
 		writeError(w, &orderError{status: 404, code: "request_unknown"})
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -42,6 +43,18 @@
 	n.cut = f
 }
 
+// Silence makes the open connections that match go silent for good, while new ones work. Neither end is
+// told, also not when the other closes.
+func (n *Network) Silence(match func(fromHost, toAddress string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if match(c.from, c.to) {
+			c.silent.Store(true)
+		}
+	}
+}
+
 func (n *Network) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -154,17 +167,18 @@
 	return c
 }
 
-// conn is one end of a connection. Writes on a cut way are swallowed.
+// conn is one end of a connection. Writes on a cut way or a silent connection are swallowed.
 type conn struct {
 	net.Conn
 	net    *Network
 	from   string
 	to     string
 	toHost string
+	silent atomic.Bool
 }
 
 func (c *conn) Write(b []byte) (int, error) {
-	if c.net.isCut(c.from, c.to) {
+	if c.silent.Load() || c.net.isCut(c.from, c.to) {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
@@ -174,6 +188,10 @@
 	c.net.mu.Lock()
 	delete(c.net.conns, c)
 	c.net.mu.Unlock()
+	if c.silent.Load() {
+		// Closing the pipe would tell the other end.
+		return c.Conn.SetDeadline(time.Unix(0, 0))
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/enginehttp"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
 )
@@ -144,8 +145,8 @@
 	}
 	attempt := request(c)
 	answer, err := place.Engine.Client.Complete(ctx, attempt)
-	if err != nil && ctx.Err() != nil {
-		// Nobody waits for the answer any more.
+	if err != nil && (ctx.Err() != nil || verdict.Of(err).Code == enginehttp.CodeSilent) {
+		// Nobody waits for this answer any more.
 		cancelRequest(ctx, place.Engine, attempt.ID)
 	}
 	if err == nil && answer.Adapter != c.Adapter {
--- a/internal/transport/enginehttp/enginehttp.go
+++ b/internal/transport/enginehttp/enginehttp.go
@@ -19,6 +19,7 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
 const (
@@ -34,11 +35,13 @@
 type Engine struct {
 	base   string
 	client *http.Client
+	// fresh opens a new connection for each call.
+	fresh *http.Client
 }
 
 // New returns a client for the engine at base.
 func New(base string, rt http.RoundTripper) *Engine {
-	return &Engine{base: base, client: &http.Client{Transport: rt}}
+	return &Engine{base: base, client: &http.Client{Transport: rt}, fresh: &http.Client{Transport: network.Fresh(rt)}}
 }
 
 var _ backend.Engine = (*Engine)(nil)
@@ -108,12 +111,19 @@
 
 // Complete implements backend.Engine.
 func (e *Engine) Complete(ctx context.Context, r backend.Request) (backend.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := e.watch(ctx, r.ID, cancel)
 	resp, err := e.send(ctx, http.MethodPost, r.Path, requestHeader(r), r.Body)
+	if w.stop() {
+		return backend.Answer{}, errSilent
+	}
 	if err != nil {
 		return backend.Answer{}, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	watched := newWatchedBody(resp.Body, cancel)
+	defer func() { _ = watched.Close() }()
+	body, err := io.ReadAll(io.LimitReader(watched, maxAnswerBytes))
 	if err != nil {
 		return backend.Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_cut", "the engine's answer was cut off")
 	}
--- a/internal/transport/enginehttp/reader.go
+++ b/internal/transport/enginehttp/reader.go
@@ -31,6 +31,16 @@
 	timer *time.Timer
 }
 
+func newWatchedBody(body io.ReadCloser, cancel context.CancelFunc) *watchedBody {
+	return &watchedBody{ReadCloser: body, timer: time.AfterFunc(silenceTimeout, cancel)}
+}
+
+// Close implements io.Closer.
+func (b *watchedBody) Close() error {
+	b.timer.Stop()
+	return b.ReadCloser.Close()
+}
+
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
@@ -47,8 +57,7 @@
 }
 
 func newReader(body io.ReadCloser, cancel context.CancelFunc) *reader {
-	w := &watchedBody{ReadCloser: body}
-	w.timer = time.AfterFunc(silenceTimeout, cancel)
+	w := newWatchedBody(body, cancel)
 	next, stop := iter.Pull2(sse.Read(w, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
 	return &reader{body: w, cancel: cancel, next: next, stop: stop}
 }
@@ -86,7 +95,6 @@
 
 // Close implements backend.ChunkReader.
 func (r *reader) Close() error {
-	r.body.timer.Stop()
 	r.cancel()
 	r.stop()
 	return r.body.Close()
--- a/internal/transport/network/network.go
+++ b/internal/transport/network/network.go
@@ -62,6 +62,18 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// Fresh returns a round tripper that opens a new connection for each request. It is used to ask again when
+// an open connection may have gone silent. Round trippers other than net/http's are returned as they are.
+func Fresh(rt http.RoundTripper) http.RoundTripper {
+	t, ok := rt.(*http.Transport)
+	if !ok {
+		return rt
+	}
+	t = t.Clone()
+	t.DisableKeepAlives = true
+	return t
+}
+
 // maxIdleConnsPerHost keeps enough connections to one backend server for its whole batch.
 const maxIdleConnsPerHost = 256
 
--- a/internal/transport/platformhttp/platformhttp.go
+++ b/internal/transport/platformhttp/platformhttp.go
@@ -13,12 +13,17 @@
 
 	"github.com/gravitational/trace"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
 const (
 	// callTimeout bounds a call past the time that the service was asked to wait. A longer silence
 	// means a dead connection.
 	callTimeout = 2 * time.Second
+	// hedgeDelay is how long past the long poll a read may stay unanswered before it is asked again on
+	// a new connection. The freshness lease of 2 s then survives one silent connection: the last
+	// evidence is one long poll old when the read begins.
+	hedgeDelay = 500 * time.Millisecond
 	// maxAnswerBytes bounds an answer.
 	maxAnswerBytes = 64 << 20
 )
@@ -27,11 +32,13 @@
 type Log struct {
 	base   string
 	client *http.Client
+	// fresh opens a new connection for each call.
+	fresh *http.Client
 }
 
 // NewLog returns a client for the service at base, such as "http://10.0.0.1:7000".
 func NewLog(base string, rt http.RoundTripper) *Log {
-	return &Log{base: base, client: &http.Client{Transport: rt}}
+	return &Log{base: base, client: &http.Client{Transport: rt}, fresh: &http.Client{Transport: network.Fresh(rt)}}
 }
 
 var _ platform.Log = (*Log)(nil)
@@ -50,10 +57,40 @@
 	return answer.Offset, nil
 }
 
-// Read implements platform.Log.
+// Read implements platform.Log. A read that stays unanswered is asked again on a new connection, since a
+// connection can go silent for good.
 func (l *Log) Read(ctx context.Context, s platform.Stream, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	type result struct {
+		batch platform.Batch
+		err   error
+	}
+	results := make(chan result, 2)
+	ask := func(c *http.Client, wait time.Duration) {
+		b, err := l.read(ctx, c, s, from, limit, wait)
+		results <- result{b, err}
+	}
+	go ask(l.client, wait)
+	late := time.NewTimer(wait + hedgeDelay)
+	defer late.Stop()
+	for asked, answered := 1, 0; ; {
+		select {
+		case <-late.C:
+			asked++
+			// Other idle connections may have gone silent with this one.
+			l.client.CloseIdleConnections()
+			go ask(l.fresh, 0)
+		case r := <-results:
+			answered++
+			if r.err == nil || answered == asked {
+				return r.batch, r.err
+			}
+		}
+	}
+}
+
+func (l *Log) read(ctx context.Context, c *http.Client, s platform.Stream, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
 	url := fmt.Sprintf("%s/v1/streams/%s/records?from=%d&max=%d&wait_ms=%d", l.base, s, from, limit, wait.Milliseconds())
 	var answer struct {
 		First   uint64 `json:"first"`
@@ -64,7 +101,7 @@
 			Data      []byte `json:"data"`
 		} `json:"records"`
 	}
-	if err := call(ctx, l.client, http.MethodGet, url, nil, &answer); err != nil {
+	if err := call(ctx, c, http.MethodGet, url, nil, &answer); err != nil {
 		return platform.Batch{}, trace.Wrap(err, "reading stream %s", s)
 	}
 	b := platform.Batch{First: answer.First, Next: answer.Next}
