daemon: let only an engine's owner order loads and evictions

A load is asked of the owner by WantAdapter; the owner names one payer per load. A request whose connection broke counts as in flight until the engine confirms its end, also over incarnations of one process. A retired slot gets no request until a report newer than the end of the retirement.

--- a/cmd/turmericd/main.go
+++ b/cmd/turmericd/main.go
@@ -101,7 +101,7 @@
 		<-signals
 		stop()
 	}()
-	o := daemon.Options{Settings: s, Network: n, Log: log}
+	o := daemon.Options{Settings: s, Network: n, Log: log, Gate: daemon.NewGate()}
 	for {
 		o.Incarnation = uuid.NewString()
 		d, err := daemon.New(o)
--- a/internal/coordination/placement/victim.go
+++ b/internal/coordination/placement/victim.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+)
 
 // victim returns the engine's least valuable slot that may be evicted, and its value. An adapter in
 // use, or the last copy of one that requests wait for, is never chosen. An adapter loaded within MinResidence is chosen only when there is no other.
@@ -28,6 +32,34 @@
 	return best, bestValue
 }
 
+// VictimAmong returns the preferred one of the candidates for an eviction from an engine if it may be
+// evicted, and else the least valuable one that may. A candidate that no report has shown on the engine
+// yet is valued by its request rate.
+func (f *Fleet) VictimAmong(id string, candidates []adapter.Ref, preferred adapter.Ref, now time.Time) (adapter.Ref, bool) {
+	e := f.engines[id]
+	if e == nil {
+		return adapter.Ref{}, false
+	}
+	var best adapter.Ref
+	var bestValue float64
+	for _, a := range candidates {
+		v := f.pop.Rate(a, now) * f.LoadCost.Seconds()
+		if s := e.find(a); s != nil {
+			if !s.evictable() || s.copies.waiting > 0 && len(s.copies.slots)-s.copies.loading == 1 {
+				continue
+			}
+			v = f.value(s, now)
+		}
+		if a == preferred {
+			return a, true
+		}
+		if best == (adapter.Ref{}) || v < bestValue {
+			best, bestValue = a, v
+		}
+	}
+	return best, best != adapter.Ref{}
+}
+
 // value is the expected loading time per second that keeping the slot saves: the adapter's rate
 // times the cost of a load, reduced while other copies would take its requests.
 func (f *Fleet) value(s *Slot, now time.Time) float64 {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/members"
+	"github.com/turmericworks/turmericworks/internal/state/ownership"
 	"github.com/turmericworks/turmericworks/internal/state/record"
 	"github.com/turmericworks/turmericworks/internal/transport/tail"
 )
@@ -40,8 +42,8 @@
 }
 
 // control is the instance's part in the fleet: membership, freshness lease and token shares. One lock
-// guards all decision types; it is never held during I/O, and no other lock of this package is taken
-// while it is held.
+// guards all decision types; it is never held during I/O. Of the locks of this package, only the gate's is
+// taken while it is held; those of owners and of the scheduler are taken before it.
 type control struct {
 	daemon *Daemon
 	start  time.Time
@@ -56,6 +58,12 @@
 	shares     *shares.Manager
 	settlement *shares.Settlement
 	positions  lease.Positions
+	// ownership is the fold of claims and slot orders.
+	ownership *ownership.Fold
+	// goneAt is when the end of a member was first read.
+	goneAt map[string]time.Time
+	// logDown is set from a failed read or append until the next answer.
+	logDown bool
 	// heard is what peers said of themselves in their last heartbeat, by instance.
 	heard      map[string]peerState
 	workspaces map[string]struct{}
@@ -80,7 +88,7 @@
 
 func newControl(d *Daemon) *control {
 	c := &control{
-		daemon: d, start: time.Now(), members: members.New(), promises: lease.NewPromises(),
+		daemon: d, start: time.Now(), members: members.New(), ownership: ownership.NewFold(), goneAt: map[string]time.Time{}, promises: lease.NewPromises(),
 		workspaces: map[string]struct{}{}, heard: map[string]peerState{}, changed: make(chan struct{}), withdrawn: make(chan struct{}),
 		joinTried: -joinRetry, resent: -resendInterval, asked: -resendInterval,
 	}
@@ -207,9 +215,17 @@
 func (c *control) records(entries []record.Entry, next uint64) {
 	c.mu.Lock()
 	now := c.now()
+	restored := c.buffering
 	entries = c.receive(entries)
+	// A snapshot that was taken over may concern any member and engine.
+	membersChanged := restored && !c.buffering
+	var engines []string
 	for _, e := range entries {
+		if id := c.ownership.Apply(e); id != "" {
+			engines = append(engines, id)
+		}
 		if c.members.Apply(e) {
+			membersChanged = true
 			c.view.SetMembers(now, c.members.List())
 			for _, m := range c.members.EndedList() {
 				c.promises.End(m.Incarnation)
@@ -221,6 +237,7 @@
 		c.joinedAt = now
 	}
 	c.settlement.Applied(now)
+	c.observeSlots(engines, membersChanged)
 	c.positions[lease.Control] = max(c.positions[lease.Control], next)
 	c.lease.Advance(c.positions)
 	c.updateElectorate()
@@ -231,6 +248,9 @@
 		c.daemon.controlRecord(e)
 	}
 	c.daemon.actions.observeAll()
+	if membersChanged || len(engines) > 0 {
+		c.daemon.owners.observe(func(e *ownedEngine) bool { return membersChanged || slices.Contains(engines, e.id) })
+	}
 }
 
 // noteWithdrawn ends the lease when this incarnation's membership is over. The caller holds the lock.
@@ -265,6 +285,7 @@
 func (c *control) readTail(s lease.Stream, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.logDown = false
 	c.lease.LogAnswered()
 	c.lease.ReadTail(s, asked.Sub(c.start))
 }
@@ -280,6 +301,7 @@
 func (c *control) logFailed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.logDown = true
 	c.lease.LogFailed()
 }
 
--- a/internal/daemon/controlsnapshot.go
+++ b/internal/daemon/controlsnapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/google/uuid"
@@ -21,6 +22,8 @@
 	Next    uint64           `json:"next"`
 	Members members.Snapshot `json:"members"`
 	Ledger  ledger.Snapshot  `json:"ledger"`
+	// Ownership is the exported fold of claims and slot orders.
+	Ownership json.RawMessage `json:"ownership"`
 }
 
 // The schedule of control snapshots in fractions of the retention time, as for the configuration.
@@ -48,7 +51,13 @@
 		c.mu.Unlock()
 		return
 	}
-	s := controlSnapshot{Next: c.positions[lease.Control], Members: c.members.Export(), Ledger: c.shares.Fold().Export()}
+	slots, err := c.ownership.Export()
+	if err != nil {
+		c.mu.Unlock()
+		c.daemon.log.Error().Err(err).Msg("the ownership state could not be encoded")
+		return
+	}
+	s := controlSnapshot{Ownership: slots, Next: c.positions[lease.Control], Members: c.members.Export(), Ledger: c.shares.Fold().Export()}
 	c.mu.Unlock()
 	env, err := record.New(kindControlSnapshot, uuid.NewString(), c.daemon.opts.Incarnation, s)
 	if err != nil {
@@ -69,6 +78,10 @@
 	if !c.buffering || s.Next < c.bufferedFrom {
 		return nil
 	}
+	if err := c.ownership.Import(s.Ownership); err != nil {
+		c.daemon.log.Error().Err(err).Uint64("offset", e.Offset).Msg("a control snapshot could not be read")
+		return nil
+	}
 	c.members.Import(s.Members)
 	c.shares.Fold().Import(s.Ledger)
 	c.shares.Imported(c.now())
--- a/internal/daemon/controlstep.go
+++ b/internal/daemon/controlstep.go
@@ -277,22 +277,32 @@
 	c.shares.Settle(c.now(), r, microtokens(float64(used)))
 }
 
-// TakeLoad implements dispatch.LoadBudget: one load is one token of the weight store's account.
-func (c *control) TakeLoad(time.Time) bool {
+// TakeLoad implements dispatch.LoadBudget: one load is one token of the weight store's account. The
+// instance that asks for a load pays for it, so that its queue keeps the order among workspaces; the
+// engine's owner names one payer for each load.
+func (c *control) TakeLoad(time.Time) (func(charged bool), bool) {
 	c.mu.Lock()
 	if _, limited := c.workspaces[loadsAccount]; !limited {
 		valid := c.lease.Valid(c.now())
 		c.mu.Unlock()
-		return valid
+		return func(bool) {}, valid
 	}
 	r, _, outcome := c.shares.Reserve(c.now(), loadsAccount, shares.Microtokens)
-	if outcome == shares.Granted {
-		c.shares.Settle(c.now(), r, shares.Microtokens)
-	}
 	sends := c.sendAsks(context.Background())
 	c.mu.Unlock()
 	for _, send := range sends {
 		go send()
 	}
-	return outcome == shares.Granted
+	if outcome != shares.Granted {
+		return nil, false
+	}
+	return func(charged bool) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		spent := int64(0)
+		if charged {
+			spent = shares.Microtokens
+		}
+		c.shares.Settle(c.now(), r, spent)
+	}, true
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,8 @@
 	Incarnation string
 	// Previous is the incarnation that the same process had before, if it was withdrawn.
 	Previous string
+	// Gate is shared by all incarnations of a process. Nil stands for a new one.
+	Gate *Gate
 }
 
 // Daemon is one instance.
@@ -53,6 +55,8 @@
 	replica      *replica
 	control      *control
 	actions      *actions
+	owners       *owners
+	gate         *Gate
 	events       *events
 	peers        *peer.Clients
 	peerServer   *grpc.Server
@@ -69,7 +73,12 @@
 
 // New assembles an instance. Run starts it.
 func New(o Options) (*Daemon, error) {
+	if o.Gate == nil {
+		o.Gate = NewGate()
+	}
+	o.Gate.rejoin(o.Incarnation)
 	d := &Daemon{
+		gate: o.Gate,
 		opts: o, settings: o.Settings, registry: prometheus.NewRegistry(),
 		log: o.Log.With().Str("instance", o.Settings.Instance).Logger(),
 	}
@@ -84,18 +93,19 @@
 	d.actions = newActions(d)
 	d.peers = peer.NewClients(nil, o.Network.Dial, d.control.refused)
 	d.control.peers = d.peers
+	d.owners = newOwners(d)
 	d.peerServer = peer.NewServer(nil)
 	operators, err := admin.NewHandler(&adminDaemon{d}, o.Settings.Operators)
 	if err != nil {
 		return nil, err
 	}
 	d.operators = operators
-	peerpb.RegisterPeerServer(d.peerServer, &peer.Service{Shares: d.control})
+	peerpb.RegisterPeerServer(d.peerServer, &peer.Service{Shares: d.control, Slots: d.owners})
 	d.scheduler = dispatch.NewScheduler(dispatch.SchedulerOptions{
-		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: directLoader{}, Budget: d.control,
+		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: d.owners, Budget: d.control, Gate: d.control,
 		Queue: fairqueue.Settings{MaxTotal: d.settings.Limits.QueuedRequests}, Publish: d.publishBlame, Seed: seedOf(o.Incarnation),
 	})
-	d.runner = &runner{Runner: dispatch.New(d.scheduler), daemon: d}
+	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.control), daemon: d}
 	d.entry = entry.New(entry.Options{
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Registry: d.registry,
 	})
@@ -234,6 +244,7 @@
 	d.replica.addTo(supervisor)
 	d.control.addTo(supervisor)
 	d.actions.addTo(supervisor)
+	supervisor.Add(d.owners)
 	defer d.peers.Close()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -39,10 +39,18 @@
 		}
 	}
 	waitUntil(ctx, func() bool { return d.actions.inProgress() == 0 })
+	d.finishOrders(ctx)
 	d.control.leave(ctx)
 	d.log.Info().Msg("drained")
 }
 
+// finishOrders lets the orders to owned engines end, so that the next owners know what the engines hold.
+func (d *Daemon) finishOrders(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	waitUntil(ctx, d.owners.quiet)
+}
+
 func pauseFor(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -12,7 +12,6 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/coordination/shares"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
-	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/record"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
@@ -29,11 +28,15 @@
 	}
 	d.fleet.Update(servers)
 	d.scheduler.Configure(v)
+	d.owners.configure(v)
 	d.control.configure(v)
 	d.entry.ConfigChanged()
 }
 
-func (d *Daemon) engineReported(r fleet.Report) { d.scheduler.Reported(r) }
+func (d *Daemon) engineReported(r fleet.Report) {
+	d.scheduler.Reported(r)
+	d.owners.reported(r)
+}
 
 // isLoopback reports whether an address can be reached from this machine only.
 func isLoopback(address string) bool {
@@ -45,19 +48,6 @@
 	return err == nil && ip.IsLoopback()
 }
 
-// directLoader sends orders without an owner.
-type directLoader struct{}
-
-// Load implements dispatch.Loader.
-func (directLoader) Load(ctx context.Context, e *fleet.Engine, a, victim adapter.Ref) error {
-	if victim != (adapter.Ref{}) {
-		if err := e.Client.Evict(ctx, backend.Order{Adapter: victim, IfIdle: true}); err != nil {
-			return err
-		}
-	}
-	return e.Client.Load(ctx, backend.Order{Adapter: a})
-}
-
 // seedOf derives a seed from an incarnation.
 func seedOf(incarnation string) uint64 {
 	h := fnv.New64a()
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -27,7 +27,7 @@
 // refused reports whether the engine refused on purpose or the attempt was not made, neither of which
 // says that the engine is faulty.
 func (o Outcome) refused() bool {
-	return o.Err != nil && verdict.Of(o.Err).Code != "engine_unreachable" && verdict.Of(o.Err).Verdict == verdict.NotRun
+	return o.Err != nil && verdict.Of(o.Err).Code != codeUnreachable && verdict.Of(o.Err).Verdict == verdict.NotRun
 }
 
 // Place is a place on an engine for one attempt.
@@ -48,13 +48,14 @@
 // Runner runs admitted requests. It is safe for concurrent use.
 type Runner struct {
 	router Router
+	gate   Gate
 
 	mu     sync.Mutex
 	budget retry.Budget
 }
 
 // New returns a runner.
-func New(r Router) *Runner { return &Runner{router: r} }
+func New(r Router, g Gate) *Runner { return &Runner{router: r, gate: g} }
 
 // errWrongAdapter means that the engine ran another adapter version than asked for.
 var errWrongAdapter = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "wrong_adapter",
@@ -138,14 +139,16 @@
 }
 
 func (r *Runner) completeOnce(ctx context.Context, c entry.Call) (backend.Answer, error) {
-	place, err := r.router.Acquire(ctx, c)
+	place, err := r.acquire(ctx, c)
 	if err != nil {
 		return backend.Answer{}, err
 	}
-	answer, err := place.Engine.Client.Complete(ctx, request(c))
+	req := request(c)
+	answer, err := place.Engine.Client.Complete(ctx, req)
 	if err == nil && answer.Adapter != c.Adapter {
 		err = errWrongAdapter
 	}
+	r.over(place, c.Adapter, req.ID, err)
 	if err != nil && ctx.Err() == nil && verdict.Of(err).Verdict == verdict.MayHaveRun {
 		r.probe(ctx, place.Engine)
 	}
--- a/internal/transport/dispatch/loads.go
+++ b/internal/transport/dispatch/loads.go
@@ -21,11 +21,12 @@
 			s.loads.Postpone(l.Adapter, now.Add(noPlaceDelay))
 			continue
 		}
-		if !s.budget.TakeLoad(now) {
+		settle, ok := s.budget.TakeLoad(now)
+		if !ok {
 			s.loads.Postpone(l.Adapter, now.Add(tick))
 			return
 		}
-		s.startLoad(l, p, now)
+		s.startLoad(l, p, settle, now)
 	}
 }
 
@@ -54,28 +55,32 @@
 	return ""
 }
 
-// startLoad orders a load. The caller holds the lock.
-func (s *Scheduler) startLoad(l *loadbudget.Load, p placement.Place, now time.Time) {
+// startLoad asks the engine's owner for a load. The caller holds the lock.
+func (s *Scheduler) startLoad(l *loadbudget.Load, p placement.Place, settle func(charged bool), now time.Time) {
 	engine := s.fleet.Engine(p.Engine)
 	if p.Victim != (adapter.Ref{}) {
 		s.place.Removed(p.Engine, p.Incarnation, p.Victim, now)
 	}
 	if engine == nil || !s.place.LoadStarted(p.Engine, l.Adapter, now) {
+		settle(false)
 		s.loads.Failed(l.Adapter, p.Engine, now)
 		return
 	}
-	go s.runLoad(engine, p, l.Adapter)
+	go s.runLoad(engine, p, l.Adapter, settle)
 }
 
 // runLoad waits for a load and takes over its result.
-func (s *Scheduler) runLoad(engine *fleet.Engine, p placement.Place, a adapter.Ref) {
-	err := s.loader.Load(s.ctx, engine, a, p.Victim)
+func (s *Scheduler) runLoad(engine *fleet.Engine, p placement.Place, a adapter.Ref, settle func(charged bool)) {
+	charged, err := s.loader.Load(s.ctx, engine, a, p.Victim)
+	settle(charged)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	switch {
 	case err == nil && s.place.Loaded(p.Engine, p.Incarnation, a, now):
 		s.loads.Loaded(a)
+		delete(s.retired, slotKey{p.Engine, a})
+		s.place.Unretire(p.Engine, a)
 	default:
 		s.place.Removed(p.Engine, p.Incarnation, a, now)
 		s.loads.Failed(a, p.Engine, now)
--- a/internal/transport/dispatch/scheduler.go
+++ b/internal/transport/dispatch/scheduler.go
@@ -36,16 +36,19 @@
 	Adapters: 100_000, Slow: 10 * time.Minute, Fast: 30 * time.Second, FastWeight: 0,
 }
 
-// Loader orders an adapter load on an engine, after the eviction of victim unless that is the zero
-// Ref. It returns when the adapter is resident, or with the reason why it is not.
+// Loader has an adapter loaded on an engine by the engine's owner. Victim is what would be evicted for it
+// by this instance's choice, or the zero Ref. Load returns when the adapter is resident, or with the
+// reason why it is not. Charged says that a load was or may have been ordered for this call; it is false
+// if the adapter was resident or if the load is charged to another instance that waits for it too.
 type Loader interface {
-	Load(ctx context.Context, engine *fleet.Engine, a, victim adapter.Ref) error
+	Load(ctx context.Context, engine *fleet.Engine, a, victim adapter.Ref) (charged bool, err error)
 }
 
 // LoadBudget bounds the loads of the whole fleet.
 type LoadBudget interface {
-	// TakeLoad takes the permission for one load, or returns false.
-	TakeLoad(now time.Time) bool
+	// TakeLoad takes the permission for one load, or returns false. Settle must be called once with
+	// whether the load was charged; if not, the permission is given back.
+	TakeLoad(now time.Time) (settle func(charged bool), ok bool)
 }
 
 // Scheduler finds places for requests: it queues them fairly, places them on engines and has missing
@@ -55,6 +58,7 @@
 	dataCentre string
 	loader     Loader
 	budget     LoadBudget
+	gate       Gate
 	ctx        context.Context
 
 	mu      sync.Mutex
@@ -71,9 +75,18 @@
 	queued chan struct{}
 	// waiting counts the waiters by adapter version.
 	waiting map[adapter.Ref]int
+	// retired holds what is marked as retired in place. The value is when the gate was seen to permit it
+	// again, or zero; the mark is lifted by the next report, which shows whether it was evicted.
+	retired map[slotKey]time.Time
 	publish func(retry.BlameRecord)
 }
 
+// slotKey names an adapter version on an engine.
+type slotKey struct {
+	engine  string
+	adapter adapter.Ref
+}
+
 // waiter is one attempt that waits for a place.
 type waiter struct {
 	call        entry.Call
@@ -94,6 +107,7 @@
 	DataCentre string
 	Loader     Loader
 	Budget     LoadBudget
+	Gate       Gate
 	// Queue bounds and weighs the queue.
 	Queue fairqueue.Settings
 	// Publish appends a record about an engine crash to the log. It must not block.
@@ -107,11 +121,11 @@
 	rnd := rand.New(rand.NewPCG(o.Seed, 0))
 	pop := placement.NewPopularity(popularity, time.Now())
 	return &Scheduler{
-		fleet: o.Fleet, dataCentre: o.DataCentre, loader: o.Loader, budget: o.Budget, publish: o.Publish,
+		fleet: o.Fleet, dataCentre: o.DataCentre, loader: o.Loader, budget: o.Budget, gate: o.Gate, publish: o.Publish,
 		ctx: context.Background(), place: placement.New(placement.DefaultPolicy(), pop, rnd), queue: fairqueue.New(o.Queue),
 		loads: loadbudget.NewQueue(loadbudget.DefaultQueueConfig(), rnd), blame: retry.NewBlame(),
 		ejector: map[string]*retry.Ejector{}, down: map[string]bool{}, runs: map[string]string{},
-		models: map[string]string{}, waiters: map[string]*waiter{}, waiting: map[adapter.Ref]int{}, queued: make(chan struct{}, 1),
+		models: map[string]string{}, waiters: map[string]*waiter{}, retired: map[slotKey]time.Time{}, waiting: map[adapter.Ref]int{}, queued: make(chan struct{}, 1),
 	}
 }
 
@@ -188,6 +202,7 @@
 	if r.Err == nil {
 		s.newRun(r.EngineID, r.Status.Incarnation, now)
 		s.place.Report(r.EngineID, placementReport(r.Status))
+		s.unretire(r.EngineID, r.Asked, now)
 	}
 	s.updateEjected(r.EngineID)
 	s.pump(now)
@@ -352,7 +367,7 @@
 	if w == nil {
 		return fairqueue.Blocked
 	}
-	d := s.place.Decide(s.placementRequest(&w.call), now)
+	d := s.decide(w, now)
 	w.decision = d
 	if d.Action == placement.NeedLoad || d.Replicate {
 		s.loads.Want(r.Adapter, r.Workspace, s.waiting[r.Adapter], 0, now)
@@ -366,6 +381,62 @@
 	return fairqueue.Resident
 }
 
+// decide places a request where its adapter version is not retired. The caller holds the lock.
+func (s *Scheduler) decide(w *waiter, now time.Time) placement.Decision {
+	for {
+		d := s.place.Decide(s.placementRequest(&w.call), now)
+		k := slotKey{d.Engine, w.call.Adapter}
+		if d.Action != placement.Dispatch {
+			return d
+		}
+		if s.gate.Retired(k.engine, k.adapter) {
+			s.markRetired(k)
+		} else if _, marked := s.retired[k]; !marked {
+			return d
+		}
+		// A report that was sampled before the eviction may have added the slot again without its mark.
+		s.place.Retire(k.engine, k.adapter)
+	}
+}
+
+// Retire notes that the owner of an engine is about to evict an adapter version. Until a report that was
+// asked for after the end of that, no request is placed there: the adapter version may be gone.
+func (s *Scheduler) Retire(engine string, a adapter.Ref) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.markRetired(slotKey{engine, a})
+}
+
+// markRetired marks a slot as retired. The caller holds the lock.
+func (s *Scheduler) markRetired(k slotKey) {
+	s.retired[k] = time.Time{}
+	s.place.Retire(k.engine, k.adapter)
+}
+
+// unretire takes back an engine's marks that a report, asked for at the given time, is newer than. The
+// caller holds the lock.
+func (s *Scheduler) unretire(engine string, asked, now time.Time) {
+	for k, since := range s.retired {
+		switch {
+		case k.engine != engine:
+		case s.gate.Retired(k.engine, k.adapter):
+			s.retired[k] = time.Time{}
+		case since.IsZero():
+			s.retired[k] = now
+		case asked.After(since):
+			delete(s.retired, k)
+			s.place.Unretire(k.engine, k.adapter)
+		}
+	}
+}
+
+// PickVictim chooses among the candidates for an eviction from an engine that this instance owns.
+func (s *Scheduler) PickVictim(engine string, candidates []adapter.Ref, preferred adapter.Ref) (adapter.Ref, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.place.VictimAmong(engine, candidates, preferred, time.Now())
+}
+
 // dispatch gives a place to a request that fit accepted. The caller holds the lock.
 func (s *Scheduler) dispatch(r fairqueue.Request, now time.Time) {
 	w := s.waiters[r.ID]
--- a/internal/transport/dispatch/stream.go
+++ b/internal/transport/dispatch/stream.go
@@ -41,7 +41,7 @@
 }
 
 func (s *stream) openOnce() error {
-	place, err := s.runner.router.Acquire(s.ctx, s.call)
+	place, err := s.runner.acquire(s.ctx, s.call)
 	if err != nil {
 		return err
 	}
@@ -60,6 +60,7 @@
 		return
 	}
 	s.held = false
+	s.runner.over(s.place, s.call.Adapter, s.request.ID, err)
 	if err != nil && s.ctx.Err() == nil && verdict.Of(err).Verdict == verdict.MayHaveRun {
 		s.runner.probe(s.ctx, s.place.Engine)
 	}
@@ -146,9 +147,16 @@
 	if s.held {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
 		defer cancel()
-		// An engine that cannot be reached ends the request by itself when its reader has left.
-		_ = s.place.Engine.Client.Cancel(ctx, s.request.ID)
-		s.release(nil)
+		// An engine that cannot be reached ends the request by itself some time after its reader has
+		// left; until it confirms that, the request counts as in flight.
+		stopped := Stopped(s.place.Engine.Client.Cancel(ctx, s.request.ID))
+		s.held = false
+		if stopped {
+			s.runner.gate.End(s.place.Engine.ID, s.call.Adapter)
+		} else {
+			s.runner.gate.Lost(s.place.Engine, s.call.Adapter, s.request.ID)
+		}
+		s.place.Release(Outcome{Tokens: s.usage.TotalTokens})
 	}
 	return err
 }
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -37,6 +37,8 @@
 	EngineID string
 	Status   backend.Status
 	Err      error
+	// Asked is when the engine was asked, by this instance's clock.
+	Asked time.Time
 }
 
 // Registry holds the backend servers of the configuration. It is safe for concurrent use.
@@ -83,11 +85,12 @@
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for {
+		asked := time.Now()
 		status, err := e.Client.Status(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		r.report(Report{EngineID: e.ID, Status: status, Err: err})
+		r.report(Report{EngineID: e.ID, Status: status, Err: err, Asked: asked})
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -67,6 +67,27 @@
 	return call(ctx, c, addr, r, peerpb.PeerClient.FrozenCounters)
 }
 
+// Retire asks a member to stop dispatching an adapter version to an engine.
+func (c *Clients) Retire(ctx context.Context, addr string, r *peerpb.RetireRequest) (*peerpb.RetireResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.Retire)
+}
+
+// Unretire permits dispatch again.
+func (c *Clients) Unretire(ctx context.Context, addr string, r *peerpb.RetireRequest) (*peerpb.RetireResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.Unretire)
+}
+
+// WantAdapter asks an engine's owner for a load. The owner answers well within CallTimeout, if need be
+// that the load is not over.
+func (c *Clients) WantAdapter(ctx context.Context, addr string, r *peerpb.WantAdapterRequest) (*peerpb.WantAdapterResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.WantAdapter)
+}
+
+// InFlight asks a member for its requests in flight on an engine.
+func (c *Clients) InFlight(ctx context.Context, addr string, r *peerpb.InFlightRequest) (*peerpb.InFlightResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.InFlight)
+}
+
 type method[Q, A any] func(peerpb.PeerClient, context.Context, *Q, ...grpc.CallOption) (*A, error)
 
 func call[Q, A any](ctx context.Context, c *Clients, addr string, q *Q, m method[Q, A]) (*A, error) {
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -32,6 +32,14 @@
 	FrozenCounters(context.Context, *peerpb.FrozenCountersRequest) (*peerpb.FrozenCountersResponse, error)
 }
 
+// Slots answers the messages about engine slots. Implementations must be safe for concurrent use.
+type Slots interface {
+	Retire(context.Context, *peerpb.RetireRequest) (*peerpb.RetireResponse, error)
+	Unretire(context.Context, *peerpb.RetireRequest) (*peerpb.RetireResponse, error)
+	WantAdapter(context.Context, *peerpb.WantAdapterRequest) (*peerpb.WantAdapterResponse, error)
+	InFlight(context.Context, *peerpb.InFlightRequest) (*peerpb.InFlightResponse, error)
+}
+
 // NewServer returns a gRPC server without services. The configuration must require and verify client
 // certificates; nil means plain text, which the caller permits on loopback or by an explicit setting only.
 func NewServer(conf *tls.Config) *grpc.Server {
@@ -50,11 +58,12 @@
 	return credentials.NewTLS(conf)
 }
 
-// Service serves the messages about liveness and shares; the other methods of the peer service are
+// Service serves the messages about liveness, shares and engine slots; the other methods of the peer service are
 // unimplemented until a type that embeds it implements them.
 type Service struct {
 	peerpb.UnimplementedPeerServer
 	Shares Shares
+	Slots  Slots
 }
 
 // Heartbeat implements peerpb.PeerServer.
@@ -76,3 +85,23 @@
 func (s *Service) FrozenCounters(ctx context.Context, r *peerpb.FrozenCountersRequest) (*peerpb.FrozenCountersResponse, error) {
 	return s.Shares.FrozenCounters(ctx, r)
 }
+
+// Retire implements peerpb.PeerServer.
+func (s *Service) Retire(ctx context.Context, r *peerpb.RetireRequest) (*peerpb.RetireResponse, error) {
+	return s.Slots.Retire(ctx, r)
+}
+
+// Unretire implements peerpb.PeerServer.
+func (s *Service) Unretire(ctx context.Context, r *peerpb.RetireRequest) (*peerpb.RetireResponse, error) {
+	return s.Slots.Unretire(ctx, r)
+}
+
+// WantAdapter implements peerpb.PeerServer.
+func (s *Service) WantAdapter(ctx context.Context, r *peerpb.WantAdapterRequest) (*peerpb.WantAdapterResponse, error) {
+	return s.Slots.WantAdapter(ctx, r)
+}
+
+// InFlight implements peerpb.PeerServer.
+func (s *Service) InFlight(ctx context.Context, r *peerpb.InFlightRequest) (*peerpb.InFlightResponse, error) {
+	return s.Slots.InFlight(ctx, r)
+}
