--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -39,6 +39,8 @@
 	mu        sync.Mutex
 	headers   []http.Header
 	authority *authority.Authority
+	// prepare changes an instance before it runs.
+	prepare func(*Daemon)
 }
 
 type testInstance struct {
@@ -135,7 +137,7 @@
 	for i, address := range o.EngineAddresses {
 		d.BackendServers[fmt.Sprintf("engine-%d", i+1)] = config.BackendServer{
 			Kind: config.KindEngine, URL: scheme(o.Authority) + address, DataCentre: "dc1", BaseModel: "base", Slots: o.Engine.Slots,
-			ChecksFence: o.Engine.ChecksFence, EvictsOnlyIdle: true,
+			ChecksFence: o.Engine.ChecksFence, EvictsOnlyIdle: o.Engine.ChecksFence,
 		}
 	}
 	return d, k.Secret
@@ -194,6 +196,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	if f.prepare != nil {
+		f.prepare(i.Daemon)
+	}
 	go func() {
 		defer close(i.done)
 		i.runAll(ctx, f)
--- a/internal/daemon/guest.go
+++ b/internal/daemon/guest.go
@@ -13,7 +13,7 @@
 // no lease of its own. It takes the configuration from a member and serves while members with a valid
 // lease confirm that the configuration is current; every request's tokens are spent by such a member.
 //
-// It orders no loads, since the weight store's budget is spent from shares too: only resident adapters
+// It uses only engines that protect adapters in use by themselves, and orders no loads, since the weight store's budget is spent from shares too: only resident adapters
 // serve through it.
 //
 // Safety: a member with a valid lease knows every withdrawal that was accepted more than the lease's
@@ -57,6 +57,14 @@
 	return c.isGuest() && c.guest.has && now < c.guest.confirmed+lease.Duration
 }
 
+// guestMayUse reports whether a guest may dispatch to an engine. Owners do not ask a guest before they
+// evict, so it uses only engines that refuse stale owners and evict idle adapters only. The caller holds
+// the lock.
+func (c *control) guestMayUse(engine string) bool {
+	e := c.daemon.fleet.Engine(engine)
+	return e != nil && e.Config.ChecksFence && e.Config.EvictsOnlyIdle && c.guestFresh(c.now())
+}
+
 // guestValid is guestFresh for callers without the lock.
 func (c *control) guestValid() bool {
 	c.mu.Lock()
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -14,7 +14,6 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
-	"github.com/turmericworks/turmericworks/internal/transport/enginehttp"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
 )
@@ -29,7 +28,7 @@
 // refused reports whether the engine refused on purpose or the attempt was not made, neither of which
 // says that the engine is faulty.
 func (o Outcome) refused() bool {
-	return o.Err != nil && verdict.Of(o.Err).Code != "engine_unreachable" && verdict.Of(o.Err).Verdict == verdict.NotRun
+	return o.Err != nil && verdict.Of(o.Err).Code != codeUnreachable && verdict.Of(o.Err).Verdict == verdict.NotRun
 }
 
 // Place is a place on an engine for one attempt.
@@ -51,25 +50,15 @@
 type Runner struct {
 	router Router
 	record func(event.Event)
+	gate   Gate
 
 	mu     sync.Mutex
 	budget retry.Budget
 }
 
 // New returns a runner. record adds an event to the timeline.
-func New(r Router, record func(event.Event)) *Runner { return &Runner{router: r, record: record} }
-
-// acquire waits for a place and records the dispatch.
-func (r *Runner) acquire(ctx context.Context, c entry.Call) (Place, error) {
-	start := time.Now()
-	place, err := r.router.Acquire(ctx, c)
-	if err == nil {
-		r.record(event.Event{
-			Kind: event.Dispatch, RequestID: c.RequestID, Workspace: c.Workspace, Adapter: c.Adapter.Name,
-			Version: c.Adapter.Version, Engine: place.Engine.ID, Duration: time.Since(start),
-		})
-	}
-	return place, err
+func New(r Router, g Gate, record func(event.Event)) *Runner {
+	return &Runner{router: r, gate: g, record: record}
 }
 
 // errWrongAdapter means that the engine ran another adapter version than asked for.
@@ -158,15 +147,12 @@
 	if err != nil {
 		return backend.Answer{}, err
 	}
-	attempt := request(c)
-	answer, err := place.Engine.Client.Complete(ctx, attempt)
-	if err != nil && (ctx.Err() != nil || verdict.Of(err).Code == enginehttp.CodeSilent) {
-		// Nobody waits for this answer any more.
-		cancelRequest(ctx, place.Engine, attempt.ID)
-	}
+	req := request(c)
+	answer, err := place.Engine.Client.Complete(ctx, req)
 	if err == nil && answer.Adapter != c.Adapter {
 		err = errWrongAdapter
 	}
+	r.over(place, c.Adapter, req.ID, err)
 	if err != nil && ctx.Err() == nil && verdict.Of(err).Verdict == verdict.MayHaveRun {
 		r.probe(ctx, place.Engine)
 	}
@@ -187,11 +173,3 @@
 
 // cancelTimeout bounds the call that tells an engine to stop a request.
 const cancelTimeout = 2 * time.Second
-
-// cancelRequest tells an engine to stop a request. An engine that cannot be reached ends the request by
-// itself when its reader has left.
-func cancelRequest(ctx context.Context, e *fleet.Engine, id string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
-	defer cancel()
-	_ = e.Client.Cancel(ctx, id)
-}
--- a/internal/transport/dispatch/stream.go
+++ b/internal/transport/dispatch/stream.go
@@ -60,6 +60,7 @@
 		return
 	}
 	s.held = false
+	s.runner.over(s.place, s.call.Adapter, s.request.ID, err)
 	if err != nil && s.ctx.Err() == nil && verdict.Of(err).Verdict == verdict.MayHaveRun {
 		s.runner.probe(s.ctx, s.place.Engine)
 	}
@@ -144,8 +145,18 @@
 	defer s.cancel()
 	err := s.reader.Close()
 	if s.held {
-		cancelRequest(s.ctx, s.place.Engine, s.request.ID)
-		s.release(nil)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
+		defer cancel()
+		// An engine that cannot be reached ends the request by itself some time after its reader has
+		// left; until it confirms that, the request counts as in flight.
+		stopped := Stopped(s.place.Engine.Client.Cancel(ctx, s.request.ID))
+		s.held = false
+		if stopped {
+			s.runner.gate.End(s.place.Engine.ID, s.call.Adapter)
+		} else {
+			s.runner.gate.Lost(s.place.Engine, s.call.Adapter, s.request.ID)
+		}
+		s.place.Release(Outcome{Tokens: s.usage.TotalTokens})
 	}
 	return err
 }
