shares: report changed workspaces only in heartbeats

Cause: every heartbeat carried the demand, free tokens, parts and virtual time of every workspace, also of those that nobody used. The bytes grew by 47 per workspace, heartbeat and peer.

Change: ReportSender chooses, per peer, the workspaces whose demand or free tokens changed by more than 10% (half of the hysteresis of transfers), whose parts changed at all, or whose virtual time advanced by more than 256 tokens since the form that this peer acknowledged; all of them every 4 s. ReportReceiver keeps the rest, drops late messages and asks for all reports when it was started after the last full message or holds another number of workspaces. Each heartbeat confirms what is held, so reports keep their time of 1.5 s. Promises, positions and silence are in every heartbeat as before. Virtual times are merged only from a complete view: the queue counts a workspace that a known peer reports for the first time from zero.

The simulated fleet of the shares tests exchanges its reports through these types; its bounds are unchanged.

Conclusion: idle workspaces cost a report every 4 s instead of every 0.5 s. Busy ones still change more than 10% between most heartbeats.

--- a/internal/coordination/shares/manager.go
+++ b/internal/coordination/shares/manager.go
@@ -54,6 +54,9 @@
 	// Free is in microtokens.
 	Free  int64
 	Parts int64
+	// VirtualTime is the service in the fair queue since the instance's start, in tokens by weight. The manager
+	// neither sets nor reads it.
+	VirtualTime float64
 }
 
 // Ask is a request for a transfer.
--- a/internal/coordination/shares/world_test.go
+++ b/internal/coordination/shares/world_test.go
@@ -79,6 +79,9 @@
 	promises                                *lease.Promises
 	view                                    *membership.View
 	joinTried, lastSettled, lastResend      time.Duration
+	beats                                   uint64
+	senders                                 map[int]*ReportSender      // by slot
+	receivers                               map[string]*ReportReceiver // by incarnation
 }
 
 func newWorld(seed uint64, n int, workspaces map[string][2]int64, fail func(string, ...any)) *world {
@@ -99,7 +102,8 @@
 func (w *world) start(slot int, previous string) *node {
 	w.seq++
 	n := &node{w: w, slot: slot, inc: fmt.Sprintf("n%d-%04d", slot, w.seq), offset: time.Duration(w.rng.Int64N(int64(time.Hour))),
-		members: members.New(), promises: lease.NewPromises(), previous: previous, configs: map[string][2]int64{}, joinTried: -time.Hour}
+		members: members.New(), promises: lease.NewPromises(), previous: previous, configs: map[string][2]int64{}, joinTried: -time.Hour,
+		senders: map[int]*ReportSender{}, receivers: map[string]*ReportReceiver{}}
 	n.lease = lease.New(n.inc)
 	n.mgr = New(n.inc, n.members, n.lease)
 	n.set = NewSettlement(n.mgr, n.promises)
@@ -247,14 +251,23 @@
 func (n *node) positions() lease.Positions { return lease.Positions{0, uint64(n.next)} }
 
 func (n *node) heartbeat(now time.Duration, to *node) {
-	reports, silent, pos, want, asked, real := n.mgr.Reports(now), n.view.Silent(now), n.positions(), n.lease.WantPromise(), now, n.w.now
+	if n.senders[to.slot] == nil {
+		n.senders[to.slot] = NewReportSender()
+	}
+	n.beats++
+	reports := n.senders[to.slot].Next(now, n.beats, n.mgr.Reports(now))
+	silent, pos, want, asked, real := n.view.Silent(now), n.positions(), n.lease.WantPromise(), now, n.w.now
 	n.send(to, func() {
 		if to.members.Ended(n.inc) {
 			return
 		}
 		to.view.Heard(to.clock(), instance(n.slot), n.inc, pos[lease.Control], silent)
 		to.set.Heard(n.inc, pos[lease.Control])
-		to.mgr.PeerReports(to.clock(), n.inc, reports)
+		if to.receivers[n.inc] == nil {
+			to.receivers[n.inc] = NewReportReceiver()
+		}
+		held, missing := to.receivers[n.inc].Receive(reports)
+		to.mgr.PeerReports(to.clock(), n.inc, held)
 		ok := want && to.members.Active(to.inc) && to.promises.Answer(to.clock(), n.inc, to.members.Active(n.inc))
 		ack := lease.Ack{Instance: instance(to.slot), Incarnation: to.inc, Asked: asked, Positions: to.positions()}
 		copied := to.next
@@ -263,6 +276,7 @@
 				return
 			}
 			n.view.Heard(n.clock(), instance(to.slot), to.inc, uint64(copied), nil)
+			n.senders[to.slot].Acknowledged(reports.Sequence, to.inc, missing)
 			if ok {
 				n.lastAsked = max(n.lastAsked, real)
 				n.lease.Acknowledged(ack)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -37,6 +37,8 @@
 	config     uint64
 	ready      bool
 	leaseValid bool
+	// reports is what this incarnation reported of its workspaces.
+	reports *shares.ReportReceiver
 }
 
 // control is the instance's part in the fleet: membership, freshness lease and token shares. One lock
@@ -57,7 +59,11 @@
 	settlement *shares.Settlement
 	positions  lease.Positions
 	// heard is what peers said of themselves in their last heartbeat, by instance.
-	heard      map[string]peerState
+	heard map[string]peerState
+	// reporting is what each peer was told of this instance's workspaces, by instance.
+	reporting map[string]*shares.ReportSender
+	// beats counts the heartbeats made, which numbers their reports.
+	beats      uint64
 	workspaces map[string]struct{}
 	joinTried  time.Duration
 	resent     time.Duration
@@ -81,7 +87,7 @@
 func newControl(d *Daemon) *control {
 	c := &control{
 		daemon: d, start: time.Now(), members: members.New(), promises: lease.NewPromises(),
-		workspaces: map[string]struct{}{}, heard: map[string]peerState{}, changed: make(chan struct{}), withdrawn: make(chan struct{}),
+		workspaces: map[string]struct{}{}, heard: map[string]peerState{}, reporting: map[string]*shares.ReportSender{}, changed: make(chan struct{}), withdrawn: make(chan struct{}),
 		joinTried: -joinRetry, resent: -resendInterval, asked: -resendInterval,
 	}
 	self := d.opts.Incarnation
--- a/internal/daemon/controlstep.go
+++ b/internal/daemon/controlstep.go
@@ -110,33 +110,51 @@
 		return out
 	}
 	c.lease.Round(now)
-	request := c.heartbeat(now, times)
+	reports := c.shares.Reports(now)
+	for i := range reports {
+		reports[i].VirtualTime = times[reports[i].Workspace]
+	}
 	addresses := map[string]string{}
 	for _, p := range c.view.Peers(now) {
 		addresses[p.Instance] = p.PeerAddr
 	}
+	c.forgetReporting(addresses)
 	for _, instance := range actions.Heartbeat {
 		if address := addresses[instance]; address != "" {
+			request := c.heartbeat(now, instance, reports)
 			out = append(out, func() { c.sendHeartbeat(ctx, instance, address, now, request) })
 		}
 	}
 	return out
 }
 
-// heartbeat returns what this instance tells every peer. The caller holds the lock.
-func (c *control) heartbeat(now time.Duration, times map[string]float64) *peerpb.HeartbeatRequest {
-	demand := peer.DemandMessages(c.shares.Reports(now))
-	for _, d := range demand {
-		d.VirtualTime = times[d.Workspace]
+// heartbeat returns what this instance tells a peer now. The caller holds the lock.
+func (c *control) heartbeat(now time.Duration, instance string, reports []shares.Report) *peerpb.HeartbeatRequest {
+	sender := c.reporting[instance]
+	if sender == nil {
+		sender = shares.NewReportSender()
+		c.reporting[instance] = sender
 	}
+	c.beats++
+	m := sender.Next(now, c.beats, reports)
 	return &peerpb.HeartbeatRequest{
 		Instance: c.daemon.settings.Instance, Incarnation: c.daemon.opts.Incarnation,
-		Positions: peer.PositionMessages(c.positions), Hlc: c.daemon.events.now(), Demand: demand,
+		Positions: peer.PositionMessages(c.positions), Hlc: c.daemon.events.now(),
+		Demand: peer.DemandMessages(m.Reports), ReportSequence: m.Sequence, ReportCount: uint32(m.Count),
 		WantPromise: c.lease.WantPromise(), Silent: c.view.Silent(now),
 		Ready: c.sharesHeld(), LeaseValid: c.lease.Valid(now),
 	}
 }
 
+// forgetReporting drops instances that are no longer peers. The caller holds the lock.
+func (c *control) forgetReporting(peers map[string]string) {
+	for instance := range c.reporting {
+		if _, ok := peers[instance]; !ok {
+			delete(c.reporting, instance)
+		}
+	}
+}
+
 func (c *control) sendHeartbeat(ctx context.Context, instance, address string, asked time.Duration, r *peerpb.HeartbeatRequest) {
 	answer, err := c.peers.Heartbeat(ctx, address, r)
 	if err != nil {
@@ -150,6 +168,9 @@
 		return
 	}
 	c.view.Heard(c.now(), instance, answer.GetIncarnation(), positions[lease.Control], nil)
+	if sender := c.reporting[instance]; sender != nil {
+		sender.Acknowledged(r.GetReportSequence(), answer.GetIncarnation(), answer.GetReportsMissing())
+	}
 	if answer.GetPromised() {
 		c.lease.Acknowledged(lease.Ack{
 			Instance: instance, Incarnation: answer.GetIncarnation(), Asked: asked, Positions: positions,
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/lease"
+	"github.com/turmericworks/turmericworks/internal/coordination/shares"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/transport/peer"
 )
@@ -12,10 +13,7 @@
 func (c *control) Heartbeat(_ context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	d := c.daemon
 	d.events.observe(r.GetHlc())
-	times := map[string]float64{}
-	for _, m := range r.GetDemand() {
-		times[m.GetWorkspace()] = m.GetVirtualTime()
-	}
+	var times map[string]float64
 	c.mu.Lock()
 	answer := &peerpb.HeartbeatResponse{
 		Instance: d.settings.Instance, Incarnation: d.opts.Incarnation,
@@ -27,23 +25,46 @@
 		now := c.now()
 		position := peer.Positions(r.GetPositions())[lease.Control]
 		c.view.Heard(now, r.GetInstance(), r.GetIncarnation(), position, r.GetSilent())
-		c.heard[r.GetInstance()] = peerState{
-			incarnation: r.GetIncarnation(), config: peer.Positions(r.GetPositions())[lease.Config],
-			ready: r.GetReady(), leaseValid: r.GetLeaseValid(),
-		}
+		c.noteHeard(r)
 		c.settlement.Heard(r.GetIncarnation(), position)
-		c.shares.PeerReports(now, r.GetIncarnation(), peer.Reports(r.GetDemand()))
+		reports, missing := c.heard[r.GetInstance()].reports.Receive(peer.ReportMessage(r))
+		c.shares.PeerReports(now, r.GetIncarnation(), reports)
+		answer.ReportsMissing = missing
+		if !missing {
+			// The scheduler takes a workspace that a later report adds as one that started at zero there.
+			times = virtualTimes(reports)
+		}
 		if r.GetWantPromise() && c.members.Active(d.opts.Incarnation) {
 			answer.Promised = c.promises.Answer(now, r.GetIncarnation(), c.members.Active(r.GetIncarnation()))
 		}
 	}
 	c.mu.Unlock()
-	if !ended {
+	if len(times) > 0 {
 		d.scheduler.MergeVirtualTimes(r.GetIncarnation(), times)
 	}
 	return answer, nil
 }
 
+// noteHeard records what a peer's heartbeat says of it. The caller holds the lock.
+func (c *control) noteHeard(r *peerpb.HeartbeatRequest) {
+	before := c.heard[r.GetInstance()]
+	if before.incarnation != r.GetIncarnation() || before.reports == nil {
+		before.reports = shares.NewReportReceiver()
+	}
+	c.heard[r.GetInstance()] = peerState{
+		incarnation: r.GetIncarnation(), config: peer.Positions(r.GetPositions())[lease.Config],
+		ready: r.GetReady(), leaseValid: r.GetLeaseValid(), reports: before.reports,
+	}
+}
+
+func virtualTimes(reports []shares.Report) map[string]float64 {
+	times := make(map[string]float64, len(reports))
+	for _, r := range reports {
+		times[r.Workspace] = r.VirtualTime
+	}
+	return times
+}
+
 // Transfer implements peer.Shares.
 func (c *control) Transfer(_ context.Context, r *peerpb.TransferRequest) (*peerpb.TransferResponse, error) {
 	c.mu.Lock()
--- a/internal/transport/peer/convert.go
+++ b/internal/transport/peer/convert.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// DemandMessages returns the wire form of an instance's reports. Virtual times are added by the queue.
+// DemandMessages returns the wire form of an instance's reports.
 func DemandMessages(reports []shares.Report) []*peerpb.WorkspaceDemand {
 	out := make([]*peerpb.WorkspaceDemand, len(reports))
 	for i, r := range reports {
@@ -60,6 +60,7 @@
 			DemandTokensPerSecond: r.Demand / float64(shares.Microtokens),
 			FreeTokens:            float64(r.Free) / float64(shares.Microtokens),
 			Parts:                 r.Parts,
+			VirtualTime:           r.VirtualTime,
 		}
 	}
 	return out
@@ -74,11 +75,20 @@
 			Demand:    m.GetDemandTokensPerSecond() * float64(shares.Microtokens),
 			Free:      int64(min(m.GetFreeTokens()*float64(shares.Microtokens), float64(shares.MaxMicrotokens))),
 			Parts:     m.GetParts(),
+
+			VirtualTime: m.GetVirtualTime(),
 		}
 	}
 	return out
 }
 
+// ReportMessage returns the reports that a heartbeat carries, with their place in the sender's sequence.
+func ReportMessage(r *peerpb.HeartbeatRequest) shares.ReportMessage {
+	return shares.ReportMessage{
+		Sequence: r.GetReportSequence(), Count: int(r.GetReportCount()), Reports: Reports(r.GetDemand()),
+	}
+}
+
 // CounterMessages returns the wire form of frozen counters. Only the difference of sent and received
 // matters to a regrant, so one of the two is zero.
 func CounterMessages(net ledger.Net) []*peerpb.Counter {
