capacity: measure slopes and extrapolate to the two-year size

Cause: nothing showed which costs of the control plane grow with which size and where they exceed 1% of a core, 64 MB and 12 KB/s per node.

Change: turmeric-capacity measures 24 costs at three or more sizes in one process over loopback, prints each point in the benchmark format, a line of least squares per cost and the costs at the two-year size against the budget.

--- /dev/null
+++ b/cmd/turmeric-capacity/main.go
@@ -0,0 +1,46 @@
+// Command turmeric-capacity measures what the control plane costs at several sizes in this process and prints, for the
+// two-year size, which costs exceed the budget of a node. Nothing else should load the machine meanwhile.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/turmericworks/turmericworks/internal/capacity"
+)
+
+type options struct {
+	JSON bool `long:"json" description:"print JSON instead of tables"`
+}
+
+func run(w io.Writer) error {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return nil
+		}
+		return err
+	}
+	series, err := capacity.Run()
+	if err != nil {
+		return err
+	}
+	r := capacity.Result{Series: series, Items: capacity.Plan(series, capacity.TwoYears)}
+	if o.JSON {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(r)
+	}
+	return capacity.Fprint(w, r)
+}
+
+func main() {
+	if err := run(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "turmeric-capacity:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/capacity/logs.go
@@ -0,0 +1,226 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/membership"
+	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/standin/instancelist"
+	"github.com/turmericworks/turmericworks/internal/standin/logservice"
+	"github.com/turmericworks/turmericworks/internal/state/ledger"
+	"github.com/turmericworks/turmericworks/internal/state/members"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/platformhttp"
+	"github.com/turmericworks/turmericworks/internal/transport/tail"
+)
+
+// LogReaders measures what n instances that follow one stream of the log by long polls do, against the stand-in
+// over HTTP on loopback.
+type LogReaders struct {
+	// Reads is reads per second of all instances together while nothing is appended.
+	Reads Series
+	// Bytes is bytes per second of one instance then, in both directions.
+	Bytes Series
+	// Force is the time in milliseconds from the call of an append until the last instance handed the record
+	// on; the largest of several.
+	Force Series
+}
+
+// tailed is one instance that follows a stream.
+type tailed struct {
+	tail *tail.Tail
+	seen atomic.Uint64
+}
+
+// Readers measures log readers at the sizes.
+func Readers(sizes []int, idle time.Duration) (LogReaders, error) {
+	out := LogReaders{
+		Reads: Series{Name: "log-reads-per-stream", Per: "instance", Unit: "reads/s"},
+		Bytes: Series{Name: "log-idle-bytes-per-stream", Per: "instance", Unit: "B/s"},
+		Force: Series{Name: "time-in-force", Per: "instance", Unit: "ms"},
+	}
+	for _, size := range sizes {
+		reads, bytes, force, err := readers(size, idle)
+		if err != nil {
+			return out, err
+		}
+		out.Reads.Points = append(out.Reads.Points, Point{float64(size), reads})
+		out.Bytes.Points = append(out.Bytes.Points, Point{float64(size), bytes})
+		out.Force.Points = append(out.Force.Points, Point{float64(size), force})
+	}
+	out.Reads, out.Bytes, out.Force = out.Reads.fit(), out.Bytes.fit(), out.Force.fit()
+	return out, nil
+}
+
+func readers(n int, idle time.Duration) (reads, bytes, force float64, err error) {
+	var served atomic.Int64
+	handler := logservice.New(time.Hour).Handler()
+	base, stop, err := webServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			served.Add(1)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	defer done.Wait()
+	defer cancel()
+	var count counter
+	var all []*tailed
+	for range n {
+		t := &tailed{}
+		t.tail = tail.New(platformhttp.NewLog(base, count.webTransport()), platform.StreamConfig, 0, tail.Events{
+			Records: func(_ []record.Entry, next uint64) { t.seen.Store(next) },
+			Gap:     func(uint64) {}, AtTail: func(time.Time, uint64) {}, Unavailable: func(error) {},
+		})
+		all = append(all, t)
+		done.Go(func() { _ = t.tail.Serve(ctx) }) // ends with the context
+	}
+	writer := platformhttp.NewLog(base, &http.Transport{})
+	if _, err := appendAndWait(ctx, writer, all, 1); err != nil { // connections are open then
+		return 0, 0, 0, err
+	}
+	startReads, startBytes, start := served.Load(), count.total(), time.Now()
+	time.Sleep(idle)
+	seconds := time.Since(start).Seconds()
+	reads = float64(served.Load()-startReads) / seconds
+	bytes = (count.total() - startBytes) / seconds / float64(n)
+	for i := range 5 {
+		took, err := appendAndWait(ctx, writer, all, uint64(i+2))
+		if err != nil {
+			return 0, 0, 0, err
+		}
+		force = max(force, float64(took.Microseconds())/1000)
+	}
+	return reads, bytes, force, nil
+}
+
+// appendAndWait appends a record, after which the stream has the given length, and waits for all instances.
+func appendAndWait(ctx context.Context, log *platformhttp.Log, all []*tailed, length uint64) (time.Duration, error) {
+	data, err := record.Encode(changeRecords(1, 1))
+	if err != nil {
+		return 0, err
+	}
+	start := time.Now()
+	if _, err := log.Append(ctx, platform.StreamConfig, data); err != nil {
+		return 0, err
+	}
+	for _, t := range all {
+		for t.seen.Load() < length {
+			if time.Since(start) > time.Minute {
+				return 0, fmt.Errorf("an instance did not read the record within a minute")
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(start), nil
+}
+
+// ReadBytes measures the bytes of one read by the configuration changes that it returns, each an append of its own.
+func ReadBytes(sizes []int) (Series, error) {
+	return measure("log-read-bytes", "change", "B", sizes, func(size int) (float64, error) {
+		base, stop, err := webServer(logservice.New(time.Hour).Handler())
+		if err != nil {
+			return 0, err
+		}
+		defer stop()
+		ctx := context.Background()
+		writer := platformhttp.NewLog(base, &http.Transport{})
+		for _, change := range changeRecords(size, size) {
+			data, err := record.Encode([]record.Envelope{change})
+			if err != nil {
+				return 0, err
+			}
+			if _, err := writer.Append(ctx, platform.StreamConfig, data); err != nil {
+				return 0, err
+			}
+		}
+		var count counter
+		reader := platformhttp.NewLog(base, count.webTransport())
+		if _, err := reader.Read(ctx, platform.StreamConfig, 0, 500, 0); err != nil {
+			return 0, err
+		}
+		return count.total(), nil
+	})
+}
+
+// ListBytes measures one read of the platform's list by its length.
+func ListBytes(sizes []int) (Series, error) {
+	return measure("instance-list-bytes", "instance", "B", sizes, func(size int) (float64, error) {
+		list := instancelist.New(0)
+		var all []platform.Instance
+		for i := range size {
+			all = append(all, platform.Instance{ID: instanceName(i), DataCentre: fmt.Sprintf("dc-%d", i%11),
+				PeerAddr: fmt.Sprintf("10.20.30.40:%d", 10000+i), State: platform.Live})
+		}
+		list.Set(all)
+		base, stop, err := webServer(list.Handler())
+		if err != nil {
+			return 0, err
+		}
+		defer stop()
+		var count counter
+		_, err = platformhttp.NewInstanceList(base, count.webTransport()).List(context.Background())
+		return count.total(), err
+	})
+}
+
+// WithdrawAppends counts the withdrawals that n members append when one refuses connections, each seeing its last
+// heartbeat at a phase of its own and the first record after the given time to read it back. Virtual time.
+func WithdrawAppends(sizes []int, readBack time.Duration) (Series, error) {
+	return measure("withdrawals-per-failure", "member", "appends", sizes, func(size int) (float64, error) {
+		dead := members.Member{Incarnation: incarnation(9999), Join: members.Join{Instance: instanceName(9999)}}
+		var views []*membership.View
+		for i := range size {
+			v := membership.New(instanceName(i), incarnation(i))
+			own := members.Member{Incarnation: incarnation(i), Join: members.Join{Instance: instanceName(i)}}
+			heard := membership.Interval * time.Duration(i) / time.Duration(size)
+			v.SetMembers(heard, []members.Member{own, dead})
+			v.Heard(heard, dead.Instance, dead.Incarnation, 0, nil)
+			v.Refused(dead.Instance, dead.Incarnation)
+			views = append(views, v)
+		}
+		first, appended := time.Duration(-1), 0
+		for now := time.Duration(0); first < 0 || now < first+readBack; now += time.Millisecond {
+			for i, v := range views {
+				// The control loop looks every 100 ms, at a phase of its own.
+				if (int(now/time.Millisecond)+i*37)%100 == 0 && len(v.Tick(now).Withdraw) > 0 {
+					appended++
+					if first < 0 {
+						first = now
+					}
+				}
+			}
+		}
+		return float64(appended), nil
+	})
+}
+
+// RegrantBytes measures the record that settles one failure, by members.
+func RegrantBytes(sizes []int, workspaces int) (Series, error) {
+	return measure("regrant-record-bytes", "member", "B", sizes, func(size int) (float64, error) {
+		r := ledger.Regrant{Ended: []string{incarnation(9999)}, Reports: map[string]ledger.Net{}}
+		for i := range size {
+			net := ledger.Net{}
+			for w := range workspaces {
+				net[fmt.Sprintf("workspace-%02d", w)] = int64(1000 + i)
+			}
+			r.Reports[incarnation(i)] = net
+		}
+		env, err := record.New(ledger.KindRegrant, "0123456789abcdef0123456789abcdef", self, r)
+		if err != nil {
+			return 0, err
+		}
+		data, err := record.Encode([]record.Envelope{env})
+		return float64(len(data)), err
+	})
+}
--- /dev/null
+++ b/internal/capacity/peers.go
@@ -0,0 +1,339 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/lease"
+	"github.com/turmericworks/turmericworks/internal/coordination/membership"
+	"github.com/turmericworks/turmericworks/internal/coordination/shares"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/ledger"
+	"github.com/turmericworks/turmericworks/internal/state/members"
+	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/peer"
+)
+
+const self = "incarnation-0123456789abcdef-0000"
+
+func incarnation(i int) string { return fmt.Sprintf("incarnation-0123456789abcdef-%04d", i) }
+
+func instanceName(i int) string { return fmt.Sprintf("instance-%04d", i) }
+
+func reportsOf(workspaces, round int) []shares.Report {
+	out := make([]shares.Report, workspaces)
+	for i := range out {
+		out[i] = shares.Report{
+			Workspace: fmt.Sprintf("workspace-%02d", i), Demand: 1e9 * float64(1+round%2), Free: 5e9, Parts: 100_000,
+			VirtualTime: float64(1000 * round),
+		}
+	}
+	return out
+}
+
+// fleetState is what one instance holds of its fleet outside the connections.
+type fleetState struct {
+	members   *members.Set
+	view      *membership.View
+	lease     *lease.Lease
+	shares    *shares.Manager
+	senders   []*shares.ReportSender
+	receivers []*shares.ReportReceiver
+	listed    []membership.Listed
+	beats     uint64
+}
+
+// newFleetState returns the state of the first of n members after each peer sent a heartbeat.
+func newFleetState(n, workspaces int) (*fleetState, error) {
+	f := &fleetState{members: members.New(), view: membership.New(instanceName(0), self), lease: lease.New(self)}
+	f.shares = shares.New(self, f.members, f.lease)
+	now := time.Second
+	f.lease.ReadTail(lease.Config, now)
+	f.lease.ReadTail(lease.Control, now)
+	for i := range n {
+		join := members.Join{Instance: instanceName(i), PeerAddr: fmt.Sprintf("10.20.30.40:%d", 10000+i), DataCentre: fmt.Sprintf("dc-%d", i%11)}
+		if err := f.apply(i, members.KindJoin, incarnation(i), join); err != nil {
+			return nil, err
+		}
+		f.listed = append(f.listed, membership.Listed{Instance: join.Instance, PeerAddr: join.PeerAddr, DataCentre: join.DataCentre})
+	}
+	for i := range workspaces {
+		ws := fmt.Sprintf("workspace-%02d", i)
+		f.shares.Configure(now, ws, 10_000*shares.Microtokens, 20_000*shares.Microtokens)
+		if err := f.apply(n+i, ledger.KindGrant, self, ledger.Grant{Workspace: ws}); err != nil {
+			return nil, err
+		}
+	}
+	f.view.SetList(now, f.listed)
+	f.view.SetMembers(now, f.members.List())
+	for i := 1; i < n; i++ {
+		f.senders = append(f.senders, shares.NewReportSender())
+		f.receivers = append(f.receivers, shares.NewReportReceiver())
+	}
+	f.hear(now, 1, workspaces)
+	return f, nil
+}
+
+func (f *fleetState) apply(offset int, kind record.Kind, inc string, body any) error {
+	env, err := record.New(kind, fmt.Sprint(offset), inc, body)
+	if err != nil {
+		return err
+	}
+	e := record.Entry{Offset: uint64(offset), Envelope: env}
+	f.members.Apply(e)
+	f.shares.Apply(time.Second, e)
+	return nil
+}
+
+// hear records a full heartbeat of every peer.
+func (f *fleetState) hear(now time.Duration, sequence uint64, workspaces int) {
+	for i, r := range f.receivers {
+		f.view.Heard(now, instanceName(i+1), incarnation(i+1), 0, nil)
+		held, _ := r.Receive(shares.ReportMessage{Sequence: sequence, Count: workspaces, Reports: reportsOf(workspaces, 1)})
+		f.shares.PeerReports(now, incarnation(i+1), held)
+	}
+}
+
+// second does what the control loop does in a second, without messages: ten ticks and two rounds of heartbeats.
+func (f *fleetState) second(from time.Duration) {
+	for tick := range 10 {
+		now := from + time.Duration(tick)*100*time.Millisecond
+		f.lease.ReadTail(lease.Config, now)
+		f.lease.ReadTail(lease.Control, now)
+		f.view.Silent(now)
+		a := f.view.Tick(now)
+		if len(a.Heartbeat) > 0 {
+			f.view.Peers(now)
+			reports := f.shares.Reports(now)
+			for _, s := range f.senders {
+				f.beats++
+				m := s.Next(now, f.beats, reports)
+				s.Acknowledged(m.Sequence, "peer", false)
+			}
+		}
+		f.shares.Push(now)
+		for _, m := range f.members.List() {
+			f.shares.Counters().Pending(m.Incarnation)
+		}
+		f.electorate()
+		f.lease.Valid(now)
+	}
+}
+
+func (f *fleetState) electorate() {
+	var e lease.Electorate
+	e.Listed, _ = f.view.Required()
+	for _, m := range f.members.List() {
+		e.Members = append(e.Members, m.Incarnation)
+	}
+	f.lease.SetElectorate(e)
+}
+
+// responder answers heartbeats as an instance does.
+type responder struct {
+	peer.Shares
+	state    *fleetState
+	receiver *shares.ReportReceiver
+	now      time.Duration
+}
+
+// Heartbeat implements peer.Shares for one connection with one call at a time.
+func (r *responder) Heartbeat(_ context.Context, q *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	r.now++
+	positions := peer.Positions(q.GetPositions())
+	r.state.view.Heard(r.now, q.GetInstance(), q.GetIncarnation(), positions[lease.Control], q.GetSilent())
+	held, missing := r.receiver.Receive(peer.ReportMessage(q))
+	r.state.shares.PeerReports(r.now, q.GetIncarnation(), held)
+	return &peerpb.HeartbeatResponse{
+		Instance: instanceName(0), Incarnation: self, Positions: q.GetPositions(), Hlc: q.GetHlc(), ReportsMissing: missing,
+	}, nil
+}
+
+func heartbeatMessage(sequence uint64, total int, changed []shares.Report) *peerpb.HeartbeatRequest {
+	return &peerpb.HeartbeatRequest{
+		Instance: instanceName(1), Incarnation: incarnation(1), Hlc: 1<<60 + sequence,
+		Positions: peer.PositionMessages(lease.Positions{1 << 24, 1<<24 + sequence}),
+		Demand:    peer.DemandMessages(changed), ReportSequence: sequence, ReportCount: uint32(total), Ready: true, LeaseValid: true,
+	}
+}
+
+// Heartbeats measures one heartbeat and its answer over gRPC on loopback without TLS, by the reports that it carries:
+// bytes in both directions, and processor time of both ends together, which is what an instance of a mesh spends for
+// each peer and interval, because it sends one and answers one.
+func Heartbeats(sizes []int) (bytes, cpu Series, err error) {
+	bytes, cpu = Series{Name: "heartbeat-bytes", Per: "report", Unit: "B"}, Series{Name: "heartbeat-cpu", Per: "report", Unit: "us"}
+	for _, size := range sizes {
+		b, c, err := heartbeat(size)
+		if err != nil {
+			return bytes, cpu, err
+		}
+		bytes.Points = append(bytes.Points, Point{float64(size), b})
+		cpu.Points = append(cpu.Points, Point{float64(size), c})
+	}
+	return bytes.fit(), cpu.fit(), nil
+}
+
+func heartbeat(reports int) (bytes, cpu float64, err error) {
+	state, err := newFleetState(7, reports)
+	if err != nil {
+		return 0, 0, err
+	}
+	address, stop, err := peerServer(&responder{state: state, receiver: shares.NewReportReceiver(), now: 2 * time.Second})
+	if err != nil {
+		return 0, 0, err
+	}
+	defer stop()
+	var count counter
+	clients := peer.NewClients(nil, count.dial, func(string) {})
+	defer clients.Close()
+	sequence := uint64(0)
+	send := func() {
+		sequence++
+		message := heartbeatMessage(sequence, reports, reportsOf(reports, int(sequence)))
+		if _, callErr := clients.Heartbeat(context.Background(), address, message); callErr != nil {
+			err = callErr
+		}
+	}
+	for range 20 { // header compression has learned the fixed headers by then
+		send()
+	}
+	const calls = 200
+	before := count.total()
+	for range calls {
+		send()
+	}
+	bytes = (count.total() - before) / calls
+	return bytes, cpuOf(send), err
+}
+
+func peerServer(s peer.Shares) (string, func(), error) {
+	addresses, stop, err := peerServers(s, 1)
+	if err != nil {
+		return "", nil, err
+	}
+	return addresses[0], stop, nil
+}
+
+// peerServers serves at several addresses, so that clients open a connection to each.
+func peerServers(s peer.Shares, n int) ([]string, func(), error) {
+	server := peer.NewServer(nil)
+	peerpb.RegisterPeerServer(server, &peer.Service{Shares: s})
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			server.Stop()
+			return nil, nil, err
+		}
+		addresses = append(addresses, l.Addr().String())
+		go func() { _ = server.Serve(l) }() // ends with an error when it is stopped
+	}
+	return addresses, server.Stop, nil
+}
+
+// Transfers measures one transfer and its acknowledgement, by the length of the workspace's name.
+func Transfers(sizes []int) (Series, error) {
+	return measure("transfer-bytes", "byte-of-name", "B", sizes, func(size int) (float64, error) {
+		address, stop, err := peerServer(acceptAll{})
+		if err != nil {
+			return 0, err
+		}
+		defer stop()
+		var count counter
+		clients := peer.NewClients(nil, count.dial, func(string) {})
+		defer clients.Close()
+		name := fmt.Sprintf("%0*d", size, 1)
+		const warm, calls = 20, 200
+		before := 0.0
+		for i := range warm + calls {
+			if i == warm {
+				before = count.total()
+			}
+			t := ledger.Transfer{From: self, To: incarnation(1), Number: uint64(1000 + i), Workspace: name, Parts: 12_345, Microtokens: 1e10}
+			if _, err := clients.Transfer(context.Background(), address, peer.TransferMessage(t)); err != nil {
+				return 0, err
+			}
+		}
+		return (count.total() - before) / calls, nil
+	})
+}
+
+type acceptAll struct{ peer.Shares }
+
+// Transfer implements peer.Shares.
+func (acceptAll) Transfer(context.Context, *peerpb.TransferRequest) (*peerpb.TransferResponse, error) {
+	return &peerpb.TransferResponse{Accepted: true}, nil
+}
+
+// Heartbeat implements peer.Shares.
+func (acceptAll) Heartbeat(context.Context, *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return &peerpb.HeartbeatResponse{}, nil
+}
+
+// ControlLoop measures the processor time of one second of membership, lease and shares, without the messages.
+func ControlLoop(sizes []int, workspaces int) (Series, error) {
+	return measure("control-loop-cpu", "member", "us/s", sizes, func(size int) (float64, error) {
+		f, err := newFleetState(size, workspaces)
+		if err != nil {
+			return 0, err
+		}
+		now := time.Second
+		return cpuOf(func() {
+			now += time.Second
+			f.hear(now, uint64(now), workspaces)
+			f.second(now)
+		}), nil
+	})
+}
+
+// FleetMemory measures the state of an instance by its members, without connections.
+func FleetMemory(sizes []int, workspaces int) (Series, error) {
+	return measure("fleet-memory", "member", "B", sizes, func(size int) (float64, error) {
+		return memoryOf(func() (*fleetState, error) {
+			f, err := newFleetState(size, workspaces)
+			if err == nil {
+				f.second(time.Second)
+			}
+			return f, err
+		})
+	})
+}
+
+// WorkspaceMemory measures the state of an instance by its workspaces, with the given members.
+func WorkspaceMemory(sizes []int, fleet int) (Series, error) {
+	return measure(fmt.Sprintf("workspace-memory-%d-members", fleet), "workspace", "B", sizes, func(size int) (float64, error) {
+		return memoryOf(func() (*fleetState, error) {
+			f, err := newFleetState(fleet, size)
+			if err == nil {
+				f.second(time.Second)
+			}
+			return f, err
+		})
+	})
+}
+
+// ConnectionMemory measures a connection of both directions to each of several peers: the client's end and the
+// server's are both in this process, as an instance has one of each per peer.
+func ConnectionMemory(sizes []int) (Series, error) {
+	return measure("connection-memory", "peer", "B", sizes, func(size int) (float64, error) {
+		clients := peer.NewClients(nil, new(counter).dial, func(string) {})
+		defer clients.Close()
+		stop := func() {}
+		defer func() { stop() }()
+		return memoryOf(func() (*peer.Clients, error) {
+			addresses, stopAll, err := peerServers(acceptAll{}, size)
+			if err != nil {
+				return nil, err
+			}
+			stop = stopAll
+			for _, address := range addresses {
+				if _, err := clients.Heartbeat(context.Background(), address, heartbeatMessage(1, 5, reportsOf(5, 1))); err != nil {
+					return nil, err
+				}
+			}
+			return clients, nil
+		})
+	})
+}
--- /dev/null
+++ b/internal/capacity/plan.go
@@ -0,0 +1,173 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Deployment is the size that costs are extrapolated to.
+type Deployment struct {
+	Nodes, Engines, Adapters, Workspaces int
+	ChangesPerDay, RequestsPerSecond     float64
+	FailuresPerDay, RestartsPerDay       float64
+}
+
+// TwoYears is the size that the system must carry in two years.
+var TwoYears = Deployment{
+	Nodes: 860, Engines: 4900, Adapters: 93_000, Workspaces: 5, ChangesPerDay: 9700, RequestsPerSecond: 37_000,
+	FailuresPerDay: 33, RestartsPerDay: 490,
+}
+
+// The budget of a node for control.
+const (
+	// BudgetCPU is in microseconds of processor time per second: 1% of a core.
+	BudgetCPU = 10_000
+	// BudgetMemory is in bytes.
+	BudgetMemory = 64 << 20
+	// BudgetTraffic is in bytes per second, sent and received together.
+	BudgetTraffic = 12_000
+)
+
+const day = 24 * 60 * 60
+
+// The timing of the running system that the costs follow from.
+const (
+	beatsPerSecond = 2 // membership.Interval
+	listsPerSecond = 1 // the daemon's listInterval
+	pollsPerSecond = 2 // the fleet registry's pollInterval
+	streams        = 3
+	// logAppends is what the log service takes per second.
+	logAppends = 300
+	// openSeconds is how long a request stays with the instance: first token, 240 tokens of 44 ms.
+	openSeconds = 11
+	// eventRing is the daemon's number of events kept.
+	eventRing = 16_384
+	// recordLimit is the largest record that the stand-in of the log takes, in bytes.
+	recordLimit = 4 << 20
+)
+
+// Item is one cost of a node, or of the log service, at the deployment's size.
+type Item struct {
+	Role     string `json:"role"`
+	Name     string `json:"name"`
+	Resource string `json:"resource"`
+	// Value and Budget are in the resource's unit. Zero means that no budget is stated.
+	Value  float64 `json:"value"`
+	Budget float64 `json:"budget"`
+	// Over says that this cost alone exceeds the budget.
+	Over bool `json:"over"`
+	// Limit is the size at which this cost alone reaches the budget, with what it counts; empty if it does not
+	// grow with a size of the deployment.
+	Limit string `json:"limit,omitempty"`
+}
+
+// Result is a run: all series and the costs that follow from them.
+type Result struct {
+	Series []Series `json:"series"`
+	Items  []Item   `json:"items"`
+}
+
+type planner struct {
+	by    map[string]Series
+	items []Item
+}
+
+// add appends a cost. It grows by perUnit for each of the things that the limit counts.
+func (p *planner) add(role, name, resource string, value, budget, perUnit float64, counted string) {
+	i := Item{Role: role, Name: name, Resource: resource, Value: value, Budget: budget, Over: budget > 0 && value > budget}
+	if perUnit > 0 && counted != "" {
+		// The cost is a line in what is counted; this is where it meets the budget.
+		i.Limit = fmt.Sprintf("%.0f %s", math.Floor(budget/perUnit), counted)
+	}
+	p.items = append(p.items, i)
+}
+
+// Plan extrapolates the series to the deployment.
+func Plan(series []Series, d Deployment) []Item {
+	p := &planner{by: map[string]Series{}}
+	for _, s := range series {
+		p.by[s.Name] = s
+	}
+	p.traffic(d)
+	p.processor(d)
+	p.memory(d)
+	p.log(d)
+	return p.items
+}
+
+func (p *planner) traffic(d Deployment) {
+	const unit = "B/s per node"
+	peers, nodes, ws := float64(d.Nodes-1), float64(d.Nodes), float64(d.Workspaces)
+	beats := p.by["heartbeat-bytes"]
+	// An instance sends a heartbeat to each peer and answers one of each.
+	full, none := 2*beatsPerSecond*beats.At(ws), 2*beatsPerSecond*beats.At(0)
+	p.add("membership and lease", "heartbeats, no report changed", unit, none*peers, BudgetTraffic, none, "nodes")
+	p.add("token shares", "heartbeats, every report changed", unit, full*peers, BudgetTraffic, full, "nodes")
+	transfer := p.by["transfer-bytes"].At(12)
+	p.add("token shares", "transfers, one per workspace and second sent and received", unit, 2*transfer*ws, BudgetTraffic, 2*transfer, "workspaces")
+	list := p.by["instance-list-bytes"]
+	p.add("membership and lease", "instance list", unit, listsPerSecond*list.At(nodes), BudgetTraffic, listsPerSecond*list.Slope, "nodes")
+	idle := p.by["log-idle-bytes-per-stream"].Points[0].Value
+	p.add("log service", "long polls of three streams, nothing appended", unit, streams*idle, BudgetTraffic, 0, "")
+	change := p.by["log-read-bytes"].Slope
+	p.add("configuration", "changes read", unit, change*d.ChangesPerDay/day, BudgetTraffic, change/day, "changes a day")
+	regrant := p.by["regrant-record-bytes"]
+	// The log's JSON carries records in base64.
+	perDay := regrant.At(nodes) * 4 / 3 * (d.FailuresPerDay + d.RestartsPerDay)
+	p.add("token shares", "regrant records read", unit, perDay/day, BudgetTraffic, perDay/day/nodes, "nodes")
+	poll := pollsPerSecond * p.by["engine-poll-bytes"].Slope
+	p.add("engine ownership and loads", "status of every engine", unit, poll*float64(d.Engines), BudgetTraffic, poll, "engines")
+}
+
+func (p *planner) processor(d Deployment) {
+	const unit = "us/s per node"
+	peers, ws := float64(d.Nodes-1), float64(d.Workspaces)
+	beat := p.by["heartbeat-cpu"]
+	p.add("membership and lease", "heartbeats, no report changed", unit, beatsPerSecond*beat.At(0)*peers, BudgetCPU, beatsPerSecond*beat.At(0), "nodes")
+	p.add("token shares", "heartbeats, every report changed", unit, beatsPerSecond*beat.At(ws)*peers, BudgetCPU, beatsPerSecond*beat.At(ws), "nodes")
+	loop := p.by["control-loop-cpu"]
+	p.add("membership and lease", "control loop without messages", unit, loop.At(float64(d.Nodes)), BudgetCPU, loop.Slope, "nodes")
+	change := p.by["config-change-cpu"]
+	p.add("configuration", "fold of changes", unit, change.At(float64(d.Adapters))*d.ChangesPerDay/day, BudgetCPU, 0, "")
+	requests := d.RequestsPerSecond / float64(d.Nodes)
+	p.add("keys", "authentication", unit, p.by["authenticate-cpu"].At(float64(d.Workspaces*100))*requests, BudgetCPU, 0, "")
+	poll := pollsPerSecond * p.by["engine-poll-cpu"].Slope
+	p.add("engine ownership and loads", "status of every engine, both ends", unit, poll*float64(d.Engines), BudgetCPU, poll, "engines")
+}
+
+func (p *planner) memory(d Deployment) {
+	const unit = "B per node"
+	nodes := float64(d.Nodes)
+	connection, fleet := p.by["connection-memory"].Slope, p.by["fleet-memory"]
+	p.add("membership and lease", "connections from and to each peer", unit, connection*(nodes-1), BudgetMemory, connection, "nodes")
+	p.add("membership and lease", "state of members, peers and shares", unit, fleet.At(nodes), BudgetMemory, fleet.Slope, "nodes")
+	adapters := p.by["config-memory"]
+	p.add("configuration", "view", unit, adapters.At(float64(d.Adapters)), BudgetMemory, adapters.Slope, "adapters")
+	p.add("keys", "100 keys per workspace", unit, p.by["key-memory"].At(float64(100*d.Workspaces)), BudgetMemory, p.by["key-memory"].Slope, "keys")
+	open := d.RequestsPerSecond / nodes * openSeconds
+	p.add("entry instance's request path", "queue, every open request waiting", unit, p.by["queue-memory"].At(open), BudgetMemory, p.by["queue-memory"].Slope, "requests")
+	p.add("timeline", "event ring", unit, p.by["event-memory"].At(eventRing), BudgetMemory, p.by["event-memory"].Slope, "events")
+}
+
+func (p *planner) log(d Deployment) {
+	nodes := float64(d.Nodes)
+	reads := p.by["log-reads-per-stream"]
+	p.add("log service", "reads of three streams by all nodes, nothing appended", "reads/s", streams*reads.At(nodes), 0, 0, "")
+	ends := d.FailuresPerDay + d.RestartsPerDay
+	withdrawals := p.by["withdrawals-per-failure"]
+	p.add("membership and lease", "withdrawals in one burst after a failure", "appends", withdrawals.At(nodes), logAppends, withdrawals.Slope, "nodes")
+	// A restart is a leave and a join; every end is settled by one regrant; a node owns its part of the engines,
+	// each claimed again by an append.
+	claims := float64(d.Engines) / nodes
+	average := (d.FailuresPerDay*(withdrawals.At(nodes)+1) + d.RestartsPerDay*2 + ends*(1+claims)) / day
+	p.add("log service", "appends of membership, grants and claims, average", "appends/s", average, logAppends, 0, "")
+	p.add("configuration", "appends of changes, average", "appends/s", d.ChangesPerDay/day, logAppends, 0, "")
+	// An instance with non-idempotent calls all the time appends a batch per linger, whose length is that for seven.
+	perInstance := float64(logAppends) / 7
+	p.add("calls that may not be repeated", "appends when every node has such calls all the time", "appends/s", perInstance*nodes, logAppends, perInstance, "nodes")
+	regrant := p.by["regrant-record-bytes"]
+	p.add("token shares", "one regrant record", "B", regrant.At(nodes), recordLimit, regrant.Slope, "nodes")
+	force := p.by["time-in-force"]
+	p.add("configuration", "time until a change is in force", "ms", force.At(nodes), float64((10 * time.Second).Milliseconds()), force.Slope, "nodes")
+}
--- /dev/null
+++ b/internal/capacity/run.go
@@ -0,0 +1,58 @@
+package capacity
+
+import "time"
+
+// readBack is the time assumed until the first withdrawal is read back by every member.
+const readBack = 50 * time.Millisecond
+
+// idleReading is how long log readers are watched while nothing is appended.
+const idleReading = 3 * time.Second
+
+// Run measures every series. It takes about a minute of processor time and opens some thousands of loopback
+// connections.
+func Run() ([]Series, error) {
+	var out []Series
+	two := func(a, b Series, err error) error {
+		out = append(out, a, b)
+		return err
+	}
+	steps := []func() error{
+		func() error { return two(Heartbeats([]int{0, 5, 20, 50})) },
+		func() error { return two(EnginePolls([]int{9, 90, 900})) },
+		func() error { return two(Keys([]int{100, 1000, 10_000})) },
+		func() error {
+			r, err := Readers([]int{7, 70, 860}, idleReading)
+			out = append(out, r.Reads, r.Bytes, r.Force)
+			return err
+		},
+	}
+	one := func(f func() (Series, error)) {
+		steps = append(steps, func() error {
+			s, err := f()
+			out = append(out, s)
+			return err
+		})
+	}
+	fleets := []int{7, 70, 430, 860}
+	one(func() (Series, error) { return Transfers([]int{5, 12, 60}) })
+	one(func() (Series, error) { return ControlLoop(fleets, 5) })
+	one(func() (Series, error) { return ConnectionMemory([]int{10, 40, 160}) })
+	one(func() (Series, error) { return FleetMemory(fleets, 5) })
+	one(func() (Series, error) { return WorkspaceMemory([]int{5, 20, 50}, 860) })
+	one(func() (Series, error) { return ConfigMemory([]int{3000, 30_000, 93_000}) })
+	one(func() (Series, error) { return ChangeCPU([]int{3000, 30_000, 93_000}) })
+	one(func() (Series, error) { return SnapshotBytes([]int{3000, 30_000, 93_000}) })
+	one(func() (Series, error) { return QueueMemory([]int{100, 1000, 8000}) })
+	one(func() (Series, error) { return EventMemory([]int{1024, 4096, 16_384}) })
+	one(func() (Series, error) { return ActionBytes([]int{0, 1024, 65_536}) })
+	one(func() (Series, error) { return ReadBytes([]int{0, 1, 10, 100}) })
+	one(func() (Series, error) { return ListBytes([]int{7, 70, 860}) })
+	one(func() (Series, error) { return WithdrawAppends([]int{7, 70, 430, 860}, readBack) })
+	one(func() (Series, error) { return RegrantBytes([]int{7, 70, 860}, 5) })
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return out, err
+		}
+	}
+	return out, nil
+}
