--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -68,7 +68,7 @@
 	Shares Shares
 	// State is nil on instances that give none.
 	State State
-	Slots  Slots
+	Slots Slots
 }
 
 // Heartbeat implements peerpb.PeerServer.
