daemon: describe operators' credentials in the settings' own types

Cause: the settings page is generated from the types of internal/daemon, and its test failed after the operators' credentials had moved to another package. Change: the settings have their own type again, converted for the API. Measured: go test ./internal/settingsdoc failed before and passes now. Conclusion: the committed page is current.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -102,7 +102,7 @@
 	d.control.peers = d.peers
 	d.owners = newOwners(d)
 	d.peerServer = peer.NewServer(d.secure.peers)
-	operators, err := admin.NewHandler(&adminDaemon{d}, o.Settings.Operators)
+	operators, err := admin.NewHandler(&adminDaemon{d}, o.Settings.tokens())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -196,6 +196,6 @@
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/admin/v1/", d.operators)
-	mux.Handle("GET /debug/events", admin.RequireToken(d.settings.Operators, d.events))
+	mux.Handle("GET /debug/events", admin.RequireToken(d.settings.tokens(), d.events))
 	return mux
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -28,7 +28,7 @@
 	// TLS holds certificates. Leave a part out only on loopback or with plain_text.
 	TLS TLSSettings `json:"tls,omitzero"`
 	// Operators are the credentials of the operators' API.
-	Operators []admin.Token `json:"operators,omitempty"`
+	Operators []Operator `json:"operators,omitempty"`
 	// Limits bound what callers can take up.
 	Limits Limits `json:"limits,omitzero"`
 	// LogLevel is one of debug, info, warn, error. Default: info.
@@ -87,6 +87,25 @@
 	KeyFile string `json:"key_file"`
 }
 
+// Operator is a credential of the operators' API.
+type Operator struct {
+	// Name appears in the log and in the configuration's history.
+	Name string `json:"name"`
+	// Hash is the SHA-256 of the token, in hexadecimal.
+	Hash string `json:"hash"`
+	// Roles are read, keys and publish. Give each operator only those needed.
+	Roles []admin.Role `json:"roles"`
+}
+
+// tokens returns the operators' credentials in the form that the API takes.
+func (s Settings) tokens() []admin.Token {
+	out := make([]admin.Token, len(s.Operators))
+	for i, o := range s.Operators {
+		out[i] = admin.Token(o)
+	}
+	return out
+}
+
 // Limits bound what callers can take up.
 type Limits struct {
 	// MaxConnections is the largest number of open caller connections. Default: 4096.
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.Operators = []admin.Token{{
+	s.Operators = []daemon.Operator{{
 		Name: "operator", Hash: token.Hash, Roles: []admin.Role{admin.RoleRead, admin.RoleKeys, admin.RolePublish},
 	}}
 	o := stack.Options{
