replay: count loads by cause, waits by class, and add a batch class

Cause: the table gave one number of loads and did not show where they come from, and every request of the workload was treated as interactive.

No decision changed.

--- a/cmd/turmeric-replay/main.go
+++ b/cmd/turmeric-replay/main.go
@@ -16,6 +16,7 @@
 	Mode       string  `long:"mode" default:"all" choice:"all" choice:"steady" choice:"shift" choice:"overload" description:"steady skew, a shift of popularity, or one workspace at five times its rate"`
 	Seed       uint64  `long:"seed" default:"1" description:"seed of the workload, faults and decisions"`
 	Skew       float64 `long:"skew" default:"1.1" description:"exponent of the Zipf popularity"`
+	Batched    float64 `long:"batched" default:"0" description:"part of the adapters whose requests are of class batch"`
 	Plot       string  `long:"plot" description:"also write the table as a plot to this PNG file"`
 }
 
@@ -26,6 +27,10 @@
 			continue
 		}
 		c.Skew = o.Skew
+		if o.Batched > 0 {
+			c = c.Mixed()
+			c.Batched = o.Batched
+		}
 		if o.Mode == "all" || o.Mode == "steady" {
 			out = append(out, c)
 		}
--- a/internal/replay/bound.go
+++ b/internal/replay/bound.go
@@ -57,7 +57,7 @@
 		}
 	}
 	res := Result{Policy: "clairvoyant", Loads: clairvoyantLoads(c, w), Efficiency: 1, WorstShare: math.NaN(), Stalls: -1}
-	res.percentiles(waits)
+	res.Waits = percentiles(waits)
 	return res
 }
 
--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -95,12 +95,15 @@
 	served                []float64 // seat-seconds by workspace while measured
 	active                []int     // running requests by workspace
 	errors                []string
+	departed              map[int]departure // by adapter
+	causes                [causes]int       // loads while measured
 }
 
 func newSim(c Case, w *workload) *sim {
 	s := &sim{
 		c: c, w: w, up: c.Engines, served: make([]float64, len(c.Shares)), active: make([]int, len(c.Shares)),
-		faults: rand.New(rand.NewPCG(c.Seed, 2)),
+		departed: map[int]departure{},
+		faults:   rand.New(rand.NewPCG(c.Seed, 2)),
 	}
 	for i := range c.Engines {
 		s.engines = append(s.engines, &engine{id: i, up: true, slots: map[int]*slot{}})
@@ -208,10 +211,11 @@
 		s.errors = append(s.errors, "a load was ordered on an engine without a free slot")
 		return
 	}
-	e.slots[a] = &slot{used: s.now}
 	if s.now >= s.c.Warmup && s.now < s.w.end {
 		s.loads++
+		s.causes[s.cause(a)]++
 	}
+	e.slots[a] = &slot{used: s.now}
 	s.inStore++
 	gap := time.Duration(float64(time.Second) / s.c.Store.LoadsPerSecond)
 	burst := time.Duration(max(1, s.c.Store.FullSpeed)-1) * gap
@@ -228,6 +232,7 @@
 		}
 		if failed {
 			delete(e.slots, a)
+			s.departed[a] = departure{AfterFailure, s.now}
 		} else {
 			e.slots[a].resident, e.slots[a].used = true, s.now
 		}
@@ -241,6 +246,7 @@
 		s.errors = append(s.errors, "an adapter was evicted while it was loading or in use")
 		return
 	}
+	s.departed[a] = departure{ReusedLater, e.slots[a].used}
 	delete(e.slots, a)
 }
 
@@ -253,6 +259,9 @@
 		for _, j := range e.running {
 			s.active[j.space]--
 		}
+		for a, sl := range e.slots {
+			s.departed[a] = departure{AfterRestart, sl.used}
+		}
 		e.running, e.queue, e.slots, e.up = nil, nil, map[int]*slot{}, false
 		e.incarnation++
 		s.up--
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"slices"
 	"sort"
 	"text/tabwriter"
 	"time"
+
+	"github.com/turmericworks/turmericworks/internal/state/config"
 )
 
 // Result is what one policy did with a case. Warm-up and drain are not measured, except for lost and
@@ -16,6 +19,8 @@
 	Policy string
 	// Loads is the adapter loads ordered.
 	Loads int
+	// Causes counts the loads by cause.
+	Causes [causes]int
 	// Stalls is the requests that waited for a load; -1 where the policy has none.
 	Stalls int
 	// Efficiency is the part of the usable places in batches that was used. A place is usable
@@ -26,14 +31,19 @@
 	// part of the service given to all by max-min fairness with equal weights.
 	WorstShare float64
 	// P50, P95 and P99 are percentiles of the time from arrival to the last start.
-	P50, P95, P99 time.Duration
-	Requests      int
+	Waits
+	// ByClass are the same percentiles by service class.
+	ByClass  map[config.Class]Waits
+	Requests int
 	// Lost and Doubled are requests that never finished or finished more than once.
 	Lost, Doubled int
 	// Errors are orders that an engine could not carry out, such as evicting an adapter in use.
 	Errors []string
 }
 
+// Waits are percentiles of waiting times.
+type Waits struct{ P50, P95, P99 time.Duration }
+
 // The policies in the order of the table.
 const (
 	Turmeric      = "turmeric"
@@ -80,8 +90,9 @@
 }
 
 func (s *sim) result(name string) Result {
-	r := Result{Policy: name, Loads: s.loads, Efficiency: s.usedSeats / s.seats, Errors: s.errors}
-	var waits []time.Duration
+	r := Result{Policy: name, Loads: s.loads, Causes: s.causes, Efficiency: s.usedSeats / s.seats, Errors: s.errors}
+	var all []time.Duration
+	byClass := map[config.Class][]time.Duration{}
 	demand := make([]float64, len(s.c.Shares))
 	for _, j := range s.jobs {
 		switch {
@@ -99,21 +110,26 @@
 			r.Stalls++
 		}
 		if j.done > 0 {
-			waits = append(waits, j.started-j.at)
+			all = append(all, j.started-j.at)
+			byClass[j.class] = append(byClass[j.class], j.started-j.at)
 		}
 	}
-	r.percentiles(waits)
+	r.Waits = percentiles(all)
+	r.ByClass = map[config.Class]Waits{}
+	for class, waits := range byClass {
+		r.ByClass[class] = percentiles(waits)
+	}
 	r.WorstShare = worstShare(demand, s.served)
 	return r
 }
 
-func (r *Result) percentiles(waits []time.Duration) {
+func percentiles(waits []time.Duration) Waits {
 	if len(waits) == 0 {
-		return
+		return Waits{}
 	}
 	slices.Sort(waits)
 	at := func(q float64) time.Duration { return waits[int(q*float64(len(waits)-1))] }
-	r.P50, r.P95, r.P99 = at(0.5), at(0.95), at(0.99)
+	return Waits{at(0.5), at(0.95), at(0.99)}
 }
 
 // worstShare divides the service given to all by max-min fairness and returns the least part that a
@@ -168,5 +184,29 @@
 			float64(r.Loads)/float64(tab.bound()), r.Stalls, r.Efficiency, r.WorstShare,
 			r.P50.Seconds(), r.P95.Seconds(), r.P99.Seconds(), r.Lost, r.Doubled, len(r.Errors))
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return fprintTurmeric(out, tab)
+}
+
+// fprintTurmeric writes the waits by class and the causes of loads under the policy of the product.
+func fprintTurmeric(out io.Writer, tab Table) error {
+	for _, r := range tab.Results {
+		if r.Policy != Turmeric {
+			continue
+		}
+		for _, class := range slices.Sorted(maps.Keys(r.ByClass)) {
+			w := r.ByClass[class]
+			_, _ = fmt.Fprintf(out, "turmeric, %s: p50 %.2f s, p95 %.2f s, p99 %.2f s\n", class,
+				w.P50.Seconds(), w.P95.Seconds(), w.P99.Seconds())
+		}
+		_, _ = fmt.Fprint(out, "turmeric, loads by cause:")
+		for i, n := range r.Causes {
+			_, _ = fmt.Fprintf(out, " %s %d;", causeNames[i], n)
+		}
+		_, _ = fmt.Fprintln(out)
+	}
+	_, err := fmt.Fprintln(out)
+	return err
 }
--- a/internal/replay/workload.go
+++ b/internal/replay/workload.go
@@ -43,6 +43,9 @@
 	RestartEvery time.Duration
 	// LoadFailures is the part of loads that fail.
 	LoadFailures float64
+	// Batched is the part of the adapters, in [0, 1], whose requests are of class batch; the requests
+	// of the others are interactive.
+	Batched float64
 }
 
 // Limits of the synthetic requests. Sessions model a crew that sends a few requests for the same
@@ -88,6 +91,14 @@
 	return c
 }
 
+// Mixed returns the case with half of the adapters serving requests of class batch, such as shift
+// summaries, which may wait.
+func (c Case) Mixed() Case {
+	c.Name += " mixed"
+	c.Batched = 0.5
+	return c
+}
+
 // Shifting returns the case with 39% of the adapters waking or falling idle within the hour.
 func (c Case) Shifting() Case {
 	c.Name += " shift"
@@ -110,6 +121,7 @@
 	adapter int
 	space   int
 	service time.Duration
+	class   config.Class
 }
 
 // workload is the requests of a case in order of arrival, and who owns each adapter.
@@ -156,6 +168,17 @@
 	}
 	changes := shiftTimes(c, weights, rnd)
 	w.arrivals(c, weights, changes, factor, rnd)
+	classes := rand.New(rand.NewPCG(c.Seed, 4)) // of its own, so that the arrivals stay the same
+	class := make([]config.Class, c.Adapters)
+	for a := range class {
+		class[a] = config.Interactive
+		if classes.Float64() < c.Batched {
+			class[a] = config.Batch
+		}
+	}
+	for i := range w.requests {
+		w.requests[i].class = class[w.requests[i].adapter]
+	}
 	sort.SliceStable(w.requests, func(i, j int) bool { return w.requests[i].at < w.requests[j].at })
 	return w
 }
