loadbudget: let the loads of batch requests wait for more requests

Cause: 60% of the loads are reloads after gaps of 10 s to 10 min. A caller's run of requests for a cold adapter either keeps a slot between the requests or loads the adapter again.

Change: the load for a request of class batch starts 60 s after its arrival, or after a quarter of the time to its deadline if that is less, so that one load serves all requests that come meanwhile. A request of another class starts it at once, and so does a free slot, since the load then evicts nothing. Loads that waited get no precedence for their number of requests, and age counts from the time when a load is due. The replay and the dispatcher drive the same two calls.

--- a/internal/coordination/loadbudget/queue.go
+++ b/internal/coordination/loadbudget/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/config"
 )
 
 // QueueConfig sets a Queue's back-off and order.
@@ -17,12 +18,18 @@
 	AgeWeight float64
 	// AvoidEngines is how many engines that failed a load are remembered per adapter.
 	AvoidEngines int
+	// BatchWait is how long the load of an adapter may wait for more requests of class batch, so that
+	// one load serves them all. DeadlinePart limits the wait to a part, in [0, 1], of the time
+	// between a request's arrival and its deadline.
+	BatchWait    time.Duration
+	DeadlinePart float64
 }
 
 // DefaultQueueConfig returns the settings used in production.
 func DefaultQueueConfig() QueueConfig {
 	return QueueConfig{
 		Backoff: 250 * time.Millisecond, MaxBackoff: 10 * time.Second, AgeWeight: 1, AvoidEngines: 3,
+		BatchWait: time.Minute, DeadlinePart: 0.25,
 	}
 }
 
@@ -40,8 +47,11 @@
 	// Avoid lists the engines that failed it most recently.
 	Avoid []string
 
-	since     time.Time
-	notBefore time.Time
+	due time.Time // when the waiting requests want the load; age counts from here
+	// patient says that the load waited for more requests. Their number then gives it no precedence
+	// over loads that callers wait for.
+	patient   bool
+	notBefore time.Time // when the load may be tried again
 	loading   bool
 }
 
@@ -86,14 +96,31 @@
 	return s
 }
 
-// Want asks for an adapter. For an adapter that is already wanted it only updates the number of
-// waiting requests and the popularity, and reports false.
-func (q *Queue) Want(a adapter.Ref, workspace string, waiting int, popularity float64, now time.Time) bool {
+// Due returns when the load for a request that arrived at the given time should start: at once, or for
+// class batch after a wait in which further requests may join it. A zero deadline is none.
+func (q *Queue) Due(class config.Class, arrived, deadline time.Time) time.Time {
+	if class != config.Batch {
+		return arrived
+	}
+	wait := q.cfg.BatchWait
+	if !deadline.IsZero() {
+		wait = min(wait, time.Duration(q.cfg.DeadlinePart*float64(deadline.Sub(arrived))))
+	}
+	return arrived.Add(max(0, wait))
+}
+
+// Want asks for an adapter whose load starts at due at the earliest. For an adapter that is already
+// wanted it only updates the number of waiting requests and the popularity, brings the load forward
+// when due is earlier, and reports false.
+func (q *Queue) Want(a adapter.Ref, workspace string, waiting int, popularity float64, due, now time.Time) bool {
 	if l := q.loads[a]; l != nil {
 		l.Waiting, l.Popularity = waiting, popularity
+		if due.Before(l.due) {
+			l.due, l.patient = due, l.patient && due.After(now)
+		}
 		return false
 	}
-	l := &Load{Adapter: a, Workspace: workspace, Waiting: waiting, Popularity: popularity, since: now}
+	l := &Load{Adapter: a, Workspace: workspace, Waiting: waiting, Popularity: popularity, due: due, patient: due.After(now)}
 	q.loads[a] = l
 	s := q.space(workspace)
 	s.loads = append(s.loads, l)
@@ -139,10 +166,13 @@
 	var best *Load
 	var rank float64
 	for _, l := range s.loads {
-		if l.loading || l.notBefore.After(now) {
+		if l.loading || l.due.After(now) || l.notBefore.After(now) {
 			continue
 		}
-		r := float64(l.Waiting) + ageWeight*now.Sub(l.since).Seconds()
+		r := ageWeight * now.Sub(l.due).Seconds()
+		if !l.patient {
+			r += float64(l.Waiting)
+		}
 		if best == nil || r > rank || r == rank && l.Popularity > best.Popularity {
 			best, rank = l, r
 		}
--- a/internal/coordination/placement/decide.go
+++ b/internal/coordination/placement/decide.go
@@ -139,6 +139,22 @@
 	return out, true
 }
 
+// FreeSlot reports whether one of a few randomly drawn engines has a free slot for the adapter, so that
+// its load would evict nothing.
+func (f *Fleet) FreeSlot(r Request) bool {
+	p := f.pools[r.BaseModel]
+	if p == nil || len(p.engines) == 0 {
+		return false
+	}
+	for range f.policy.Draws {
+		e := p.engines[f.rnd.IntN(len(p.engines))]
+		if len(e.slots) < e.spec.Slots && e.find(r.Adapter) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Fleet) drawn(e *Engine) bool {
 	return slices.ContainsFunc(f.scratch, func(c Candidate) bool { return c.Engine == e })
 }
--- a/internal/replay/placed.go
+++ b/internal/replay/placed.go
@@ -53,7 +53,7 @@
 	if fcfs { // age alone orders the loads of one common workspace
 		p.order = arrivalOrder{}
 		p.spaces = make([]string, len(s.w.spaces))
-		cfg.AgeWeight = 1e9
+		cfg.AgeWeight, cfg.BatchWait = 1e9, 0
 	}
 	p.q = loadbudget.NewQueue(cfg, rnd)
 	for i, a := range s.w.refs {
@@ -164,7 +164,28 @@
 
 func (p *placed) want(a int) {
 	ref := p.s.ref(a)
-	p.q.Want(ref, p.spaces[p.s.w.owner[a]], len(p.waiting[a]), p.pop.Rate(ref, p.s.time()), p.s.time())
+	p.q.Want(ref, p.spaces[p.s.w.owner[a]], len(p.waiting[a]), p.pop.Rate(ref, p.s.time()), p.due(a), p.s.time())
+}
+
+// rank orders the first waiting requests of adapters within a workspace: by arrival, for class batch by
+// the time until which it may wait.
+func (p *placed) rank(a int) time.Duration {
+	j := p.waiting[a][0]
+	return p.q.Due(j.class, epoch.Add(j.at), time.Time{}).Sub(epoch)
+}
+
+// due returns when the first of the adapter's waiting requests wants its load to start.
+func (p *placed) due(a int) time.Time {
+	due := p.s.time()
+	for _, j := range p.waiting[a] {
+		if at := p.q.Due(j.class, epoch.Add(j.at), time.Time{}); at.Before(due) || j == p.waiting[a][0] {
+			due = at
+		}
+	}
+	if due.After(p.s.time()) && p.f.FreeSlot(p.request(a)) {
+		return p.s.time() // the load evicts nothing
+	}
+	return due
 }
 
 // pump starts loads while permits are free, and plans the next attempt.
@@ -238,7 +259,7 @@
 			if !e.slots[a].resident || len(p.waiting[a]) == 0 || blocked[a] {
 				continue
 			}
-			if best < 0 || p.order.Less(p.s.w.owner[a], p.s.w.owner[best], p.waiting[a][0].at, p.waiting[best][0].at) {
+			if best < 0 || p.order.Less(p.s.w.owner[a], p.s.w.owner[best], p.rank(a), p.rank(best)) {
 				best = a
 			}
 		}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/turmericworks/turmericworks/internal/knownred"
+	"github.com/turmericworks/turmericworks/internal/state/config"
 )
 
 // targetSeed is the seed of the runs that check the stated targets.
@@ -51,6 +52,23 @@
 func TestLoadsShiftRausu(t *testing.T)     { checkLoads(t, rausu.Shifting(), 1.5) }
 func TestLoadsShiftGlenbrae(t *testing.T)  { checkLoads(t, glenbrae.Shifting(), 1.5) }
 
+// The cases in which half of the adapters serve requests that may wait.
+func TestLoadsSteadyMixedRausu(t *testing.T)    { checkLoads(t, rausu.Mixed(), 1.25) }
+func TestLoadsSteadyMixedGlenbrae(t *testing.T) { checkLoads(t, glenbrae.Mixed(), 1.25) }
+func TestLoadsShiftMixedRausu(t *testing.T)     { checkLoads(t, rausu.Mixed().Shifting(), 1.5) }
+func TestLoadsShiftMixedGlenbrae(t *testing.T)  { checkLoads(t, glenbrae.Mixed().Shifting(), 1.5) }
+
+// TestInteractiveWaits guards against batch requests whose delayed loads hold up interactive ones.
+func TestInteractiveWaits(t *testing.T) {
+	for _, c := range []Case{rausu, glenbrae} {
+		got := play(c.Mixed(), Turmeric).ByClass[config.Interactive].P99.Seconds()
+		knownred.Check(t, knownred.Target{
+			Name:  fmt.Sprintf("%s, seed %d: p99 wait of interactive requests in s, where half may wait", c.Name, c.Seed),
+			Bound: 1.1 * play(c, Turmeric).P99.Seconds(),
+		}, got)
+	}
+}
+
 // checkStalls guards against routing that makes requests wait for loads.
 func checkStalls(t *testing.T, c Case) {
 	t.Helper()
@@ -61,6 +79,8 @@
 	}, got)
 }
 
+func TestStallsMixedRausu(t *testing.T)    { checkStalls(t, rausu.Mixed()) }
+func TestStallsMixedGlenbrae(t *testing.T) { checkStalls(t, glenbrae.Mixed()) }
 func TestStallsRausu(t *testing.T)         { checkStalls(t, rausu) }
 func TestStallsGlenbrae(t *testing.T)      { checkStalls(t, glenbrae) }
 func TestStallsShiftRausu(t *testing.T)    { checkStalls(t, rausu.Shifting()) }
@@ -80,6 +100,9 @@
 func TestBatchEfficiencyGlenbrae(t *testing.T)         { checkEfficiency(t, glenbrae) }
 func TestBatchEfficiencyShiftRausu(t *testing.T)       { checkEfficiency(t, rausu.Shifting()) }
 func TestBatchEfficiencyShiftGlenbrae(t *testing.T)    { checkEfficiency(t, glenbrae.Shifting()) }
+func TestBatchEfficiencyMixedRausu(t *testing.T)       { checkEfficiency(t, rausu.Mixed()) }
+func TestBatchEfficiencyMixedGlenbrae(t *testing.T)    { checkEfficiency(t, glenbrae.Mixed()) }
+func TestBatchEfficiencyOverloadMixed(t *testing.T)    { checkEfficiency(t, rausu.Mixed().Overloaded()) }
 func TestBatchEfficiencyOverloadRausu(t *testing.T)    { checkEfficiency(t, rausu.Overloaded()) }
 func TestBatchEfficiencyOverloadGlenbrae(t *testing.T) { checkEfficiency(t, glenbrae.Overloaded()) }
 
@@ -101,13 +124,14 @@
 }
 
 func TestWorstServedRausu(t *testing.T)    { checkWorstServed(t, rausu.Overloaded()) }
+func TestWorstServedMixed(t *testing.T)    { checkWorstServed(t, rausu.Mixed().Overloaded()) }
 func TestWorstServedGlenbrae(t *testing.T) { checkWorstServed(t, glenbrae.Overloaded()) }
 
 // TestNoRequestLostOrDoubled guards against requests that are forgotten after a failed load, an
 // eviction or an engine restart, that run twice, and against orders that evict an adapter in use.
 func TestNoRequestLostOrDoubled(t *testing.T) {
 	for seed := uint64(targetSeed); seed <= 3; seed++ {
-		for _, c := range []Case{Rausu(seed), Glenbrae(seed)} {
+		for _, c := range []Case{Rausu(seed), Glenbrae(seed), Rausu(seed).Mixed()} {
 			for _, c := range []Case{c, c.Shifting(), c.Overloaded()} {
 				if seed > targetSeed { // shorter runs, with restarts and failures as frequent
 					c.Warmup, c.Duration, c.RestartEvery = time.Minute, 4*time.Minute, time.Minute
--- a/internal/replay/workload.go
+++ b/internal/replay/workload.go
@@ -91,11 +91,14 @@
 	return c
 }
 
+// batchedPart is the part of the adapters of class batch in the mixed cases.
+const batchedPart = 0.5
+
 // Mixed returns the case with half of the adapters serving requests of class batch, such as shift
 // summaries, which may wait.
 func (c Case) Mixed() Case {
 	c.Name += " mixed"
-	c.Batched = 0.5
+	c.Batched = batchedPart
 	return c
 }
 
--- a/internal/transport/dispatch/scheduler.go
+++ b/internal/transport/dispatch/scheduler.go
@@ -350,7 +350,11 @@
 	d := s.place.Decide(s.placementRequest(&w.call), now)
 	w.decision = d
 	if d.Action == placement.NeedLoad || d.Replicate {
-		s.loads.Want(r.Adapter, r.Workspace, s.waiting[r.Adapter], 0, now)
+		due := s.loads.Due(r.Class, r.Arrived, r.Deadline)
+		if due.After(now) && s.place.FreeSlot(s.placementRequest(&w.call)) {
+			due = now // the load evicts nothing
+		}
+		s.loads.Want(r.Adapter, r.Workspace, s.waiting[r.Adapter], 0, due, now)
 	}
 	if d.Action != placement.Dispatch || d.Full {
 		return fairqueue.Blocked
