replay: show what an online policy with known rates reaches

Cause: it was not known how much of the distance to the clairvoyant bound better estimates of the next use could close.

Change: the row "known rates" is a policy that is told the popularity of the adapters and how sessions are drawn, but not the future, on pooled slots without restarts, failures or use. The plot shows a figure that a policy lacks as zero.

a policy, not a proof: its evictions need not be the best possible ones.

--- a/internal/replay/plot.go
+++ b/internal/replay/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"math"
 	"os"
 
 	"github.com/gravitational/trace"
@@ -20,12 +21,7 @@
 	{"loads / clairvoyant", func(t Table, r Result) float64 { return float64(r.Loads) / float64(max(1, t.bound())) }},
 	{"stalled requests", func(_ Table, r Result) float64 { return float64(max(0, r.Stalls)) }},
 	{"batch efficiency", func(_ Table, r Result) float64 { return r.Efficiency }},
-	{"worst share", func(_ Table, r Result) float64 {
-		if r.Policy == Clairvoyant {
-			return 0
-		}
-		return r.WorstShare
-	}},
+	{"worst share", func(_ Table, r Result) float64 { return r.WorstShare }},
 	{"wait p95 (s)", func(_ Table, r Result) float64 { return r.P95.Seconds() }},
 }
 
@@ -42,7 +38,11 @@
 			var values plotter.Values
 			var names []string
 			for _, r := range t.Results {
-				values = append(values, panel.value(t, r))
+				v := panel.value(t, r)
+				if math.IsNaN(v) { // the policy has no such figure
+					v = 0
+				}
+				values = append(values, v)
 				names = append(names, r.Policy)
 			}
 			bars, err := plotter.NewBarChart(values, vg.Points(12))
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -59,7 +59,7 @@
 func Run(c Case, policies ...string) []Result {
 	w := generate(c)
 	if len(policies) == 0 {
-		policies = []string{Turmeric, LeastLoaded, ResidentFirst, RoundRobin, FCFS, StaticSplit, Clairvoyant}
+		policies = []string{Turmeric, LeastLoaded, ResidentFirst, RoundRobin, FCFS, StaticSplit, KnownRates, Clairvoyant}
 	}
 	var out []Result
 	for _, name := range policies {
@@ -67,6 +67,10 @@
 			out = append(out, clairvoyant(c, w))
 			continue
 		}
+		if name == KnownRates {
+			out = append(out, knownRates(c, w))
+			continue
+		}
 		s := newSim(c, w)
 		s.run(newDispatcher(name, s))
 		out = append(out, s.result(name))
