--- a/internal/daemon/input_test.go
+++ b/internal/daemon/input_test.go
@@ -21,6 +21,8 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	// A test that fails must not wait for ever.
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Minute))
 	// A connection in memory has no buffer, and the instance may answer before it has read everything.
 	go func() { _, _ = io.WriteString(c, strings.ReplaceAll(raw, "KEY", f.secret)) }()
 	return c, bufio.NewReader(c)
@@ -198,9 +200,11 @@
 			c, r := f.dialCaller(completion(`{"model":"summary","prompt":"x","max_tokens":2,"stream":true}`))
 			defer func() { _ = c.Close() }()
 			So(readReply(r).body, ShouldContainSubstring, "[DONE]")
-			time.Sleep(30 * time.Second)
-			go func() { _, _ = io.WriteString(c, strings.ReplaceAll("GET /v1/models"+auth+"\r\n", "KEY", f.secret)) }()
-			So(readReply(r).status, ShouldEqual, http.StatusOK)
+			for _, path := range []string{"/v1/models", "/healthz"} {
+				time.Sleep(30 * time.Second)
+				go func() { _, _ = io.WriteString(c, strings.ReplaceAll("GET "+path+auth+"\r\n", "KEY", f.secret)) }()
+				So(readReply(r).status, ShouldEqual, http.StatusOK)
+			}
 		})
 	})
 }
