--- a/internal/daemon/input_test.go
+++ b/internal/daemon/input_test.go
@@ -193,7 +193,8 @@
 	})
 }
 
-// Guards against a write deadline that an answer leaves behind on a kept connection.
+// Guards against a time limit of one request that ends a later one on the same connection. net/http clears
+// the write deadline after each request; the read deadline for bodies is cleared by readBody.
 func TestKeptConnectionAfterStream(t *testing.T) {
 	runFleet(t, 1, nil, func(f *testFleet) {
 		Convey("A connection works long after it carried a stream", t, func() {
--- a/internal/transport/entry/bounds.go
+++ b/internal/transport/entry/bounds.go
@@ -80,7 +80,7 @@
 	refuse := s.guard("unknown", func(*recorder, *request) error { return errBadPath })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
-		// The deadline of an earlier answer on this connection is still set.
+		// Answers that do not pass a recorder, which sets it anew for each write, must end by then.
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if r.ContentLength != 0 {
 			// Without a deadline, a body that no handler reads would hold its connection for as
