daemon: serve both kinds of listener by one type; drop an unused look-up

Cause: the HTTP and gRPC listeners had the same service twice, and config.Document.Resolve was replaced by config.View.Resolve and had no caller. Change: one listenerService; Document.Resolve removed. Conclusion: less to read.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -194,24 +193,25 @@
 	}
 	s.Protocols.SetHTTP1(true)
 	d.servers = append(d.servers, s)
-	return &httpService{server: s, listener: l}, nil
+	// Closing an http.Server reports the errors of its listeners, which nobody needs any more.
+	return &listenerService{serve: func() error { return s.Serve(l) }, stop: func() { _ = s.Close() }}, nil
 }
 
-// httpService serves one listener under the supervisor.
-type httpService struct {
-	server   *http.Server
-	listener net.Listener
+// listenerService serves one listener under the supervisor.
+type listenerService struct {
+	serve func() error
+	stop  func()
 }
 
 // Serve implements suture.Service. A listener that was closed on purpose is not started again.
-func (s *httpService) Serve(ctx context.Context) error {
+func (s *listenerService) Serve(ctx context.Context) error {
 	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(s.listener) }()
+	go func() { done <- s.serve() }()
 	select {
 	case <-done:
 		return suture.ErrDoNotRestart
 	case <-ctx.Done():
-		_ = s.server.Close()
+		s.stop()
 		return ctx.Err()
 	}
 }
@@ -222,26 +222,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", d.settings.Listen.Peers)
 	}
-	return &grpcService{server: d.peerServer, listener: l}, nil
-}
-
-// grpcService serves other instances under the supervisor.
-type grpcService struct {
-	server   *grpc.Server
-	listener net.Listener
-}
-
-// Serve implements suture.Service.
-func (s *grpcService) Serve(ctx context.Context) error {
-	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(s.listener) }()
-	select {
-	case <-done:
-		return suture.ErrDoNotRestart
-	case <-ctx.Done():
-		s.server.Stop()
-		return ctx.Err()
-	}
+	return &listenerService{serve: func() error { return d.peerServer.Serve(l) }, stop: d.peerServer.Stop}, nil
 }
 
 // Run serves until the context ends, which is an unplanned stop, or until a drain has finished.
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -4,8 +4,6 @@
 
 import (
 	"time"
-
-	"github.com/turmericworks/turmericworks/internal/state/adapter"
 )
 
 // Version is a version of the configuration: the offset of the accepted change plus one. Zero is the
@@ -160,21 +158,3 @@
 	}
 	return defaultServiceDeadline
 }
-
-// Resolve returns the adapter version that a model name means, and whether it exists.
-func (d *Document) Resolve(model string) (adapter.Ref, Adapter, bool) {
-	ref := adapter.Parse(model)
-	a, ok := d.Adapters[ref.Name]
-	if !ok {
-		return ref, a, false
-	}
-	if ref.Version == "" {
-		ref.Version = a.Default
-	}
-	for _, v := range a.Versions {
-		if v == ref.Version {
-			return ref, a, true
-		}
-	}
-	return ref, a, false
-}
