daemon, dispatch: test refused dispatch, planned stops and owner metrics

Cause: planted faults showed that no test noticed a dispatch to a retired adapter version, an order left open by a planned stop, an owner that acts without a lease, answers to owners before the own join was read, or metrics that count nothing.

Change: TestRefusedBegin, TestPlannedStopFinishesOrders, TestRetireBeforeJoin; metrics and the lease are checked in the existing tests.

Conclusion: each of these faults, planted alone, turns one of the tests red.

--- a/internal/daemon/owners_test.go
+++ b/internal/daemon/owners_test.go
@@ -145,6 +145,22 @@
 	return n
 }
 
+// metric returns the sum of a metric over all instances and labels.
+func (f *testFleet) metric(name string) (sum float64) {
+	for _, i := range f.instances {
+		families, err := i.registry.Gather()
+		So(err, ShouldBeNil)
+		for _, family := range families {
+			for _, m := range family.GetMetric() {
+				if family.GetName() == name {
+					sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+				}
+			}
+		}
+	}
+	return sum
+}
+
 // Guards against the eviction of an adapter in use, against loads beyond the weight store's budget, and
 // against loads that are charged twice or not at all.
 func TestMoreAdaptersThanSlots(t *testing.T) {
@@ -163,6 +179,9 @@
 				So(l.failed, ShouldBeEmpty)
 				So(f.evictedBusy(), ShouldEqual, 0)
 				So(f.orders(event.Evict), ShouldBeGreaterThan, 20)
+				So(f.metric("turmeric_adapter_evictions_total"), ShouldEqual, f.orders(event.Evict))
+				So(f.metric("turmeric_adapter_loads_total"), ShouldEqual, f.stack.Store.Loads())
+				So(f.metric("turmeric_engine_owned"), ShouldEqual, len(f.stack.Engines))
 				So(loads, ShouldBeLessThanOrEqualTo, 8+4*31)
 				So(f.spentLoads()-spent, ShouldEqual, loads)
 			})
@@ -241,6 +260,9 @@
 			time.Sleep(40 * time.Second)
 			So(f.engineState(other, "engine-1").Fence, ShouldBeGreaterThan, fence)
 			So(f.orders(event.Evict), ShouldEqual, 0)
+			for _, v := range f.instances[old].control.slotViews([]*ownedEngine{{id: "engine-1"}}) {
+				So(v.LeaseValid, ShouldBeFalse)
+			}
 			f.mustAsk(other, models[0])
 			<-long
 			f.net.Cut(nil)
@@ -346,6 +368,52 @@
 	})
 }
 
+// Guards against an order that a planned stop cuts off: on an engine that ignores the fence, its slot would
+// count as taken until the quarantine ends.
+func TestPlannedStopFinishesOrders(t *testing.T) {
+	slow := func(o *stack.Options) {
+		oneSlot(o)
+		o.Store.LoadTime = 4 * time.Second
+	}
+	runFleet(t, 3, slow, func(f *testFleet) {
+		Convey("The owner leaves after the load that it ordered", t, func() {
+			models := f.addAdapters(2)
+			old := f.owner("engine-1")
+			other := (old + 1) % 3
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				f.instances[old].stopPlanned()
+			}()
+			time.Sleep(time.Second)
+			f.mustAsk(other, models[0])
+			<-stopped
+			So(f.engineState(other, "engine-1").Open, ShouldBeEmpty)
+			f.mustAsk(other, models[1])
+		})
+	})
+}
+
+// Guards against marks that a process takes before it has read its own join: the records before that would
+// drop them, after the owner has counted its answer.
+func TestRetireBeforeJoin(t *testing.T) {
+	runFleet(t, 1, nil, func(f *testFleet) {
+		Convey("An incarnation that has not joined answers no owner and dispatches nothing", t, func() {
+			o := f.instances[0].opts
+			o.Incarnation, o.Gate = "next", NewGate()
+			d, err := New(o)
+			So(err, ShouldBeNil)
+			m := slots.Retire{Engine: "engine-1", Fence: 5, Round: 1}
+			d.gate.observe(m.Engine, ownership.Engine{Fence: m.Fence, Owner: "x"}, false)
+			_, ok := d.control.retire(m, true)
+			So(ok, ShouldBeFalse)
+			_, ok = d.control.askInFlight(slots.AskInFlight{Engine: m.Engine, Fence: m.Fence})
+			So(ok, ShouldBeFalse)
+			So(d.control.Begin(m.Engine, m.Adapter), ShouldEqual, errNoLease)
+		})
+	})
+}
+
 // Guards against a control snapshot without the engines' owners.
 func TestOwnershipOutlivesRetention(t *testing.T) {
 	short := func(o *stack.Options) { o.Retention = 10 * time.Minute }
--- /dev/null
+++ b/internal/transport/dispatch/gate_test.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/protocol/backend"
+	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/entry"
+	"github.com/turmericworks/turmericworks/internal/transport/fleet"
+)
+
+// fakeGate refuses what refuse says and counts requests in flight.
+type fakeGate struct {
+	refuse   map[string]error
+	inFlight map[string]int
+}
+
+func (g *fakeGate) Begin(engine string, _ adapter.Ref) error {
+	if err := g.refuse[engine]; err != nil {
+		return err
+	}
+	g.inFlight[engine]++
+	return nil
+}
+func (g *fakeGate) End(engine string, _ adapter.Ref)          { g.inFlight[engine]-- }
+func (g *fakeGate) Lost(*fleet.Engine, adapter.Ref, string)   {}
+func (g *fakeGate) Retired(engine string, _ adapter.Ref) bool { return g.refuse[engine] != nil }
+
+// fakeRouter hands out its engines in order and keeps what they were released with.
+type fakeRouter struct {
+	engines  []*fleet.Engine
+	released []error
+}
+
+func (r *fakeRouter) Acquire(context.Context, entry.Call) (Place, error) {
+	e := r.engines[0]
+	r.engines = r.engines[1:]
+	return Place{Engine: e, Release: func(o Outcome) { r.released = append(r.released, o.Err) }}, nil
+}
+func (r *fakeRouter) Reported(fleet.Report) {}
+
+// fakeEngine answers with the adapter asked for and notes that it ran.
+type fakeEngine struct {
+	backend.Engine
+	ran int
+}
+
+func (e *fakeEngine) Complete(_ context.Context, q backend.Request) (backend.Answer, error) {
+	e.ran++
+	return backend.Answer{Adapter: q.Adapter}, nil
+}
+
+// Guards against a request that is sent although its adapter version was retired after it was placed, and
+// against one that is sent without a valid lease.
+func TestRefusedBegin(t *testing.T) {
+	Convey("Given two engines", t, func() {
+		first, second := &fakeEngine{}, &fakeEngine{}
+		router := &fakeRouter{engines: []*fleet.Engine{{ID: "first", Client: first}, {ID: "second", Client: second}}}
+		gate := &fakeGate{refuse: map[string]error{"first": ErrRetired}, inFlight: map[string]int{}}
+		call := entry.Call{Adapter: adapter.Ref{Name: "a", Version: "1"}, Deadline: time.Now().Add(time.Hour)}
+		Convey("a retired adapter version is placed elsewhere and did not run", func() {
+			_, err := New(router, gate).Complete(t.Context(), call)
+			So(err, ShouldBeNil)
+			So([]int{first.ran, second.ran}, ShouldResemble, []int{0, 1})
+			So(verdict.Of(router.released[0]).Verdict, ShouldEqual, verdict.NotRun)
+			So(router.released[1], ShouldBeNil)
+			So(gate.inFlight, ShouldResemble, map[string]int{"second": 0})
+		})
+		Convey("without a lease it is refused as not run", func() {
+			noLease := verdict.New(verdict.NotRun, 503, "not_fresh", "no lease")
+			gate.refuse = map[string]error{"first": noLease, "second": noLease}
+			router.engines = append(router.engines, router.engines...)
+			_, err := New(router, gate).Complete(t.Context(), call)
+			So(verdict.Of(err).Verdict, ShouldEqual, verdict.NotRun)
+			So(first.ran+second.ran, ShouldEqual, 0)
+		})
+	})
+}
