dispatch: give the gate tests a timeline recorder

Change: both calls pass one that drops events; no check changes. Measured: go test ./internal/transport/dispatch passes.

--- a/internal/transport/dispatch/gate_test.go
+++ b/internal/transport/dispatch/gate_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
@@ -63,7 +64,7 @@
 		gate := &fakeGate{refuse: map[string]error{"first": ErrRetired}, inFlight: map[string]int{}}
 		call := entry.Call{Adapter: adapter.Ref{Name: "a", Version: "1"}, Deadline: time.Now().Add(time.Hour)}
 		Convey("a retired adapter version is placed elsewhere and did not run", func() {
-			_, err := New(router, gate).Complete(t.Context(), call)
+			_, err := New(router, gate, func(event.Event) {}).Complete(t.Context(), call)
 			So(err, ShouldBeNil)
 			So([]int{first.ran, second.ran}, ShouldResemble, []int{0, 1})
 			So(verdict.Of(router.released[0]).Verdict, ShouldEqual, verdict.NotRun)
@@ -74,7 +75,7 @@
 			noLease := verdict.New(verdict.NotRun, 503, "not_fresh", "no lease")
 			gate.refuse = map[string]error{"first": noLease, "second": noLease}
 			router.engines = append(router.engines, router.engines...)
-			_, err := New(router, gate).Complete(t.Context(), call)
+			_, err := New(router, gate, func(event.Event) {}).Complete(t.Context(), call)
 			So(verdict.Of(err).Verdict, ShouldEqual, verdict.NotRun)
 			So(first.ran+second.ran, ShouldEqual, 0)
 		})
