--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,41 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+)
+
+// TestPlan guards against a verdict or a limit that does not follow from the slopes.
+func TestPlan(t *testing.T) {
+	line, err := measure("heartbeat-bytes", "report", "B", []int{0, 5, 50}, func(n int) (float64, error) { return 300 + 40*float64(n), nil })
+	if err != nil || math.Abs(line.Slope-40) > 1e-9 || math.Abs(line.Intercept-300) > 1e-9 || math.Abs(line.At(10)-700) > 1e-9 {
+		t.Fatalf("%+v, %v", line, err)
+	}
+	idle := Series{Name: "log-idle-bytes-per-stream", Points: []Point{{7, 100}}}
+	want := map[string]Item{
+		"heartbeats, no report changed": {Value: 859 * 4 * 300, Over: true, Limit: "10 nodes"},
+		allChanged:                      {Value: 859 * 4 * 500, Over: true, Limit: "6 nodes"},
+		"long polls of three streams, nothing appended": {Value: 300},
+	}
+	for _, i := range Plan([]Series{line, idle}, TwoYears) {
+		w, ok := want[i.Name]
+		if !ok || i.Resource != unitTraffic {
+			continue
+		}
+		delete(want, i.Name)
+		if math.Abs(i.Value-w.Value) > 1e-6 || i.Over != w.Over || i.Limit != w.Limit {
+			t.Errorf("%+v, want %+v", i, w)
+		}
+	}
+	if len(want) > 0 {
+		t.Errorf("missing: %v", want)
+	}
+}
+
+// TestHeartbeats guards against a measurement whose messages do not carry what it says.
+func TestHeartbeats(t *testing.T) {
+	bytes, _, err := Heartbeats([]int{0, 5, 20})
+	if err != nil || bytes.Slope < 30 || bytes.Slope > 70 || bytes.Intercept < 100 || bytes.Intercept > 600 {
+		t.Fatalf("%+v, %v", bytes, err)
+	}
+}
