replay: generate each workload of the tests once

Cause: the checks of the mixed cases made the package's tests slower, and every policy generated its case's workload anew.

Change: the tests keep workloads by case and seed, and requests are sorted without reflection.

--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -57,7 +57,11 @@
 
 // Run plays a case under the given policies, all when none is given.
 func Run(c Case, policies ...string) []Result {
-	w := generate(c)
+	return run(c, generate(c), policies...)
+}
+
+// run plays a case's workload, which it does not change.
+func run(c Case, w *workload, policies ...string) []Result {
 	if len(policies) == 0 {
 		policies = []string{Turmeric, LeastLoaded, ResidentFirst, RoundRobin, FCFS, StaticSplit, KnownRates, Clairvoyant}
 	}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -24,6 +24,8 @@
 
 	mu   sync.Mutex
 	done = map[string]Result{}
+	// workloads are the generated ones by case and seed.
+	workloads = map[string]*workload{}
 )
 
 // play runs one policy on a case once for all tests.
@@ -36,7 +38,12 @@
 	key := fmt.Sprint(c.Name, c.Seed, policy)
 	r, ok := done[key]
 	if !ok {
-		r = Run(c, policy)[0]
+		w := workloads[c.Name+fmt.Sprint(c.Seed)]
+		if w == nil {
+			w = generate(c)
+			workloads[c.Name+fmt.Sprint(c.Seed)] = w
+		}
+		r = run(c, w, policy)[0]
 		done[key] = r
 	}
 	return r
--- a/internal/replay/workload.go
+++ b/internal/replay/workload.go
@@ -6,9 +6,11 @@
 package replay
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -182,7 +184,7 @@
 	for i := range w.requests {
 		w.requests[i].class = class[w.requests[i].adapter]
 	}
-	sort.SliceStable(w.requests, func(i, j int) bool { return w.requests[i].at < w.requests[j].at })
+	slices.SortStableFunc(w.requests, func(a, b request) int { return cmp.Compare(a.at, b.at) })
 	return w
 }
 
