--- a/internal/daemon/heartbeat_test.go
+++ b/internal/daemon/heartbeat_test.go
@@ -9,15 +9,15 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 )
 
-// countingPeers counts what heartbeats carry, by address.
-type countingPeers struct {
+// heartbeatPeers counts what heartbeats carry, by address.
+type heartbeatPeers struct {
 	peerClients
 	mu             sync.Mutex
 	beats, reports map[string]int
 	missing        int
 }
 
-func (c *countingPeers) Heartbeat(ctx context.Context, address string, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+func (c *heartbeatPeers) Heartbeat(ctx context.Context, address string, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	c.mu.Lock()
 	c.beats[address]++
 	c.reports[address] += len(r.GetDemand())
@@ -49,7 +49,7 @@
 		}
 		time.Sleep(12 * time.Second)
 		control := f.instances[0].control
-		count := &countingPeers{peerClients: control.peers, beats: map[string]int{}, reports: map[string]int{}}
+		count := &heartbeatPeers{peerClients: control.peers, beats: map[string]int{}, reports: map[string]int{}}
 		control.mu.Lock()
 		control.peers = count
 		control.mu.Unlock()
