daemon: end the wait for tokens with the caller

Cause: takeTokens looped until its deadline. Ruled out: a slow case; the stacks show takeTokens as the only runnable goroutine of the bubble. Change: the loop ends with the request's context; the refusal says not-run, code caller_gone. Before: TestWaitForTokensEndsWithTheCaller hangs until its timeout of 15 s.

--- a/internal/daemon/controlstep.go
+++ b/internal/daemon/controlstep.go
@@ -239,12 +239,13 @@
 	c.settlement.Reported(incarnation, ended, peer.Counters(answer.GetCounters()))
 }
 
-// takeTokens reserves tokens for a request. It waits up to shares.MaxWait for transfers.
+// takeTokens reserves tokens for a request. It waits up to shares.MaxWait for transfers, and returns
+// shares.Wait when the request ends before that.
 func (c *control) takeTokens(ctx context.Context, workspace string, tokens int) (shares.Reservation, shares.Outcome) {
 	amount := microtokens(float64(tokens))
 	c.mu.Lock()
 	r, deadline, outcome := c.shares.Reserve(c.now(), workspace, amount)
-	for outcome == shares.Wait {
+	for outcome == shares.Wait && ctx.Err() == nil {
 		changed := c.changed
 		sends := c.sendAsks(ctx)
 		left := deadline - c.now()
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/turmericworks/turmericworks/internal/standin/stack"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
 )
 
 // reply is an HTTP answer read whole.
@@ -164,6 +165,25 @@
 	})
 }
 
+// Guards against a request that keeps a processor busy until its wait for tokens is over, because its
+// caller has gone and every pause of the wait ends at once.
+func TestWaitForTokensEndsWithTheCaller(t *testing.T) {
+	runFleet(t, 1, nil, func(f *testFleet) {
+		Convey("The wait ends at once and the refusal says not-run", t, func() {
+			runner := f.instances[0].runner
+			_, err := runner.reserve(context.Background(), "racks", 50_000)
+			So(err, ShouldBeNil)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			asked := time.Now()
+			_, err = runner.reserve(ctx, "racks", 50_000)
+			So(verdict.Of(err).Verdict, ShouldEqual, verdict.NotRun)
+			So(verdict.Of(err).Code, ShouldEqual, "caller_gone")
+			So(time.Since(asked), ShouldEqual, 0)
+		})
+	})
+}
+
 // Guards against a planned stop that cuts off a request.
 func TestRollingReplacementCutsOffNothing(t *testing.T) {
 	runFleet(t, 3, nil, func(f *testFleet) {
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -168,6 +168,9 @@
 	case shares.TooLarge:
 		return reservation, verdict.New(verdict.NotRun, http.StatusBadRequest, "request_too_large",
 			"the request can use more tokens than the workspace's burst")
+	case shares.Wait:
+		return reservation, verdict.Wrap(ctx.Err(), verdict.NotRun, http.StatusGatewayTimeout, "caller_gone",
+			"the request ended while it waited for tokens")
 	case shares.NoLease:
 		return reservation, errNoLease
 	case shares.Unknown:
