dispatch: do not count a copy on a leaving engine as one that serves

Cause: a load was taken for a further copy when any engine held the adapter, also one that is leaving or ejected. When that copy was not worth an eviction, the request waited until its deadline. Change: Fleet.Serves counts copies on engines in use only.

--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -60,6 +60,18 @@
 			So(f.Retire("e0", ref(0)), ShouldEqual, 0)
 			So(f.Decide(req(0), t0).Action, ShouldEqual, NeedLoad)
 		})
+		// Guards against a request that waits for good because a copy that no request can use counts
+		// as one, and a further copy is not worth an eviction.
+		Convey("a copy on a leaving or ejected engine does not count as one that serves", func() {
+			So(f.Serves(ref(0)), ShouldBeTrue)
+			f.SetLeaving("e0", true)
+			So(f.Serves(ref(0)), ShouldBeFalse)
+			f.SetLeaving("e0", false)
+			f.SetEjected("e0", true)
+			So(f.Serves(ref(0)), ShouldBeFalse)
+			f.SetEjected("e0", false)
+			So(f.Serves(ref(0)), ShouldBeTrue)
+		})
 		Convey("another base model or role is not used", func() {
 			r := req(0)
 			r.BaseModel = "other"
--- a/internal/transport/dispatch/loads.go
+++ b/internal/transport/dispatch/loads.go
@@ -36,7 +36,7 @@
 	if !ok {
 		return p, false
 	}
-	replica := len(s.place.Resident(nil, l.Adapter)) > 0
+	replica := s.place.Serves(l.Adapter)
 	if replica && !s.place.WorthReplicating(r, p, replicateMargin, now) {
 		s.loads.Loaded(l.Adapter)
 		return p, false
