--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,10 +37,14 @@
 	instances []*testInstance
 	mu        sync.Mutex
 	headers   []http.Header
+	// log replaces the instances' log to the test's output.
+	log *zerolog.Logger
 }
 
 type testInstance struct {
 	*Daemon
+	// current is the daemon of the incarnation in force.
+	current atomic.Pointer[Daemon]
 	name    string
 	address string
 	drain   chan struct{}
@@ -60,6 +65,17 @@
 }
 
 func newTestFleet(t *testing.T, n int, change func(*stack.Options)) *testFleet {
+	f := prepareFleet(t, n, change)
+	f.publishDocument()
+	for i := range n {
+		f.start(instanceName(i))
+	}
+	time.Sleep(testSettleTime)
+	return f
+}
+
+// prepareFleet starts the stand-ins for a fleet whose document is not published yet.
+func prepareFleet(t *testing.T, n int, change func(*stack.Options)) *testFleet {
 	f := &testFleet{t: t, net: memnet.New()}
 	o := stack.Options{
 		LogAddress: "log:1", ListAddress: "list:1", ServiceAddress: "service:1",
@@ -67,11 +83,11 @@
 		Engine: engine.Options{
 			Slots: 4, MaxBatch: 8, Prefill: 50 * time.Millisecond, TokenTime: 20 * time.Millisecond, ChecksFence: true,
 		},
-		Store:           weightstore.Limits{LoadTime: 250 * time.Millisecond, MaxInFlight: 8},
-		Retention:       24 * time.Hour,
-		ListLag:         10 * time.Second,
-		ServiceDelay:    50 * time.Millisecond,
-		SeeEngineHeader: f.seeHeader,
+		Store:        weightstore.Limits{LoadTime: 250 * time.Millisecond, MaxInFlight: 8},
+		Retention:    24 * time.Hour,
+		ListLag:      10 * time.Second,
+		ServiceDelay: 50 * time.Millisecond,
+		WrapBackend:  f.seeHeaders,
 	}
 	for i := range n {
 		o.Instances = append(o.Instances, platform.Instance{
@@ -87,18 +103,16 @@
 	}
 	f.stack, f.retention = s, o.Retention
 	f.doc, f.secret = testDocument(o)
-	f.publishDocument()
-	for i := range n {
-		f.start(instanceName(i))
-	}
-	time.Sleep(testSettleTime)
 	return f
 }
 
-func (f *testFleet) seeHeader(h http.Header) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.headers = append(f.headers, h)
+func (f *testFleet) seeHeaders(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.headers = append(f.headers, r.Header.Clone())
+		f.mu.Unlock()
+		h.ServeHTTP(w, r)
+	})
 }
 
 func instanceName(i int) string { return fmt.Sprintf("instance%d", i+1) }
@@ -181,14 +195,19 @@
 	s.TLS.PlainText = true
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{name: name, address: s.Listen.Callers, drain: make(chan struct{}), stop: stop, done: make(chan struct{})}
+	log := zerolog.New(zerolog.NewTestWriter(f.t)).Level(zerolog.WarnLevel)
+	if f.log != nil {
+		log = *f.log
+	}
 	var err error
 	i.Daemon, err = New(Options{
-		Settings: s, Network: f.net.Host(name), Log: zerolog.New(zerolog.NewTestWriter(f.t)).Level(zerolog.WarnLevel),
+		Settings: s, Network: f.net.Host(name), Log: log,
 		Incarnation: fmt.Sprintf("%s-%d", name, len(f.instances)),
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	i.current.Store(i.Daemon)
 	go func() {
 		defer close(i.done)
 		i.runAll(ctx, f)
@@ -213,6 +232,7 @@
 			f.t.Error(err)
 			return
 		}
+		i.current.Store(d)
 	}
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -34,6 +34,8 @@
 	ChecksFence bool
 	// CrashMarker, when not empty, crashes the engine when it runs a prompt that contains it.
 	CrashMarker string
+	// Started, when not nil, is called without delay when a request begins to run.
+	Started func(Run)
 	// Store is where adapters come from; nil loads at once.
 	Store *weightstore.Store
 }
@@ -46,11 +48,24 @@
 
 func (e *orderError) Error() string { return e.code }
 
+// Run tells of a request that began to run.
+type Run struct {
+	// ID is the attempt's id.
+	ID      string
+	Adapter adapter.Ref
+	Prompt  string
+	// Submitted is when the request reached the engine.
+	Submitted time.Time
+	Started   time.Time
+}
+
 type run struct {
 	id       string
 	ref      adapter.Ref
 	priority backend.Priority
 	arrival  uint64
+	at       time.Time
+	text     string
 	prompt   int
 	max      int
 	crash    bool
@@ -150,7 +165,7 @@
 	}
 	ctx, cancel := context.WithCancel(e.life)
 	r := &run{
-		id: id, ref: ref, priority: p, arrival: e.arrivals, prompt: len(prompt)/4 + 1, max: maxTokens,
+		id: id, ref: ref, priority: p, arrival: e.arrivals, at: time.Now(), text: prompt, prompt: len(prompt)/4 + 1, max: maxTokens,
 		crash:   e.opts.CrashMarker != "" && strings.Contains(prompt, e.opts.CrashMarker),
 		changed: make(chan struct{}), cancel: cancel, start: make(chan struct{}), readers: 1,
 	}
@@ -177,6 +192,9 @@
 		e.queue = e.queue[1:]
 		e.running++
 		close(r.start)
+		if e.opts.Started != nil {
+			e.opts.Started(Run{ID: r.id, Adapter: r.ref, Prompt: r.text, Submitted: r.at, Started: time.Now()})
+		}
 	}
 }
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -40,9 +40,8 @@
 	IfIdle  bool   `json:"if_idle"`
 }
 
-// Handler returns the HTTP interface. see is called with each request's header, for checks that no
-// key reaches the engine; it may be nil.
-func (e *Engine) Handler(see func(http.Header)) http.Handler {
+// Handler returns the HTTP interface.
+func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
 	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
@@ -52,13 +51,7 @@
 	mux.HandleFunc("POST /v1/unload_lora_adapter", e.serveUnload)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, 200, e.status()) })
 	mux.HandleFunc("GET /v1/cache_events", e.serveEvents)
-	if see == nil {
-		return mux
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		see(r.Header.Clone())
-		mux.ServeHTTP(w, r)
-	})
+	return mux
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -73,6 +73,13 @@
 	s.loseAnswers = n
 }
 
+// Records returns the records of a stream that have not expired, also during an outage.
+func (s *Service) Records(name string) []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Record(nil), s.stream(name).records...)
+}
+
 // Handler returns the HTTP interface.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -34,8 +35,13 @@
 // Host returns the view of the named host.
 func (n *Network) Host(name string) *Host { return &Host{net: n, name: name} }
 
-// Cut makes traffic from one host to an address disappear while f returns true. Open connections
-// stay open and silent. A nil f heals the network.
+// silentTimeout is how long a silent connection stays open: the time after which network.TCP closes
+// a connection whose other end acknowledges nothing.
+const silentTimeout = 4 * time.Second
+
+// Cut makes traffic from one host to an address disappear while f returns true. A connection that
+// lost bytes is silent until it is closed, also after the network has healed: delivering later bytes
+// would forge a stream with a hole. A nil f heals the network for other connections.
 func (n *Network) Cut(f func(fromHost, toAddress string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -48,6 +54,17 @@
 	return n.cut != nil && n.cut(from, to)
 }
 
+// Silence makes the open connections for which match returns true silent. New connections work.
+func (n *Network) Silence(match func(fromHost, toAddress string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if match(c.from, c.to) {
+			c.silence()
+		}
+	}
+}
+
 // Kill closes all listeners and connections of a host, as the end of its process does.
 func (n *Network) Kill(host string) {
 	n.mu.Lock()
@@ -134,8 +151,9 @@
 		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: addr(address), Err: syscall.ECONNREFUSED}
 	}
 	a, b := net.Pipe()
-	client := h.net.track(&conn{Conn: a, net: h.net, from: h.name, to: address, toHost: l.host})
-	server := h.net.track(&conn{Conn: b, net: h.net, from: h.name, to: address, toHost: l.host})
+	silent := &atomic.Bool{}
+	client := h.net.track(&conn{Conn: a, net: h.net, from: h.name, to: address, toHost: l.host, silent: silent})
+	server := h.net.track(&conn{Conn: b, net: h.net, from: h.name, to: address, toHost: l.host, silent: silent})
 	select {
 	case l.accept <- server:
 		return client, nil
@@ -161,15 +179,28 @@
 	from   string
 	to     string
 	toHost string
+	// silent is shared by both ends.
+	silent *atomic.Bool
 }
 
 func (c *conn) Write(b []byte) (int, error) {
 	if c.net.isCut(c.from, c.to) {
+		c.silence()
+	}
+	if c.silent.Load() {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
 }
 
+// silence makes both ends lose what they write, and closes them after silentTimeout.
+func (c *conn) silence() {
+	if c.silent.Swap(true) {
+		return
+	}
+	time.AfterFunc(silentTimeout, func() { _ = c.Conn.Close() })
+}
+
 func (c *conn) Close() error {
 	c.net.mu.Lock()
 	delete(c.net.conns, c)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -17,6 +17,9 @@
 type Entry struct {
 	Number int    `json:"number"`
 	Body   string `json:"body"`
+	// TraceParent and At tell which call of a caller was executed, and when.
+	TraceParent string    `json:"-"`
+	At          time.Time `json:"-"`
 }
 
 // Service executes every POST that reaches it, also a repeated one, so that a doubled call shows. It
@@ -60,7 +63,7 @@
 		s.headers = append(s.headers, r.Header.Clone())
 		w.Header().Set("Content-Type", "application/json")
 		if r.Method == http.MethodPost {
-			e := Entry{Number: len(s.entries) + 1, Body: string(body)}
+			e := Entry{Number: len(s.entries) + 1, Body: string(body), TraceParent: r.Header.Get("Traceparent"), At: time.Now()}
 			s.entries = append(s.entries, e)
 			w.WriteHeader(http.StatusCreated)
 			// A failed write means that the client has gone; the action stays executed.
--- a/internal/standin/stack/stack.go
+++ b/internal/standin/stack/stack.go
@@ -36,8 +36,11 @@
 	ServiceDelay time.Duration
 	// Instances is the first content of the list.
 	Instances []platform.Instance
-	// SeeEngineHeader is called with the header of each request to an engine; it may be nil.
-	SeeEngineHeader func(http.Header)
+	// WrapBackend wraps the interface of each backend server, for checks of what reaches it; it may
+	// be nil.
+	WrapBackend func(http.Handler) http.Handler
+	// EngineStarted is called when a request begins to run on the engine of an address; it may be nil.
+	EngineStarted func(address string, r engine.Run)
 }
 
 // Stack is a running set of stand-ins.
@@ -59,13 +62,20 @@
 	}
 	s.List.Set(o.Instances)
 	o.Engine.Store = s.Store
+	wrap := o.WrapBackend
+	if wrap == nil {
+		wrap = func(h http.Handler) http.Handler { return h }
+	}
 	handlers := map[string]http.Handler{
-		o.LogAddress: s.Log.Handler(), o.ListAddress: s.List.Handler(), o.ServiceAddress: s.Service.Handler(),
+		o.LogAddress: s.Log.Handler(), o.ListAddress: s.List.Handler(), o.ServiceAddress: wrap(s.Service.Handler()),
 	}
 	for _, address := range o.EngineAddresses {
+		if o.EngineStarted != nil {
+			o.Engine.Started = func(r engine.Run) { o.EngineStarted(address, r) }
+		}
 		e := engine.New(o.Engine)
 		s.Engines = append(s.Engines, e)
-		handlers[address] = e.Handler(o.SeeEngineHeader)
+		handlers[address] = wrap(e.Handler())
 	}
 	for address, h := range handlers {
 		if address == "" {
--- a/internal/standin/weightstore/weightstore.go
+++ b/internal/standin/weightstore/weightstore.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -25,8 +26,12 @@
 	mu       sync.Mutex
 	inFlight int
 	loads    int
+	fail     int
 }
 
+// ErrLoad is the result of a load that was made to fail.
+var ErrLoad = errors.New("the adapter could not be read")
+
 // New returns an idle store.
 func New(l Limits) *Store { return &Store{limits: l} }
 
@@ -35,12 +40,19 @@
 	s.mu.Lock()
 	s.inFlight++
 	s.loads++
+	failing := s.fail > 0
+	if failing {
+		s.fail--
+	}
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
 		s.inFlight--
 		s.mu.Unlock()
 	}()
+	if failing {
+		return ErrLoad
+	}
 	remaining := s.limits.LoadTime
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
@@ -55,6 +67,13 @@
 	return nil
 }
 
+// FailNext makes the next n loads fail.
+func (s *Store) FailNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail = n
+}
+
 // slowdown is how many times slower a load runs with the loads now in flight.
 func (s *Store) slowdown() float64 {
 	s.mu.Lock()
