--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/fairqueue"
@@ -219,7 +218,7 @@
 func EnginePolls(sizes []int) (bytes, cpu Series, err error) {
 	bytes, cpu = Series{Name: "engine-poll-bytes", Per: "engine", Unit: "B"}, Series{Name: "engine-poll-cpu", Per: "engine", Unit: "us"}
 	for _, size := range sizes {
-		base, stop, err := webServer(standin.New(standin.Options{Slots: 8, MaxBatch: 32}).Handler(func(http.Header) {}))
+		base, stop, err := webServer(standin.New(standin.Options{Slots: 8, MaxBatch: 32}).Handler())
 		if err != nil {
 			return bytes, cpu, err
 		}
