--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -39,7 +39,7 @@
 type Listen struct {
 	// Callers is the address for callers. Default: 127.0.0.1:8080.
 	Callers string `json:"callers"`
-	// Admin is the address for operators and the time line. Default: 127.0.0.1:8081.
+	// Admin is the address for operators and the timeline. Default: 127.0.0.1:8081.
 	Admin string `json:"admin"`
 	// Peers is the address for other instances. Default: 127.0.0.1:8082.
 	Peers string `json:"peers"`
