daemon: check that no log line, metric or event holds a caller's key

Cause: the check covered what backend servers receive only. Conclusion: the key reaches nothing that operators read.

--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -1,16 +1,22 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/openai/openai-go/v3"
+	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
+	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/transport/platformhttp"
 )
 
@@ -129,3 +135,49 @@
 		})
 	})
 }
+
+// syncBuffer collects log lines of many goroutines.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// Guards against a caller's key in what an instance tells operators: log lines at every level, metrics and
+// the timeline, also when the key is in places where it does not belong.
+func TestCallersKeyIsInNoLogMetricOrEvent(t *testing.T) {
+	runFleet(t, 1, nil, func(f *testFleet) {
+		Convey("Nothing that the instance writes holds the key", t, func() {
+			var out syncBuffer
+			log := zerolog.New(&out).Level(zerolog.TraceLevel)
+			f.log = &log
+			f.start("logged")
+			time.Sleep(testSettleTime)
+			for _, path := range []string{"/services/status/" + f.secret, "/services/" + f.secret + "/x", "/v1/models?key=" + f.secret, "/" + f.secret} {
+				_, err := f.call(1, http.MethodGet, path, "", nil)
+				So(err, ShouldBeNil)
+			}
+			_, err := f.complete(1)
+			So(err, ShouldBeNil)
+			_, err = f.logLot(1, f.secret, "lot")
+			So(err, ShouldBeNil)
+			metrics, err := f.call(1, http.MethodGet, "/metrics", "", nil)
+			So(err, ShouldBeNil)
+			So(metrics.body, ShouldContainSubstring, "turmeric_requests_total")
+			events, err := json.Marshal(f.instances[1].events.recorder.Events(event.Filter{}))
+			So(err, ShouldBeNil)
+			f.instances[1].stopPlanned()
+			out.mu.Lock()
+			defer out.mu.Unlock()
+			So(out.b.Len(), ShouldBeGreaterThan, 0)
+			for _, text := range []string{metrics.body, string(events), out.b.String()} {
+				So(strings.Contains(text, f.secret), ShouldBeFalse)
+			}
+		})
+	})
+}
