daemon: end a membership in one place

Cause: a gap in the control stream and a withdrawal ended the incarnation by the same lines twice. Change: control.endMembership serves both. Measured: go test -run 'Cut|Rolling|Retention' ./internal/daemon passes. Conclusion: behaviour is unchanged.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -276,6 +276,12 @@
 	if !c.members.Ended(c.daemon.opts.Incarnation) && !c.shares.Faulty() {
 		return
 	}
+	c.endMembership()
+}
+
+// endMembership ends this incarnation: it acts no more, and Run returns ErrWithdrawn. The caller holds the
+// lock.
+func (c *control) endMembership() {
 	c.lease.Withdrawn()
 	select {
 	case <-c.withdrawn:
@@ -334,12 +340,7 @@
 		c.buffering, c.bufferedFrom, c.buffered = true, first, nil
 		return
 	}
-	c.lease.Withdrawn()
-	select {
-	case <-c.withdrawn:
-	default:
-		close(c.withdrawn)
-	}
+	c.endMembership()
 }
 
 // configure takes over the workspaces' rates and the weight store's limits.
