daemon: count heartbeats from an instance's start in their test

Cause: TestIdleHeartbeats replaced the peer clients of a running instance, which its control loop reads without a lock. Ruled out: a race in the product; the field is set once before Run. Change: the test restarts the instance with the counting client in place and starts its count at the same moment as before; the bounds are unchanged. Conclusion: the verdict no longer depends on scheduling.

--- a/internal/daemon/heartbeat_test.go
+++ b/internal/daemon/heartbeat_test.go
@@ -31,11 +31,29 @@
 	return answer, err
 }
 
+// reset starts the count.
+func (c *heartbeatPeers) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beats, c.reports, c.missing = map[string]int{}, map[string]int{}, 0
+}
+
 // TestIdleHeartbeats guards against heartbeats that carry every workspace, because answers do not reach the decision,
 // against receivers that lose the workspaces that heartbeats leave out, and against a restarted instance that gets no
 // shares, because its reports count as late.
 func TestIdleHeartbeats(t *testing.T) {
 	runFleet(t, 3, nil, func(f *testFleet) {
+		// The counting client is there from the instance's start, since the control loop reads it without a lock.
+		f.instances[0].stop()
+		<-f.instances[0].done
+		count := &heartbeatPeers{}
+		count.reset()
+		f.prepare = func(d *Daemon) {
+			count.peerClients = d.control.peers
+			d.control.peers = count
+		}
+		f.start(instanceName(0))
+		f.prepare = nil
 		time.Sleep(30 * time.Second)
 		f.instances[1].stop()
 		<-f.instances[1].done
@@ -48,11 +66,7 @@
 			t.Error("the restarted instance has no share after 8 s")
 		}
 		time.Sleep(12 * time.Second)
-		control := f.instances[0].control
-		count := &heartbeatPeers{peerClients: control.peers, beats: map[string]int{}, reports: map[string]int{}}
-		control.mu.Lock()
-		control.peers = count
-		control.mu.Unlock()
+		count.reset()
 		time.Sleep(20 * time.Second)
 		count.mu.Lock()
 		defer count.mu.Unlock()
