daemon: count owners' messages from the start in their test

Cause: TestCostOfLoadAndEviction replaced the clients of running owners, which read them without a lock: the same fault as in TestIdleHeartbeats. Change: the counting clients are installed before the instances run, and the count starts at the same moment as before; the bounds are unchanged.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -62,15 +62,21 @@
 
 // runFleet runs f over n instances inside a synctest bubble.
 func runFleet(t *testing.T, n int, change func(*stack.Options), f func(*testFleet)) {
+	runPreparedFleet(t, n, change, nil, f)
+}
+
+// runPreparedFleet is runFleet with a change to each instance before it runs.
+func runPreparedFleet(t *testing.T, n int, change func(*stack.Options), prepare func(*Daemon), f func(*testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		fleet := newTestFleet(t, n, change)
+		fleet := newTestFleet(t, n, change, prepare)
 		defer fleet.close()
 		f(fleet)
 	})
 }
 
-func newTestFleet(t *testing.T, n int, change func(*stack.Options)) *testFleet {
+func newTestFleet(t *testing.T, n int, change func(*stack.Options), prepare func(*Daemon)) *testFleet {
 	f := prepareFleet(t, n, change)
+	f.prepare = prepare
 	f.publishDocument()
 	for i := range n {
 		f.start(instanceName(i))
--- a/internal/daemon/owners_test.go
+++ b/internal/daemon/owners_test.go
@@ -461,16 +461,16 @@
 func TestCostOfLoadAndEviction(t *testing.T) {
 	for _, n := range []int{3, 7} {
 		var messages, bytes atomic.Int64
-		runFleet(t, n, oneSlot, func(f *testFleet) {
+		// The counting client is there from the start, since owners read it without a lock.
+		count := func(d *Daemon) {
+			d.owners.peers = &countingPeers{slotPeers: d.owners.peers, messages: &messages, bytes: &bytes}
+		}
+		runPreparedFleet(t, n, oneSlot, count, func(f *testFleet) {
 			Convey(fmt.Sprintf("With %d instances", n), t, func() {
 				models := f.addAdapters(2)
 				owner := f.owner("engine-1")
-				for i := range f.instances {
-					o := f.instances[i].owners
-					o.mu.Lock()
-					o.peers = &countingPeers{slotPeers: o.peers, messages: &messages, bytes: &bytes}
-					o.mu.Unlock()
-				}
+				messages.Store(0)
+				bytes.Store(0)
 				f.mustAsk((owner+1)%n, models[0])
 				t.Logf("%d instances: load: %d messages, %d bytes", n, messages.Load(), bytes.Load())
 				So(messages.Load(), ShouldEqual, 2)
