daemon: guard the list of instances in the test fleet

Cause: tests that start instances while requests run appended to the list under a lock that the requests did not take. Ruled out: a race in the product; both sides are in the test harness. Change: requests look instances up under the lock. Measured: all tests of internal/daemon pass once with the race detector, without a report; no check changes. Conclusion: the verdict no longer depends on scheduling.

--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -28,7 +28,7 @@
 
 // publish publishes through one instance's API for operators.
 func (f *testFleet) publish(i int, base config.Version, ops []config.Operation) (admin.ChangeAnswer, error) {
-	d := &adminDaemon{f.instances[i].Daemon}
+	d := &adminDaemon{f.instance(i).Daemon}
 	return d.Publish(context.Background(), uuid.NewString(), config.Change{Base: base, Operations: ops, Author: fmt.Sprintf("operator%d", i)})
 }
 
@@ -72,7 +72,7 @@
 			answer, err := f.publish(0, f.version, putAdapter("late"))
 			So(err, ShouldBeNil)
 			So(answer.Accepted, ShouldBeTrue)
-			_, ok := f.instances[0].replica.view().Adapter("late")
+			_, ok := f.instance(0).replica.view().Adapter("late")
 			So(ok, ShouldBeTrue)
 		})
 	})
@@ -91,7 +91,7 @@
 			for i := range 3 {
 				f.start(fmt.Sprintf("replacement%d", i+1))
 				time.Sleep(10 * time.Second)
-				f.instances[i].stopPlanned()
+				f.instance(i).stopPlanned()
 			}
 			// A transfer under way belongs to neither side; they end within a second of quiet.
 			time.Sleep(2 * time.Second)
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -25,7 +25,7 @@
 
 // call sends one request to an instance.
 func (f *testFleet) call(i int, method, path, body string, header http.Header) (reply, error) {
-	req, err := http.NewRequest(method, scheme(f.authority)+f.instances[i].address+path, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequest(method, scheme(f.authority)+f.instance(i).address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return reply{}, err
 	}
@@ -153,7 +153,7 @@
 func TestInstanceCutOffFromLogAndPeersStops(t *testing.T) {
 	runFleet(t, 3, nil, func(f *testFleet) {
 		Convey("It refuses not-run within 3 s, and serves again when healed", t, func() {
-			cutOff := f.instances[0].name
+			cutOff := f.instance(0).name
 			f.net.Cut(func(from, to string) bool {
 				peer := bytes.HasSuffix([]byte(to), []byte(":2")) || to == "log:1"
 				return peer && (from == cutOff || to == cutOff+":2")
@@ -180,7 +180,7 @@
 func TestWaitForTokensEndsWithTheCaller(t *testing.T) {
 	runFleet(t, 1, nil, func(f *testFleet) {
 		Convey("The wait ends at once and the refusal says not-run", t, func() {
-			runner := f.instances[0].runner
+			runner := f.instance(0).runner
 			_, err := runner.reserve(context.Background(), "racks", 50_000)
 			So(err, ShouldBeNil)
 			ctx, cancel := context.WithCancel(context.Background())
@@ -202,7 +202,7 @@
 			result := make(chan string, 1)
 			go func() { result <- f.loadReadyInstances(ctx) }()
 			for i := range 3 {
-				f.instances[i].stopPlanned()
+				f.instance(i).stopPlanned()
 				f.start(fmt.Sprintf("replacement%d", i+1))
 				time.Sleep(testSettleTime)
 			}
@@ -245,13 +245,13 @@
 			r, err := f.complete(3)
 			So(err, ShouldBeNil)
 			So(r.status, ShouldEqual, http.StatusOK)
-			So(f.instances[3].control.parts("racks"), ShouldEqual, 0)
+			So(f.instance(3).control.parts("racks"), ShouldEqual, 0)
 			lot, err := f.logLot(3, newKey(), "lot")
 			So(err, ShouldBeNil)
 			So(lot.verdict, ShouldEqual, "not-run")
 			f.stack.Log.SetDown(false)
 			time.Sleep(10 * time.Second)
-			So(f.instances[3].control.parts("racks"), ShouldBeGreaterThan, 0)
+			So(f.instance(3).control.parts("racks"), ShouldBeGreaterThan, 0)
 			r, err = f.complete(3)
 			So(err, ShouldBeNil)
 			So(r.status, ShouldEqual, http.StatusOK)
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -177,7 +177,7 @@
 	f.appendChange(ops)
 }
 
-func (f *testFleet) published() config.Document { return f.instances[0].replica.view().Document() }
+func (f *testFleet) published() config.Document { return f.instance(0).replica.view().Document() }
 
 func (f *testFleet) appendChange(ops []config.Operation) {
 	f.t.Helper()
@@ -260,9 +260,16 @@
 
 // kill ends an instance as a kill signal does.
 func (f *testFleet) kill(i int) {
-	f.net.Kill(f.instances[i].name)
-	f.instances[i].stop()
-	<-f.instances[i].done
+	f.net.Kill(f.instance(i).name)
+	f.instance(i).stop()
+	<-f.instance(i).done
+}
+
+// instance returns an instance by the order of starts. Requests run while others are started.
+func (f *testFleet) instance(i int) *testInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances[i]
 }
 
 // count returns the number of instances started so far.
@@ -324,7 +331,7 @@
 // openAI returns the official client, pointed at one instance.
 func (f *testFleet) openAI(i int, secret string) openai.Client {
 	return openai.NewClient(
-		option.WithBaseURL(scheme(f.authority)+f.instances[i].address+"/v1/"), option.WithAPIKey(secret),
+		option.WithBaseURL(scheme(f.authority)+f.instance(i).address+"/v1/"), option.WithAPIKey(secret),
 		option.WithHTTPClient(f.httpClient()), option.WithMaxRetries(0),
 	)
 }
--- a/internal/daemon/heartbeat_test.go
+++ b/internal/daemon/heartbeat_test.go
@@ -44,8 +44,8 @@
 func TestIdleHeartbeats(t *testing.T) {
 	runFleet(t, 3, nil, func(f *testFleet) {
 		// The counting client is there from the instance's start, since the control loop reads it without a lock.
-		f.instances[0].stop()
-		<-f.instances[0].done
+		f.instance(0).stop()
+		<-f.instance(0).done
 		count := &heartbeatPeers{}
 		count.reset()
 		f.prepare = func(d *Daemon) {
@@ -55,8 +55,8 @@
 		f.start(instanceName(0))
 		f.prepare = nil
 		time.Sleep(30 * time.Second)
-		f.instances[1].stop()
-		<-f.instances[1].done
+		f.instance(1).stop()
+		<-f.instance(1).done
 		restarted := f.start(instanceName(1)).control
 		time.Sleep(8 * time.Second)
 		restarted.mu.Lock()
--- a/internal/daemon/input_test.go
+++ b/internal/daemon/input_test.go
@@ -17,7 +17,7 @@
 
 // dialCaller opens a connection to the first instance and writes raw bytes to it.
 func (f *testFleet) dialCaller(raw string) (net.Conn, *bufio.Reader) {
-	c, err := f.net.Host("caller").Dial(context.Background(), f.instances[0].address)
+	c, err := f.net.Host("caller").Dial(context.Background(), f.instance(0).address)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -106,7 +106,7 @@
 				}
 			}
 			So(len(f.stack.Service.Headers()), ShouldEqual, before)
-			So(f.instances[0].entry.InFlight(), ShouldEqual, 0)
+			So(f.instance(0).entry.InFlight(), ShouldEqual, 0)
 		})
 	})
 }
@@ -178,7 +178,7 @@
 				}
 				time.Sleep(15 * time.Second)
 				So(running(f), ShouldEqual, 0)
-				So(f.instances[0].entry.InFlight(), ShouldEqual, 0)
+				So(f.instance(0).entry.InFlight(), ShouldEqual, 0)
 				_ = c.Close()
 			}
 
@@ -215,12 +215,12 @@
 func TestConnectionAndMemoryLimits(t *testing.T) {
 	runFleet(t, 1, nil, func(f *testFleet) {
 		Convey("Connections past the limit wait, and bodies past the budget are refused", t, func() {
-			limit := f.instances[0].settings.Limits.MaxConnections
+			limit := f.instance(0).settings.Limits.MaxConnections
 			conns := make([]net.Conn, limit)
 			for i := range conns {
 				conns[i], _ = f.dialCaller("")
 			}
-			_, err := f.net.Host("caller").Dial(context.Background(), f.instances[0].address)
+			_, err := f.net.Host("caller").Dial(context.Background(), f.instance(0).address)
 			So(err, ShouldNotBeNil)
 			for _, c := range conns {
 				_ = c.Close()
@@ -228,7 +228,7 @@
 
 			var held []net.Conn
 			body := "Content-Length: 4194304\r\n\r\n" + strings.Repeat(" ", 4<<20-1)
-			for range f.instances[0].settings.Limits.MaxBodyMemoryBytes / (4 << 20) {
+			for range f.instance(0).settings.Limits.MaxBodyMemoryBytes / (4 << 20) {
 				c, _ := f.dialCaller("POST /v1/completions" + auth + body)
 				held = append(held, c)
 			}
--- a/internal/daemon/owners_test.go
+++ b/internal/daemon/owners_test.go
@@ -106,7 +106,7 @@
 
 // engineState returns an engine's ownership as an instance folds it.
 func (f *testFleet) engineState(i int, engine string) ownership.Engine {
-	c := f.instances[i].control
+	c := f.instance(i).control
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.ownership.Engine(engine)
@@ -115,7 +115,7 @@
 // owner returns the number of the instance that owns an engine.
 func (f *testFleet) owner(engine string) int {
 	for i := range f.instances {
-		if f.engineState(i, engine).Owner == f.instances[i].opts.Incarnation {
+		if f.engineState(i, engine).Owner == f.instance(i).opts.Incarnation {
 			return i
 		}
 	}
@@ -242,7 +242,7 @@
 			f.mustAsk(0, models[0])
 			old := f.owner("engine-1")
 			fence := f.engineState(old, "engine-1").Fence
-			cutOff, other := f.instances[old].name, (old+1)%3
+			cutOff, other := f.instance(old).name, (old+1)%3
 			long := make(chan reply, 1)
 			go func() {
 				r, _ := f.ask(old, models[0], 3000) // 60 s
@@ -260,7 +260,7 @@
 			time.Sleep(40 * time.Second)
 			So(f.engineState(other, "engine-1").Fence, ShouldBeGreaterThan, fence)
 			So(f.orders(event.Evict), ShouldEqual, 0)
-			for _, v := range f.instances[old].control.slotViews([]*ownedEngine{{id: "engine-1"}}) {
+			for _, v := range f.instance(old).control.slotViews([]*ownedEngine{{id: "engine-1"}}) {
 				So(v.LeaseValid, ShouldBeFalse)
 			}
 			f.mustAsk(other, models[0])
@@ -268,7 +268,7 @@
 			f.net.Cut(nil)
 			So((<-waiting).status, ShouldEqual, http.StatusOK)
 			So(f.evictedBusy(), ShouldEqual, 0)
-			for _, e := range f.instances[old].events.recorder.Events(event.Filter{Engine: "engine-1"}) {
+			for _, e := range f.instance(old).events.recorder.Events(event.Filter{Engine: "engine-1"}) {
 				if e.Kind == event.Load || e.Kind == event.Evict {
 					So(e.Fence, ShouldEqual, fence)
 				}
@@ -284,14 +284,14 @@
 		Convey("Its adapter is evicted only after the engine confirmed its end", t, func() {
 			models := f.addAdapters(2)
 			owner := f.owner("engine-1")
-			member, name := (owner+1)%3, f.instances[(owner+1)%3].name
+			member, name := (owner+1)%3, f.instance((owner+1)%3).name
 			f.mustAsk(owner, models[0])
 			ctx, stop := context.WithCancel(context.Background())
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
 				body := strings.NewReader(fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":3000}`, models[0]))
-				req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.instances[member].address+"/v1/completions", body)
+				req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.instance(member).address+"/v1/completions", body)
 				req.Header.Set("Authorization", "Bearer "+f.secret)
 				_, _ = f.httpClient().Do(req)
 			}()
@@ -335,7 +335,7 @@
 			f.kill(f.owner("engine-1"))
 			time.Sleep(time.Minute)
 			for i := range f.instances {
-				if f.instances[i].control.valid() {
+				if f.instance(i).control.valid() {
 					f.mustAsk(i, last)
 				}
 			}
@@ -352,7 +352,7 @@
 			ctx, stop := context.WithCancel(context.Background())
 			l, wait := f.load(ctx, 6, models)
 			for i := range 3 {
-				f.instances[i].stopPlanned()
+				f.instance(i).stopPlanned()
 				f.start(fmt.Sprintf("replacement%d", i+1))
 				time.Sleep(2 * testSettleTime)
 			}
@@ -385,7 +385,7 @@
 			stopped := make(chan struct{})
 			go func() {
 				defer close(stopped)
-				f.instances[old].stopPlanned()
+				f.instance(old).stopPlanned()
 			}()
 			time.Sleep(time.Second)
 			f.mustAsk(other, models[0])
@@ -401,7 +401,7 @@
 func TestRetireBeforeJoin(t *testing.T) {
 	runFleet(t, 1, nil, func(f *testFleet) {
 		Convey("An incarnation that has not joined answers no owner and dispatches nothing", t, func() {
-			o := f.instances[0].opts
+			o := f.instance(0).opts
 			o.Incarnation, o.Gate = "next", NewGate()
 			d, err := New(o)
 			So(err, ShouldBeNil)
--- a/internal/daemon/secure_test.go
+++ b/internal/daemon/secure_test.go
@@ -32,7 +32,7 @@
 			r, err := f.complete(0)
 			So(err, ShouldBeNil)
 			So(r.status, ShouldEqual, http.StatusOK)
-			for _, address := range []string{f.instances[0].settings.Listen.Callers, f.instances[0].settings.Listen.Admin} {
+			for _, address := range []string{f.instance(0).settings.Listen.Callers, f.instance(0).settings.Listen.Admin} {
 				plain := network.HTTPTransport(f.net.Host("caller"))
 				resp, err := (&http.Client{Transport: plain}).Get("http://" + address + "/healthz")
 				So(err, ShouldBeNil)
@@ -40,7 +40,7 @@
 				So(resp.Body.Close(), ShouldBeNil)
 				plain.CloseIdleConnections()
 			}
-			_, err = f.instances[0].secure.dialPlain(context.Background(), "instance2:2")
+			_, err = f.instance(0).secure.dialPlain(context.Background(), "instance2:2")
 			So(err, ShouldNotBeNil)
 		})
 	})
--- a/internal/daemon/silence_test.go
+++ b/internal/daemon/silence_test.go
@@ -100,7 +100,7 @@
 				for range 80 {
 					time.Sleep(100 * time.Millisecond)
 					for i := range f.instances {
-						So(f.instances[i].admit(), ShouldBeNil)
+						So(f.instance(i).admit(), ShouldBeNil)
 					}
 				}
 				So(<-done, ShouldBeNil)
@@ -111,7 +111,7 @@
 			f.net.Silence(func(_, to string) bool { return strings.HasSuffix(to, ":2") })
 			time.Sleep(5 * time.Second)
 			for i := range f.instances {
-				So(f.instances[i].admit(), ShouldBeNil)
+				So(f.instance(i).admit(), ShouldBeNil)
 			}
 		})
 	})
