--- /dev/null
+++ b/cmd/turmeric-gateway/main.go
@@ -0,0 +1,96 @@
+// Command turmeric-gateway is one instance that forwards requests for a platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"github.com/turmericworks/turmericworks/internal/gateway"
+	"github.com/turmericworks/turmericworks/internal/logsink"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
+	"github.com/turmericworks/turmericworks/platform"
+)
+
+type options struct {
+	Settings string `long:"settings" description:"file with the settings (JSON)" required:"true"`
+	Check    bool   `long:"check" description:"check the settings, print every fault and exit"`
+}
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// heapShare is the part of the process's memory from which the collector works harder to stay below it.
+const heapShare = 0.6
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		os.Exit(exitFailed)
+	}
+}
+
+func load(path string) (gateway.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return gateway.Settings{}, trace.ConvertSystemError(err)
+	}
+	return gateway.ParseSettings(data)
+}
+
+func run(o options) error {
+	s, err := load(o.Settings)
+	if err != nil || o.Check {
+		return err
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return trace.BadParameter("settings: log_level: %v", err)
+	}
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * heapShare * (1 << 20)))
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(sink).Level(level).With().Timestamp().Logger()
+
+	var g *gateway.Gateway
+	n := network.TCP{}
+	store := platform.NewStore(n, s.LogService, func(call, outcome string) { g.StoreCall(call, outcome) })
+	g = gateway.New(s, platform.Surroundings(store, n), n, gateway.BootClock, log)
+
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go watchSignals(signals, stop, o.Settings, log)
+	return g.Serve(context.Background(), stop)
+}
+
+// watchSignals ends the instance at the first SIGTERM or SIGINT. SIGHUP checks the settings file: its fields
+// apply at the next start.
+func watchSignals(signals <-chan os.Signal, stop chan<- struct{}, path string, log zerolog.Logger) {
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			close(stop)
+			return
+		}
+		_, err := load(path)
+		log.Info().Err(err).Msg("settings file read again; its fields apply at the next start")
+	}
+}
--- /dev/null
+++ b/internal/coordination/quota/quota.go
@@ -0,0 +1,106 @@
+// Package quota divides the rate of a workspace among instances by their demand, and spends this
+// instance's part. No type here reads a clock, and none is safe for concurrent use.
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// evenPart is the part of a rate that is divided evenly, so that an instance without demand so far can
+	// serve the first requests of a workspace.
+	evenPart = 0.2
+	// demandMemory is the time constant of the demand average. Two beats long, so that a moved caller's
+	// demand is known within seconds.
+	demandMemory = 2 * time.Second
+	// longestWait bounds the time to come back that a refused caller is told.
+	longestWait = 2 * time.Second
+)
+
+// Demand is a decayed rate in units per second.
+type Demand struct {
+	rate float64
+	last time.Duration
+}
+
+// Add counts units asked for.
+func (d *Demand) Add(units float64, now time.Duration) {
+	d.decay(now)
+	d.rate += units / demandMemory.Seconds()
+}
+
+// Rate returns the units per second asked for lately.
+func (d *Demand) Rate(now time.Duration) float64 {
+	d.decay(now)
+	return d.rate
+}
+
+func (d *Demand) decay(now time.Duration) {
+	if passed := now - d.last; passed > 0 {
+		d.rate *= math.Exp(-passed.Seconds() / demandMemory.Seconds())
+		d.last = now
+	}
+}
+
+// Part returns the fraction of a workspace's rate that an instance with demand own holds, where all is the
+// demand of the live instances together, own included, and instances is their number.
+func Part(own, all float64, instances int) float64 {
+	if instances <= 1 {
+		return 1
+	}
+	even := 1 / float64(instances)
+	if all <= 0 {
+		return even
+	}
+	return evenPart*even + (1-evenPart)*own/all
+}
+
+// Bucket is this instance's part of a workspace's tokens.
+type Bucket struct {
+	rate, burst float64
+	tokens      float64
+	last        time.Duration
+}
+
+// NewBucket returns a bucket. It is full only at the first start of the fleet: an instance that starts again
+// must not spend a second burst.
+func NewBucket(rate, burst float64, full bool, now time.Duration) *Bucket {
+	b := &Bucket{rate: rate, burst: burst, last: now}
+	if full {
+		b.tokens = burst
+	}
+	return b
+}
+
+// Set changes the part. Tokens above the new burst are dropped.
+func (b *Bucket) Set(rate, burst float64, now time.Duration) {
+	b.refill(now)
+	b.rate, b.burst = rate, burst
+	b.tokens = min(b.tokens, burst)
+}
+
+func (b *Bucket) refill(now time.Duration) {
+	if passed := now - b.last; passed > 0 {
+		b.tokens = min(b.burst, b.tokens+b.rate*passed.Seconds())
+		b.last = now
+	}
+}
+
+// Take spends units, or returns how long the caller should wait. A request larger than the burst is taken
+// from a full bucket, which is then in debt.
+func (b *Bucket) Take(units float64, now time.Duration) (time.Duration, bool) {
+	b.refill(now)
+	if b.tokens >= min(units, b.burst) && b.burst > 0 {
+		b.tokens -= units
+		return 0, true
+	}
+	if b.rate <= 0 {
+		return longestWait, false
+	}
+	missing := min(units, b.burst) - b.tokens
+	return min(longestWait, time.Duration(missing/b.rate*float64(time.Second))), false
+}
+
+// Return gives back the units of a request that did not run.
+func (b *Bucket) Return(units float64) { b.tokens = min(b.burst, b.tokens+units) }
--- /dev/null
+++ b/internal/coordination/residency/owner.go
@@ -0,0 +1,373 @@
+package residency
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MaxTransit is how many adapters may be on their way to one worker at a time, by the platform's pages.
+	MaxTransit = 4
+	// reportLag is how long a worker's report may lag behind its orders.
+	reportLag = 350 * time.Millisecond
+	// expectedLoad is how long an adapter load takes before one was measured.
+	expectedLoad = 250 * time.Millisecond
+	// pollEvery is the time between questions whether a load has ended.
+	pollEvery = 60 * time.Millisecond
+	// busyUse protects an adapter from eviction after its last use: requests may be under way to it.
+	busyUse = 300 * time.Millisecond
+	// wantLife is how long a wish for an adapter stands without being renewed.
+	wantLife = 4 * time.Second
+)
+
+// SlotState is the state of an adapter at a worker.
+type SlotState int
+
+// The states of an adapter.
+const (
+	Loading SlotState = iota + 1
+	Resident
+	Unloading
+)
+
+type slot struct {
+	state   SlotState
+	version int64
+	// since is when the state began, and poll when it is next asked for.
+	since, poll time.Duration
+	lastUse     time.Duration
+	use         decayed
+}
+
+type want struct {
+	adapter Adapter
+	version int64
+	// use orders the wants: what is asked for most is loaded first.
+	since, renewed time.Duration
+}
+
+// Step is the next thing that an owner does at its worker.
+type Step int
+
+// The steps.
+const (
+	// StepNone: nothing until the returned time or the next event.
+	StepNone Step = iota
+	// StepReport: read the worker's report.
+	StepReport
+	// StepLoadModel: order the base model.
+	StepLoadModel
+	// StepLoad: order an adapter.
+	StepLoad
+	// StepUnload: order an adapter away.
+	StepUnload
+	// StepPoll: order again what is on its way, to learn whether it has arrived.
+	StepPoll
+)
+
+// Action is a step with what it is about.
+type Action struct {
+	Step    Step
+	Adapter Adapter
+	Version int64
+	// Seq is the number of orders that the worker must be at.
+	Seq int64
+	// At is when to ask again, for StepNone; zero means at the next event.
+	At time.Duration
+}
+
+// Result is a worker's answer to an action.
+type Result int
+
+// The results of actions.
+const (
+	// Unanswered orders may be carried out, also later.
+	Unanswered Result = iota
+	Accepted
+	Holds
+	Conflict
+	Rejected
+)
+
+// Snapshot is what a worker's report says of its places.
+type Snapshot struct {
+	Seq      int64
+	Models   []string
+	Resident map[Adapter]int64
+	Pending  map[Adapter]int64
+	Busy     bool
+}
+
+// Owner decides the orders to one worker incarnation. Every order names the number of orders accepted before
+// it, so that an order that is carried out late, after a newer one, has no effect. An order without an answer
+// counts as a place taken until a newer one was accepted.
+type Owner struct {
+	model     string
+	places    int
+	synced    bool
+	readAfter time.Duration
+	seq       int64
+	hasModel  bool
+	loading   bool
+	slots     map[Adapter]*slot
+	wants     []*want
+	// doubt is the adapter of a load without an answer.
+	doubt    Adapter
+	doubtful bool
+	loadTime time.Duration
+}
+
+// NewOwner returns the owner of a worker that serves one model and has the number of places for adapters.
+func NewOwner(model string, places int, now time.Duration) *Owner {
+	return &Owner{model: model, places: places, slots: map[Adapter]*slot{}, loadTime: expectedLoad, readAfter: now}
+}
+
+// Want asks for an adapter in at least the version.
+func (o *Owner) Want(a Adapter, version int64, now time.Duration) {
+	if s := o.slots[a]; s != nil {
+		s.lastUse = now
+	}
+	for _, w := range o.wants {
+		if w.adapter == a {
+			w.version, w.renewed = max(w.version, version), now
+			return
+		}
+	}
+	o.wants = append(o.wants, &want{adapter: a, version: version, since: now, renewed: now})
+}
+
+// Used counts requests for an adapter at this worker.
+func (o *Owner) Used(a Adapter, n float64, now time.Duration) {
+	if s := o.slots[a]; s != nil {
+		s.use.at(now)
+		s.use.value += n
+		s.lastUse = now
+	}
+}
+
+// Holds reports whether the adapter is resident in at least the version, and which version is.
+func (o *Owner) Holds(a Adapter, version int64) (int64, bool) {
+	if a.Name == "" {
+		return 0, o.synced && o.hasModel
+	}
+	s := o.slots[a]
+	if s == nil || s.state != Resident || s.version < version {
+		return 0, false
+	}
+	return s.version, true
+}
+
+// Sync replaces the state by a report that was asked for at the time asked.
+func (o *Owner) Sync(r Snapshot, asked time.Duration) {
+	o.synced = true
+	o.seq = r.Seq
+	o.hasModel = slices.Contains(r.Models, o.model)
+	o.loading = r.Busy
+	old := o.slots
+	o.slots = map[Adapter]*slot{}
+	for a, v := range r.Resident {
+		o.slots[a] = inherit(old[a], Resident, v, asked)
+	}
+	for a, v := range r.Pending {
+		o.slots[a] = inherit(old[a], Loading, v, asked)
+	}
+	if _, there := o.slots[o.doubt]; there {
+		o.doubtful = false
+	}
+}
+
+func inherit(old *slot, state SlotState, version int64, now time.Duration) *slot {
+	s := &slot{state: state, version: version, since: now, poll: now + pollEvery, lastUse: now}
+	if old != nil {
+		s.use, s.lastUse = old.use, old.lastUse
+	}
+	return s
+}
+
+func (o *Owner) unsure(now time.Duration) {
+	o.synced = false
+	o.readAfter = now + reportLag
+}
+
+// Next returns what to do now.
+func (o *Owner) Next(now time.Duration) Action {
+	if !o.synced {
+		if now < o.readAfter {
+			return Action{Step: StepNone, At: o.readAfter}
+		}
+		return Action{Step: StepReport}
+	}
+	if !o.hasModel {
+		if o.loading {
+			return Action{Step: StepNone, At: o.recheck(now)}
+		}
+		return Action{Step: StepLoadModel, Adapter: Adapter{Model: o.model}, Seq: o.seq}
+	}
+	if a, ok := o.polled(now); ok {
+		return a
+	}
+	if a, ok := o.load(now); ok {
+		return a
+	}
+	return Action{Step: StepNone, At: o.earliestPoll()}
+}
+
+// recheck asks for a report later while the model is being loaded.
+func (o *Owner) recheck(now time.Duration) time.Duration {
+	o.unsure(now)
+	return o.readAfter
+}
+
+func (o *Owner) polled(now time.Duration) (Action, bool) {
+	for a, s := range o.slots {
+		if s.state != Resident && now >= s.poll {
+			step := StepPoll
+			if s.state == Unloading {
+				step = StepUnload
+			}
+			return Action{Step: step, Adapter: a, Version: s.version, Seq: o.seq}, true
+		}
+	}
+	return Action{}, false
+}
+
+func (o *Owner) earliestPoll() time.Duration {
+	var at time.Duration
+	for _, s := range o.slots {
+		if s.state != Resident && (at == 0 || s.poll < at) {
+			at = s.poll
+		}
+	}
+	return at
+}
+
+// load returns the order that brings the next wanted adapter nearer.
+func (o *Owner) load(now time.Duration) (Action, bool) {
+	o.wants = slices.DeleteFunc(o.wants, func(w *want) bool {
+		s := o.slots[w.adapter]
+		return now-w.renewed > wantLife || s != nil && s.state == Resident && s.version >= max(1, w.version)
+	})
+	transit, taken := 0, len(o.slots)
+	for _, s := range o.slots {
+		if s.state == Loading {
+			transit++
+		}
+	}
+	if o.doubtful {
+		transit++
+		taken++
+	}
+	if transit >= MaxTransit {
+		return Action{}, false
+	}
+	for _, w := range o.wants {
+		s := o.slots[w.adapter]
+		switch {
+		case s != nil && s.state != Resident:
+			continue
+		case s != nil || taken < o.places:
+			return Action{Step: StepLoad, Adapter: w.adapter, Version: w.version, Seq: o.seq}, true
+		}
+		if v, ok := o.victim(now); ok {
+			return Action{Step: StepUnload, Adapter: v, Version: o.slots[v].version, Seq: o.seq}, true
+		}
+		return Action{}, false
+	}
+	return Action{}, false
+}
+
+// victim returns the resident adapter that is used least, unless all were used just now.
+func (o *Owner) victim(now time.Duration) (Adapter, bool) {
+	var best Adapter
+	var bestSlot *slot
+	for a, s := range o.slots {
+		if s.state != Resident || now-s.lastUse < busyUse || o.wanted(a) {
+			continue
+		}
+		if bestSlot == nil || o.before(s, bestSlot, now) || !o.before(bestSlot, s, now) && a.Name < best.Name {
+			best, bestSlot = a, s
+		}
+	}
+	return best, bestSlot != nil
+}
+
+func (o *Owner) before(x, y *slot, now time.Duration) bool {
+	if dx, dy := x.use.at(now), y.use.at(now); dx != dy {
+		return dx < dy
+	}
+	return x.lastUse < y.lastUse
+}
+
+func (o *Owner) wanted(a Adapter) bool {
+	return slices.ContainsFunc(o.wants, func(w *want) bool { return w.adapter == a })
+}
+
+// Result applies a worker's answer to an action.
+func (o *Owner) Result(a Action, r Result, now time.Duration) {
+	switch {
+	case r == Unanswered:
+		if a.Step == StepLoad {
+			o.doubt, o.doubtful = a.Adapter, true
+		}
+		o.unsure(now)
+		return
+	case r == Conflict || r == Rejected:
+		o.unsure(now)
+		return
+	}
+	switch a.Step {
+	case StepLoadModel:
+		o.loading = r == Accepted
+		o.hasModel = r == Holds
+		o.accepted(r)
+	case StepLoad, StepPoll:
+		o.loaded(a, r, now)
+	case StepUnload:
+		o.unloaded(a, r, now)
+	}
+}
+
+// accepted counts an order that the worker carries out, after which an earlier one without an answer can no
+// longer take effect.
+func (o *Owner) accepted(r Result) {
+	if r == Accepted {
+		o.seq++
+		o.doubtful = false
+	}
+}
+
+func (o *Owner) loaded(a Action, r Result, now time.Duration) {
+	s := o.slots[a.Adapter]
+	if s == nil {
+		s = &slot{lastUse: now, use: decayed{last: now}}
+		o.slots[a.Adapter] = s
+	}
+	if r == Holds {
+		if s.state == Loading {
+			o.loadTime = (3*o.loadTime + (now - s.since)) / 4
+		}
+		s.state, s.lastUse = Resident, now
+		s.version = max(s.version, a.Version, 1)
+		return
+	}
+	if s.state != Loading {
+		s.state, s.since, s.version = Loading, now, a.Version
+		s.poll = now + o.loadTime
+	} else {
+		s.poll = now + pollEvery
+	}
+	o.accepted(r)
+}
+
+func (o *Owner) unloaded(a Action, r Result, now time.Duration) {
+	if r == Holds {
+		delete(o.slots, a.Adapter)
+		o.seq++
+		o.doubtful = false
+		return
+	}
+	if s := o.slots[a.Adapter]; s != nil {
+		s.state, s.since, s.poll = Unloading, now, now+pollEvery
+	}
+	o.accepted(r)
+}
--- /dev/null
+++ b/internal/gateway/feeds.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
+	"github.com/turmericworks/turmericworks/internal/protocol/external"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+)
+
+const (
+	// configWait is how long a read of the configuration waits for a change. Withdrawn keys must be known
+	// within seconds; each read is priced.
+	configWait = time.Second
+	// workersEvery is the time between reads of the registry. Workers write about once a second each, so a
+	// waiting read would return for every single entry.
+	workersEvery = 450 * time.Millisecond
+	// retryPause is the time before a failed read is tried again.
+	retryPause = 100 * time.Millisecond
+	// outage is the time without an answered read of the registry after which vanished entries may only
+	// have expired.
+	outage = 2 * time.Second
+	// afterOutage is how long after an outage that still holds.
+	afterOutage = 2 * time.Second
+)
+
+// dependency logs when a feed is lost and regained.
+type dependency struct {
+	name string
+	lost bool
+}
+
+func (g *Gateway) observe(d *dependency, err error) {
+	switch {
+	case err != nil && !d.lost:
+		g.log.Warn().Err(err).Str("dependency", d.name).Msg("dependency lost")
+	case err == nil && d.lost:
+		g.log.Info().Str("dependency", d.name).Msg("dependency regained")
+	}
+	d.lost = err != nil
+}
+
+// followConfig keeps the configuration in force. Versions never go back.
+func (g *Gateway) followConfig(ctx context.Context) error {
+	d := dependency{name: "config"}
+	next, loaded := int64(0), false
+	for ctx.Err() == nil {
+		sent := g.now()
+		var u external.Update
+		var err error
+		if loaded {
+			u, next, err = g.around.Config.Changes(ctx, next, configWait)
+		} else {
+			u, next, err = g.around.Config.Load(ctx)
+		}
+		if errors.Is(err, external.ErrExpired) {
+			loaded = false
+			continue
+		}
+		g.observe(&d, err)
+		if err != nil {
+			sleep(ctx, retryPause)
+			continue
+		}
+		loaded = true
+		g.applyUpdate(u)
+		g.configRead.Store(int64(sent))
+		if g.table.Load() == nil {
+			sleep(ctx, retryPause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (g *Gateway) applyUpdate(u external.Update) {
+	now := g.now()
+	if u.Config != nil {
+		old := g.table.Load()
+		if old == nil || u.Config.Version > old.Version {
+			t := routing.Compile(*u.Config)
+			g.mu.Lock()
+			g.setBuckets(t, old == nil, now)
+			g.mu.Unlock()
+			g.table.Store(t)
+			g.log.Info().Int64("config", t.Version).Int("routes", len(u.Config.Routes)).Int("workspaces", len(u.Config.Workspaces)).Msg("configuration in force")
+		}
+	}
+	for _, v := range u.Versions {
+		g.declare(v, now)
+	}
+}
+
+// declare records a new adapter version and has the workers of this instance load it.
+func (g *Gateway) declare(v routing.AdapterVersion, now time.Duration) {
+	a := residency.Adapter{Model: v.Model, Name: v.Adapter}
+	g.mu.Lock()
+	old := g.versions[a]
+	if v.Version > old.version {
+		g.versions[a] = declared{version: v.Version, learned: now}
+	}
+	owners := g.ownersLocked()
+	g.mu.Unlock()
+	if v.Version <= old.version {
+		return
+	}
+	g.log.Info().Str("adapter", a.String()).Int64("version", v.Version).Int64("before", old.version).Msg("adapter version in force")
+	for _, o := range owners {
+		o.refresh(a, v.Version)
+	}
+}
+
+// followWorkers keeps the set of workers.
+func (g *Gateway) followWorkers(ctx context.Context) error {
+	d := dependency{name: "workers"}
+	next, loaded := int64(0), false
+	answered, recovered := g.now(), time.Duration(0)
+	for ctx.Err() == nil {
+		var entries []workers.Entry
+		var err error
+		snapshot := !loaded
+		if loaded {
+			entries, next, err = g.around.Workers.Changes(ctx, next, 0)
+		} else {
+			entries, next, err = g.around.Workers.Load(ctx)
+		}
+		if errors.Is(err, external.ErrExpired) {
+			loaded = false
+			continue
+		}
+		g.observe(&d, err)
+		if err != nil {
+			sleep(ctx, retryPause)
+			continue
+		}
+		loaded = true
+		now := g.now()
+		if now-answered > outage {
+			recovered = now
+		}
+		answered = now
+		g.applyEntries(entries, snapshot, recovered > 0 && now-recovered < afterOutage)
+		sleep(ctx, workersEvery)
+	}
+	return ctx.Err()
+}
+
+func (g *Gateway) applyEntries(entries []workers.Entry, snapshot, uncertain bool) {
+	wall, now := time.Now(), g.now()
+	g.mu.Lock()
+	changed := false
+	if snapshot {
+		g.known.Replace(entries, uncertain, wall)
+		changed = true
+	}
+	for _, e := range entries {
+		if !snapshot && g.known.Apply(e, uncertain, wall) {
+			changed = true
+			g.logEntry(e)
+		}
+		if e.Worker != nil {
+			g.beliefs.Entry(e.Worker, now)
+		}
+	}
+	changed = g.known.Expire(wall) || changed
+	set := g.known.Snapshot()
+	if changed {
+		g.setEjectors(set)
+	}
+	g.mu.Unlock()
+	g.workers.Store(set)
+	if changed {
+		g.log.Info().Int("workers", len(set.All())).Bool("uncertain", uncertain).Msg("workers changed")
+	}
+}
+
+func (g *Gateway) logEntry(e workers.Entry) {
+	l := g.log.Info().Str("worker", e.ID)
+	if e.Worker != nil {
+		l = l.Str("service", e.Worker.Service).Str("address", e.Worker.Address).Bool("draining", e.Worker.Draining).Int64("born", e.Worker.Born)
+	}
+	l.Bool("present", e.Worker != nil).Msg("worker entry")
+}
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/quota"
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
+	"github.com/turmericworks/turmericworks/internal/protocol/external"
+	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+)
+
+const (
+	// beatEvery is the time between heartbeats.
+	beatEvery = time.Second
+	// memberSilence is the silence after which another instance takes over the workers of a member. It is
+	// longer than ownLease, so that the two never give orders at the same time.
+	memberSilence = 3500 * time.Millisecond
+	// ownLease is how long after a heartbeat that was acknowledged an instance may give orders.
+	ownLease = 2 * time.Second
+	// shareSilence is the silence after which a member's part of the rates goes to the others. It is longer
+	// than spendLease, so that no part is spent twice.
+	shareSilence = 5 * time.Second
+	// spendLease is how long after a heartbeat that was acknowledged an instance may spend its part.
+	spendLease = 4 * time.Second
+	// beatTimeout bounds one append of a heartbeat.
+	beatTimeout = 900 * time.Millisecond
+	// maxUses bounds the adapters told in one heartbeat; the most used come first.
+	maxUses = 300
+)
+
+// followFleet sends heartbeats, reads those of the others, and claims workers without a live owner.
+func (g *Gateway) followFleet(ctx context.Context) error {
+	d := dependency{name: "fleet"}
+	next := int64(0)
+	for ctx.Err() == nil {
+		began := time.Now()
+		beatErr := g.beat(ctx)
+		var readErr error
+		next, readErr = g.readFleet(ctx, next)
+		g.observe(&d, errors.Join(beatErr, readErr))
+		if readErr == nil {
+			g.fleetRead.Store(true)
+			next = g.claimFree(ctx, next)
+		}
+		g.rebalance()
+		g.waitBeat(ctx, beatEvery-time.Since(began))
+	}
+	return ctx.Err()
+}
+
+func (g *Gateway) waitBeat(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(max(d, retryPause))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-g.wake:
+	}
+}
+
+// wakeFleet sends the next heartbeat now.
+func (g *Gateway) wakeFleet() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gateway) nextBeat() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.beats++
+	return g.beats
+}
+
+// beat tells the fleet of this instance.
+func (g *Gateway) beat(ctx context.Context) error {
+	beat := &fleetlog.Beat{
+		Number: g.nextBeat(), Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre,
+		Resigned: g.resigned.Load(),
+	}
+	sent := g.now()
+	g.mu.Lock()
+	beat.Uses = g.takeUses()
+	beat.Demand = map[string]float64{}
+	for name, d := range g.demand {
+		if r := d.Rate(sent); r >= 1 {
+			beat.Demand[name] = float64(int64(r))
+		}
+	}
+	g.mu.Unlock()
+	data, err := fleetlog.Encode(fleetlog.Record{Instance: g.settings.Instance, Incarnation: g.incarnation, Beat: beat})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	if _, err := g.around.Fleet.Append(ctx, data, external.AnyOffset); err != nil {
+		return err
+	}
+	g.beatSent.Store(int64(sent))
+	return nil
+}
+
+// takeUses returns the uses since the last heartbeat, the most frequent first.
+func (g *Gateway) takeUses() []fleetlog.Use {
+	uses := make([]fleetlog.Use, 0, len(g.uses))
+	for k, n := range g.uses {
+		uses = append(uses, fleetlog.Use{Worker: k.worker, Adapter: k.adapter.String(), Count: n})
+	}
+	clear(g.uses)
+	slices.SortFunc(uses, func(a, b fleetlog.Use) int { return b.Count - a.Count })
+	return uses[:min(len(uses), maxUses)]
+}
+
+// readFleet reads the stream to its end and applies it.
+func (g *Gateway) readFleet(ctx context.Context, next int64) (int64, error) {
+	for {
+		records, after, err := g.around.Fleet.Read(ctx, next, 0)
+		if errors.Is(err, external.ErrExpired) {
+			next = after
+			continue
+		}
+		if err != nil {
+			return next, err
+		}
+		g.applyFleet(records)
+		if len(records) == 0 || after == next {
+			return after, nil
+		}
+		next = after
+		if len(records) < fullRead {
+			return next, nil
+		}
+	}
+}
+
+// fullRead is a number of records from which more may be left after one read.
+const fullRead = 200
+
+func (g *Gateway) applyFleet(records []external.Record) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range records {
+		rec, err := fleetlog.Decode(r.Data)
+		if err != nil {
+			g.log.Warn().Err(err).Int64("offset", r.Offset).Msg("fleet record ignored")
+			continue
+		}
+		beat := g.members.Apply(r.Offset, rec, now)
+		if beat == nil || rec.Incarnation == g.incarnation {
+			continue
+		}
+		for _, u := range beat.Uses {
+			g.countUse(u.Worker, parseAdapter(u.Adapter), float64(u.Count), now)
+		}
+	}
+	g.dropLostOwners()
+}
+
+func parseAdapter(s string) residency.Adapter {
+	model, name, _ := strings.Cut(s, "/")
+	return residency.Adapter{Model: model, Name: name}
+}
+
+// countUse records requests for an adapter at a worker. The lock is held.
+func (g *Gateway) countUse(worker string, a residency.Adapter, n float64, now time.Duration) {
+	g.popularity.Add(a, n, now)
+	w, ok := g.workers.Load().Get(worker)
+	if !ok {
+		return
+	}
+	if o := g.owners[w.Key()]; o != nil {
+		o.used(a, n, now)
+	}
+}
+
+// engineWorkers returns the workers of engine services, draining ones excluded.
+func (g *Gateway) engineWorkers() map[string]*workers.Worker {
+	t := g.table.Load()
+	out := map[string]*workers.Worker{}
+	if t == nil {
+		return out
+	}
+	for _, w := range g.workers.Load().All() {
+		if s, ok := t.Service(w.Service); ok && s.Engine != nil && !w.Draining {
+			out[w.ID] = w
+		}
+	}
+	return out
+}
+
+// claimFree claims the workers that fall to this instance and returns the position after the claims.
+func (g *Gateway) claimFree(ctx context.Context, next int64) int64 {
+	if !g.connected(ownLease) || g.resigned.Load() {
+		return next
+	}
+	engines := g.engineWorkers()
+	ids := make([]string, 0, len(engines))
+	for id := range engines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	g.mu.Lock()
+	assigned := g.members.Assignments(ids, g.now()-memberSilence)
+	g.mu.Unlock()
+	for _, id := range ids {
+		if assigned[id] != g.incarnation {
+			continue
+		}
+		var err error
+		if next, err = g.claim(ctx, id, next); err != nil {
+			g.log.Info().Err(err).Str("worker", id).Msg("claim not made")
+			break
+		}
+	}
+	g.startOwners(engines)
+	return next
+}
+
+// claim claims one worker if nothing was appended since the stream was read up to next.
+func (g *Gateway) claim(ctx context.Context, worker string, next int64) (int64, error) {
+	g.mu.Lock()
+	previous := g.members.Owner(worker)
+	g.mu.Unlock()
+	data, err := fleetlog.Encode(fleetlog.Record{
+		Instance: g.settings.Instance, Incarnation: g.incarnation,
+		Claim: &fleetlog.Claim{Worker: worker, Previous: previous.Fence},
+	})
+	if err != nil {
+		return next, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	if _, err := g.around.Fleet.Append(ctx, data, next); err != nil && !errors.Is(err, external.ErrConflict) {
+		return next, err
+	}
+	// A claim that lost a race, or whose fate is unknown, is known after a read.
+	return g.readFleet(ctx, next)
+}
+
+// startOwners starts giving orders to the workers that this instance owns.
+func (g *Gateway) startOwners(engines map[string]*workers.Worker) {
+	t := g.table.Load()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, w := range engines {
+		claim := g.members.Owner(id)
+		if claim.Incarnation != g.incarnation || g.owners[w.Key()] != nil {
+			continue
+		}
+		s, ok := t.Service(w.Service)
+		if !ok || s.Engine == nil || len(s.Engine.Models) == 0 {
+			continue
+		}
+		g.owners[w.Key()] = g.newOwner(w, s.Engine, claim.Fence)
+		g.log.Info().Str("worker", id).Int64("born", w.Born).Int64("fence", claim.Fence).Msg("worker owned")
+	}
+}
+
+// dropLostOwners stops the orders to workers that this instance owns no more. The lock is held.
+func (g *Gateway) dropLostOwners() {
+	set := g.workers.Load()
+	for k, o := range g.owners {
+		w, ok := set.Get(k.ID)
+		claim := g.members.Owner(k.ID)
+		if ok && w.Key() == k && claim.Incarnation == g.incarnation && claim.Fence == o.fence && !o.dead() {
+			continue
+		}
+		o.stop()
+		delete(g.owners, k)
+		g.log.Info().Str("worker", k.ID).Int64("fence", o.fence).Bool("present", ok).Msg("worker given up")
+	}
+}
+
+func (g *Gateway) ownersLocked() []*owner {
+	out := make([]*owner, 0, len(g.owners))
+	for _, o := range g.owners {
+		out = append(out, o)
+	}
+	return out
+}
+
+// rebalance sets this instance's part of each workspace's rate and of the retry budgets.
+func (g *Gateway) rebalance() {
+	t := g.table.Load()
+	if t == nil {
+		return
+	}
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setBuckets(t, false, now)
+	for _, b := range g.budgets {
+		b.SetSlack(g.retrySlack())
+	}
+}
+
+// part returns this instance's part of a workspace's rate. The lock is held.
+func (g *Gateway) part(workspace string, now time.Duration) float64 {
+	if !g.fleetRead.Load() {
+		return 0
+	}
+	own := 0.0
+	if d := g.demand[workspace]; d != nil {
+		own = d.Rate(now)
+	}
+	all, n := own, 1
+	for _, m := range g.members.Live(now - shareSilence) {
+		if m.Incarnation != g.incarnation {
+			all += m.Beat.Demand[workspace]
+			n++
+		}
+	}
+	g.live = n
+	return quota.Part(own, all, n)
+}
+
+// setBuckets brings the buckets in line with the table. The lock is held.
+func (g *Gateway) setBuckets(t *routing.Table, first bool, now time.Duration) {
+	for _, w := range t.Workspaces() {
+		part := g.part(w.Name, now)
+		b := g.buckets[w.Name]
+		if b == nil {
+			// Only the very first buckets of the fleet, or those of a new workspace, start full.
+			full := g.settings.FirstStart || !first
+			b = quota.NewBucket(w.Rate*part, w.Burst, full, now)
+			g.buckets[w.Name] = b
+		}
+		b.Set(w.Rate*part, w.Burst*part, now)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,291 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/quota"
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
+	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/protocol/external"
+	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/forward"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
+	"github.com/turmericworks/turmericworks/internal/transport/upstream"
+)
+
+// Surroundings are the platform as the gateway needs it.
+type Surroundings struct {
+	Config  external.ConfigFeed
+	Workers external.WorkerFeed
+	// Fleet is the stream of the instances' own records.
+	Fleet   external.Stream
+	Control external.WorkerControl
+	Headers external.Headers
+	// ReadyPath is the path of the balancer's question whether the instance takes requests.
+	ReadyPath string
+}
+
+// useKey is an adapter at a worker.
+type useKey struct {
+	worker  string
+	adapter residency.Adapter
+}
+
+// declared is the version of an adapter that requests must use.
+type declared struct {
+	version int64
+	learned time.Duration
+}
+
+// Gateway is one instance. The lock mu guards the state below it; no I/O happens under it. An owner's lock is
+// taken after mu, never before.
+type Gateway struct {
+	settings Settings
+	around   Surroundings
+	network  network.Network
+	clock    Clock
+	log      zerolog.Logger
+	pool     *upstream.Pool
+	server   *forward.Server
+	metrics  *metrics
+	registry *prometheus.Registry
+	peers    *peers
+
+	incarnation string
+	table       atomic.Pointer[routing.Table]
+	workers     atomic.Pointer[workers.Set]
+	// configRead is when the last answered read of the configuration was sent, and beatSent when the last
+	// acknowledged heartbeat was; both by clock, in nanoseconds, 0 before the first.
+	configRead atomic.Int64
+	beatSent   atomic.Int64
+	fleetRead  atomic.Bool
+	stopping   atomic.Bool
+	// wake asks for a heartbeat before its time.
+	wake     chan struct{}
+	resigned atomic.Bool
+
+	mu         sync.Mutex
+	members    *fleetlog.Fold
+	known      *workers.Registry
+	beliefs    *residency.Beliefs
+	popularity *residency.Popularity
+	versions   map[residency.Adapter]declared
+	uses       map[useKey]int
+	inFlight   map[workers.Key]int
+	demand     map[string]*quota.Demand
+	buckets    map[string]*quota.Bucket
+	budgets    map[string]*retry.WindowBudget
+	ejectors   map[string]*retry.Ejector
+	owners     map[workers.Key]*owner
+	// spreading holds the further copies that are being loaded.
+	spreading map[useKey]bool
+	beats     int64
+	live      int
+}
+
+// New returns a gateway that does nothing before Serve.
+func New(s Settings, around Surroundings, n network.Network, clock Clock, log zerolog.Logger) *Gateway {
+	g := &Gateway{
+		settings: s, around: around, network: n, clock: clock,
+		pool: upstream.NewPool(n), registry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
+		members: fleetlog.NewFold(), known: workers.NewRegistry(), beliefs: residency.NewBeliefs(),
+		popularity: residency.NewPopularity(), versions: map[residency.Adapter]declared{},
+		uses: map[useKey]int{}, inFlight: map[workers.Key]int{}, demand: map[string]*quota.Demand{},
+		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
+		wake:     make(chan struct{}, 1),
+		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
+		spreading: map[useKey]bool{}, live: 1,
+	}
+	g.log = log.With().Str("instance", s.Instance).Logger()
+	g.metrics = newMetrics(g.registry)
+	g.workers.Store(workers.NewRegistry().Snapshot())
+	g.peers = newPeers(g)
+	g.server = &forward.Server{
+		Headers: around.Headers, Admission: (*admission)(g), Placement: (*placement)(g), Pool: g.pool,
+		Metrics: g.metrics, Log: g.log,
+	}
+	return g
+}
+
+// StoreCall counts a call to the platform's log service.
+func (g *Gateway) StoreCall(call, outcome string) { g.metrics.storeCall(call, outcome) }
+
+func (g *Gateway) now() time.Duration { return g.clock() }
+
+// fresh reports whether the configuration was read within the duration.
+func (g *Gateway) fresh(within time.Duration) bool {
+	read := g.configRead.Load()
+	return read != 0 && g.now()-time.Duration(read) <= within
+}
+
+// connected reports whether a heartbeat sent within the duration was acknowledged.
+func (g *Gateway) connected(within time.Duration) bool {
+	sent := g.beatSent.Load()
+	return sent != 0 && g.now()-time.Duration(sent) <= within
+}
+
+// service is one part of the gateway under the supervisor.
+type service struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String names the service in the supervisor's events.
+func (s service) String() string { return s.name }
+
+// Serve runs the gateway until stop is closed, then drains and returns.
+func (g *Gateway) Serve(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	servers, err := g.listen()
+	if err != nil {
+		return err
+	}
+	defer servers.close()
+	g.log.Info().Str("incarnation", g.incarnation).Str("callers", g.settings.CallersAddress).
+		Str("log_service", g.settings.LogService).Bool("first_start", g.settings.FirstStart).Msg("started")
+	supervisor := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
+		g.log.Warn().Str("event", e.String()).Msg("supervisor")
+	}})
+	for name, run := range map[string]func(context.Context) error{
+		"config": g.followConfig, "workers": g.followWorkers, "fleet": g.followFleet, "upkeep": g.upkeep,
+	} {
+		supervisor.Add(service{name, run})
+	}
+	done := supervisor.ServeBackground(ctx)
+	select {
+	case <-stop:
+	case <-ctx.Done():
+	}
+	g.drain(ctx, servers)
+	cancel()
+	<-done
+	g.log.Info().Msg("stopped")
+	return nil
+}
+
+// upkeepEvery is the time between rounds that drop what is no longer needed.
+const upkeepEvery = 2 * time.Second
+
+func (g *Gateway) upkeep(ctx context.Context) error {
+	for {
+		if !sleep(ctx, upkeepEvery) {
+			return ctx.Err()
+		}
+		set := g.workers.Load()
+		exists := func(k workers.Key) bool {
+			w, ok := set.Get(k.ID)
+			return ok && w.Key() == k
+		}
+		g.pool.Retain(exists)
+		g.mu.Lock()
+		g.beliefs.Retain(exists)
+		g.popularity.Trim(g.now())
+		for k, n := range g.inFlight {
+			if n == 0 && !exists(k) {
+				delete(g.inFlight, k)
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+// sleep waits and reports whether ctx is still in force.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+type servers struct {
+	callers, readiness, metrics *http.Server
+	stopPeers                   func()
+}
+
+func (s *servers) close() {
+	for _, h := range []*http.Server{s.callers, s.readiness, s.metrics} {
+		// The process ends; connections that are left are cut on purpose.
+		_ = h.Close()
+	}
+	s.stopPeers()
+}
+
+const (
+	// headerTimeout bounds the time to read a request's headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes callers' idle connections. Operators' limits are shorter, and callers keep within
+	// them; a longer time never cuts a caller that does.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes = 64 << 10
+)
+
+func (g *Gateway) listen() (*servers, error) {
+	s := &servers{}
+	var err error
+	serve := func(address string, h http.Handler) *http.Server {
+		hs := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+		var l net.Listener
+		if l, err = g.network.Listen(address); err != nil {
+			return hs
+		}
+		go func() {
+			if err := hs.Serve(l); err != nil && err != http.ErrServerClosed {
+				g.log.Error().Err(err).Str("address", address).Msg("a listener ended")
+			}
+		}()
+		return hs
+	}
+	if s.callers = serve(g.settings.CallersAddress, g.server); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if s.readiness = serve(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if s.metrics = serve(g.settings.MetricsAddress, g.metrics.handler(g.registry)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.stopPeers, err = g.peers.serve(g.settings.PeerAddress)
+	return s, trace.Wrap(err)
+}
+
+// readyFreshness is how old the configuration may be at an instance that says it is ready: an instance that
+// cannot reach the log service serves no caller with a key soon after.
+const readyFreshness = 2500 * time.Millisecond
+
+// ready reports whether the instance should get new connections.
+func (g *Gateway) ready() bool {
+	return !g.stopping.Load() && g.table.Load() != nil && g.fleetRead.Load() && g.fresh(readyFreshness)
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != g.around.ReadyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case g.ready():
+		w.WriteHeader(http.StatusOK)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/forward"
+)
+
+var kindNames = map[routing.Kind]string{
+	routing.Idempotent: "idempotent", routing.NonIdempotent: "non_idempotent", routing.Stream: "stream",
+}
+
+type metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	store    *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+}
+
+func newMetrics(r *prometheus.Registry) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+		r.MustRegister(c)
+		return c
+	}
+	m := &metrics{
+		requests: counter("turmeric_requests_total", "Requests of callers, by kind of route, status and verdict.", "kind", "status", "verdict"),
+		attempts: counter("turmeric_attempts_total", "Attempts at backend servers, by outcome.", "outcome"),
+		store:    counter("turmeric_log_service_calls_total", "Calls to the log service, by call and outcome.", "call", "outcome"),
+		orders:   counter("turmeric_orders_total", "Orders to workers and reports read, by kind and whether they were answered well.", "order", "ok"),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "turmeric_request_seconds", Help: "Time from a request to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"kind"}),
+	}
+	r.MustRegister(m.latency)
+	return m
+}
+
+func (m *metrics) handler(r *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
+
+// Request implements forward.Metrics.
+func (m *metrics) Request(route *routing.Route, status int, v verdict.Verdict, took time.Duration) {
+	kind := kindNames[route.Kind]
+	m.requests.WithLabelValues(kind, strconv.Itoa(status), v.String()).Inc()
+	m.latency.WithLabelValues(kind).Observe(took.Seconds())
+}
+
+// Attempt implements forward.Metrics.
+func (m *metrics) Attempt(o forward.Outcome) { m.attempts.WithLabelValues(o.String()).Inc() }
+
+func (m *metrics) storeCall(call, outcome string) { m.store.WithLabelValues(call, outcome).Inc() }
+
+func (m *metrics) order(order string, ok bool) {
+	m.orders.WithLabelValues(order, strconv.FormatBool(ok)).Inc()
+}
--- /dev/null
+++ b/internal/gateway/owner.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
+	"github.com/turmericworks/turmericworks/internal/protocol/external"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+)
+
+// reportTimeout bounds the wait for a worker's report.
+const reportTimeout = 500 * time.Millisecond
+
+// leasePause is the time between looks whether the instance may give orders again.
+const leasePause = 100 * time.Millisecond
+
+// owner gives the orders to one worker, one after the other.
+type owner struct {
+	g      *Gateway
+	worker *workers.Worker
+	fence  int64
+	cancel context.CancelFunc
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	state   *residency.Owner
+	changed chan struct{}
+	ended   bool
+}
+
+func (g *Gateway) newOwner(w *workers.Worker, e *routing.Engine, fence int64) *owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &owner{
+		g: g, worker: w, fence: fence, cancel: cancel, wake: make(chan struct{}, 1),
+		state:   residency.NewOwner(e.Models[0].Name, e.AdapterPlaces, g.now()),
+		changed: make(chan struct{}),
+	}
+	go o.run(ctx)
+	return o
+}
+
+func (o *owner) stop() {
+	o.cancel()
+	o.mu.Lock()
+	o.ended = true
+	o.broadcast()
+	o.mu.Unlock()
+}
+
+func (o *owner) dead() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ended
+}
+
+// broadcast wakes all who wait for a change. The lock is held.
+func (o *owner) broadcast() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func (o *owner) poke() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *owner) used(a residency.Adapter, n float64, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.Used(a, n, now)
+}
+
+// refresh loads a new version of an adapter that the worker holds.
+func (o *owner) refresh(a residency.Adapter, version int64) {
+	o.mu.Lock()
+	_, holds := o.state.Holds(a, 0)
+	if holds {
+		o.state.Want(a, version, o.g.now())
+	}
+	o.mu.Unlock()
+	if holds {
+		o.poke()
+	}
+}
+
+// ensure waits until the adapter is resident in at least the version, and returns the version.
+func (o *owner) ensure(ctx context.Context, a residency.Adapter, version int64) (int64, bool) {
+	for {
+		o.mu.Lock()
+		v, ok := o.state.Holds(a, version)
+		if ok || o.ended {
+			o.mu.Unlock()
+			return v, ok
+		}
+		o.state.Want(a, version, o.g.now())
+		changed := o.changed
+		o.mu.Unlock()
+		o.poke()
+		select {
+		case <-ctx.Done():
+			return 0, false
+		case <-changed:
+		}
+	}
+}
+
+// run gives orders until the worker is given up. Orders are given only while the instance's last heartbeat is
+// young, so that a new owner never meets those of an old one.
+func (o *owner) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !o.g.connected(ownLease) {
+			sleep(ctx, leasePause)
+			continue
+		}
+		if o.g.resigned.Load() {
+			return
+		}
+		o.mu.Lock()
+		action := o.state.Next(o.g.now())
+		o.mu.Unlock()
+		switch action.Step {
+		case residency.StepNone:
+			o.wait(ctx, action.At)
+		case residency.StepReport:
+			o.report(ctx)
+		default:
+			o.order(ctx, action)
+		}
+	}
+}
+
+func (o *owner) wait(ctx context.Context, at time.Duration) {
+	const idle = time.Second
+	d := idle
+	if at > 0 {
+		d = max(time.Millisecond, at-o.g.now())
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-o.wake:
+	case <-t.C:
+	}
+}
+
+func (o *owner) report(ctx context.Context) {
+	asked := o.g.now()
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	r, err := o.g.around.Control.Report(callCtx, o.worker)
+	cancel()
+	o.g.metrics.order("report", err == nil)
+	if err != nil {
+		o.g.log.Info().Err(err).Str("worker", o.worker.ID).Msg("report not read")
+		sleep(ctx, reportTimeout/2)
+		return
+	}
+	snapshot := residency.Snapshot{Seq: r.Seq, Busy: r.Busy, Resident: map[residency.Adapter]int64{}, Pending: map[residency.Adapter]int64{}}
+	for _, m := range r.Models {
+		snapshot.Models = append(snapshot.Models, m.Name)
+		for _, a := range m.Adapters {
+			snapshot.Resident[residency.Adapter{Model: m.Name, Name: a.Name}] = a.Version
+		}
+	}
+	for _, p := range r.Pending {
+		snapshot.Pending[residency.Adapter{Model: p.Model, Name: p.Name}] = p.Version
+	}
+	o.mu.Lock()
+	o.state.Sync(snapshot, asked)
+	o.broadcast()
+	o.mu.Unlock()
+	o.g.log.Info().Str("worker", o.worker.ID).Int64("seq", r.Seq).Int("adapters", len(snapshot.Resident)).
+		Int("pending", len(snapshot.Pending)).Bool("busy", r.Busy).Strs("models", snapshot.Models).Msg("worker state read")
+}
+
+var orderNames = map[residency.Step]string{
+	residency.StepLoadModel: "load_model", residency.StepLoad: "load", residency.StepPoll: "poll", residency.StepUnload: "unload",
+}
+
+var orderResults = map[external.OrderResult]residency.Result{
+	external.OrderUnknown: residency.Unanswered, external.OrderAccepted: residency.Accepted,
+	external.OrderHolds: residency.Holds, external.OrderConflict: residency.Conflict, external.OrderRejected: residency.Rejected,
+}
+
+func (o *owner) order(ctx context.Context, a residency.Action) {
+	kind := external.OrderLoad
+	if a.Step == residency.StepUnload {
+		kind = external.OrderUnload
+	}
+	began := o.g.now()
+	result, err := o.g.around.Control.Order(ctx, o.worker, external.Order{
+		Kind: kind, Model: a.Adapter.Model, Adapter: a.Adapter.Name, Version: a.Version, Seq: a.Seq,
+		Holder: o.g.settings.Instance, Fence: o.fence,
+	})
+	now := o.g.now()
+	o.g.metrics.order(orderNames[a.Step], err == nil)
+	l := o.g.log.Info()
+	if a.Step == residency.StepPoll && err == nil {
+		l = o.g.log.Debug()
+	}
+	l.Err(err).Str("worker", o.worker.ID).Str("order", orderNames[a.Step]).Str("adapter", a.Adapter.String()).
+		Int64("version", a.Version).Int64("seq", a.Seq).Int64("fence", o.fence).Int("result", int(result)).
+		Int64("ms", (now - began).Milliseconds()).Msg("order")
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch result {
+	case external.OrderFenced, external.OrderWrongWorker:
+		o.ended = true
+		o.cancel()
+	default:
+		o.state.Result(a, orderResults[result], now)
+	}
+	o.broadcast()
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/peer"
+)
+
+// peerWait is how long an owner lets a peer wait for an adapter before it answers that the load goes on.
+const peerWait = 1500 * time.Millisecond
+
+// peers asks the owners of workers for adapters, and answers as one.
+type peers struct {
+	peerpb.UnimplementedPeerServer
+	g       *Gateway
+	clients *peer.Clients
+}
+
+func newPeers(g *Gateway) *peers {
+	return &peers{g: g, clients: peer.NewClients(nil, g.network.Dial, func(string) {})}
+}
+
+func (p *peers) serve(address string) (stop func(), err error) {
+	l, err := p.g.network.Listen(address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s := peer.NewServer(nil)
+	peerpb.RegisterPeerServer(s, p)
+	go func() {
+		if err := s.Serve(l); err != nil {
+			p.g.log.Error().Err(err).Msg("the listener for peers ended")
+		}
+	}()
+	return func() { s.Stop(); p.clients.Close() }, nil
+}
+
+// adapterVersion is MODEL/NAME@VERSION.
+func adapterVersion(a residency.Adapter, version int64) string {
+	return a.String() + "@" + strconv.FormatInt(version, 10)
+}
+
+func parseAdapterVersion(s string) (residency.Adapter, int64, error) {
+	name, v, _ := strings.Cut(s, "@")
+	version, err := strconv.ParseInt(v, 10, 64)
+	return parseAdapter(name), version, trace.Wrap(err)
+}
+
+// WantAdapter implements peerpb.PeerServer.
+func (p *peers) WantAdapter(ctx context.Context, r *peerpb.WantAdapterRequest) (*peerpb.WantAdapterResponse, error) {
+	a, version, err := parseAdapterVersion(r.Adapter)
+	if err != nil {
+		return nil, err
+	}
+	w, ok := p.g.workers.Load().Get(r.Engine)
+	if !ok {
+		return &peerpb.WantAdapterResponse{}, nil
+	}
+	p.g.mu.Lock()
+	o := p.g.owners[w.Key()]
+	p.g.mu.Unlock()
+	if o == nil {
+		return &peerpb.WantAdapterResponse{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerWait)
+	defer cancel()
+	_, resident := o.ensure(ctx, a, version)
+	return &peerpb.WantAdapterResponse{Accepted: true, Ended: resident, Resident: resident}, nil
+}
+
+// ensure has the worker's owner make the adapter resident, and reports whether it is.
+func (g *Gateway) ensure(ctx context.Context, w *workers.Worker, a residency.Adapter, version int64) bool {
+	g.mu.Lock()
+	own := g.owners[w.Key()]
+	claim := g.members.Owner(w.ID)
+	member, alive := g.members.Member(claim.Incarnation)
+	g.mu.Unlock()
+	var resident bool
+	switch {
+	case own != nil:
+		_, resident = own.ensure(ctx, a, version)
+	case !alive:
+		return false
+	default:
+		r, err := g.peers.clients.WantAdapter(ctx, member.Beat.Address, &peerpb.WantAdapterRequest{
+			Engine: w.ID, Adapter: adapterVersion(a, version), FromIncarnation: g.incarnation, Waiting: 1,
+		})
+		if err != nil {
+			g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", a.String()).Msg("owner not reached")
+			return false
+		}
+		resident = r.Resident
+	}
+	if resident {
+		g.mu.Lock()
+		g.beliefs.Learn(w.Key(), a, max(version, 1), true, g.now())
+		g.mu.Unlock()
+	}
+	return resident
+}
--- /dev/null
+++ b/internal/gateway/placement.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
+	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/forward"
+)
+
+const (
+	// remotePenalty is how many requests more a worker of this data centre may have in flight before one of
+	// another is chosen. Bytes between data centres are priced, and a hop costs milliseconds.
+	remotePenalty = 3.0
+	// versionOverlap is how long after a new version was declared the one before is still used where the new
+	// one is not resident yet.
+	versionOverlap = 1500 * time.Millisecond
+	// loadTries is how many workers are asked to load an adapter for one request.
+	loadTries = 2
+)
+
+// placement implements forward.Placement.
+type placement Gateway
+
+// Place implements forward.Placement.
+func (p *placement) Place(ctx context.Context, j *forward.Job) (forward.Lease, error) {
+	g := (*Gateway)(p)
+	t := g.table.Load()
+	if j.Service == "" {
+		j.Service = chooseService(j.Route)
+		g.mu.Lock()
+		g.budget(j.Service).Request(g.now())
+		g.mu.Unlock()
+	}
+	s, ok := t.Service(j.Service)
+	if !ok {
+		return forward.Lease{}, refuse(http.StatusServiceUnavailable, "no_service", "the route's service is not configured", notYet)
+	}
+	if s.Engine == nil || j.Model == "" {
+		return g.placePlain(j)
+	}
+	return g.placeEngine(ctx, j)
+}
+
+// chooseService draws one of a route's services by their weights.
+func chooseService(r *routing.Route) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	x := rand.Float64() * total
+	for _, t := range r.Targets {
+		if x -= t.Weight; x < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
+
+func (g *Gateway) setEjectors(set *workers.Set) {
+	t := g.table.Load()
+	if t == nil {
+		return
+	}
+	names := map[string][]string{}
+	for _, w := range set.All() {
+		if !w.Draining {
+			names[w.Service] = append(names[w.Service], w.ID)
+		}
+	}
+	for s, list := range names {
+		e := g.ejectors[s]
+		if e == nil {
+			e = retry.NewEjector(retry.EjectSettings{})
+			g.ejectors[s] = e
+		}
+		e.Set(list)
+	}
+}
+
+// candidates returns the ready workers that the job was not sent to and that are not set aside. The lock is
+// held.
+func (g *Gateway) candidates(j *forward.Job) []*workers.Worker {
+	ready := g.workers.Load().Ready(j.Service)
+	fresh := make([]*workers.Worker, 0, len(ready))
+	for _, w := range ready {
+		if !slices.Contains(j.Tried, w.Key()) {
+			fresh = append(fresh, w)
+		}
+	}
+	e := g.ejectors[j.Service]
+	if e == nil {
+		return fresh
+	}
+	usable := make([]*workers.Worker, 0, len(fresh))
+	now := time.Now()
+	for _, w := range fresh {
+		if e.Usable(w.ID) {
+			usable = append(usable, w)
+		} else if j.Route.Kind == routing.Idempotent && e.Probe(w.ID, now) {
+			return []*workers.Worker{w}
+		}
+	}
+	if len(usable) == 0 {
+		return fresh
+	}
+	return usable
+}
+
+// least returns the candidate with the fewest requests of this instance in flight, those of this data centre
+// first. The lock is held.
+func (g *Gateway) least(list []*workers.Worker) *workers.Worker {
+	var best *workers.Worker
+	bestScore := 0.0
+	for _, w := range list {
+		score := float64(g.inFlight[w.Key()]) + rand.Float64()
+		if w.DataCentre != g.settings.DataCentre {
+			score += remotePenalty
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func noWorker() *verdict.Error {
+	return refuse(http.StatusServiceUnavailable, "no_worker", "no backend server can take the request", notYet)
+}
+
+func (g *Gateway) placePlain(j *forward.Job) (forward.Lease, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.least(g.candidates(j))
+	if w == nil {
+		return forward.Lease{}, noWorker()
+	}
+	return g.lease(j, w, residency.Adapter{}, 0), nil
+}
+
+// lease counts a request at a worker. The lock is held.
+func (g *Gateway) lease(j *forward.Job, w *workers.Worker, a residency.Adapter, version int64) forward.Lease {
+	k := w.Key()
+	g.inFlight[k]++
+	if a.Name != "" {
+		g.uses[useKey{w.ID, a}]++
+		g.countUse(w.ID, a, 1, g.now())
+	}
+	service := j.Service
+	return forward.Lease{Worker: w, Version: version, Done: func(o forward.Outcome) { g.attemptEnded(service, k, a, o) }}
+}
+
+func (g *Gateway) attemptEnded(service string, k workers.Key, a residency.Adapter, o forward.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight[k]--
+	if o == forward.Absent && a.Model != "" {
+		g.beliefs.Learn(k, a, 0, false, g.now())
+	}
+	e := g.ejectors[service]
+	if e == nil || o == forward.Abandoned || o == forward.Full || o == forward.Absent {
+		return
+	}
+	e.Result(k.ID, o == forward.Succeeded || o == forward.Failed, time.Now())
+}
+
+// required returns the version that a request for the adapter must use, and the one that is accepted while the
+// new one is being loaded. The lock is held.
+func (g *Gateway) required(a residency.Adapter) (version, accepted int64) {
+	d, ok := g.versions[a]
+	if !ok {
+		return 0, 0
+	}
+	if g.now()-d.learned < versionOverlap {
+		return d.version, d.version - 1
+	}
+	return d.version, d.version
+}
+
+func (g *Gateway) placeEngine(ctx context.Context, j *forward.Job) (forward.Lease, error) {
+	a := residency.Adapter{Model: j.Model, Name: j.Adapter}
+	for range loadTries {
+		g.mu.Lock()
+		list := g.candidates(j)
+		version, accepted := g.required(a)
+		holders := g.holders(list, a, accepted)
+		if a.Name == "" || len(holders) > 0 {
+			w := g.least(holders)
+			if w == nil {
+				g.mu.Unlock()
+				return forward.Lease{}, noWorker()
+			}
+			g.spread(list, holders, a, version)
+			held := int64(0)
+			if version > 0 {
+				held = max(accepted, g.beliefs.Version(w.Key(), a))
+			}
+			l := g.lease(j, w, a, held)
+			g.mu.Unlock()
+			return l, nil
+		}
+		home := g.home(list, a)
+		g.mu.Unlock()
+		if home == nil {
+			return forward.Lease{}, noWorker()
+		}
+		if g.ensure(ctx, home, a, version) {
+			g.mu.Lock()
+			l := g.lease(j, home, a, version)
+			g.mu.Unlock()
+			return l, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return forward.Lease{}, refuse(http.StatusServiceUnavailable, "adapter_absent", "the adapter could not be loaded in time", notYet)
+}
+
+// holders returns the workers that are believed to hold the adapter. The lock is held.
+func (g *Gateway) holders(list []*workers.Worker, a residency.Adapter, version int64) []*workers.Worker {
+	var out []*workers.Worker
+	for _, w := range list {
+		if g.beliefs.Holds(w.Key(), a, version) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// home returns the worker that should load the adapter: the first of its homes with the base model. The lock
+// is held.
+func (g *Gateway) home(list []*workers.Worker, a residency.Adapter) *workers.Worker {
+	homes := residency.Homes(a, g.holders(list, residency.Adapter{Model: a.Model}, 0))
+	if len(homes) == 0 {
+		return nil
+	}
+	return homes[0]
+}
+
+// spread has further workers load an adapter that is used more than one copy should bear. The lock is held.
+func (g *Gateway) spread(list, holders []*workers.Worker, a residency.Adapter, version int64) {
+	copies := g.popularity.Copies(a, len(list), g.now())
+	if a.Name == "" || len(holders) >= copies {
+		return
+	}
+	for _, w := range residency.Homes(a, list)[:copies] {
+		if slices.Contains(holders, w) || g.spreading[useKey{w.ID, a}] {
+			continue
+		}
+		g.spreading[useKey{w.ID, a}] = true
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), peerWait)
+			defer cancel()
+			g.ensure(ctx, w, a, version)
+			g.mu.Lock()
+			delete(g.spreading, useKey{w.ID, a})
+			g.mu.Unlock()
+		}()
+		return
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,99 @@
+// Package gateway assembles an instance that forwards requests for a platform: it follows the operators'
+// configuration and the registry of workers, takes its part in the fleet through the platform's log, owns
+// workers, and serves callers.
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Settings configure one instance. All fields are required unless a default is given.
+type Settings struct {
+	// Instance is the name of the machine, unique in the fleet.
+	Instance string `json:"instance"`
+	// DataCentre is where the instance runs. Workers of the same data centre are preferred.
+	DataCentre string `json:"data_centre"`
+	// FirstStart is true only when the whole fleet starts for the first time: token buckets then start full.
+	FirstStart bool `json:"first_start"`
+	// CallersAddress, ReadinessAddress and PeerAddress are HOST:PORT to listen on.
+	CallersAddress   string `json:"callers_address"`
+	ReadinessAddress string `json:"readiness_address"`
+	PeerAddress      string `json:"peer_address"`
+	// MetricsAddress is HOST:PORT to serve metrics on.
+	MetricsAddress string `json:"metrics_address"`
+	// LogService is HOST:PORT of the platform's log service.
+	LogService string `json:"log_service"`
+	// PeerPlainText permits connections between instances without TLS, on a network that is trusted.
+	PeerPlainText bool `json:"peer_plain_text"`
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int `json:"memory_mb"`
+	// LogLevel is one of debug, info, warn and error. Default info.
+	LogLevel string `json:"log_level"`
+	Bounds   Bounds `json:"bounds"`
+}
+
+// Bounds are the operators' limits on how late and how much.
+type Bounds struct {
+	// KeyWithdrawalMS is the time in milliseconds within which a withdrawn key must stop working.
+	KeyWithdrawalMS int `json:"key_withdrawal_ms"`
+	// AdapterVersionMS is the time in milliseconds after which no request begins on an older version.
+	AdapterVersionMS int `json:"adapter_version_ms"`
+	// LeaseMS is the time in milliseconds within which two owners must not give orders in turns.
+	LeaseMS int `json:"lease_ms"`
+	// GraceS is the time in seconds from the signal to stop until the process is killed.
+	GraceS float64 `json:"grace_s"`
+	// RetryRatio, RetrySlack and RetryWindowS bound the extra attempts of the whole fleet to one service.
+	RetryRatio   float64 `json:"retry_ratio"`
+	RetrySlack   float64 `json:"retry_slack"`
+	RetryWindowS float64 `json:"retry_window_s"`
+}
+
+// ParseSettings reads settings. All faults are reported at once with their paths; unknown fields are faults.
+func ParseSettings(data []byte) (Settings, error) {
+	s := Settings{LogLevel: "info"}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, trace.BadParameter("settings: %v", err)
+	}
+	var faults []string
+	need := func(ok bool, path, what string) {
+		if !ok {
+			faults = append(faults, fmt.Sprintf("%s: %s", path, what))
+		}
+	}
+	for path, v := range map[string]string{
+		"instance": s.Instance, "data_centre": s.DataCentre, "callers_address": s.CallersAddress,
+		"readiness_address": s.ReadinessAddress, "peer_address": s.PeerAddress,
+		"metrics_address": s.MetricsAddress, "log_service": s.LogService,
+	} {
+		need(v != "", path, "must not be empty")
+	}
+	need(s.PeerPlainText, "peer_plain_text", "must be true: connections between gateways have no TLS yet")
+	need(s.MemoryMB > 0, "memory_mb", "must be positive")
+	need(s.Bounds.KeyWithdrawalMS > 0, "bounds.key_withdrawal_ms", "must be positive")
+	need(s.Bounds.AdapterVersionMS > 0, "bounds.adapter_version_ms", "must be positive")
+	need(s.Bounds.LeaseMS > 0, "bounds.lease_ms", "must be positive")
+	need(s.Bounds.GraceS > 0, "bounds.grace_s", "must be positive")
+	need(s.Bounds.RetryWindowS > 0, "bounds.retry_window_s", "must be positive")
+	need(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "must not be negative")
+	need(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "must not be negative")
+	if len(faults) > 0 {
+		return Settings{}, trace.BadParameter("settings: %s", strings.Join(faults, "; "))
+	}
+	return s, nil
+}
+
+func (b Bounds) keyWithdrawal() time.Duration {
+	return time.Duration(b.KeyWithdrawalMS) * time.Millisecond
+}
+
+func (b Bounds) lease() time.Duration { return time.Duration(b.LeaseMS) * time.Millisecond }
+
+func (b Bounds) grace() time.Duration { return time.Duration(b.GraceS * float64(time.Second)) }
--- /dev/null
+++ b/internal/state/fleetlog/fleetlog.go
@@ -0,0 +1,231 @@
+// Package fleetlog folds the fleet's own stream of the log service: heartbeats, which carry demand and
+// use, and claims, which make an instance the owner of a worker.
+//
+// Guarantees: all folds that applied the same records agree on the owner of each worker, and the fence of a
+// claim is unique and rises, since it is derived from the record's offset.
+package fleetlog
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Use counts the requests that an instance sent to a worker for an adapter since its heartbeat before.
+type Use struct {
+	Worker string `json:"w"`
+	// Adapter is the model and the adapter, joined by a slash.
+	Adapter string `json:"a"`
+	Count   int    `json:"n"`
+}
+
+// Beat is the heartbeat of an instance.
+type Beat struct {
+	// Number rises with each beat of an incarnation, so that a beat that was appended late is recognised.
+	Number int64 `json:"number"`
+	// Address is where the instance answers its peers.
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Demand is what each workspace asked for lately, in its units per second.
+	Demand map[string]float64 `json:"demand,omitempty"`
+	Uses   []Use              `json:"uses,omitempty"`
+	// Blames are hashes of requests that were running on workers when these crashed.
+	Blames []string `json:"blames,omitempty"`
+	// Resigned gives up the incarnation's workers, which others then claim at once.
+	Resigned bool `json:"resigned,omitempty"`
+	// Leaving ends the membership of the incarnation.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Claim makes its author the owner of a worker.
+type Claim struct {
+	Worker string `json:"worker"`
+	// Previous is the fence of the claim that it replaces. A claim counts only if that is still current.
+	Previous int64 `json:"previous"`
+}
+
+// Record is one record of the stream.
+type Record struct {
+	// Instance is the name of the machine and Incarnation that of one run of its process.
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+	Beat        *Beat  `json:"beat,omitempty"`
+	Claim       *Claim `json:"claim,omitempty"`
+}
+
+// Encode returns the wire form of a record.
+func Encode(r Record) ([]byte, error) {
+	b, err := json.Marshal(r)
+	return b, trace.Wrap(err)
+}
+
+// Decode reads the wire form of a record.
+func Decode(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Record{}, trace.Wrap(err, "a record of the fleet's stream cannot be read")
+	}
+	if r.Instance == "" || r.Incarnation == "" {
+		return Record{}, trace.BadParameter("a record of the fleet's stream has no author")
+	}
+	return r, nil
+}
+
+// Member is one incarnation of an instance.
+type Member struct {
+	Instance    string
+	Incarnation string
+	Beat        Beat
+	// Heard is when this process read the latest beat.
+	Heard time.Duration
+}
+
+// Owner is the current owner of a worker.
+type Owner struct {
+	Incarnation string
+	// Instance is the owner's machine.
+	Instance string
+	// Fence is higher than that of every earlier claim of any worker.
+	Fence int64
+}
+
+// Fold is the state of the fleet. It is not safe for concurrent use.
+type Fold struct {
+	members map[string]*Member
+	owners  map[string]Owner
+	// left holds incarnations that ended, so that a late beat does not bring one back.
+	left map[string]bool
+}
+
+// NewFold returns an empty fold.
+func NewFold() *Fold {
+	return &Fold{members: map[string]*Member{}, owners: map[string]Owner{}, left: map[string]bool{}}
+}
+
+// Apply applies the record at the offset, read at the process time now. It returns the beat if the record is
+// a new one.
+func (f *Fold) Apply(offset int64, r Record, now time.Duration) *Beat {
+	if f.left[r.Incarnation] {
+		return nil
+	}
+	f.replaceEarlier(r)
+	switch {
+	case r.Claim != nil:
+		f.claim(offset, r)
+	case r.Beat != nil:
+		return f.beat(r, now)
+	}
+	return nil
+}
+
+// replaceEarlier ends the incarnation that ran before on the machine of a new one.
+func (f *Fold) replaceEarlier(r Record) {
+	if f.members[r.Incarnation] != nil {
+		return
+	}
+	for id, m := range f.members {
+		if m.Instance == r.Instance {
+			f.end(id)
+		}
+	}
+}
+
+func (f *Fold) end(incarnation string) {
+	delete(f.members, incarnation)
+	f.left[incarnation] = true
+}
+
+func (f *Fold) claim(offset int64, r Record) {
+	if f.owners[r.Claim.Worker].Fence != r.Claim.Previous {
+		return
+	}
+	f.owners[r.Claim.Worker] = Owner{Incarnation: r.Incarnation, Instance: r.Instance, Fence: offset + 1}
+}
+
+func (f *Fold) beat(r Record, now time.Duration) *Beat {
+	m := f.members[r.Incarnation]
+	if m != nil && r.Beat.Number <= m.Beat.Number {
+		return nil
+	}
+	if r.Beat.Leaving {
+		f.end(r.Incarnation)
+		return r.Beat
+	}
+	f.members[r.Incarnation] = &Member{Instance: r.Instance, Incarnation: r.Incarnation, Beat: *r.Beat, Heard: now}
+	return r.Beat
+}
+
+// Owner returns the owner of a worker, whether or not it is alive. The zero value means none.
+func (f *Fold) Owner(worker string) Owner { return f.owners[worker] }
+
+// Forget drops the owners of workers that exist no more. A worker that comes back is claimed anew.
+func (f *Fold) Forget(exists func(worker string) bool) {
+	for id := range f.owners {
+		if !exists(id) {
+			delete(f.owners, id)
+		}
+	}
+}
+
+// Member returns an incarnation that has not ended.
+func (f *Fold) Member(incarnation string) (Member, bool) {
+	m := f.members[incarnation]
+	if m == nil {
+		return Member{}, false
+	}
+	return *m, true
+}
+
+// Live returns the members heard at the time since or later, sorted by incarnation.
+func (f *Fold) Live(since time.Duration) []Member {
+	var live []Member
+	for _, m := range f.members {
+		if m.Heard >= since {
+			live = append(live, *m)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int { return strings.Compare(a.Incarnation, b.Incarnation) })
+	return live
+}
+
+// Assignments returns which of the unowned workers each live member should claim: each goes to the member
+// with the fewest workers, so that all members that read the same records choose alike.
+func (f *Fold) Assignments(workerIDs []string, since time.Duration) map[string]string {
+	live := f.Live(since)
+	count := map[string]int{}
+	alive := map[string]bool{}
+	candidates := live[:0]
+	for _, m := range live {
+		if !m.Beat.Resigned {
+			alive[m.Incarnation] = true
+			candidates = append(candidates, m)
+		}
+	}
+	if live = candidates; len(live) == 0 {
+		return nil
+	}
+	var free []string
+	for _, id := range workerIDs {
+		if o := f.owners[id]; alive[o.Incarnation] {
+			count[o.Incarnation]++
+		} else {
+			free = append(free, id)
+		}
+	}
+	slices.Sort(free)
+	assigned := map[string]string{}
+	for _, id := range free {
+		best := live[0].Incarnation
+		for _, m := range live[1:] {
+			if count[m.Incarnation] < count[best] {
+				best = m.Incarnation
+			}
+		}
+		assigned[id] = best
+		count[best]++
+	}
+	return assigned
+}
