gateway: claim workers without races, ask only owners that answer

Claims were conditional on the end of the stream; instances that start together made one claim a second between them, and most workers had no owner for the first half minute. A claim now names the fence that it replaces, which decides races by itself. Polls of loads on their way are not counted by workers, and adapters used within 2.5 s are not evicted, since an unload that waits for runs blocks all other orders.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -14,8 +14,9 @@
 	expectedLoad = 250 * time.Millisecond
 	// pollEvery is the time between questions whether a load has ended.
 	pollEvery = 60 * time.Millisecond
-	// busyUse protects an adapter from eviction after its last use: requests may be under way to it.
-	busyUse = 300 * time.Millisecond
+	// busyUse protects an adapter from eviction after its last use. A worker that unloads an adapter with
+	// runs takes no other order until they end, and uses by other instances are known a beat late.
+	busyUse = 2500 * time.Millisecond
 	// wantLife is how long a wish for an adapter stands without being renewed.
 	wantLife = 4 * time.Second
 )
@@ -353,21 +354,23 @@
 	if s.state != Loading {
 		s.state, s.since, s.version = Loading, now, a.Version
 		s.poll = now + o.loadTime
-	} else {
-		s.poll = now + pollEvery
+		o.accepted(r)
+		return
 	}
-	o.accepted(r)
+	// A repeated order for what is on its way is not counted by the worker.
+	s.poll = now + pollEvery
 }
 
 func (o *Owner) unloaded(a Action, r Result, now time.Duration) {
-	if r == Holds {
-		delete(o.slots, a.Adapter)
+	s := o.slots[a.Adapter]
+	repeated := s != nil && s.state == Unloading
+	if !repeated {
 		o.seq++
 		o.doubtful = false
-		return
 	}
-	if s := o.slots[a.Adapter]; s != nil {
+	if r == Holds {
+		delete(o.slots, a.Adapter)
+	} else if s != nil {
 		s.state, s.since, s.poll = Unloading, now, now+pollEvery
 	}
-	o.accepted(r)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 func (g *Gateway) followFleet(ctx context.Context) error {
 	d := dependency{name: "fleet"}
 	next := int64(0)
+	// Instances that start together would otherwise call the log service at the same moments.
+	sleep(ctx, time.Duration(rand.Int64N(int64(beatEvery))))
 	for ctx.Err() == nil {
 		began := time.Now()
 		beatErr := g.beat(ctx)
@@ -209,40 +212,34 @@
 	}
 	slices.Sort(ids)
 	g.mu.Lock()
-	assigned := g.members.Assignments(ids, g.now()-memberSilence)
-	g.mu.Unlock()
-	for _, id := range ids {
-		if assigned[id] != g.incarnation {
-			continue
+	claim := &fleetlog.Claim{Workers: map[string]int64{}}
+	for id, to := range g.members.Assignments(ids, g.now()-memberSilence) {
+		if to == g.incarnation {
+			claim.Workers[id] = g.members.Owner(id).Fence
 		}
+	}
+	g.mu.Unlock()
+	if len(claim.Workers) > 0 {
 		var err error
-		if next, err = g.claim(ctx, id, next); err != nil {
-			g.log.Info().Err(err).Str("worker", id).Msg("claim not made")
-			break
+		if next, err = g.claim(ctx, claim, next); err != nil {
+			g.log.Info().Err(err).Int("workers", len(claim.Workers)).Msg("claim not made")
 		}
 	}
 	g.startOwners(engines)
 	return next
 }
 
-// claim claims one worker if nothing was appended since the stream was read up to next.
-func (g *Gateway) claim(ctx context.Context, worker string, next int64) (int64, error) {
-	g.mu.Lock()
-	previous := g.members.Owner(worker)
-	g.mu.Unlock()
-	data, err := fleetlog.Encode(fleetlog.Record{
-		Instance: g.settings.Instance, Incarnation: g.incarnation,
-		Claim: &fleetlog.Claim{Worker: worker, Previous: previous.Fence},
-	})
+// claim appends a claim and reads what became of it.
+func (g *Gateway) claim(ctx context.Context, c *fleetlog.Claim, next int64) (int64, error) {
+	data, err := fleetlog.Encode(fleetlog.Record{Instance: g.settings.Instance, Incarnation: g.incarnation, Claim: c})
 	if err != nil {
 		return next, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	if _, err := g.around.Fleet.Append(ctx, data, next); err != nil && !errors.Is(err, external.ErrConflict) {
+	if _, err := g.around.Fleet.Append(ctx, data, external.AnyOffset); err != nil {
 		return next, err
 	}
-	// A claim that lost a race, or whose fate is unknown, is known after a read.
 	return g.readFleet(ctx, next)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,8 +92,10 @@
 	owners     map[workers.Key]*owner
 	// spreading holds the further copies that are being loaded.
 	spreading map[useKey]bool
-	beats     int64
-	live      int
+	// missed is when the owner of a worker could last not be reached, by incarnation.
+	missed map[string]time.Duration
+	beats  int64
+	live   int
 }
 
 // New returns a gateway that does nothing before Serve.
@@ -107,7 +109,7 @@
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
-		spreading: map[useKey]bool{}, live: 1,
+		spreading: map[useKey]bool{}, missed: map[string]time.Duration{}, live: 1,
 	}
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.registry)
@@ -197,6 +199,11 @@
 		g.mu.Lock()
 		g.beliefs.Retain(exists)
 		g.popularity.Trim(g.now())
+		for id := range g.missed {
+			if _, ok := g.members.Member(id); !ok {
+				delete(g.missed, id)
+			}
+		}
 		for k, n := range g.inFlight {
 			if n == 0 && !exists(k) {
 				delete(g.inFlight, k)
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -201,7 +201,7 @@
 	o.g.metrics.order(orderNames[a.Step], err == nil)
 	l := o.g.log.Info()
 	if a.Step == residency.StepPoll && err == nil {
-		l = o.g.log.Debug()
+		l = o.g.log.Info()
 	}
 	l.Err(err).Str("worker", o.worker.ID).Str("order", orderNames[a.Step]).Str("adapter", a.Adapter.String()).
 		Int64("version", a.Version).Int64("seq", a.Seq).Int64("fence", o.fence).Int("result", int(result)).
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -75,6 +75,30 @@
 	return &peerpb.WantAdapterResponse{Accepted: true, Ended: resident, Resident: resident}, nil
 }
 
+// ownerPause is how long an owner that could not be reached is not asked again.
+const ownerPause = 2 * time.Second
+
+func (g *Gateway) ownerMissed(incarnation string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.missed[incarnation] = g.now()
+}
+
+// orderable reports whether a worker has an owner that can be asked to load. The lock is held.
+func (g *Gateway) orderable(w *workers.Worker) bool {
+	if g.owners[w.Key()] != nil {
+		return g.connected(ownLease)
+	}
+	claim := g.members.Owner(w.ID)
+	m, ok := g.members.Member(claim.Incarnation)
+	now := g.now()
+	if !ok || m.Beat.Resigned || claim.Incarnation == g.incarnation || now-m.Heard > memberSilence {
+		return false
+	}
+	missed, ok := g.missed[claim.Incarnation]
+	return !ok || now-missed > ownerPause
+}
+
 // ensure has the worker's owner make the adapter resident, and reports whether it is.
 func (g *Gateway) ensure(ctx context.Context, w *workers.Worker, a residency.Adapter, version int64) bool {
 	g.mu.Lock()
@@ -93,6 +117,7 @@
 			Engine: w.ID, Adapter: adapterVersion(a, version), FromIncarnation: g.incarnation, Waiting: 1,
 		})
 		if err != nil {
+			g.ownerMissed(claim.Incarnation)
 			g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", a.String()).Msg("owner not reached")
 			return false
 		}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -186,6 +186,7 @@
 
 func (g *Gateway) placeEngine(ctx context.Context, j *forward.Job) (forward.Lease, error) {
 	a := residency.Adapter{Model: j.Model, Name: j.Adapter}
+	var failed []*workers.Worker
 	for range loadTries {
 		g.mu.Lock()
 		list := g.candidates(j)
@@ -206,7 +207,7 @@
 			g.mu.Unlock()
 			return l, nil
 		}
-		home := g.home(list, a)
+		home := g.home(list, failed, a)
 		g.mu.Unlock()
 		if home == nil {
 			return forward.Lease{}, noWorker()
@@ -220,6 +221,7 @@
 		if ctx.Err() != nil {
 			break
 		}
+		failed = append(failed, home)
 	}
 	return forward.Lease{}, refuse(http.StatusServiceUnavailable, "adapter_absent", "the adapter could not be loaded in time", notYet)
 }
@@ -235,14 +237,15 @@
 	return out
 }
 
-// home returns the worker that should load the adapter: the first of its homes with the base model. The lock
-// is held.
-func (g *Gateway) home(list []*workers.Worker, a residency.Adapter) *workers.Worker {
-	homes := residency.Homes(a, g.holders(list, residency.Adapter{Model: a.Model}, 0))
-	if len(homes) == 0 {
-		return nil
+// home returns the worker that should load the adapter: the first of its homes that holds the base model and has
+// an owner, without those that failed to load it. The lock is held.
+func (g *Gateway) home(list, failed []*workers.Worker, a residency.Adapter) *workers.Worker {
+	for _, w := range residency.Homes(a, g.holders(list, residency.Adapter{Model: a.Model}, 0)) {
+		if g.orderable(w) && !slices.Contains(failed, w) {
+			return w
+		}
 	}
-	return homes[0]
+	return nil
 }
 
 // spread has further workers load an adapter that is used more than one copy should bear. The lock is held.
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -40,11 +40,12 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
-// Claim makes its author the owner of a worker.
+// Claim makes its author the owner of workers.
 type Claim struct {
-	Worker string `json:"worker"`
-	// Previous is the fence of the claim that it replaces. A claim counts only if that is still current.
-	Previous int64 `json:"previous"`
+	// Workers holds, for each worker claimed, the fence of the claim that is replaced, 0 if there is none. The
+	// part of a claim about a worker counts only if that fence is still current, so that of two racing claims
+	// the first in the stream wins, and a claim that is appended late does no harm.
+	Workers map[string]int64 `json:"workers"`
 }
 
 // Record is one record of the stream.
@@ -88,7 +89,7 @@
 	Incarnation string
 	// Instance is the owner's machine.
 	Instance string
-	// Fence is higher than that of every earlier claim of any worker.
+	// Fence is higher than that of every earlier claim.
 	Fence int64
 }
 
@@ -139,10 +140,11 @@
 }
 
 func (f *Fold) claim(offset int64, r Record) {
-	if f.owners[r.Claim.Worker].Fence != r.Claim.Previous {
-		return
+	for worker, previous := range r.Claim.Workers {
+		if f.owners[worker].Fence == previous {
+			f.owners[worker] = Owner{Incarnation: r.Incarnation, Instance: r.Instance, Fence: offset + 1}
+		}
 	}
-	f.owners[r.Claim.Worker] = Owner{Incarnation: r.Incarnation, Instance: r.Instance, Fence: offset + 1}
 }
 
 func (f *Fold) beat(r Record, now time.Duration) *Beat {
