gateway: do not send to a worker that began to leave during a load

Cause: the worker was chosen before the wait for its adapter and not looked at again. Ruled out: the registry's delay (read 0.45 s apart). Owners now also end when their worker leaves.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -169,8 +169,11 @@
 	if changed {
 		g.setEjectors(set)
 	}
-	g.mu.Unlock()
 	g.workers.Store(set)
+	if changed {
+		g.dropLostOwners()
+	}
+	g.mu.Unlock()
 	if changed {
 		g.log.Info().Int("workers", len(set.All())).Bool("uncertain", uncertain).Msg("workers changed")
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -268,7 +268,7 @@
 	for k, o := range g.owners {
 		w, ok := set.Get(k.ID)
 		claim := g.members.Owner(k.ID)
-		if ok && w.Key() == k && claim.Incarnation == g.incarnation && claim.Fence == o.fence && !o.dead() {
+		if ok && w.Key() == k && !w.Draining && claim.Incarnation == g.incarnation && claim.Fence == o.fence && !o.dead() {
 			continue
 		}
 		o.stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,11 @@
 	registry *prometheus.Registry
 	peers    *peers
 
+	// lifetime ends with Serve; background counts the goroutines that run in it.
+	lifetime   context.Context
+	end        context.CancelFunc
+	background sync.WaitGroup
+
 	incarnation string
 	table       atomic.Pointer[routing.Table]
 	workers     atomic.Pointer[workers.Set]
@@ -111,6 +116,7 @@
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
 		spreading: map[useKey]bool{}, missed: map[string]time.Duration{}, live: 1,
 	}
+	g.lifetime, g.end = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.registry)
 	g.workers.Store(workers.NewRegistry().Snapshot())
@@ -139,6 +145,15 @@
 	return sent != 0 && g.now()-time.Duration(sent) <= within
 }
 
+// start runs f until the gateway ends.
+func (g *Gateway) start(f func(ctx context.Context)) {
+	g.background.Add(1)
+	go func() {
+		defer g.background.Done()
+		f(g.lifetime)
+	}()
+}
+
 // service is one part of the gateway under the supervisor.
 type service struct {
 	name string
@@ -157,6 +172,7 @@
 	defer cancel()
 	servers, err := g.listen()
 	if err != nil {
+		g.end()
 		return err
 	}
 	defer servers.close()
@@ -178,6 +194,9 @@
 	g.drain(ctx, servers)
 	cancel()
 	<-done
+	g.end()
+	g.background.Wait()
+	g.pool.Retain(func(workers.Key) bool { return false })
 	g.log.Info().Msg("stopped")
 	return nil
 }
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -32,13 +32,13 @@
 }
 
 func (g *Gateway) newOwner(w *workers.Worker, e *routing.Engine, fence int64) *owner {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(g.lifetime)
 	o := &owner{
 		g: g, worker: w, fence: fence, cancel: cancel, wake: make(chan struct{}, 1),
 		state:   residency.NewOwner(e.Models[0].Name, e.AdapterPlaces, g.now()),
 		changed: make(chan struct{}),
 	}
-	go o.run(ctx)
+	g.start(func(context.Context) { o.run(ctx) })
 	return o
 }
 
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -213,10 +213,9 @@
 			return forward.Lease{}, noWorker()
 		}
 		if g.ensure(ctx, home, a, version) {
-			g.mu.Lock()
-			l := g.lease(j, home, a, version)
-			g.mu.Unlock()
-			return l, nil
+			if l, ok := g.leaseLoaded(j, home, a, version); ok {
+				return l, nil
+			}
 		}
 		if ctx.Err() != nil {
 			break
@@ -226,6 +225,18 @@
 	return forward.Lease{}, refuse(http.StatusServiceUnavailable, "adapter_absent", "the adapter could not be loaded in time", notYet)
 }
 
+// leaseLoaded counts a request at a worker that has just loaded its adapter, unless the worker began to leave
+// meanwhile.
+func (g *Gateway) leaseLoaded(j *forward.Job, w *workers.Worker, a residency.Adapter, version int64) (forward.Lease, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current, ok := g.workers.Load().Get(w.ID)
+	if !ok || current.Key() != w.Key() || current.Draining {
+		return forward.Lease{}, false
+	}
+	return g.lease(j, current, a, version), true
+}
+
 // holders returns the workers that are believed to hold the adapter. The lock is held.
 func (g *Gateway) holders(list []*workers.Worker, a residency.Adapter, version int64) []*workers.Worker {
 	var out []*workers.Worker
@@ -259,14 +270,14 @@
 			continue
 		}
 		g.spreading[useKey{w.ID, a}] = true
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), peerWait)
+		g.start(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, peerWait)
 			defer cancel()
 			g.ensure(ctx, w, a, version)
 			g.mu.Lock()
 			delete(g.spreading, useKey{w.ID, a})
 			g.mu.Unlock()
-		}()
+		})
 		return
 	}
 }
