residency: give an order without an answer again at once

The order is repeated under the same number, so that at most one of the two is carried out; a rapid test of late and lost orders checks that places are never exceeded.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -17,6 +17,9 @@
 	// busyUse protects an adapter from eviction after its last use. A worker that unloads an adapter with
 	// runs takes no other order until they end, and uses by other instances are known a beat late.
 	busyUse = 2500 * time.Millisecond
+	// maxRepeats is how often an order without an answer is given again before the worker is asked for a
+	// report.
+	maxRepeats = 6
 	// wantLife is how long a wish for an adapter stands without being renewed.
 	wantLife = 4 * time.Second
 )
@@ -101,7 +104,8 @@
 
 // Owner decides the orders to one worker incarnation. Every order names the number of orders accepted before
 // it, so that an order that is carried out late, after a newer one, has no effect. An order without an answer
-// counts as a place taken until a newer one was accepted.
+// is given again with the same number: whichever of the two is carried out, the other has no effect, and the
+// answer to the repeat holds for both. No other order is given meanwhile.
 type Owner struct {
 	model     string
 	places    int
@@ -112,9 +116,9 @@
 	loading   bool
 	slots     map[Adapter]*slot
 	wants     []*want
-	// doubt is the adapter of a load without an answer.
-	doubt    Adapter
-	doubtful bool
+	// unanswered is the order without an answer that is given again, and repeats how often it was.
+	unanswered *Action
+	repeats    int
 	loadTime time.Duration
 }
 
@@ -172,9 +176,7 @@
 	for a, v := range r.Pending {
 		o.slots[a] = inherit(old[a], Loading, v, asked)
 	}
-	if _, there := o.slots[o.doubt]; there {
-		o.doubtful = false
-	}
+	o.unanswered, o.repeats = nil, 0
 }
 
 func inherit(old *slot, state SlotState, version int64, now time.Duration) *slot {
@@ -198,6 +200,9 @@
 		}
 		return Action{Step: StepReport}
 	}
+	if o.unanswered != nil {
+		return *o.unanswered
+	}
 	if !o.hasModel {
 		if o.loading {
 			return Action{Step: StepNone, At: o.recheck(now)}
@@ -254,10 +259,6 @@
 			transit++
 		}
 	}
-	if o.doubtful {
-		transit++
-		taken++
-	}
 	if transit >= MaxTransit {
 		return Action{}, false
 	}
@@ -306,44 +307,53 @@
 // Result applies a worker's answer to an action.
 func (o *Owner) Result(a Action, r Result, now time.Duration) {
 	switch {
+	case r == Unanswered && a.Step == StepPoll:
+		if s := o.slots[a.Adapter]; s != nil {
+			s.poll = now
+		}
+		return
 	case r == Unanswered:
-		if a.Step == StepLoad {
-			o.doubt, o.doubtful = a.Adapter, true
+		o.unanswered = &a
+		if o.repeats++; o.repeats > maxRepeats {
+			o.unsure(now)
 		}
-		o.unsure(now)
 		return
 	case r == Conflict || r == Rejected:
 		o.unsure(now)
 		return
 	}
+	repeated := o.repeats > 0
+	o.unanswered, o.repeats = nil, 0
 	switch a.Step {
 	case StepLoadModel:
 		o.loading = r == Accepted
 		o.hasModel = r == Holds
 		o.accepted(r)
 	case StepLoad, StepPoll:
-		o.loaded(a, r, now)
+		o.loaded(a, r, repeated, now)
 	case StepUnload:
 		o.unloaded(a, r, now)
 	}
 }
 
-// accepted counts an order that the worker carries out, after which an earlier one without an answer can no
-// longer take effect.
+// accepted counts an order that the worker carries out.
 func (o *Owner) accepted(r Result) {
 	if r == Accepted {
 		o.seq++
-		o.doubtful = false
 	}
 }
 
-func (o *Owner) loaded(a Action, r Result, now time.Duration) {
+func (o *Owner) loaded(a Action, r Result, repeated bool, now time.Duration) {
 	s := o.slots[a.Adapter]
 	if s == nil {
 		s = &slot{lastUse: now, use: decayed{last: now}}
 		o.slots[a.Adapter] = s
 	}
 	if r == Holds {
+		if a.Step == StepLoad && repeated {
+			// The order without an answer was carried out.
+			o.seq++
+		}
 		if s.state == Loading {
 			o.loadTime = (3*o.loadTime + (now - s.since)) / 4
 		}
@@ -366,7 +376,6 @@
 	repeated := s != nil && s.state == Unloading
 	if !repeated {
 		o.seq++
-		o.doubtful = false
 	}
 	if r == Holds {
 		delete(o.slots, a.Adapter)
--- /dev/null
+++ b/internal/coordination/residency/owner_test.go
@@ -0,0 +1,162 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+const testModel = "base"
+
+func adapterN(i int) Adapter { return Adapter{Model: testModel, Name: fmt.Sprintf("a%d", i)} }
+
+// syncedOwner returns an owner of a worker with the number of places that has read an empty report.
+func syncedOwner(places int) *Owner {
+	o := NewOwner(testModel, places, 0)
+	o.Sync(Snapshot{Models: []string{testModel}}, 0)
+	return o
+}
+
+// TestOrderWithoutAnswer guards against a stall and a wrong count after an order without an answer: it is given
+// again under the same number, and its answer holds for both.
+func TestOrderWithoutAnswer(t *testing.T) {
+	Convey("an unanswered load is repeated at once and counted once", t, func() {
+		o := syncedOwner(2)
+		o.Want(adapterN(1), 0, 0)
+		first := o.Next(0)
+		o.Result(first, Unanswered, time.Millisecond)
+		again := o.Next(time.Millisecond)
+		So(again, ShouldResemble, first)
+		o.Result(again, Accepted, 2*time.Millisecond)
+		o.Want(adapterN(2), 0, 3*time.Millisecond)
+		next := o.Next(3 * time.Millisecond)
+		So(next.Step, ShouldEqual, StepLoad)
+		So(next.Seq, ShouldEqual, first.Seq+1)
+	})
+	Convey("after too many repeats the worker is asked for a report", t, func() {
+		o := syncedOwner(2)
+		o.Want(adapterN(1), 0, 0)
+		now := time.Duration(0)
+		for range maxRepeats + 1 {
+			a := o.Next(now)
+			So(a.Step, ShouldEqual, StepLoad)
+			o.Result(a, Unanswered, now)
+		}
+		So(o.Next(now).Step, ShouldEqual, StepNone)
+		So(o.Next(now+reportLag).Step, ShouldEqual, StepReport)
+	})
+}
+
+// TestBusyAdaptersStay guards adapters that serve requests against eviction: with all places just used, a load
+// waits.
+func TestBusyAdaptersStay(t *testing.T) {
+	Convey("the adapter that was used least and not lately makes way", t, func() {
+		o := syncedOwner(2)
+		o.Sync(Snapshot{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1, adapterN(2): 1}}, 0)
+		o.Used(adapterN(1), 5, 0)
+		o.Used(adapterN(2), 1, 0)
+		o.Want(adapterN(3), 0, 0)
+		So(o.Next(busyUse/4).Step, ShouldEqual, StepNone)
+		a := o.Next(busyUse + time.Second)
+		So(a.Step, ShouldEqual, StepUnload)
+		So(a.Adapter, ShouldResemble, adapterN(2))
+	})
+}
+
+// model is a worker as the protocol describes it.
+type model struct {
+	seq     int64
+	held    map[Adapter]int64
+	pending map[Adapter]time.Duration
+	places  int
+	over    bool
+	late    []Action
+}
+
+func (m *model) carryOut(a Action, now time.Duration) Result {
+	for p, at := range m.pending {
+		if now >= at {
+			delete(m.pending, p)
+			m.held[p] = 1
+		}
+	}
+	_, held := m.held[a.Adapter]
+	_, coming := m.pending[a.Adapter]
+	load := a.Step == StepLoad || a.Step == StepPoll
+	switch {
+	case load && held:
+		return Holds
+	case load && coming:
+		return Accepted
+	case !load && !held:
+		return Holds
+	case a.Seq != m.seq:
+		return Conflict
+	}
+	m.seq++
+	if !load {
+		delete(m.held, a.Adapter)
+		return Holds
+	}
+	m.pending[a.Adapter] = now + 250*time.Millisecond
+	m.over = m.over || len(m.held)+len(m.pending) > m.places
+	return Accepted
+}
+
+func (m *model) report() Snapshot {
+	s := Snapshot{Seq: m.seq, Models: []string{testModel}, Resident: map[Adapter]int64{}, Pending: map[Adapter]int64{}}
+	for a, v := range m.held {
+		s.Resident[a] = v
+	}
+	for a := range m.pending {
+		s.Pending[a] = 0
+	}
+	return s
+}
+
+// TestPlacesNeverExceeded guards the places of a worker against orders that are lost, carried out unanswered, or
+// carried out late: a worker that is ordered to hold more than it can crashes.
+func TestPlacesNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		places := rapid.IntRange(1, 4).Draw(t, "places")
+		m := &model{held: map[Adapter]int64{}, pending: map[Adapter]time.Duration{}, places: places}
+		o := NewOwner(testModel, places, 0)
+		now := time.Duration(0)
+		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond
+			if rapid.Bool().Draw(t, "want") {
+				o.Want(adapterN(rapid.IntRange(0, 9).Draw(t, "adapter")), 0, now)
+			}
+			a := o.Next(now)
+			switch a.Step {
+			case StepNone:
+				continue
+			case StepReport:
+				o.Sync(m.report(), now)
+				continue
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "fate") {
+			case 0:
+				o.Result(a, Unanswered, now)
+			case 1:
+				m.carryOut(a, now)
+				o.Result(a, Unanswered, now)
+			case 2:
+				m.late = append(m.late, a)
+				o.Result(a, Unanswered, now)
+			default:
+				o.Result(a, m.carryOut(a, now), now)
+			}
+			if len(m.late) > 0 && rapid.Bool().Draw(t, "run late") {
+				m.carryOut(m.late[0], now)
+				m.late = m.late[1:]
+			}
+			if m.over {
+				t.Fatalf("the worker was ordered to hold more than %d adapters", places)
+			}
+		}
+	})
+}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -237,7 +237,11 @@
 // mayRepeat reports whether the request may run again: from its start, or a stream after its last event.
 func (c *call) mayRepeat() bool { return c.job.Route.Repeatable() }
 
-func (c *call) stop(ctx context.Context) bool { return ctx.Err() != nil }
+// stop reports whether the caller left or its time is over. The connection's own deadline may end a read before
+// ctx ends.
+func (c *call) stop(ctx context.Context) bool {
+	return ctx.Err() != nil || !time.Now().Before(c.job.Deadline)
+}
 
 // asRun turns a refusal into one that promises nothing if an earlier attempt may have run.
 func (c *call) asRun(v *verdict.Error, ran bool) error {
@@ -254,7 +258,7 @@
 		}
 		return verdict.Wrap(v, verdict.NotRun, http.StatusServiceUnavailable, "timed_out_unsent", "no backend server took the request in time").WithRetryAfter(comeBack)
 	}
-	return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, http.StatusGatewayTimeout, "timed_out", "no complete answer came in time")
+	return verdict.Wrap(v, verdict.MayHaveRun, http.StatusGatewayTimeout, "timed_out", "no complete answer came in time")
 }
 
 // attempt places the request and sends it once. The outcome is zero if no worker was found.
@@ -270,7 +274,7 @@
 	if c.outcome == 0 {
 		c.outcome = Broken
 	}
-	if c.outcome != Succeeded && ctx.Err() != nil {
+	if c.outcome != Succeeded && c.stop(ctx) {
 		c.outcome = Abandoned
 	}
 	c.job.Tried = append(c.job.Tried, lease.Worker.Key())
