residency: evict by last use when all adapters were used lately

Cause: with 18 places and 11 requests a second all adapters of a worker were often used within 2.5 s, so nothing could be evicted and loads waited. The guard is 1 s now; among adapters used within 2.5 s the last use decides.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -16,7 +16,10 @@
 	pollEvery = 60 * time.Millisecond
 	// busyUse protects an adapter from eviction after its last use. A worker that unloads an adapter with
 	// runs takes no other order until they end, and uses by other instances are known a beat late.
-	busyUse = 2500 * time.Millisecond
+	busyUse = time.Second
+	// quietUse is the time without use after which an adapter is evicted by how much it is used; when all were
+	// used more recently, the one whose last use is longest ago makes way.
+	quietUse = 2500 * time.Millisecond
 	// maxRepeats is how often an order without an answer is given again before the worker is asked for a
 	// report.
 	maxRepeats = 6
@@ -294,6 +297,13 @@
 }
 
 func (o *Owner) before(x, y *slot, now time.Duration) bool {
+	quietX, quietY := now-x.lastUse >= quietUse, now-y.lastUse >= quietUse
+	if quietX != quietY {
+		return quietX
+	}
+	if !quietX {
+		return x.lastUse < y.lastUse
+	}
 	if dx, dy := x.use.at(now), y.use.at(now); dx != dy {
 		return dx < dy
 	}
