residency: requests under way protect their adapter from eviction

Cause: a fifth of the unloads met running requests; the worker then takes no other order, and each order beside it was refused and cost a report.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -44,6 +44,16 @@
 	since, poll time.Duration
 	lastUse     time.Duration
 	use         decayed
+	// running is how many requests of each instance were under way when it last told.
+	running map[string]int
+}
+
+func (s *slot) runs() int {
+	n := 0
+	for _, r := range s.running {
+		n += r
+	}
+	return n
 }
 
 type want struct {
@@ -122,7 +132,7 @@
 	// unanswered is the order without an answer that is given again, and repeats how often it was.
 	unanswered *Action
 	repeats    int
-	loadTime time.Duration
+	loadTime   time.Duration
 }
 
 // NewOwner returns the owner of a worker that serves one model and has the number of places for adapters.
@@ -153,6 +163,41 @@
 	}
 }
 
+// Running replaces what an instance told of its requests under way at this worker.
+func (o *Owner) Running(instance string, running map[Adapter]int, now time.Duration) {
+	for a, s := range o.slots {
+		n := running[a]
+		if n == 0 {
+			delete(s.running, instance)
+			continue
+		}
+		if s.running == nil {
+			s.running = map[string]int{}
+		}
+		s.running[instance] = n
+		s.lastUse = now
+	}
+}
+
+// Began and Ended count a request of this instance.
+func (o *Owner) Began(a Adapter, instance string, now time.Duration) {
+	if s := o.slots[a]; s != nil {
+		if s.running == nil {
+			s.running = map[string]int{}
+		}
+		s.running[instance]++
+		s.lastUse = now
+	}
+}
+
+// Ended counts the end of a request that was counted by Began.
+func (o *Owner) Ended(a Adapter, instance string, now time.Duration) {
+	if s := o.slots[a]; s != nil && s.running[instance] > 0 {
+		s.running[instance]--
+		s.lastUse = now
+	}
+}
+
 // Holds reports whether the adapter is resident in at least the version, and which version is.
 func (o *Owner) Holds(a Adapter, version int64) (int64, bool) {
 	if a.Name == "" {
@@ -185,7 +230,7 @@
 func inherit(old *slot, state SlotState, version int64, now time.Duration) *slot {
 	s := &slot{state: state, version: version, since: now, poll: now + pollEvery, lastUse: now}
 	if old != nil {
-		s.use, s.lastUse = old.use, old.lastUse
+		s.use, s.lastUse, s.running = old.use, old.lastUse, old.running
 	}
 	return s
 }
@@ -215,7 +260,7 @@
 	if a, ok := o.polled(now); ok {
 		return a
 	}
-	if a, ok := o.load(now); ok {
+	if a, ok := o.load(now); ok && !o.unloading() {
 		return a
 	}
 	return Action{Step: StepNone, At: o.earliestPoll()}
@@ -240,6 +285,16 @@
 	return Action{}, false
 }
 
+// unloading reports whether an unload waits for runs: the worker takes no other order until it is done.
+func (o *Owner) unloading() bool {
+	for _, s := range o.slots {
+		if s.state == Unloading {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *Owner) earliestPoll() time.Duration {
 	var at time.Duration
 	for _, s := range o.slots {
@@ -286,7 +341,7 @@
 	var best Adapter
 	var bestSlot *slot
 	for a, s := range o.slots {
-		if s.state != Resident || now-s.lastUse < busyUse || o.wanted(a) {
+		if s.state != Resident || now-s.lastUse < busyUse || s.runs() > 0 || o.wanted(a) {
 			continue
 		}
 		if bestSlot == nil || o.before(s, bestSlot, now) || !o.before(bestSlot, s, now) && a.Name < best.Name {
--- a/internal/coordination/residency/owner_test.go
+++ b/internal/coordination/residency/owner_test.go
@@ -171,3 +171,27 @@
 		}
 	})
 }
+
+// TestRunningAdaptersStay guards requests under way at any instance: their adapter is not evicted, since the unload
+// would wait for them and block all other orders.
+func TestRunningAdaptersStay(t *testing.T) {
+	Convey("an adapter with runs is no victim, however long ago they began", t, func() {
+		o := syncedOwner(1)
+		o.Sync(Snapshot{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1}}, 0)
+		o.Running("other", map[Adapter]int{adapterN(1): 1}, 0)
+		o.Want(adapterN(3), 0, 3*time.Second)
+		So(o.Next(3*time.Second).Step, ShouldEqual, StepNone)
+		o.Running("other", nil, 3*time.Second)
+		So(o.Next(3*time.Second).Step, ShouldEqual, StepUnload)
+	})
+	Convey("while an unload waits for runs, no other order is given", t, func() {
+		o := syncedOwner(1)
+		o.Sync(Snapshot{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1}}, 0)
+		o.Want(adapterN(3), 0, 3*time.Second)
+		unload := o.Next(3 * time.Second)
+		o.Result(unload, Accepted, 3*time.Second)
+		o.Want(adapterN(4), 0, 3*time.Second)
+		So(o.Next(3*time.Second).Step, ShouldEqual, StepNone)
+		So(o.Next(3*time.Second+pollEvery).Step, ShouldEqual, StepUnload)
+	})
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -114,11 +114,15 @@
 // takeUses returns the uses since the last heartbeat, the most frequent first.
 func (g *Gateway) takeUses() []fleetlog.Use {
 	uses := make([]fleetlog.Use, 0, len(g.uses))
-	for k, n := range g.uses {
-		uses = append(uses, fleetlog.Use{Worker: k.worker, Adapter: k.adapter.String(), Count: n})
+	for k, u := range g.uses {
+		uses = append(uses, fleetlog.Use{Worker: k.worker, Adapter: k.adapter.String(), Count: u.count, Running: u.running})
+		if u.running == 0 {
+			delete(g.uses, k)
+		} else {
+			u.count = 0
+		}
 	}
-	clear(g.uses)
-	slices.SortFunc(uses, func(a, b fleetlog.Use) int { return b.Count - a.Count })
+	slices.SortFunc(uses, func(a, b fleetlog.Use) int { return b.Count + b.Running - a.Count - a.Running })
 	return uses[:min(len(uses), maxUses)]
 }
 
@@ -161,13 +165,29 @@
 		if beat == nil || rec.Incarnation == g.incarnation {
 			continue
 		}
-		for _, u := range beat.Uses {
-			g.countUse(u.Worker, parseAdapter(u.Adapter), float64(u.Count), now)
-		}
+		g.applyUses(rec.Incarnation, beat.Uses, now)
 	}
 	g.dropLostOwners()
 }
 
+// applyUses records what another instance told of its requests. The lock is held.
+func (g *Gateway) applyUses(incarnation string, uses []fleetlog.Use, now time.Duration) {
+	running := map[string]map[residency.Adapter]int{}
+	for _, u := range uses {
+		a := parseAdapter(u.Adapter)
+		if u.Count > 0 {
+			g.countUse(u.Worker, a, float64(u.Count), now)
+		}
+		if running[u.Worker] == nil {
+			running[u.Worker] = map[residency.Adapter]int{}
+		}
+		running[u.Worker][a] = u.Running
+	}
+	for k, o := range g.owners {
+		o.running(incarnation, running[k.ID], now)
+	}
+}
+
 func parseAdapter(s string) residency.Adapter {
 	model, name, _ := strings.Cut(s, "/")
 	return residency.Adapter{Model: model, Name: name}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,11 @@
 	adapter residency.Adapter
 }
 
+// use counts the requests for an adapter at a worker: those since the last heartbeat and those under way.
+type use struct {
+	count, running int
+}
+
 // declared is the version of an adapter that requests must use.
 type declared struct {
 	version int64
@@ -88,7 +93,7 @@
 	beliefs    *residency.Beliefs
 	popularity *residency.Popularity
 	versions   map[residency.Adapter]declared
-	uses       map[useKey]int
+	uses       map[useKey]*use
 	inFlight   map[workers.Key]int
 	demand     map[string]*quota.Demand
 	buckets    map[string]*quota.Bucket
@@ -110,7 +115,7 @@
 		pool: upstream.NewPool(n), registry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		members: fleetlog.NewFold(), known: workers.NewRegistry(), beliefs: residency.NewBeliefs(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]declared{},
-		uses: map[useKey]int{}, inFlight: map[workers.Key]int{}, demand: map[string]*quota.Demand{},
+		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, demand: map[string]*quota.Demand{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -75,6 +75,24 @@
 	o.state.Used(a, n, now)
 }
 
+func (o *owner) running(instance string, running map[residency.Adapter]int, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.Running(instance, running, now)
+}
+
+func (o *owner) began(a residency.Adapter, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.Began(a, o.g.incarnation, now)
+}
+
+func (o *owner) finished(a residency.Adapter, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.Ended(a, o.g.incarnation, now)
+}
+
 // refresh loads a new version of an adapter that the worker holds.
 func (o *owner) refresh(a residency.Adapter, version int64) {
 	o.mu.Lock()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -150,17 +150,45 @@
 	k := w.Key()
 	g.inFlight[k]++
 	if a.Name != "" {
-		g.uses[useKey{w.ID, a}]++
-		g.countUse(w.ID, a, 1, g.now())
+		g.useBegan(k, a)
 	}
 	service := j.Service
 	return forward.Lease{Worker: w, Version: version, Done: func(o forward.Outcome) { g.attemptEnded(service, k, a, o) }}
 }
 
+// useBegan counts a request for an adapter. The lock is held.
+func (g *Gateway) useBegan(k workers.Key, a residency.Adapter) {
+	u := g.uses[useKey{k.ID, a}]
+	if u == nil {
+		u = &use{}
+		g.uses[useKey{k.ID, a}] = u
+	}
+	u.count++
+	u.running++
+	now := g.now()
+	g.countUse(k.ID, a, 1, now)
+	if o := g.owners[k]; o != nil {
+		o.began(a, now)
+	}
+}
+
+// useEnded counts the end of a request for an adapter. The lock is held.
+func (g *Gateway) useEnded(k workers.Key, a residency.Adapter) {
+	if u := g.uses[useKey{k.ID, a}]; u != nil && u.running > 0 {
+		u.running--
+	}
+	if o := g.owners[k]; o != nil {
+		o.finished(a, g.now())
+	}
+}
+
 func (g *Gateway) attemptEnded(service string, k workers.Key, a residency.Adapter, o forward.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight[k]--
+	if a.Name != "" {
+		g.useEnded(k, a)
+	}
 	if o == forward.Absent && a.Model != "" {
 		g.beliefs.Learn(k, a, 0, false, g.now())
 	}
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -14,12 +14,15 @@
 	"github.com/gravitational/trace"
 )
 
-// Use counts the requests that an instance sent to a worker for an adapter since its heartbeat before.
+// Use tells of the requests of an instance at a worker for an adapter.
 type Use struct {
 	Worker string `json:"w"`
 	// Adapter is the model and the adapter, joined by a slash.
 	Adapter string `json:"a"`
-	Count   int    `json:"n"`
+	// Count is how many were sent since the heartbeat before.
+	Count int `json:"n,omitempty"`
+	// Running is how many are under way.
+	Running int `json:"r,omitempty"`
 }
 
 // Beat is the heartbeat of an instance.
