residency: poll loads from the start, fewer under way when they slow down

Cause: a load was first asked for after 250 ms, so adapters from a worker's own memory (25 ms) were found late, and up to 36 loads under way over the fleet made each take a second. The number under way follows the measured load time.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -10,10 +10,13 @@
 	MaxTransit = 4
 	// reportLag is how long a worker's report may lag behind its orders.
 	reportLag = 350 * time.Millisecond
-	// expectedLoad is how long an adapter load takes before one was measured.
+	// expectedLoad is how long an adapter load takes while the weight store is not overloaded.
 	expectedLoad = 250 * time.Millisecond
-	// pollEvery is the time between questions whether a load has ended.
-	pollEvery = 60 * time.Millisecond
+	// pollEvery is the time between questions whether a load has ended. An adapter that the worker held
+	// recently arrives within some ten milliseconds.
+	pollEvery = 40 * time.Millisecond
+	// fetched is the least time of a load that came from the weight store.
+	fetched = 120 * time.Millisecond
 	// busyUse protects an adapter from eviction after its last use. A worker that unloads an adapter with
 	// runs takes no other order until they end, and uses by other instances are known a beat late.
 	busyUse = time.Second
@@ -317,7 +320,7 @@
 			transit++
 		}
 	}
-	if transit >= MaxTransit {
+	if transit >= o.transitLimit() {
 		return Action{}, false
 	}
 	for _, w := range o.wants {
@@ -336,6 +339,12 @@
 	return Action{}, false
 }
 
+// transitLimit returns how many loads may be under way. Loads slow each other down over the whole fleet, so when
+// they take longer than they should, each worker has fewer under way, and the first ones end sooner.
+func (o *Owner) transitLimit() int {
+	return max(1, min(MaxTransit, int(MaxTransit*expectedLoad/o.loadTime)))
+}
+
 // victim returns the resident adapter that is used least, unless all were used just now.
 func (o *Owner) victim(now time.Duration) (Adapter, bool) {
 	var best Adapter
@@ -419,8 +428,8 @@
 			// The order without an answer was carried out.
 			o.seq++
 		}
-		if s.state == Loading {
-			o.loadTime = (3*o.loadTime + (now - s.since)) / 4
+		if took := now - s.since; s.state == Loading && took >= fetched {
+			o.loadTime = (3*o.loadTime + took) / 4
 		}
 		s.state, s.lastUse = Resident, now
 		s.version = max(s.version, a.Version, 1)
@@ -428,7 +437,7 @@
 	}
 	if s.state != Loading {
 		s.state, s.since, s.version = Loading, now, a.Version
-		s.poll = now + o.loadTime
+		s.poll = now + pollEvery
 		o.accepted(r)
 		return
 	}
