gateway: retire an adapter at all instances before it is unloaded

Cause: what other instances sent since their last heartbeat is not known, so a tenth of the unloads still met runs and blocked the worker for a second or two.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -17,9 +17,9 @@
 	pollEvery = 40 * time.Millisecond
 	// fetched is the least time of a load that came from the weight store.
 	fetched = 120 * time.Millisecond
-	// busyUse protects an adapter from eviction after its last use. A worker that unloads an adapter with
-	// runs takes no other order until they end, and uses by other instances are known a beat late.
-	busyUse = time.Second
+	// busyUse protects an adapter from eviction after its last use: requests that waited for its load are on
+	// their way. A worker that unloads an adapter with runs takes no other order until they end.
+	busyUse = 400 * time.Millisecond
 	// quietUse is the time without use after which an adapter is evicted by how much it is used; when all were
 	// used more recently, the one whose last use is longest ago makes way.
 	quietUse = 2500 * time.Millisecond
@@ -49,6 +49,9 @@
 	use         decayed
 	// running is how many requests of each instance were under way when it last told.
 	running map[string]int
+	// retired says that no instance sends requests for the adapter to the worker any more, and leaving that its
+	// unload has been ordered.
+	retired, leaving bool
 }
 
 func (s *slot) runs() int {
@@ -79,6 +82,8 @@
 	StepLoadModel
 	// StepLoad: order an adapter.
 	StepLoad
+	// StepRetire: have all instances stop sending requests for an adapter, and learn how many run.
+	StepRetire
 	// StepUnload: order an adapter away.
 	StepUnload
 	// StepPoll: order again what is on its way, to learn whether it has arrived.
@@ -147,6 +152,7 @@
 func (o *Owner) Want(a Adapter, version int64, now time.Duration) {
 	if s := o.slots[a]; s != nil {
 		s.lastUse = now
+		s.retired = false
 	}
 	for _, w := range o.wants {
 		if w.adapter == a {
@@ -207,7 +213,7 @@
 		return 0, o.synced && o.hasModel
 	}
 	s := o.slots[a]
-	if s == nil || s.state != Resident || s.version < version {
+	if s == nil || s.state != Resident || s.version < version || s.retired || s.leaving {
 		return 0, false
 	}
 	return s.version, true
@@ -331,14 +337,38 @@
 		case s != nil || taken < o.places:
 			return Action{Step: StepLoad, Adapter: w.adapter, Version: w.version, Seq: o.seq}, true
 		}
-		if v, ok := o.victim(now); ok {
-			return Action{Step: StepUnload, Adapter: v, Version: o.slots[v].version, Seq: o.seq}, true
-		}
-		return Action{}, false
+		return o.evict(now)
 	}
 	return Action{}, false
 }
 
+// evict returns the next step to free a place: the victim is first retired at all instances.
+func (o *Owner) evict(now time.Duration) (Action, bool) {
+	v, ok := o.victim(now)
+	if !ok {
+		return Action{}, false
+	}
+	s := o.slots[v]
+	if !s.retired {
+		return Action{Step: StepRetire, Adapter: v}, true
+	}
+	s.leaving = true
+	return Action{Step: StepUnload, Adapter: v, Version: s.version, Seq: o.seq}, true
+}
+
+// Retired applies the answer to StepRetire: how many requests for the adapter run at the worker. One that is in use,
+// or wanted again, stays.
+func (o *Owner) Retired(a Adapter, running int, now time.Duration) {
+	s := o.slots[a]
+	switch {
+	case s == nil:
+	case running > 0:
+		s.lastUse = now
+	case !o.wanted(a):
+		s.retired = true
+	}
+}
+
 // transitLimit returns how many loads may be under way. Loads slow each other down over the whole fleet, so when
 // they take longer than they should, each worker has fewer under way, and the first ones end sooner.
 func (o *Owner) transitLimit() int {
@@ -361,6 +391,9 @@
 }
 
 func (o *Owner) before(x, y *slot, now time.Duration) bool {
+	if x.retired != y.retired {
+		return x.retired
+	}
 	quietX, quietY := now-x.lastUse >= quietUse, now-y.lastUse >= quietUse
 	if quietX != quietY {
 		return quietX
--- a/internal/coordination/residency/owner_test.go
+++ b/internal/coordination/residency/owner_test.go
@@ -20,6 +20,16 @@
 	return o
 }
 
+// nextUnload returns the next step after the victim was retired at all instances with nothing running.
+func nextUnload(o *Owner, now time.Duration) Action {
+	a := o.Next(now)
+	if a.Step == StepRetire {
+		o.Retired(a.Adapter, 0, now)
+		a = o.Next(now)
+	}
+	return a
+}
+
 // TestOrderWithoutAnswer guards against a stall and a wrong count after an order without an answer: it is given
 // again under the same number, and its answer holds for both.
 func TestOrderWithoutAnswer(t *testing.T) {
@@ -59,9 +69,9 @@
 		o.Used(adapterN(1), 5, 0)
 		o.Used(adapterN(2), 1, 0)
 		o.Want(adapterN(3), 0, 0)
-		So(o.Next(busyUse/4).Step, ShouldEqual, StepNone)
+		So(o.Next(busyUse-time.Millisecond).Step, ShouldEqual, StepNone)
 		o.Want(adapterN(3), 0, quietUse)
-		a := o.Next(quietUse + time.Millisecond)
+		a := nextUnload(o, quietUse+time.Millisecond)
 		So(a.Step, ShouldEqual, StepUnload)
 		So(a.Adapter, ShouldResemble, adapterN(2))
 	})
@@ -71,7 +81,7 @@
 		o.Used(adapterN(2), 1, 100*time.Millisecond)
 		o.Used(adapterN(1), 5, 200*time.Millisecond)
 		o.Want(adapterN(3), 0, busyUse)
-		a := o.Next(busyUse + 150*time.Millisecond)
+		a := nextUnload(o, busyUse+150*time.Millisecond)
 		So(a.Step, ShouldEqual, StepUnload)
 		So(a.Adapter, ShouldResemble, adapterN(2))
 	})
@@ -148,6 +158,9 @@
 			case StepReport:
 				o.Sync(m.report(), now)
 				continue
+			case StepRetire:
+				o.Retired(a.Adapter, rapid.IntRange(0, 1).Draw(t, "running"), now)
+				continue
 			}
 			switch rapid.IntRange(0, 5).Draw(t, "fate") {
 			case 0:
@@ -182,16 +195,51 @@
 		o.Want(adapterN(3), 0, 3*time.Second)
 		So(o.Next(3*time.Second).Step, ShouldEqual, StepNone)
 		o.Running("other", nil, 3*time.Second)
-		So(o.Next(3*time.Second).Step, ShouldEqual, StepUnload)
+		So(nextUnload(o, 3*time.Second).Step, ShouldEqual, StepUnload)
 	})
 	Convey("while an unload waits for runs, no other order is given", t, func() {
 		o := syncedOwner(1)
 		o.Sync(Snapshot{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1}}, 0)
 		o.Want(adapterN(3), 0, 3*time.Second)
-		unload := o.Next(3 * time.Second)
+		unload := nextUnload(o, 3*time.Second)
 		o.Result(unload, Accepted, 3*time.Second)
 		o.Want(adapterN(4), 0, 3*time.Second)
 		So(o.Next(3*time.Second).Step, ShouldEqual, StepNone)
 		So(o.Next(3*time.Second+pollEvery).Step, ShouldEqual, StepUnload)
 	})
 }
+
+// TestRetireBeforeUnload guards requests that other instances sent since their last heartbeat: an adapter in use is
+// not unloaded, and one that is wanted again while it is retired stays.
+func TestRetireBeforeUnload(t *testing.T) {
+	full := func() *Owner {
+		o := syncedOwner(1)
+		o.Sync(Snapshot{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1}}, 0)
+		o.Want(adapterN(2), 0, 3*time.Second)
+		return o
+	}
+	Convey("a retired adapter with requests under way stays", t, func() {
+		o := full()
+		a := o.Next(3 * time.Second)
+		So(a.Step, ShouldEqual, StepRetire)
+		o.Retired(a.Adapter, 1, 3*time.Second)
+		So(o.Next(3*time.Second).Step, ShouldEqual, StepNone)
+	})
+	Convey("a retired adapter that is wanted again is not unloaded", t, func() {
+		o := full()
+		a := o.Next(3 * time.Second)
+		o.Retired(a.Adapter, 0, 3*time.Second)
+		_, holds := o.Holds(adapterN(1), 0)
+		So(holds, ShouldBeFalse)
+		o.Want(adapterN(1), 0, 3*time.Second)
+		_, holds = o.Holds(adapterN(1), 0)
+		So(holds, ShouldBeTrue)
+		So(o.Next(3*time.Second).Step, ShouldNotEqual, StepUnload)
+	})
+	Convey("an adapter whose unload was ordered is not held", t, func() {
+		o := full()
+		So(nextUnload(o, 3*time.Second).Step, ShouldEqual, StepUnload)
+		_, holds := o.Holds(adapterN(1), 0)
+		So(holds, ShouldBeFalse)
+	})
+}
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -146,6 +146,11 @@
 			o.wait(ctx, action.At)
 		case residency.StepReport:
 			o.report(ctx)
+		case residency.StepRetire:
+			running := o.g.retire(ctx, o.worker, action.Adapter)
+			o.mu.Lock()
+			o.state.Retired(action.Adapter, running, o.g.now())
+			o.mu.Unlock()
 		default:
 			o.order(ctx, action)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -75,6 +75,60 @@
 	return &peerpb.WantAdapterResponse{Accepted: true, Ended: resident, Resident: resident}, nil
 }
 
+// Retire implements peerpb.PeerServer: this instance sends no further request for the adapter to the worker before
+// the owner says that it is resident.
+func (p *peers) Retire(_ context.Context, r *peerpb.RetireRequest) (*peerpb.RetireResponse, error) {
+	w, ok := p.g.workers.Load().Get(r.Engine)
+	if !ok {
+		return &peerpb.RetireResponse{}, nil
+	}
+	return &peerpb.RetireResponse{InFlight: int64(p.g.stopSending(w, parseAdapter(r.Adapter)))}, nil
+}
+
+// stopSending marks an adapter as absent and returns how many requests for it run at the worker.
+func (g *Gateway) stopSending(w *workers.Worker, a residency.Adapter) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.beliefs.Learn(w.Key(), a, 0, false, g.now())
+	if u := g.uses[useKey{w.ID, a}]; u != nil {
+		return u.running
+	}
+	return 0
+}
+
+// retireTimeout bounds the question to a peer whether it uses an adapter. A peer that does not answer is judged by
+// its last heartbeat.
+const retireTimeout = 60 * time.Millisecond
+
+// retire has all instances stop sending requests for an adapter and returns how many run.
+func (g *Gateway) retire(ctx context.Context, w *workers.Worker, a residency.Adapter) int {
+	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
+	g.mu.Lock()
+	members := g.members.Live(g.now() - memberSilence)
+	g.mu.Unlock()
+	counts := make(chan int, len(members))
+	asked := 0
+	for _, m := range members {
+		if m.Incarnation == g.incarnation {
+			continue
+		}
+		asked++
+		go func() {
+			r, err := g.peers.clients.Retire(ctx, m.Beat.Address, &peerpb.RetireRequest{Engine: w.ID, Adapter: a.String()})
+			counts <- int(r.GetInFlight())
+			if err != nil {
+				g.log.Debug().Err(err).Str("worker", w.ID).Str("peer", m.Instance).Msg("peer not asked about an adapter")
+			}
+		}()
+	}
+	running := g.stopSending(w, a)
+	for range asked {
+		running += <-counts
+	}
+	return running
+}
+
 // ownerPause is how long an owner that could not be reached is not asked again.
 const ownerPause = 2 * time.Second
 
@@ -107,6 +161,13 @@
 	member, alive := g.members.Member(claim.Incarnation)
 	g.mu.Unlock()
 	var resident bool
+	began := g.now()
+	defer func() {
+		if !resident {
+			g.log.Info().Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", a.String()).Int64("version", version).
+				Bool("owner_alive", alive).Int64("ms", (g.now() - began).Milliseconds()).Msg("adapter not loaded in time")
+		}
+	}()
 	switch {
 	case own != nil:
 		_, resident = own.ensure(ctx, a, version)
