residency: an owner with a long queue sends requests on to the next worker

Cause: hashing gives some workers more misses than they can load in time while others are idle, and requests waited 1.5 s in a queue for nothing.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -26,6 +26,11 @@
 	// maxRepeats is how often an order without an answer is given again before the worker is asked for a
 	// report.
 	maxRepeats = 6
+	// activeWant is how long ago a want was renewed if somebody still waits for it.
+	activeWant = 500 * time.Millisecond
+	// LongestQueue is the expected wait from which an owner takes no further wants: the request is better
+	// served by another worker, or told to come back.
+	LongestQueue = 800 * time.Millisecond
 	// wantLife is how long a wish for an adapter stands without being renewed.
 	wantLife = 4 * time.Second
 )
@@ -163,6 +168,24 @@
 	o.wants = append(o.wants, &want{adapter: a, version: version, since: now, renewed: now})
 }
 
+// Wait returns how long a new want would wait until it is resident, if the wants that somebody waits for are
+// loaded first.
+func (o *Owner) Wait(now time.Duration) time.Duration {
+	ahead := 0
+	for _, w := range o.wants {
+		if now-w.renewed <= activeWant {
+			ahead++
+		}
+	}
+	return o.loadTime * time.Duration(ahead) / time.Duration(o.transitLimit())
+}
+
+// Wanted reports whether the adapter is wanted or on its way.
+func (o *Owner) Wanted(a Adapter) bool {
+	s := o.slots[a]
+	return s != nil && s.state == Loading || o.wanted(a)
+}
+
 // Used counts requests for an adapter at this worker.
 func (o *Owner) Used(a Adapter, n float64, now time.Duration) {
 	if s := o.slots[a]; s != nil {
@@ -320,6 +343,17 @@
 		s := o.slots[w.adapter]
 		return now-w.renewed > wantLife || s != nil && s.state == Resident && s.version >= max(1, w.version)
 	})
+	slices.SortStableFunc(o.wants, func(x, y *want) int {
+		activeX, activeY := now-x.renewed <= activeWant, now-y.renewed <= activeWant
+		switch {
+		case activeX == activeY:
+			return 0
+		case activeX:
+			return -1
+		default:
+			return 1
+		}
+	})
 	transit, taken := 0, len(o.slots)
 	for _, s := range o.slots {
 		if s.state == Loading {
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -106,8 +106,21 @@
 	}
 }
 
+// overloaded reports whether a new want would wait too long.
+func (o *owner) overloaded(a residency.Adapter, version int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.state.Holds(a, version); ok || o.state.Wanted(a) {
+		return false
+	}
+	return o.state.Wait(o.g.now()) > residency.LongestQueue
+}
+
 // ensure waits until the adapter is resident in at least the version, and returns the version.
 func (o *owner) ensure(ctx context.Context, a residency.Adapter, version int64) (int64, bool) {
+	if o.overloaded(a, version) {
+		return 0, false
+	}
 	for {
 		o.mu.Lock()
 		v, ok := o.state.Holds(a, version)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -23,7 +23,7 @@
 	// one is not resident yet.
 	versionOverlap = 1500 * time.Millisecond
 	// loadTries is how many workers are asked to load an adapter for one request.
-	loadTries = 2
+	loadTries = 3
 )
 
 // placement implements forward.Placement.
