gateway: call the log service less in large fleets; allow small debts of tokens

Beats slow down with the size of the fleet and tell their own lease, so that instances that see fleets of different sizes never own the same worker; reads of the registry follow the bound for leaving workers; buckets may go into debt within half of the slack.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -87,19 +87,19 @@
 	}
 }
 
-// Take spends units, or returns how long the caller should wait. A request larger than the burst is taken
-// from a full bucket, which is then in debt.
-func (b *Bucket) Take(units float64, now time.Duration) (time.Duration, bool) {
+// Take spends units, or returns how long the caller should wait. The bucket may go into debt by the allowance and,
+// beyond it, by the last request; the debt is paid from the rate.
+func (b *Bucket) Take(units, allowance float64, now time.Duration) (time.Duration, bool) {
 	b.refill(now)
-	if b.tokens >= min(units, b.burst) && b.burst > 0 {
+	if b.tokens > 0 || b.tokens+allowance >= units {
 		b.tokens -= units
 		return 0, true
 	}
 	if b.rate <= 0 {
 		return longestWait, false
 	}
-	missing := min(units, b.burst) - b.tokens
-	return min(longestWait, time.Duration(missing/b.rate*float64(time.Second))), false
+	missing := min(-b.tokens, units-allowance-b.tokens)
+	return min(longestWait, time.Duration(max(0, missing)/b.rate*float64(time.Second))), false
 }
 
 // Return gives back the units of a request that did not run.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -14,12 +14,16 @@
 const (
 	// denialFreshness is how old the configuration may be for an answer that a route or key does not
 	// exist: what came since may hold it.
-	denialFreshness = 2 * time.Second
+	denialFreshness = configWait + time.Second
 	// keyFreshness is the part of the time for withdrawals within which the configuration must have been
 	// read for a key to be accepted.
 	keyFreshness = 0.7
 	// notYet is what a caller is told to wait while the instance does not know enough.
 	notYet = 300 * time.Millisecond
+	// debtShare is the part of the quota's slack that instances may together be in debt with. A part of a rate
+	// is small beside one request when there are many instances, and a request must not be refused because
+	// its tokens lie at another instance.
+	debtShare = 0.5
 	// retryShare is the part of the fleet's retry budget that instances use together. The rest covers
 	// instances that do not know of each other yet.
 	retryShare = 0.7
@@ -94,10 +98,10 @@
 	}
 	d.Add(units, now)
 	b := g.buckets[w.Name]
-	spend := b != nil && g.connected(spendLease)
+	spend := b != nil && g.maySpend()
 	wait, taken := notYet, false
 	if spend {
-		wait, taken = b.Take(units, now)
+		wait, taken = b.Take(units, g.settings.Bounds.QuotaSlack*debtShare/float64(g.live), now)
 	}
 	g.mu.Unlock()
 	if !spend {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -14,10 +14,7 @@
 const (
 	// configWait is how long a read of the configuration waits for a change. Withdrawn keys must be known
 	// within seconds; each read is priced.
-	configWait = time.Second
-	// workersEvery is the time between reads of the registry. Workers write about once a second each, so a
-	// waiting read would return for every single entry.
-	workersEvery = 450 * time.Millisecond
+	configWait = 1500 * time.Millisecond
 	// retryPause is the time before a failed read is tried again.
 	retryPause = 100 * time.Millisecond
 	// outage is the time without an answered read of the registry after which vanished entries may only
@@ -142,7 +139,7 @@
 		}
 		answered = now
 		g.applyEntries(entries, snapshot, recovered > 0 && now-recovered < afterOutage)
-		sleep(ctx, workersEvery)
+		sleep(ctx, g.settings.Bounds.workersEvery())
 	}
 	return ctx.Err()
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -17,18 +17,8 @@
 )
 
 const (
-	// beatEvery is the time between heartbeats.
-	beatEvery = time.Second
-	// memberSilence is the silence after which another instance takes over the workers of a member. It is
-	// longer than ownLease, so that the two never give orders at the same time.
-	memberSilence = 3500 * time.Millisecond
-	// ownLease is how long after a heartbeat that was acknowledged an instance may give orders.
-	ownLease = 2 * time.Second
-	// shareSilence is the silence after which a member's part of the rates goes to the others. It is longer
-	// than spendLease, so that no part is spent twice.
-	shareSilence = 5 * time.Second
-	// spendLease is how long after a heartbeat that was acknowledged an instance may spend its part.
-	spendLease = 4 * time.Second
+	// beatRetry is the time after which a heartbeat that was not acknowledged is sent again.
+	beatRetry = 250 * time.Millisecond
 	// beatTimeout bounds one append of a heartbeat.
 	beatTimeout = 900 * time.Millisecond
 	// maxUses bounds the adapters told in one heartbeat; the most used come first.
@@ -40,7 +30,7 @@
 	d := dependency{name: "fleet"}
 	next := int64(0)
 	// Instances that start together would otherwise call the log service at the same moments.
-	sleep(ctx, time.Duration(rand.Int64N(int64(beatEvery))))
+	sleep(ctx, time.Duration(rand.Int64N(int64(g.pace().Beat))))
 	for ctx.Err() == nil {
 		began := time.Now()
 		beatErr := g.beat(ctx)
@@ -52,13 +42,41 @@
 			next = g.claimFree(ctx, next)
 		}
 		g.rebalance()
-		g.waitBeat(ctx, beatEvery-time.Since(began))
+		pause := g.pace().Beat - time.Since(began)
+		if beatErr != nil {
+			pause = beatRetry
+		}
+		g.waitBeat(ctx, pause)
 	}
 	return ctx.Err()
 }
 
+// ackedBeat is the last heartbeat that the log service acknowledged, and what it permits.
+type ackedBeat struct {
+	sent, lease, spend time.Duration
+}
+
+// pace returns how often this instance calls, by the size of the fleet.
+func (g *Gateway) pace() quota.Pace {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return quota.NewPace(g.live)
+}
+
+// mayOrder reports whether the instance may act as an owner of workers.
+func (g *Gateway) mayOrder() bool {
+	b := g.acknowledged.Load()
+	return b != nil && g.now()-b.sent <= b.lease
+}
+
+// maySpend reports whether the instance may spend its part of the rates.
+func (g *Gateway) maySpend() bool {
+	b := g.acknowledged.Load()
+	return b != nil && g.now()-b.sent <= b.spend
+}
+
 func (g *Gateway) waitBeat(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(max(d, retryPause))
+	t := time.NewTimer(max(d, beatRetry))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -84,9 +102,10 @@
 
 // beat tells the fleet of this instance.
 func (g *Gateway) beat(ctx context.Context) error {
+	pace := g.pace()
 	beat := &fleetlog.Beat{
 		Number: g.nextBeat(), Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre,
-		Resigned: g.resigned.Load(),
+		Resigned: g.resigned.Load(), LeaseMS: pace.Lease.Milliseconds(),
 	}
 	sent := g.now()
 	g.mu.Lock()
@@ -107,7 +126,7 @@
 	if _, err := g.around.Fleet.Append(ctx, data, external.AnyOffset); err != nil {
 		return err
 	}
-	g.beatSent.Store(int64(sent))
+	g.acknowledged.Store(&ackedBeat{sent: sent, lease: pace.Lease, spend: pace.Spend})
 	return nil
 }
 
@@ -222,7 +241,7 @@
 
 // claimFree claims the workers that fall to this instance and returns the position after the claims.
 func (g *Gateway) claimFree(ctx context.Context, next int64) int64 {
-	if !g.connected(ownLease) || g.resigned.Load() {
+	if !g.mayOrder() || g.resigned.Load() {
 		return next
 	}
 	engines := g.engineWorkers()
@@ -233,7 +252,7 @@
 	slices.Sort(ids)
 	g.mu.Lock()
 	claim := &fleetlog.Claim{Workers: map[string]int64{}}
-	for id, to := range g.members.Assignments(ids, g.now()-memberSilence) {
+	for id, to := range g.members.Assignments(ids, g.now(), quota.Takeover) {
 		if to == g.incarnation {
 			claim.Workers[id] = g.members.Owner(id).Fence
 		}
@@ -330,7 +349,7 @@
 		own = d.Rate(now)
 	}
 	all, n := own, 1
-	for _, m := range g.members.Live(now - shareSilence) {
+	for _, m := range g.members.Live(now, quota.Reassign) {
 		if m.Incarnation != g.incarnation {
 			all += m.Beat.Demand[workspace]
 			n++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,12 +77,12 @@
 	incarnation string
 	table       atomic.Pointer[routing.Table]
 	workers     atomic.Pointer[workers.Set]
-	// configRead is when the last answered read of the configuration was sent, and beatSent when the last
-	// acknowledged heartbeat was; both by clock, in nanoseconds, 0 before the first.
-	configRead atomic.Int64
-	beatSent   atomic.Int64
-	fleetRead  atomic.Bool
-	stopping   atomic.Bool
+	// configRead is when the last answered read of the configuration was sent, by clock, in nanoseconds, 0 before
+	// the first.
+	configRead   atomic.Int64
+	acknowledged atomic.Pointer[ackedBeat]
+	fleetRead    atomic.Bool
+	stopping     atomic.Bool
 	// wake asks for a heartbeat before its time.
 	wake     chan struct{}
 	resigned atomic.Bool
@@ -144,12 +144,6 @@
 	return read != 0 && g.now()-time.Duration(read) <= within
 }
 
-// connected reports whether a heartbeat sent within the duration was acknowledged.
-func (g *Gateway) connected(within time.Duration) bool {
-	sent := g.beatSent.Load()
-	return sent != 0 && g.now()-time.Duration(sent) <= within
-}
-
 // start runs f until the gateway ends.
 func (g *Gateway) start(f func(ctx context.Context)) {
 	g.background.Add(1)
@@ -303,7 +297,7 @@
 
 // readyFreshness is how old the configuration may be at an instance that says it is ready: an instance that
 // cannot reach the log service serves no caller with a key soon after.
-const readyFreshness = 2500 * time.Millisecond
+const readyFreshness = configWait + 1200*time.Millisecond
 
 // ready reports whether the instance should get new connections.
 func (g *Gateway) ready() bool {
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -144,7 +144,7 @@
 // young, so that a new owner never meets those of an old one.
 func (o *owner) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !o.g.connected(ownLease) {
+		if !o.g.mayOrder() {
 			sleep(ctx, leasePause)
 			continue
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
@@ -105,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
 	defer cancel()
 	g.mu.Lock()
-	members := g.members.Live(g.now() - memberSilence)
+	members := g.members.Live(g.now(), quota.Takeover)
 	g.mu.Unlock()
 	counts := make(chan int, len(members))
 	asked := 0
@@ -141,12 +142,12 @@
 // orderable reports whether a worker has an owner that can be asked to load. The lock is held.
 func (g *Gateway) orderable(w *workers.Worker) bool {
 	if g.owners[w.Key()] != nil {
-		return g.connected(ownLease)
+		return g.mayOrder()
 	}
 	claim := g.members.Owner(w.ID)
 	m, ok := g.members.Member(claim.Incarnation)
 	now := g.now()
-	if !ok || m.Beat.Resigned || claim.Incarnation == g.incarnation || now-m.Heard > memberSilence {
+	if !ok || m.Beat.Resigned || claim.Incarnation == g.incarnation || now-m.Heard > quota.Takeover(m.Lease()) {
 		return false
 	}
 	missed, ok := g.missed[claim.Incarnation]
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -19,9 +19,6 @@
 	// remotePenalty is how many requests more a worker of this data centre may have in flight before one of
 	// another is chosen. Bytes between data centres are priced, and a hop costs milliseconds.
 	remotePenalty = 3.0
-	// versionOverlap is how long after a new version was declared the one before is still used where the new
-	// one is not resident yet.
-	versionOverlap = 1500 * time.Millisecond
 	// loadTries is how many workers are asked to load an adapter for one request.
 	loadTries = 3
 )
@@ -206,7 +203,7 @@
 	if !ok {
 		return 0, 0
 	}
-	if g.now()-d.learned < versionOverlap {
+	if g.now()-d.learned < g.settings.Bounds.versionOverlap() {
 		return d.version, d.version - 1
 	}
 	return d.version, d.version
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -44,10 +44,12 @@
 	KeyWithdrawalMS int `json:"key_withdrawal_ms"`
 	// AdapterVersionMS is the time in milliseconds after which no request begins on an older version.
 	AdapterVersionMS int `json:"adapter_version_ms"`
-	// LeaseMS is the time in milliseconds within which two owners must not give orders in turns.
-	LeaseMS int `json:"lease_ms"`
 	// GraceS is the time in seconds from the signal to stop until the process is killed.
 	GraceS float64 `json:"grace_s"`
+	// DrainMS is the time in milliseconds after which a worker that leaves gets no new request.
+	DrainMS int `json:"drain_ms"`
+	// QuotaSlack is by how many units a workspace may exceed its rate over the whole fleet.
+	QuotaSlack float64 `json:"quota_slack"`
 	// RetryRatio, RetrySlack and RetryWindowS bound the extra attempts of the whole fleet to one service.
 	RetryRatio   float64 `json:"retry_ratio"`
 	RetrySlack   float64 `json:"retry_slack"`
@@ -79,7 +81,8 @@
 	need(s.MemoryMB > 0, "memory_mb", "must be positive")
 	need(s.Bounds.KeyWithdrawalMS > 0, "bounds.key_withdrawal_ms", "must be positive")
 	need(s.Bounds.AdapterVersionMS > 0, "bounds.adapter_version_ms", "must be positive")
-	need(s.Bounds.LeaseMS > 0, "bounds.lease_ms", "must be positive")
+	need(s.Bounds.DrainMS > 0, "bounds.drain_ms", "must be positive")
+	need(s.Bounds.QuotaSlack >= 0, "bounds.quota_slack", "must not be negative")
 	need(s.Bounds.GraceS > 0, "bounds.grace_s", "must be positive")
 	need(s.Bounds.RetryWindowS > 0, "bounds.retry_window_s", "must be positive")
 	need(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "must not be negative")
@@ -94,6 +97,18 @@
 	return time.Duration(b.KeyWithdrawalMS) * time.Millisecond
 }
 
-func (b Bounds) lease() time.Duration { return time.Duration(b.LeaseMS) * time.Millisecond }
+// versionOverlap is how long after a new adapter version was declared the one before is still used where the new one
+// is not resident yet. The rest of the bound covers requests that wait.
+func (b Bounds) versionOverlap() time.Duration {
+	const part = 0.3
+	return time.Duration(float64(b.AdapterVersionMS) * part * float64(time.Millisecond))
+}
+
+// workersEvery is the time between reads of the registry: a worker's leaving must be known well within its bound.
+// Workers write about once a second each, so a waiting read would return for every single entry.
+func (b Bounds) workersEvery() time.Duration {
+	const readsPerBound = 2.5
+	return time.Duration(float64(b.DrainMS) / readsPerBound * float64(time.Millisecond))
+}
 
 func (b Bounds) grace() time.Duration { return time.Duration(b.GraceS * float64(time.Second)) }
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -32,6 +32,8 @@
 	// Address is where the instance answers its peers.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
+	// LeaseMS is how long, in milliseconds, the author may act as the owner of its workers on this beat.
+	LeaseMS int64 `json:"lease_ms"`
 	// Demand is what each workspace asked for lately, in its units per second.
 	Demand map[string]float64 `json:"demand,omitempty"`
 	Uses   []Use              `json:"uses,omitempty"`
@@ -184,11 +186,14 @@
 	return *m, true
 }
 
-// Live returns the members heard at the time since or later, sorted by incarnation.
-func (f *Fold) Live(since time.Duration) []Member {
+// Lease returns how long the member's latest beat holds.
+func (m *Member) Lease() time.Duration { return time.Duration(m.Beat.LeaseMS) * time.Millisecond }
+
+// Live returns the members that were heard within the silence that their lease permits, sorted by incarnation.
+func (f *Fold) Live(now time.Duration, silence func(lease time.Duration) time.Duration) []Member {
 	var live []Member
 	for _, m := range f.members {
-		if m.Heard >= since {
+		if now-m.Heard <= silence(m.Lease()) {
 			live = append(live, *m)
 		}
 	}
@@ -198,8 +203,8 @@
 
 // Assignments returns which of the unowned workers each live member should claim: each goes to the member
 // with the fewest workers, so that all members that read the same records choose alike.
-func (f *Fold) Assignments(workerIDs []string, since time.Duration) map[string]string {
-	live := f.Live(since)
+func (f *Fold) Assignments(workerIDs []string, now time.Duration, silence func(lease time.Duration) time.Duration) map[string]string {
+	live := f.Live(now, silence)
 	count := map[string]int{}
 	alive := map[string]bool{}
 	candidates := live[:0]
