--- /dev/null
+++ b/internal/state/routing/table_test.go
@@ -0,0 +1,41 @@
+package routing
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestMatch guards the choice of a route: the longest prefix of the host's routes wins, and nothing else matches.
+func TestMatch(t *testing.T) {
+	table := Compile(Config{Version: 3, Routes: []Route{
+		{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/x/y/z/"},
+	}})
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"}, {"A.example:80", "/x/y/1", "long"}, {"a.example", "/x/y/z/1", "long"},
+		{"a.example", "/x", ""}, {"a.example", "/", ""}, {"c.example", "/x/1", ""},
+	}
+	Convey("routes match", t, func() {
+		for _, c := range cases {
+			name := ""
+			if r, ok := table.Match(c.host, c.path); ok {
+				name = r.Name
+			}
+			So(name, ShouldEqual, c.want)
+		}
+	})
+}
+
+// TestKeys guards the look-up of a workspace by its key.
+func TestKeys(t *testing.T) {
+	Convey("only a key of the configuration leads to a workspace", t, func() {
+		table := Compile(Config{Workspaces: []Workspace{{Name: "one", Keys: []string{"k1", "k2"}}, {Name: "two", Keys: []string{"k3"}}}})
+		w, ok := table.WorkspaceOf("k2")
+		So(ok, ShouldBeTrue)
+		So(w.Name, ShouldEqual, "one")
+		_, ok = table.WorkspaceOf("")
+		So(ok, ShouldBeFalse)
+	})
+}
--- /dev/null
+++ b/internal/state/workers/workers_test.go
@@ -0,0 +1,50 @@
+package workers
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func ready(id string, born int64) Entry {
+	return Entry{ID: id, Worker: &Worker{ID: id, Service: "s", Born: born}}
+}
+
+// TestEntries guards the set of workers: a draining or vanished one gets no work, an unreadable entry names none.
+func TestEntries(t *testing.T) {
+	now := time.Unix(100, 0)
+	Convey("entries change the set", t, func() {
+		r := NewRegistry()
+		So(r.Apply(ready("a", 1), false, now), ShouldBeTrue)
+		So(r.Apply(ready("a", 1), false, now), ShouldBeFalse)
+		So(r.Apply(ready("a", 2), false, now), ShouldBeTrue)
+		So(r.Snapshot().Ready("s"), ShouldHaveLength, 1)
+		leaving := ready("a", 2)
+		leaving.Worker.Draining = true
+		So(r.Apply(leaving, false, now), ShouldBeTrue)
+		So(r.Snapshot().Ready("s"), ShouldBeEmpty)
+		So(r.Apply(Entry{ID: "a"}, false, now), ShouldBeTrue)
+		So(r.Snapshot().All(), ShouldBeEmpty)
+	})
+}
+
+// TestExpiredInOutage guards workers whose entries expired while the registry was away: they stay in use for the time
+// within which live ones are back, and not longer. One that had said that it leaves goes at once.
+func TestExpiredInOutage(t *testing.T) {
+	now := time.Unix(100, 0)
+	Convey("after an outage a missing entry is dropped late", t, func() {
+		r := NewRegistry()
+		r.Apply(ready("a", 1), false, now)
+		r.Apply(ready("b", 1), false, now)
+		leaving := ready("c", 1)
+		leaving.Worker.Draining = true
+		r.Apply(leaving, false, now)
+		r.Replace(nil, true, now)
+		So(r.Snapshot().All(), ShouldHaveLength, 2)
+		r.Apply(ready("a", 1), true, now.Add(time.Second))
+		So(r.Expire(now.Add(absenceGrace)), ShouldBeTrue)
+		So(r.Snapshot().All(), ShouldHaveLength, 1)
+		So(r.Snapshot().All()[0].ID, ShouldEqual, "a")
+	})
+}
