--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -14,7 +14,7 @@
 const (
 	// denialFreshness is how old the configuration may be for an answer that a route or key does not
 	// exist: what came since may hold it.
-	denialFreshness = configWait + time.Second
+	denialFreshness = configAge
 	// keyFreshness is the part of the time for withdrawals within which the configuration must have been
 	// read for a key to be accepted.
 	keyFreshness = 0.7
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -14,7 +14,10 @@
 const (
 	// configWait is how long a read of the configuration waits for a change. Withdrawn keys must be known
 	// within seconds; each read is priced.
-	configWait = 1500 * time.Millisecond
+	configWait = time.Second
+	// configAge is how old the configuration is at most while the log service answers: the last answered read
+	// was sent before it waited, and the next one is still waiting.
+	configAge = 2*configWait + 700*time.Millisecond
 	// retryPause is the time before a failed read is tried again.
 	retryPause = 100 * time.Millisecond
 	// outage is the time without an answered read of the registry after which vanished entries may only
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -19,8 +19,9 @@
 const (
 	// beatRetry is the time after which a heartbeat that was not acknowledged is sent again.
 	beatRetry = 250 * time.Millisecond
-	// beatTimeout bounds one append of a heartbeat.
-	beatTimeout = 900 * time.Millisecond
+	// beatTimeout bounds one append. A heartbeat whose answer is lost is found by the read that follows, and the
+	// next one must be sent before the lease of the one before ends.
+	beatTimeout = 600 * time.Millisecond
 	// maxUses bounds the adapters told in one heartbeat; the most used come first.
 	maxUses = 300
 )
@@ -109,6 +110,8 @@
 	}
 	sent := g.now()
 	g.mu.Lock()
+	permits := ackedBeat{sent: sent, lease: pace.Lease, spend: pace.Spend}
+	g.unread[beat.Number] = permits
 	beat.Uses = g.takeUses()
 	beat.Demand = map[string]float64{}
 	for name, d := range g.demand {
@@ -126,10 +129,30 @@
 	if _, err := g.around.Fleet.Append(ctx, data, external.AnyOffset); err != nil {
 		return err
 	}
-	g.acknowledged.Store(&ackedBeat{sent: sent, lease: pace.Lease, spend: pace.Spend})
+	g.acknowledge(permits)
 	return nil
 }
 
+// acknowledge records that a heartbeat is in the stream.
+func (g *Gateway) acknowledge(b ackedBeat) {
+	if last := g.acknowledged.Load(); last == nil || last.sent < b.sent {
+		g.acknowledged.Store(&b)
+	}
+}
+
+// readBack records that this instance's heartbeat was read from the stream, also when the answer to its append was
+// lost. The lock is held.
+func (g *Gateway) readBack(number int64) {
+	if b, ok := g.unread[number]; ok {
+		g.acknowledge(b)
+	}
+	for n := range g.unread {
+		if n <= number {
+			delete(g.unread, n)
+		}
+	}
+}
+
 // takeUses returns the uses since the last heartbeat, the most frequent first.
 func (g *Gateway) takeUses() []fleetlog.Use {
 	uses := make([]fleetlog.Use, 0, len(g.uses))
@@ -181,7 +204,11 @@
 			continue
 		}
 		beat := g.members.Apply(r.Offset, rec, now)
-		if beat == nil || rec.Incarnation == g.incarnation {
+		if beat == nil {
+			continue
+		}
+		if rec.Incarnation == g.incarnation {
+			g.readBack(beat.Number)
 			continue
 		}
 		g.applyUses(rec.Incarnation, beat.Uses, now)
@@ -339,22 +366,26 @@
 	}
 }
 
-// part returns this instance's part of a workspace's rate. The lock is held.
+// part returns this instance's part of a workspace's rate, from the demand that all instances told in the stream. Its
+// own demand counts as it was told, not as it is now: otherwise the parts of instances whose demand rises together
+// would add up to more than the whole. The lock is held.
 func (g *Gateway) part(workspace string, now time.Duration) float64 {
 	if !g.fleetRead.Load() {
 		return 0
 	}
-	own := 0.0
-	if d := g.demand[workspace]; d != nil {
-		own = d.Rate(now)
-	}
-	all, n := own, 1
+	own, all, n := 0.0, 0.0, 0
+	seen := false
 	for _, m := range g.members.Live(now, quota.Reassign) {
-		if m.Incarnation != g.incarnation {
-			all += m.Beat.Demand[workspace]
-			n++
+		d := m.Beat.Demand[workspace]
+		all += d
+		n++
+		if m.Incarnation == g.incarnation {
+			own, seen = d, true
 		}
 	}
+	if !seen {
+		return 0
+	}
 	g.live = n
 	return quota.Part(own, all, n)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,8 @@
 	// missed is when the owner of a worker could last not be reached, by incarnation.
 	missed map[string]time.Duration
 	beats  int64
+	// unread are the heartbeats that were not read back from the stream yet, by number.
+	unread map[int64]ackedBeat
 	live   int
 }
 
@@ -119,7 +121,7 @@
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
-		spreading: map[useKey]bool{}, missed: map[string]time.Duration{}, live: 1,
+		spreading: map[useKey]bool{}, missed: map[string]time.Duration{}, unread: map[int64]ackedBeat{}, live: 1,
 	}
 	g.lifetime, g.end = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
@@ -297,7 +299,7 @@
 
 // readyFreshness is how old the configuration may be at an instance that says it is ready: an instance that
 // cannot reach the log service serves no caller with a key soon after.
-const readyFreshness = configWait + 1200*time.Millisecond
+const readyFreshness = configAge
 
 // ready reports whether the instance should get new connections.
 func (g *Gateway) ready() bool {
