gateway: refuse a request that crashes each worker that runs it

Such a request comes again at any instance, and each run costs a worker. Broken runs are told in heartbeats by a short fingerprint; the second makes the instance look whether the worker's process is gone, and after three, one of them seen gone, the request is refused.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -113,6 +113,7 @@
 	permits := ackedBeat{sent: sent, lease: pace.Lease, spend: pace.Spend}
 	g.unread[beat.Number] = permits
 	beat.Uses = g.takeUses()
+	beat.Broken, g.broken = g.broken, nil
 	beat.Demand = map[string]float64{}
 	for name, d := range g.demand {
 		if r := d.Rate(sent); r >= 1 {
@@ -212,6 +213,9 @@
 			continue
 		}
 		g.applyUses(rec.Incarnation, beat.Uses, now)
+		for _, b := range beat.Broken {
+			g.crashes.Add(b, now)
+		}
 	}
 	g.dropLostOwners()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,10 @@
 	// spreading holds the further copies that are being loaded.
 	spreading map[useKey]bool
 	// missed is when the owner of a worker could last not be reached, by incarnation.
-	missed map[string]time.Duration
+	missed  map[string]time.Duration
+	crashes *retry.Crashes
+	// broken are the broken runs to tell in the next heartbeat.
+	broken []fleetlog.Broken
 	beats  int64
 	// unread are the heartbeats that were not read back from the stream yet, by number.
 	unread map[int64]ackedBeat
@@ -121,7 +124,7 @@
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
-		spreading: map[useKey]bool{}, missed: map[string]time.Duration{}, unread: map[int64]ackedBeat{}, live: 1,
+		spreading: map[useKey]bool{}, missed: map[string]time.Duration{}, unread: map[int64]ackedBeat{}, crashes: retry.NewCrashes(), live: 1,
 	}
 	g.lifetime, g.end = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -30,11 +30,16 @@
 func (p *placement) Place(ctx context.Context, j *forward.Job) (forward.Lease, error) {
 	g := (*Gateway)(p)
 	t := g.table.Load()
-	if j.Service == "" {
+	first := j.Service == ""
+	g.mu.Lock()
+	if first {
 		j.Service = chooseService(j.Route)
-		g.mu.Lock()
 		g.budget(j.Service).Request(g.now())
-		g.mu.Unlock()
+	}
+	crashes := g.refusesCrash(j)
+	g.mu.Unlock()
+	if crashes {
+		return forward.Lease{}, refuse(http.StatusServiceUnavailable, "crashes_workers", "the request has crashed several backend servers", 0)
 	}
 	s, ok := t.Service(j.Service)
 	if !ok {
@@ -149,8 +154,7 @@
 	if a.Name != "" {
 		g.useBegan(k, a)
 	}
-	service := j.Service
-	return forward.Lease{Worker: w, Version: version, Done: func(o forward.Outcome) { g.attemptEnded(service, k, a, o) }}
+	return forward.Lease{Worker: w, Version: version, Done: func(o forward.Outcome) { g.attemptEnded(j, w, a, o) }}
 }
 
 // useBegan counts a request for an adapter. The lock is held.
@@ -179,9 +183,13 @@
 	}
 }
 
-func (g *Gateway) attemptEnded(service string, k workers.Key, a residency.Adapter, o forward.Outcome) {
+func (g *Gateway) attemptEnded(j *forward.Job, w *workers.Worker, a residency.Adapter, o forward.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	k := w.Key()
+	if o == forward.Broken {
+		g.runBroke(j, w)
+	}
 	g.inFlight[k]--
 	if a.Name != "" {
 		g.useEnded(k, a)
@@ -189,7 +197,7 @@
 	if o == forward.Absent && a.Model != "" {
 		g.beliefs.Learn(k, a, 0, false, g.now())
 	}
-	e := g.ejectors[service]
+	e := g.ejectors[j.Service]
 	if e == nil || o == forward.Abandoned || o == forward.Full || o == forward.Absent {
 		return
 	}
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -25,6 +25,16 @@
 	Running int `json:"r,omitempty"`
 }
 
+// Broken tells that a run of a request broke off at a worker incarnation.
+type Broken struct {
+	// Request is a short form of the request's fingerprint.
+	Request string `json:"f"`
+	// Worker names the incarnation.
+	Worker string `json:"w"`
+	// Crashed says that the worker was seen to be gone right after.
+	Crashed bool `json:"c,omitempty"`
+}
+
 // Beat is the heartbeat of an instance.
 type Beat struct {
 	// Number rises with each beat of an incarnation, so that a beat that was appended late is recognised.
@@ -37,8 +47,8 @@
 	// Demand is what each workspace asked for lately, in its units per second.
 	Demand map[string]float64 `json:"demand,omitempty"`
 	Uses   []Use              `json:"uses,omitempty"`
-	// Blames are hashes of requests that were running on workers when these crashed.
-	Blames []string `json:"blames,omitempty"`
+	// Broken are runs of requests that broke off since the beat before.
+	Broken []Broken `json:"broken,omitempty"`
 	// Resigned gives up the incarnation's workers, which others then claim at once.
 	Resigned bool `json:"resigned,omitempty"`
 	// Leaving ends the membership of the incarnation.
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -102,6 +102,16 @@
 	}
 }
 
+// Refused reports whether nothing listens at the worker's address: its process is gone.
+func (p *Pool) Refused(ctx context.Context, w *workers.Worker) bool {
+	c, err := p.dial(ctx, w)
+	if err == nil {
+		closeQuietly(c.Conn)
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (p *Pool) pop(k workers.Key) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
