--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -22,6 +22,8 @@
 	// beatTimeout bounds one append. A heartbeat whose answer is lost is found by the read that follows, and the
 	// next one must be sent before the lease of the one before ends.
 	beatTimeout = 600 * time.Millisecond
+	// startSpread is the time over which instances that start together send their first heartbeat.
+	startSpread = 100 * time.Millisecond
 	// maxUses bounds the adapters told in one heartbeat; the most used come first.
 	maxUses = 300
 )
@@ -30,8 +32,10 @@
 func (g *Gateway) followFleet(ctx context.Context) error {
 	d := dependency{name: "fleet"}
 	next := int64(0)
-	// Instances that start together would otherwise call the log service at the same moments.
-	sleep(ctx, time.Duration(rand.Int64N(int64(g.pace().Beat))))
+	// Instances that start together would otherwise call the log service at the same moments. The first heartbeat
+	// is sent soon, since nothing is served before it; the second one spreads them out.
+	sleep(ctx, time.Duration(rand.Int64N(int64(startSpread))))
+	spread := time.Duration(rand.Int64N(int64(g.pace().Beat)))
 	for ctx.Err() == nil {
 		began := time.Now()
 		beatErr := g.beat(ctx)
@@ -43,7 +47,8 @@
 			next = g.claimFree(ctx, next)
 		}
 		g.rebalance()
-		pause := g.pace().Beat - time.Since(began)
+		pause := g.pace().Beat - time.Since(began) - spread
+		spread = 0
 		if beatErr != nil {
 			pause = beatRetry
 		}
