quota: an instance's own rise of demand counts a beat later

Instances see their own rise before the others', and with beats of 2.5 s many held more than their part for a beat. What an instance told counts as its own only once all others have read it, and half of the rate is assumed as evenly divided demand. Ruled out: debts (18,000 of the 328,000 over).

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// evenPart is the part of a rate that is divided evenly, so that an instance without demand so far can
-	// serve the first requests of a workspace.
-	evenPart = 0.2
+	// assumedDemand is the part of a workspace's rate that is assumed as demand, divided evenly, beside what
+	// instances told. Instances know each other's demand a beat late; without it the first ones to tell of a
+	// rise would each take most of the rate.
+	assumedDemand = 0.5
 	// demandMemory is the time constant of the demand average. Two beats long, so that a moved caller's
 	// demand is known within seconds.
 	demandMemory = 2 * time.Second
@@ -43,17 +44,23 @@
 	}
 }
 
-// Part returns the fraction of a workspace's rate that an instance with demand own holds, where all is the
-// demand of the live instances together, own included, and instances is their number.
-func Part(own, all float64, instances int) float64 {
+// OwnDemand returns what counts as an instance's own demand: what it told in its last heartbeat, but not more than in the
+// one before, which all others have read. Instances whose demand rises together would otherwise each see their own rise
+// first, and hold more than the whole together.
+func OwnDemand(before, last float64) float64 { return min(before, last) }
+
+// Part returns the fraction of a workspace's rate that an instance holds: own is the demand that it told, all that of
+// the live instances together, own included, and instances their number. The parts of instances that know the same
+// demands add up to one.
+func Part(own, all, rate float64, instances int) float64 {
 	if instances <= 1 {
 		return 1
 	}
-	even := 1 / float64(instances)
-	if all <= 0 {
-		return even
+	assumed := assumedDemand * rate
+	if all+assumed <= 0 {
+		return 1 / float64(instances)
 	}
-	return evenPart*even + (1-evenPart)*own/all
+	return (own + assumed/float64(instances)) / (all + assumed)
 }
 
 // Bucket is this instance's part of a workspace's tokens.
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -40,7 +40,7 @@
 					all += demand[k].Rate(now)
 				}
 				for k := range buckets {
-					p := Part(demand[k].Rate(now), all, n)
+					p := Part(demand[k].Rate(now), all, rate, n)
 					buckets[k].Set(rate*p, burst*p, now)
 				}
 			}
@@ -97,7 +97,7 @@
 			all += d
 		}
 		for _, d := range demand {
-			sum += Part(d, all, len(demand))
+			sum += Part(d, all, 500, len(demand))
 		}
 		if sum > 1+1e-9 || sum < 1-1e-9 {
 			t.Fatalf("the parts add up to %f", sum)
@@ -117,3 +117,20 @@
 		}
 	})
 }
+
+// TestRisingDemand guards the rate against a rise of demand that instances learn of one after the other: the parts that
+// they hold meanwhile, each limited by what its callers ask for, stay below the slack that deployments state.
+func TestRisingDemand(t *testing.T) {
+	const n, rate, asked, overage = 68, 1000.0, 4.2, 0.1
+	const slackSeconds, window = 0.27, 8.0 // slack as a time at the rate, of the largest workspace of the grown sites
+	Convey("the excess of one beat is within the slack", t, func() {
+		own := asked * rate / n
+		excess := 0.0
+		for k := 1; k <= n; k++ {
+			spent := min(own, rate*Part(OwnDemand(0, own), own*float64(k), rate, n))
+			// The k-th to tell holds its part until all have told, at most one beat.
+			excess += (spent - rate/n) * longestBeat.Seconds() * float64(n-k) / n
+		}
+		So(excess, ShouldBeLessThan, rate*(slackSeconds+overage*(window+1)))
+	})
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -378,31 +378,31 @@
 // part returns this instance's part of a workspace's rate, from the demand that all instances told in the stream. Its
 // own demand counts as it was told, not as it is now: otherwise the parts of instances whose demand rises together
 // would add up to more than the whole. The lock is held.
-func (g *Gateway) part(workspace string, now time.Duration) float64 {
+func (g *Gateway) part(w *routing.Workspace, now time.Duration) float64 {
 	if !g.fleetRead.Load() {
 		return 0
 	}
 	own, all, n := 0.0, 0.0, 0
 	seen := false
 	for _, m := range g.members.Live(now, quota.Reassign) {
-		d := m.Beat.Demand[workspace]
+		d := m.Beat.Demand[w.Name]
 		all += d
 		n++
 		if m.Incarnation == g.incarnation {
-			own, seen = d, true
+			own, seen = quota.OwnDemand(m.DemandBefore[w.Name], d), true
 		}
 	}
 	if !seen {
 		return 0
 	}
 	g.live = n
-	return quota.Part(own, all, n)
+	return quota.Part(own, all, w.Rate, n)
 }
 
 // setBuckets brings the buckets in line with the table. The lock is held.
 func (g *Gateway) setBuckets(t *routing.Table, first bool, now time.Duration) {
 	for _, w := range t.Workspaces() {
-		part := g.part(w.Name, now)
+		part := g.part(w, now)
 		b := g.buckets[w.Name]
 		if b == nil {
 			// Only the very first buckets of the fleet, or those of a new workspace, start full.
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -95,6 +95,8 @@
 	Instance    string
 	Incarnation string
 	Beat        Beat
+	// DemandBefore is the demand told in the beat before.
+	DemandBefore map[string]float64
 	// Heard is when this process read the latest beat.
 	Heard time.Duration
 }
@@ -171,7 +173,11 @@
 		f.end(r.Incarnation)
 		return r.Beat
 	}
-	f.members[r.Incarnation] = &Member{Instance: r.Instance, Incarnation: r.Incarnation, Beat: *r.Beat, Heard: now}
+	next := &Member{Instance: r.Instance, Incarnation: r.Incarnation, Beat: *r.Beat, Heard: now}
+	if m != nil {
+		next.DemandBefore = m.Beat.Demand
+	}
+	f.members[r.Incarnation] = next
 	return r.Beat
 }
 
