--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -23,7 +23,7 @@
 	// debtShare is the part of the quota's slack that instances may together be in debt with. A part of a rate
 	// is small beside one request when there are many instances, and a request must not be refused because
 	// its tokens lie at another instance.
-	debtShare = 0.35
+	debtShare = 0.5
 	// retryShare is the part of the fleet's retry budget that instances use together. The rest covers
 	// instances that do not know of each other yet.
 	retryShare = 0.7
