--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -39,15 +39,20 @@
 
 // Take takes one extra attempt, or returns false.
 func (b *WindowBudget) Take(now time.Duration) bool {
-	i := b.advance(now)
+	if !b.Spare(now) {
+		return false
+	}
+	b.extras[b.advance(now)]++
+	return true
+}
+
+// Spare reports whether an extra attempt could be taken now.
+func (b *WindowBudget) Spare(now time.Duration) bool {
+	b.advance(now)
 	var requests, extras float64
 	for k := range b.requests {
 		requests += b.requests[k]
 		extras += b.extras[k]
 	}
-	if extras+1 > b.ratio*requests+b.slack {
-		return false
-	}
-	b.extras[i]++
-	return true
+	return extras+1 <= b.ratio*requests+b.slack
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -132,6 +132,14 @@
 	return g.budget(j.Service).Take(g.now())
 }
 
+// Spare implements forward.Admission.
+func (m *admission) Spare(j *forward.Job) bool {
+	g := (*Gateway)(m)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(j.Service).Spare(g.now())
+}
+
 // budget returns the retry budget of a service. The lock is held.
 func (g *Gateway) budget(service string) *retry.WindowBudget {
 	b := g.budgets[service]
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -107,7 +107,7 @@
 // workersEvery is the time between reads of the registry: a worker's leaving must be known well within its bound.
 // Workers write about once a second each, so a waiting read would return for every single entry.
 func (b Bounds) workersEvery() time.Duration {
-	const readsPerBound = 2.5
+	const readsPerBound = 2
 	return time.Duration(float64(b.DrainMS) / readsPerBound * float64(time.Millisecond))
 }
 
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -35,6 +35,9 @@
 	// extraRejections is how many workers may reject a request without running it, beyond the attempts that
 	// the route allows.
 	extraRejections = 3
+	// silencePatience is how many times the route's target latency an idempotent request waits for a silent worker
+	// before it is sent to another one.
+	silencePatience = 2
 	// comeBack is what a caller is told to wait after a refusal that a moment may cure.
 	comeBack = 200 * time.Millisecond
 )
@@ -107,6 +110,8 @@
 	Refund(j *Job)
 	// Extra takes one extra attempt for the job from the fleet's budget.
 	Extra(j *Job) bool
+	// Spare reports whether Extra would succeed now.
+	Spare(j *Job) bool
 	// BodyLimit is the largest body in bytes; 0 if there is none in force.
 	BodyLimit() int64
 }
@@ -299,7 +304,7 @@
 		Deadline: left, WorkerID: lease.Worker.ID, Workspace: workspace, Version: lease.Version,
 		Priority: priority, LastEventID: c.lastID,
 	})
-	options := upstream.Options{Deadline: c.job.Deadline}
+	options := upstream.Options{Deadline: c.attemptDeadline()}
 	if !c.job.Route.Repeatable() {
 		options.MaxIdle = upstream.UnrepeatableIdle
 	}
@@ -320,6 +325,18 @@
 	return c.receive(answer)
 }
 
+// attemptDeadline is when the wait for a worker ends. An idempotent request leaves time for a further attempt if the
+// route and the budget allow one: the worker may hang.
+func (c *call) attemptDeadline() time.Time {
+	r := c.job.Route
+	further := r.Kind == routing.Idempotent && r.TargetLatency > 0 && len(c.job.Tried)+1 < r.MaxAttempts
+	early := time.Now().Add(silencePatience * r.TargetLatency)
+	if further && early.Before(c.job.Deadline) && c.server.Admission.Spare(c.job) {
+		return early
+	}
+	return c.job.Deadline
+}
+
 // receive judges a worker's answer and passes it on.
 func (c *call) receive(a *upstream.Answer) error {
 	said := c.server.Headers.Answer(a.StatusCode, a.Header)
