--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -11,24 +11,31 @@
 	// assumedDemand is the part of a workspace's rate that is assumed as demand, divided evenly, beside what
 	// instances told. Instances know each other's demand a beat late; without it the first ones to tell of a
 	// rise would each take most of the rate.
-	assumedDemand = 0.5
-	// demandMemory is the time constant of the demand average. Two beats long, so that a moved caller's
-	// demand is known within seconds.
-	demandMemory = 2 * time.Second
+	assumedDemand = 0.2
+	// demandMemory is the time constant of the demand average, in heartbeats: a moved caller's demand is known soon,
+	// and in a large fleet, where an instance sees a workspace's requests one by one, it does not jump with each.
+	demandMemory = 2
 	// longestWait bounds the time to come back that a refused caller is told.
 	longestWait = 2 * time.Second
 )
 
 // Demand is a decayed rate in units per second.
 type Demand struct {
-	rate float64
-	last time.Duration
+	rate   float64
+	last   time.Duration
+	memory time.Duration
 }
 
+// NewDemand returns a rate of zero. The beat is the time between heartbeats.
+func NewDemand(beat time.Duration) *Demand { return &Demand{memory: demandMemory * beat} }
+
+// SetBeat changes the time between heartbeats.
+func (d *Demand) SetBeat(beat time.Duration) { d.memory = demandMemory * beat }
+
 // Add counts units asked for.
 func (d *Demand) Add(units float64, now time.Duration) {
 	d.decay(now)
-	d.rate += units / demandMemory.Seconds()
+	d.rate += units / d.memory.Seconds()
 }
 
 // Rate returns the units per second asked for lately.
@@ -39,15 +46,18 @@
 
 func (d *Demand) decay(now time.Duration) {
 	if passed := now - d.last; passed > 0 {
-		d.rate *= math.Exp(-passed.Seconds() / demandMemory.Seconds())
+		d.rate *= math.Exp(-passed.Seconds() / d.memory.Seconds())
 		d.last = now
 	}
 }
 
-// OwnDemand returns what counts as an instance's own demand: what it told in its last heartbeat, but not more than in the
-// one before, which all others have read. Instances whose demand rises together would otherwise each see their own rise
-// first, and hold more than the whole together.
-func OwnDemand(before, last float64) float64 { return min(before, last) }
+// newsWeight is how much an instance's latest demand counts against the one told a beat before.
+const newsWeight = 0.4
+
+// OwnDemand returns what counts as an instance's own demand, from what it told in its last two heartbeats. All others
+// have read the earlier one. If the last one counted in full, instances whose demand rises together would each see their
+// own rise first, and hold more than the whole together.
+func OwnDemand(before, last float64) float64 { return before + newsWeight*(last-before) }
 
 // Part returns the fraction of a workspace's rate that an instance holds: own is the demand that it told, all that of
 // the live instances together, own included, and instances their number. The parts of instances that know the same
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -15,8 +15,9 @@
 		const rate, burst, allowance, largest = 1000.0, 1000.0, 50.0, 200.0
 		n := rapid.IntRange(1, 6).Draw(t, "instances")
 		buckets := make([]*Bucket, n)
-		demand := make([]Demand, n)
+		demand := make([]*Demand, n)
 		for i := range buckets {
+			demand[i] = NewDemand(time.Second)
 			buckets[i] = NewBucket(rate/float64(n), burst/float64(n), true, 0)
 			buckets[i].Set(rate/float64(n), burst/float64(n), 0)
 		}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -93,7 +93,7 @@
 	g.mu.Lock()
 	d := g.demand[w.Name]
 	if d == nil {
-		d = &quota.Demand{}
+		d = quota.NewDemand(quota.NewPace(g.live).Beat)
 		g.demand[w.Name] = d
 	}
 	d.Add(units, now)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -121,6 +121,7 @@
 	beat.Broken, g.broken = g.broken, nil
 	beat.Demand = map[string]float64{}
 	for name, d := range g.demand {
+		d.SetBeat(pace.Beat)
 		if r := d.Rate(sent); r >= 1 {
 			beat.Demand[name] = float64(int64(r))
 		}
