--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -221,7 +221,7 @@
 		}
 		v := verdict.Of(err)
 		if c.stop(ctx) {
-			return c.timedOut(ctx, v, ran > 0)
+			return c.timedOut(v, ran > 0)
 		}
 		if v.Verdict != verdict.NotRun {
 			ran++
@@ -251,18 +251,19 @@
 }
 
 // asRun turns a refusal into one that promises nothing if an earlier attempt may have run.
-func (c *call) asRun(v *verdict.Error, ran bool) error {
+func (c *call) asRun(v *verdict.Error, ran bool) *verdict.Error {
 	if !ran || v.Verdict != verdict.NotRun {
 		return v
 	}
 	return verdict.Wrap(v, verdict.MayHaveRun, http.StatusBadGateway, v.Code, v.Message)
 }
 
-func (c *call) timedOut(ctx context.Context, v *verdict.Error, ran bool) error {
+func (c *call) timedOut(v *verdict.Error, ran bool) error {
+	if c.r.Context().Err() != nil {
+		// Nobody gets the answer; the log must not call it a time-out.
+		return verdict.Wrap(v, c.asRun(v, ran).Verdict, http.StatusGatewayTimeout, "caller_left", "the caller left before its answer")
+	}
 	if v.Verdict == verdict.NotRun && !ran {
-		if c.r.Context().Err() != nil {
-			return v
-		}
 		return verdict.Wrap(v, verdict.NotRun, http.StatusServiceUnavailable, "timed_out_unsent", "no backend server took the request in time").WithRetryAfter(comeBack)
 	}
 	return verdict.Wrap(v, verdict.MayHaveRun, http.StatusGatewayTimeout, "timed_out", "no complete answer came in time")
