--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -43,18 +43,30 @@
 	d.lost = err != nil
 }
 
-// followConfig keeps the configuration in force. Versions never go back.
-func (g *Gateway) followConfig(ctx context.Context) error {
-	d := dependency{name: "config"}
+// feed is a source that is loaded once and then followed.
+type feed[T any] struct {
+	name    string
+	load    func(ctx context.Context) (T, int64, error)
+	changes func(ctx context.Context, from int64) (T, int64, error)
+	// apply gets what was read, whether it is a load, and when the read was sent.
+	apply func(v T, snapshot bool, sent time.Duration)
+	// pause is the time between reads.
+	pause time.Duration
+}
+
+// follow reads a feed until ctx ends, and loads it anew when its history has expired.
+func follow[T any](ctx context.Context, g *Gateway, f feed[T]) error {
+	d := dependency{name: f.name}
 	next, loaded := int64(0), false
 	for ctx.Err() == nil {
 		sent := g.now()
-		var u external.Update
+		var v T
 		var err error
+		snapshot := !loaded
 		if loaded {
-			u, next, err = g.around.Config.Changes(ctx, next, configWait)
+			v, next, err = f.changes(ctx, next)
 		} else {
-			u, next, err = g.around.Config.Load(ctx)
+			v, next, err = f.load(ctx)
 		}
 		if errors.Is(err, external.ErrExpired) {
 			loaded = false
@@ -66,15 +78,27 @@
 			continue
 		}
 		loaded = true
-		g.applyUpdate(u)
-		g.configRead.Store(int64(sent))
-		if g.table.Load() == nil {
-			sleep(ctx, retryPause)
-		}
+		f.apply(v, snapshot, sent)
+		sleep(ctx, f.pause)
 	}
 	return ctx.Err()
 }
 
+// followConfig keeps the configuration in force. Versions never go back.
+func (g *Gateway) followConfig(ctx context.Context) error {
+	return follow(ctx, g, feed[external.Update]{
+		name: "config",
+		load: g.around.Config.Load,
+		changes: func(ctx context.Context, from int64) (external.Update, int64, error) {
+			return g.around.Config.Changes(ctx, from, configWait)
+		},
+		apply: func(u external.Update, _ bool, sent time.Duration) {
+			g.applyUpdate(u)
+			g.configRead.Store(int64(sent))
+		},
+	})
+}
+
 func (g *Gateway) applyUpdate(u external.Update) {
 	now := g.now()
 	if u.Config != nil {
@@ -114,37 +138,23 @@
 
 // followWorkers keeps the set of workers.
 func (g *Gateway) followWorkers(ctx context.Context) error {
-	d := dependency{name: "workers"}
-	next, loaded := int64(0), false
 	answered, recovered := g.now(), time.Duration(0)
-	for ctx.Err() == nil {
-		var entries []workers.Entry
-		var err error
-		snapshot := !loaded
-		if loaded {
-			entries, next, err = g.around.Workers.Changes(ctx, next, 0)
-		} else {
-			entries, next, err = g.around.Workers.Load(ctx)
-		}
-		if errors.Is(err, external.ErrExpired) {
-			loaded = false
-			continue
-		}
-		g.observe(&d, err)
-		if err != nil {
-			sleep(ctx, retryPause)
-			continue
-		}
-		loaded = true
-		now := g.now()
-		if now-answered > outage {
-			recovered = now
-		}
-		answered = now
-		g.applyEntries(entries, snapshot, recovered > 0 && now-recovered < afterOutage)
-		sleep(ctx, g.settings.Bounds.workersEvery())
-	}
-	return ctx.Err()
+	return follow(ctx, g, feed[[]workers.Entry]{
+		name: "workers",
+		load: g.around.Workers.Load,
+		changes: func(ctx context.Context, from int64) ([]workers.Entry, int64, error) {
+			return g.around.Workers.Changes(ctx, from, 0)
+		},
+		apply: func(entries []workers.Entry, snapshot bool, _ time.Duration) {
+			now := g.now()
+			if now-answered > outage {
+				recovered = now
+			}
+			answered = now
+			g.applyEntries(entries, snapshot, recovered > 0 && now-recovered < afterOutage)
+		},
+		pause: g.settings.Bounds.workersEvery(),
+	})
 }
 
 func (g *Gateway) applyEntries(entries []workers.Entry, snapshot, uncertain bool) {
