residency: forget the running requests of instances that ended

Cause: what a killed instance had last told as running stayed counted, so its adapters could never be evicted by an owner that lived on, and places were lost with each kill. Found by reading. TestDeadInstanceFreesAdapters does not compile before the change; without the call the adapter stays.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -211,6 +211,17 @@
 	}
 }
 
+// RetainInstances drops what instances told for which keep returns false.
+func (o *Owner) RetainInstances(keep func(instance string) bool) {
+	for _, s := range o.slots {
+		for instance := range s.running {
+			if !keep(instance) {
+				delete(s.running, instance)
+			}
+		}
+	}
+}
+
 // Began and Ended count a request of this instance.
 func (o *Owner) Began(a Adapter, instance string, now time.Duration) {
 	if s := o.slots[a]; s != nil {
--- a/internal/coordination/residency/owner_test.go
+++ b/internal/coordination/residency/owner_test.go
@@ -243,3 +243,17 @@
 		So(holds, ShouldBeFalse)
 	})
 }
+
+// TestDeadInstanceFreesAdapters guards places against requests of instances that ended: what they told as running must
+// not keep an adapter for good.
+func TestDeadInstanceFreesAdapters(t *testing.T) {
+	Convey("the counts of an ended instance are dropped", t, func() {
+		o := syncedOwner(1)
+		o.Sync(Snapshot{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1}}, 0)
+		o.Running("dead", map[Adapter]int{adapterN(1): 2}, 0)
+		o.Want(adapterN(3), 0, 3*time.Second)
+		So(o.Next(3*time.Second).Step, ShouldEqual, StepNone)
+		o.RetainInstances(func(instance string) bool { return instance != "dead" })
+		So(nextUnload(o, 3*time.Second).Step, ShouldEqual, StepUnload)
+	})
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -224,6 +224,13 @@
 		}
 	}
 	g.dropLostOwners()
+	live := map[string]bool{g.incarnation: true}
+	for _, m := range g.members.Live(now, quota.Reassign) {
+		live[m.Incarnation] = true
+	}
+	for _, o := range g.owners {
+		o.retainInstances(func(incarnation string) bool { return live[incarnation] })
+	}
 }
 
 // applyUses records what another instance told of its requests. The lock is held.
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -81,6 +81,12 @@
 	o.state.Running(instance, running, now)
 }
 
+func (o *owner) retainInstances(keep func(incarnation string) bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.RetainInstances(keep)
+}
+
 func (o *owner) began(a residency.Adapter, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
