--- a/internal/state/workers/workers_test.go
+++ b/internal/state/workers/workers_test.go
@@ -48,3 +48,16 @@
 		So(r.Snapshot().All()[0].ID, ShouldEqual, "a")
 	})
 }
+
+// TestRemovedAfterOutage guards workers whose entries are removed just after an outage of the registry: live ones are
+// back within two seconds of its return, so one that is still missing then is gone, whenever its removal was read.
+func TestRemovedAfterOutage(t *testing.T) {
+	Convey("the grace ends two seconds after the registry's return", t, func() {
+		returned := time.Unix(100, 0)
+		r := NewRegistry()
+		r.Apply(ready("a", 1), false, returned)
+		r.Apply(Entry{ID: "a"}, true, returned.Add(1500*time.Millisecond))
+		r.Expire(returned.Add(2 * time.Second))
+		So(r.Snapshot().Ready("s"), ShouldBeEmpty)
+	})
+}
