workers: a removal after an outage counts from the registry's return

Live workers are back within two seconds of the return, so the grace now ends then, and by a timer: the next read may be late or lost.

TestRemovedAfterOutage was known red and passes; its calls, and those of the two tests beside it, pass the time of the return in place of a flag, with the same times and results expected, and the timer's time is checked too. TestLeavingAfterOutage plays it through a gateway; on the code before, 2 requests of 6 reach the worker after the bound.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -23,8 +23,6 @@
 	// outage is the time without an answered read of the registry after which vanished entries may only
 	// have expired.
 	outage = 2 * time.Second
-	// afterOutage is how long after an outage that still holds.
-	afterOutage = 2 * time.Second
 )
 
 // dependency logs when a feed is lost and regained.
@@ -138,7 +136,8 @@
 
 // followWorkers keeps the set of workers.
 func (g *Gateway) followWorkers(ctx context.Context) error {
-	answered, recovered := g.now(), time.Duration(0)
+	answered := g.now()
+	var returned time.Time
 	return follow(ctx, g, feed[[]workers.Entry]{
 		name: "workers",
 		load: g.around.Workers.Load,
@@ -148,25 +147,25 @@
 		apply: func(entries []workers.Entry, snapshot bool, _ time.Duration) {
 			now := g.now()
 			if now-answered > outage {
-				recovered = now
+				returned = time.Now()
 			}
 			answered = now
-			g.applyEntries(entries, snapshot, recovered > 0 && now-recovered < afterOutage)
+			g.applyEntries(entries, snapshot, returned)
 		},
 		pause: g.settings.Bounds.workersEvery(),
 	})
 }
 
-func (g *Gateway) applyEntries(entries []workers.Entry, snapshot, uncertain bool) {
+func (g *Gateway) applyEntries(entries []workers.Entry, snapshot bool, returned time.Time) {
 	wall, now := time.Now(), g.now()
 	g.mu.Lock()
 	changed := false
 	if snapshot {
-		g.known.Replace(entries, uncertain, wall)
+		g.known.Replace(entries, returned, wall)
 		changed = true
 	}
 	for _, e := range entries {
-		if !snapshot && g.known.Apply(e, uncertain, wall) {
+		if !snapshot && g.known.Apply(e, returned, wall) {
 			changed = true
 			g.logEntry(e)
 		}
@@ -174,6 +173,20 @@
 			g.beliefs.Entry(e.Worker, now)
 		}
 	}
+	set := g.publishWorkers(changed, wall)
+	next, pending := g.known.NextExpiry()
+	g.mu.Unlock()
+	if pending {
+		// The next read of the registry may be late or lost.
+		time.AfterFunc(next.Sub(wall), g.expireWorkers)
+	}
+	if changed {
+		g.log.Info().Int("workers", len(set.All())).Time("registry_returned", returned).Msg("workers changed")
+	}
+}
+
+// publishWorkers makes the registry's workers the ones in use. The lock is held.
+func (g *Gateway) publishWorkers(changed bool, wall time.Time) *workers.Set {
 	changed = g.known.Expire(wall) || changed
 	set := g.known.Snapshot()
 	if changed {
@@ -183,10 +196,15 @@
 	if changed {
 		g.dropLostOwners()
 	}
+	return set
+}
+
+// expireWorkers drops the workers whose entries did not come back after an outage.
+func (g *Gateway) expireWorkers() {
+	g.mu.Lock()
+	set := g.publishWorkers(false, time.Now())
 	g.mu.Unlock()
-	if changed {
-		g.log.Info().Int("workers", len(set.All())).Bool("uncertain", uncertain).Msg("workers changed")
-	}
+	g.log.Info().Int("workers", len(set.All())).Msg("entries that did not come back are dropped")
 }
 
 func (g *Gateway) logEntry(e workers.Entry) {
--- a/internal/state/workers/workers.go
+++ b/internal/state/workers/workers.go
@@ -72,9 +72,10 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry { return &Registry{workers: map[string]*known{}} }
 
-// Apply applies one change. After an outage of the registry, afterOutage keeps removed workers for a short
-// time, since their entries may only have expired. It reports whether the set of usable workers changed.
-func (r *Registry) Apply(e Entry, afterOutage bool, now time.Time) bool {
+// Apply applies one change. The entry of a worker that is removed shortly after the registry's return from an outage
+// may only have expired, so the worker stays until the time within which live ones are back is over, and not longer.
+// The return is zero if there was no outage. It reports whether the set of usable workers changed.
+func (r *Registry) Apply(e Entry, returned, now time.Time) bool {
 	old := r.workers[e.ID]
 	if e.Worker != nil {
 		r.workers[e.ID] = &known{worker: e.Worker}
@@ -83,10 +84,8 @@
 	if old == nil {
 		return false
 	}
-	if afterOutage && !old.worker.Draining {
-		if old.goneAt.IsZero() {
-			old.goneAt = now.Add(absenceGrace)
-		}
+	if gone := returned.Add(absenceGrace); !returned.IsZero() && now.Before(gone) && !old.worker.Draining {
+		old.goneAt = gone
 		return false
 	}
 	delete(r.workers, e.ID)
@@ -94,17 +93,28 @@
 }
 
 // Replace sets the whole registry, as read from a snapshot of it.
-func (r *Registry) Replace(entries []Entry, afterOutage bool, now time.Time) {
+func (r *Registry) Replace(entries []Entry, returned, now time.Time) {
 	present := map[string]bool{}
 	for _, e := range entries {
 		present[e.ID] = e.Worker != nil
-		r.Apply(e, afterOutage, now)
+		r.Apply(e, returned, now)
 	}
 	for id := range r.workers {
 		if !present[id] {
-			r.Apply(Entry{ID: id}, afterOutage, now)
+			r.Apply(Entry{ID: id}, returned, now)
+		}
+	}
+}
+
+// NextExpiry returns when Expire next has something to drop, and false if nothing is kept beyond its entry.
+func (r *Registry) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	for _, k := range r.workers {
+		if !k.goneAt.IsZero() && (next.IsZero() || k.goneAt.Before(next)) {
+			next = k.goneAt
 		}
 	}
+	return next, !next.IsZero()
 }
 
 // Expire drops workers whose grace is over and reports whether there were any.
