residency: loads that serve requests on time go first

Wants were loaded by age, and a queue of 0.8 s was allowed beside a target of 0.8 s, so nearly all that waited were late: 1,101 of 5,478 shift-log requests late, 1,952 turned away at a full queue. Ruled out: places (52 to 90 of 162 adapters ran while loads were short), the owners' own pace (2 to 7 loads a second each, 16 possible).

Each waiting request now tells its owner the time left until it is late. Owners load what serves the most requests on time first, and take a request that can be on time only if its load can end by then; the other homes of the adapter are asked before the request is let wait as a late one.

TestLoadsServeRequestsOnTime and TestAdmission play the order and the limits.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -26,15 +26,11 @@
 	// maxRepeats is how often an order without an answer is given again before the worker is asked for a
 	// report.
 	maxRepeats = 6
-	// activeWant is how long ago a want was renewed if somebody still waits for it.
-	activeWant = 500 * time.Millisecond
-	// LongestQueue is the expected wait from which an owner takes no further wants: the request is better
-	// served by another worker, or told to come back.
-	LongestQueue = 800 * time.Millisecond
-	// wantLife is how long a wish for an adapter stands without being renewed.
-	wantLife = 4 * time.Second
 )
 
+// firstVersion is the version of an adapter of which no newer one was declared.
+const firstVersion = 1
+
 // SlotState is the state of an adapter at a worker.
 type SlotState int
 
@@ -67,13 +63,6 @@
 	return n
 }
 
-type want struct {
-	adapter Adapter
-	version int64
-	// use orders the wants: what is asked for most is loaded first.
-	since, renewed time.Duration
-}
-
 // Step is the next thing that an owner does at its worker.
 type Step int
 
@@ -141,9 +130,11 @@
 	hasModel  bool
 	// busy says that the worker carries out an order that keeps it from taking others: a load of the model, or an
 	// adapter that waits for its runs to end before it is replaced or unloaded.
-	busy  bool
-	slots map[Adapter]*slot
-	wants []*want
+	busy bool
+	// blocked says that the next want waits for a place, since all adapters are in use.
+	blocked bool
+	slots   map[Adapter]*slot
+	wants   []*want
 	// unanswered is the order without an answer that is given again, and repeats how often it was.
 	unanswered *Action
 	repeats    int
@@ -156,42 +147,6 @@
 }
 
 // firstVersion is the version of an adapter of which no newer one was declared.
-const firstVersion = 1
-
-// Want asks for an adapter in at least the version. Orders always name the version that they load: a repeated one
-// without a version that is carried out late would replace the adapter once a newer version is declared.
-func (o *Owner) Want(a Adapter, version int64, now time.Duration) {
-	version = max(version, firstVersion)
-	if s := o.slots[a]; s != nil {
-		s.lastUse = now
-		s.retired = false
-	}
-	for _, w := range o.wants {
-		if w.adapter == a {
-			w.version, w.renewed = max(w.version, version), now
-			return
-		}
-	}
-	o.wants = append(o.wants, &want{adapter: a, version: version, since: now, renewed: now})
-}
-
-// Wait returns how long a new want would wait until it is resident, if the wants that somebody waits for are
-// loaded first.
-func (o *Owner) Wait(now time.Duration) time.Duration {
-	ahead := 0
-	for _, w := range o.wants {
-		if now-w.renewed <= activeWant {
-			ahead++
-		}
-	}
-	return o.loadTime * time.Duration(ahead) / time.Duration(o.transitLimit())
-}
-
-// Wanted reports whether the adapter is wanted or on its way.
-func (o *Owner) Wanted(a Adapter) bool {
-	s := o.slots[a]
-	return s != nil && s.state == Loading || o.wanted(a)
-}
 
 // Used counts requests for an adapter at this worker.
 func (o *Owner) Used(a Adapter, n float64, now time.Duration) {
@@ -362,21 +317,8 @@
 
 // load returns the order that brings the next wanted adapter nearer.
 func (o *Owner) load(now time.Duration) (Action, bool) {
-	o.wants = slices.DeleteFunc(o.wants, func(w *want) bool {
-		s := o.slots[w.adapter]
-		return now-w.renewed > wantLife || s != nil && s.state == Resident && s.version >= w.version
-	})
-	slices.SortStableFunc(o.wants, func(x, y *want) int {
-		activeX, activeY := now-x.renewed <= activeWant, now-y.renewed <= activeWant
-		switch {
-		case activeX == activeY:
-			return 0
-		case activeX:
-			return -1
-		default:
-			return 1
-		}
-	})
+	o.pruneWants(now)
+	o.blocked = false
 	transit, taken := 0, len(o.slots)
 	for _, s := range o.slots {
 		if s.state == Loading {
@@ -403,6 +345,7 @@
 func (o *Owner) evict(now time.Duration) (Action, bool) {
 	v, ok := o.victim(now)
 	if !ok {
+		o.blocked = true
 		return Action{}, false
 	}
 	s := o.slots[v]
@@ -464,10 +407,6 @@
 	return x.lastUse < y.lastUse
 }
 
-func (o *Owner) wanted(a Adapter) bool {
-	return slices.ContainsFunc(o.wants, func(w *want) bool { return w.adapter == a })
-}
-
 // Result applies a worker's answer to an action.
 func (o *Owner) Result(a Action, r Result, now time.Duration) {
 	switch {
--- a/internal/coordination/residency/owner_test.go
+++ b/internal/coordination/residency/owner_test.go
@@ -352,3 +352,65 @@
 		So(nextUnload(o, 3*time.Second).Step, ShouldEqual, StepUnload)
 	})
 }
+
+// TestLoadsServeRequestsOnTime guards requests that can still be on time against those that waited longer: with more
+// misses than loads, an order by age makes all of them late.
+func TestLoadsServeRequestsOnTime(t *testing.T) {
+	const slack = 600 * time.Millisecond
+	Convey("a late want makes way for one that is on time, and more requests go before fewer", t, func() {
+		o := syncedOwner(4)
+		o.Join(adapterN(1), 0, slack, 0)
+		now := slack
+		o.Join(adapterN(2), 0, now+slack, now)
+		o.Join(adapterN(3), 0, now+slack, now)
+		o.Join(adapterN(3), 0, now+slack, now)
+		var order []Adapter
+		for range 3 {
+			a := o.Next(now)
+			So(a.Step, ShouldEqual, StepLoad)
+			order = append(order, a.Adapter)
+			o.Result(a, Accepted, now)
+		}
+		So(order, ShouldResemble, []Adapter{adapterN(3), adapterN(2), adapterN(1)})
+	})
+	Convey("a request that left counts no more", t, func() {
+		o := syncedOwner(4)
+		o.Join(adapterN(1), 0, slack, 0)
+		o.Join(adapterN(2), 0, slack, 0)
+		o.Leave(adapterN(1), slack)
+		So(o.Next(activeWant+time.Millisecond).Adapter, ShouldResemble, adapterN(2))
+	})
+}
+
+// TestAdmission guards requests against waiting at a worker that cannot load their adapter in time while another might,
+// and late ones against a queue without an end.
+func TestAdmission(t *testing.T) {
+	const slack = 2 * expectedLoad
+	Convey("a queue that is too long for the slack admits only late requests", t, func() {
+		o := syncedOwner(100)
+		n := 0
+		for o.Admits(adapterN(n), 0, slack, 0) {
+			o.Join(adapterN(n), 0, slack, 0)
+			n++
+		}
+		// As many as fit beside each other, and as many again while the first ones load.
+		So(n, ShouldEqual, 2*MaxTransit)
+		So(o.Admits(adapterN(0), 0, slack, 0), ShouldBeTrue)
+		So(o.Admits(adapterN(n), 0, 0, 0), ShouldBeTrue)
+		for o.Admits(adapterN(n), 0, 0, 0) {
+			o.Join(adapterN(n), 0, 0, 0)
+			n++
+			So(n, ShouldBeLessThan, 100)
+		}
+	})
+	Convey("a worker whose adapters are all in use admits nothing that must be on time", t, func() {
+		o := syncedOwner(1)
+		o.Sync(Snapshot{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1}}, 0)
+		o.Running("other", map[Adapter]int{adapterN(1): 1}, 0)
+		now := 3 * time.Second
+		So(o.Admits(adapterN(2), 0, now+slack, now), ShouldBeTrue)
+		o.Join(adapterN(2), 0, now+slack, now)
+		So(o.Next(now).Step, ShouldEqual, StepNone)
+		So(o.Admits(adapterN(3), 0, now+slack, now), ShouldBeFalse)
+	})
+}
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -99,12 +99,13 @@
 	o.state.Ended(a, o.g.incarnation, now)
 }
 
-// refresh loads a new version of an adapter that the worker holds.
+// refresh loads a new version of an adapter that the worker holds. It is due when the old one may be used no more.
 func (o *owner) refresh(a residency.Adapter, version int64) {
 	o.mu.Lock()
 	_, holds := o.state.Holds(a, 0)
 	if holds {
-		o.state.Want(a, version, o.g.now())
+		now := o.g.now()
+		o.state.Join(a, version, now+o.g.settings.Bounds.versionOverlap(), now)
 	}
 	o.mu.Unlock()
 	if holds {
@@ -112,27 +113,31 @@
 	}
 }
 
-// overloaded reports whether a new want would wait too long.
-func (o *owner) overloaded(a residency.Adapter, version int64) bool {
+// ensure waits until the adapter is resident in at least the version, and reports whether it is, and whether the
+// request was let wait at all. A positive slack is the time within which the adapter must be resident for the request
+// to be on time; it is not let wait if that cannot be kept. With a slack of 0 the request is late already.
+func (o *owner) ensure(ctx context.Context, a residency.Adapter, version int64, slack time.Duration) (resident, admitted bool) {
+	due := time.Duration(0)
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	if _, ok := o.state.Holds(a, version); ok || o.state.Wanted(a) {
-		return false
+	now := o.g.now()
+	if slack > 0 {
+		due = now + slack
 	}
-	return o.state.Wait(o.g.now()) > residency.LongestQueue
-}
-
-// ensure waits until the adapter is resident in at least the version, and returns the version.
-func (o *owner) ensure(ctx context.Context, a residency.Adapter, version int64) (int64, bool) {
-	if o.overloaded(a, version) {
-		return 0, false
+	if o.ended || !o.state.Admits(a, version, due, now) {
+		o.mu.Unlock()
+		return false, false
 	}
-	for {
+	o.state.Join(a, version, due, now)
+	defer func() {
 		o.mu.Lock()
-		v, ok := o.state.Holds(a, version)
+		o.state.Leave(a, due)
+		o.mu.Unlock()
+	}()
+	for {
+		_, ok := o.state.Holds(a, version)
 		if ok || o.ended {
 			o.mu.Unlock()
-			return v, ok
+			return ok, true
 		}
 		o.state.Want(a, version, o.g.now())
 		changed := o.changed
@@ -140,9 +145,10 @@
 		o.poke()
 		select {
 		case <-ctx.Done():
-			return 0, false
+			return false, true
 		case <-changed:
 		}
+		o.mu.Lock()
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,8 +72,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerWait)
 	defer cancel()
-	_, resident := o.ensure(ctx, a, version)
-	return &peerpb.WantAdapterResponse{Accepted: true, Ended: resident, Resident: resident}, nil
+	resident, admitted := o.ensure(ctx, a, version, time.Duration(r.SlackMs)*time.Millisecond)
+	return &peerpb.WantAdapterResponse{Accepted: admitted, Ended: resident, Resident: resident}, nil
 }
 
 // Retire implements peerpb.PeerServer: this instance sends no further request for the adapter to the worker before
@@ -154,36 +154,38 @@
 	return !ok || now-missed > ownerPause
 }
 
-// ensure has the worker's owner make the adapter resident, and reports whether it is.
-func (g *Gateway) ensure(ctx context.Context, w *workers.Worker, a residency.Adapter, version int64) bool {
+// ensure has the worker's owner make the adapter resident, and reports whether it is. The slack is that of
+// owner.ensure.
+func (g *Gateway) ensure(ctx context.Context, w *workers.Worker, a residency.Adapter, version int64, slack time.Duration) bool {
 	g.mu.Lock()
 	own := g.owners[w.Key()]
 	claim := g.members.Owner(w.ID)
 	member, alive := g.members.Member(claim.Incarnation)
 	g.mu.Unlock()
-	var resident bool
+	var resident, admitted bool
 	began := g.now()
 	defer func() {
 		if !resident {
 			g.log.Info().Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", a.String()).Int64("version", version).
-				Bool("owner_alive", alive).Int64("ms", (g.now() - began).Milliseconds()).Msg("adapter not loaded in time")
+				Bool("owner_alive", alive).Bool("admitted", admitted).Int64("slack_ms", slack.Milliseconds()).Int64("ms", (g.now() - began).Milliseconds()).Msg("adapter not loaded in time")
 		}
 	}()
 	switch {
 	case own != nil:
-		_, resident = own.ensure(ctx, a, version)
+		resident, admitted = own.ensure(ctx, a, version, slack)
 	case !alive:
 		return false
 	default:
 		r, err := g.peers.clients.WantAdapter(ctx, member.Beat.Address, &peerpb.WantAdapterRequest{
 			Engine: w.ID, Adapter: adapterVersion(a, version), FromIncarnation: g.incarnation, Waiting: 1,
+			SlackMs: slack.Milliseconds(),
 		})
 		if err != nil {
 			g.ownerMissed(claim.Incarnation)
 			g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", a.String()).Msg("owner not reached")
 			return false
 		}
-		resident = r.Resident
+		resident, admitted = r.Resident, r.Accepted
 	}
 	if resident {
 		g.mu.Lock()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -19,8 +19,12 @@
 	// remotePenalty is how many requests more a worker of this data centre may have in flight before one of
 	// another is chosen. Bytes between data centres are priced, and a hop costs milliseconds.
 	remotePenalty = 3.0
-	// loadTries is how many workers are asked to load an adapter for one request.
+	// loadTries is how many workers are asked to load an adapter for one request while it can be on time, and as
+	// many again when it cannot.
 	loadTries = 3
+	// answerReserve is the part of a request's target that is left for its answer once its adapter is resident: the
+	// time to the first event of most prompts on a worker under load.
+	answerReserve = 250 * time.Millisecond
 )
 
 // placement implements forward.Placement.
@@ -220,7 +224,18 @@
 func (g *Gateway) placeEngine(ctx context.Context, j *forward.Job) (forward.Lease, error) {
 	a := residency.Adapter{Model: j.Model, Name: j.Adapter}
 	var failed []*workers.Worker
-	for range loadTries {
+	late := false
+	for range 2 * loadTries {
+		slack := j.Route.TargetLatency - time.Since(j.Arrived) - answerReserve
+		if !late && (slack < time.Millisecond || len(failed) == loadTries) {
+			late, failed = true, nil
+		}
+		if late {
+			slack = 0
+		}
+		if late && len(failed) == loadTries {
+			break
+		}
 		g.mu.Lock()
 		list := g.candidates(j)
 		version, accepted := g.required(a)
@@ -242,10 +257,14 @@
 		}
 		home := g.home(list, failed, a)
 		g.mu.Unlock()
+		if home == nil && !late && len(failed) > 0 {
+			late, failed = true, nil
+			continue
+		}
 		if home == nil {
 			return forward.Lease{}, noWorker()
 		}
-		if g.ensure(ctx, home, a, version) {
+		if g.ensure(ctx, home, a, version, slack) {
 			if l, ok := g.leaseLoaded(j, home, a, version); ok {
 				return l, nil
 			}
@@ -306,7 +325,7 @@
 		g.start(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, peerWait)
 			defer cancel()
-			g.ensure(ctx, w, a, version)
+			g.ensure(ctx, w, a, version, 0)
 			g.mu.Lock()
 			delete(g.spreading, useKey{w.ID, a})
 			g.mu.Unlock()
