--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -119,5 +119,11 @@
 	return min(longestWait, time.Duration(max(0, missing)/b.rate*float64(time.Second))), false
 }
 
+// Level returns the rate in units per second and the tokens that are left; these are negative in debt.
+func (b *Bucket) Level(now time.Duration) (rate, tokens float64) {
+	b.refill(now)
+	return b.rate, b.tokens
+}
+
 // Return gives back the units of a request that did not run.
 func (b *Bucket) Return(units float64) { b.tokens = min(b.burst, b.tokens+units) }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -100,7 +100,9 @@
 	b := g.buckets[w.Name]
 	spend := b != nil && g.maySpend()
 	wait, taken := notYet, false
+	j.Asked = units
 	if spend {
+		j.Rate, j.Tokens = b.Level(now)
 		wait, taken = b.Take(units, g.settings.Bounds.QuotaSlack*debtShare/float64(g.live), now)
 	}
 	g.mu.Unlock()
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -181,7 +181,7 @@
 		time.AfterFunc(next.Sub(wall), g.expireWorkers)
 	}
 	if changed {
-		g.log.Info().Int("workers", len(set.All())).Time("registry_returned", returned).Msg("workers changed")
+		g.log.Info().Int("workers", len(set.All())).Bool("after_outage", !returned.IsZero()).Msg("workers changed")
 	}
 }
 
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -60,8 +60,9 @@
 	// Body and path for the recognition of requests that crash workers.
 	Path string
 	Body []byte
-	// Units were taken from the workspace's rate.
-	Units float64
+	// Units were taken from the workspace's rate. Asked is what the request costs of it, Rate this instance's part in
+	// units per second, and Tokens what the part had left when the request came.
+	Units, Asked, Rate, Tokens float64
 }
 
 // Lease is a place at a worker for one attempt.
@@ -172,6 +173,11 @@
 	verdict  verdict.Verdict
 	resumed  int
 	lastID   string
+	// placed and first are the times from the arrival to the first sending to a worker and to the first byte for the
+	// caller, and pause the longest time between two events of a stream; zero if it did not come to that.
+	placed, first, pause time.Duration
+	// eventAt is when the last event was passed on.
+	eventAt time.Time
 }
 
 func (c *call) serve() error {
@@ -276,7 +282,9 @@
 	if err != nil {
 		return err
 	}
-	c.attempts++
+	if c.attempts++; c.attempts == 1 {
+		c.placed = time.Since(c.job.Arrived)
+	}
 	c.last = lease.Worker.ID
 	err = c.send(ctx, lease)
 	if c.outcome == 0 {
@@ -407,6 +415,7 @@
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
 	c.status, c.started, c.verdict = a.StatusCode, true, verdict.Ran
+	c.first = time.Since(c.job.Arrived)
 	c.w.WriteHeader(a.StatusCode)
 }
 
@@ -468,12 +477,13 @@
 	}
 	e = e.Str("request", c.job.ID).Int64("config", c.job.Version).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
 		Stringer("verdict", c.verdict).Int("attempts", c.attempts).Str("worker", c.last).
+		Int64("placed_ms", c.placed.Milliseconds()).Int64("first_ms", c.first.Milliseconds()).Int64("pause_ms", c.pause.Milliseconds()).
 		Int64("ms", took.Milliseconds()).Bool("caller_left", c.r.Context().Err() != nil)
 	if c.job.Route != nil {
 		e = e.Str("route", c.job.Route.Name)
 	}
 	if c.job.Workspace != nil {
-		e = e.Str("workspace", c.job.Workspace.Name)
+		e = e.Str("workspace", c.job.Workspace.Name).Float64("units", c.job.Asked).Float64("part_rate", c.job.Rate).Float64("part_tokens", c.job.Tokens)
 	}
 	if c.job.Adapter != "" {
 		e = e.Str("adapter", c.job.Adapter)
--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
@@ -61,6 +62,11 @@
 	} else if len(c.job.Tried) > 0 && c.resumed == 0 {
 		c.resumed = len(c.job.Tried)
 	}
+	now := time.Now()
+	if !c.eventAt.IsZero() {
+		c.pause = max(c.pause, now.Sub(c.eventAt))
+	}
+	c.eventAt = now
 	if id := lastEventID(events); id != "" {
 		c.lastID = id
 	}
