quota: a few instances hold a workspace's rate, the others ask them

Eight instances at most now hold equal parts; a request at another instance, or at a holder whose part is spent, is charged to a holder by a Spend call. An instance that does not know the members spends nothing. Demand is no longer measured or told in heartbeats: Demand, OwnDemand and Part go, with TestPartsAddUp and TestRisingDemand; TestHoldersAgree, TestWindowBound and, as a user notices it, TestRateOverFleet guard the division now.

--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -15,9 +16,7 @@
 		const rate, burst, allowance, largest = 1000.0, 1000.0, 50.0, 200.0
 		n := rapid.IntRange(1, 6).Draw(t, "instances")
 		buckets := make([]*Bucket, n)
-		demand := make([]*Demand, n)
 		for i := range buckets {
-			demand[i] = NewDemand(time.Second)
 			buckets[i] = NewBucket(rate/float64(n), burst/float64(n), true, 0)
 			buckets[i].Set(rate/float64(n), burst/float64(n), 0)
 		}
@@ -31,17 +30,16 @@
 			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
 			i := rapid.IntRange(0, n-1).Draw(t, "instance")
 			units := rapid.Float64Range(1, largest).Draw(t, "units")
-			demand[i].Add(units, now)
 			if _, ok := buckets[i].Take(units, allowance, now); ok {
 				log = append(log, spent{now, units})
 			}
-			if rapid.IntRange(0, 9).Draw(t, "rebalance") == 0 {
-				all := 0.0
-				for k := range demand {
-					all += demand[k].Rate(now)
-				}
+			if rapid.IntRange(0, 9).Draw(t, "members change") == 0 {
+				held := rapid.IntRange(1, n).Draw(t, "holders")
 				for k := range buckets {
-					p := Part(demand[k].Rate(now), all, rate, n)
+					p := 0.0
+					if k < held {
+						p = 1 / float64(held)
+					}
 					buckets[k].Set(rate*p, burst*p, now)
 				}
 			}
@@ -89,19 +87,28 @@
 	})
 }
 
-// TestPartsAddUp guards the division of a rate: parts of all instances are the whole.
-func TestPartsAddUp(t *testing.T) {
+// TestHoldersAgree guards the division of a rate: instances that know the same members name the same holders, whatever
+// the order in which they know them, and one that leaves or joins changes at most one holder.
+func TestHoldersAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		demand := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 80).Draw(t, "demand")
-		all, sum := 0.0, 0.0
-		for _, d := range demand {
-			all += d
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 1, 90, rapid.ID[string]).Draw(t, "instances")
+		held := Holders("w", names)
+		if len(held) != min(len(names), maxHolders) {
+			t.Fatalf("%d holders of %d instances", len(held), len(names))
+		}
+		if again := Holders("w", rapid.Permutation(names).Draw(t, "order")); !slices.Equal(held, again) {
+			t.Fatalf("%v and %v", held, again)
 		}
-		for _, d := range demand {
-			sum += Part(d, all, 500, len(demand))
+		gone := rapid.IntRange(0, len(names)-1).Draw(t, "gone")
+		fewer := Holders("w", slices.Delete(slices.Clone(names), gone, gone+1))
+		moved := 0
+		for _, h := range fewer {
+			if !slices.Contains(held, h) {
+				moved++
+			}
 		}
-		if sum > 1+1e-9 || sum < 1-1e-9 {
-			t.Fatalf("the parts add up to %f", sum)
+		if moved > 1 {
+			t.Fatalf("%d holders changed for one instance", moved)
 		}
 	})
 }
@@ -118,20 +125,3 @@
 		}
 	})
 }
-
-// TestRisingDemand guards the rate against a rise of demand that instances learn of one after the other: the parts that
-// they hold meanwhile, each limited by what its callers ask for, stay below the slack that deployments state.
-func TestRisingDemand(t *testing.T) {
-	const n, rate, asked, overage = 68, 1000.0, 4.2, 0.1
-	const slackSeconds, window = 0.27, 8.0 // slack as a time at the rate, of the largest workspace of the grown sites
-	Convey("the excess of one beat is within the slack", t, func() {
-		own := asked * rate / n
-		excess := 0.0
-		for k := 1; k <= n; k++ {
-			spent := min(own, rate*Part(OwnDemand(0, own), own*float64(k), rate, n))
-			// The k-th to tell holds its part until all have told, at most one beat.
-			excess += (spent - rate/n) * longestBeat.Seconds() * float64(n-k) / n
-		}
-		So(excess, ShouldBeLessThan, rate*(slackSeconds+overage*(window+1)))
-	})
-}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
@@ -20,10 +19,6 @@
 	keyFreshness = 0.7
 	// notYet is what a caller is told to wait while the instance does not know enough.
 	notYet = 300 * time.Millisecond
-	// debtShare is the part of the quota's slack that instances may together be in debt with. A part of a rate
-	// is small beside one request when there are many instances, and a request must not be refused because
-	// its tokens lie at another instance.
-	debtShare = 0.5
 	// retryShare is the part of the fleet's retry budget that instances use together. The rest covers
 	// instances that do not know of each other yet.
 	retryShare = 0.7
@@ -77,55 +72,6 @@
 	return g.takeUnits(workspace, j)
 }
 
-// takeUnits takes the request from this instance's part of the workspace's rate.
-func (g *Gateway) takeUnits(w *routing.Workspace, j *forward.Job) error {
-	if w.Rate <= 0 {
-		return nil
-	}
-	units := 1.0
-	if w.CountsTokens {
-		units = w.PlainTokens
-		if j.HasTokens {
-			units = float64(j.PromptTokens + j.OutputTokens)
-		}
-	}
-	now := g.now()
-	g.mu.Lock()
-	d := g.demand[w.Name]
-	if d == nil {
-		d = quota.NewDemand(quota.NewPace(g.live).Beat)
-		g.demand[w.Name] = d
-	}
-	d.Add(units, now)
-	b := g.buckets[w.Name]
-	spend := b != nil && g.maySpend()
-	wait, taken := notYet, false
-	j.Asked = units
-	if spend {
-		j.Rate, j.Tokens = b.Level(now)
-		wait, taken = b.Take(units, g.settings.Bounds.QuotaSlack*debtShare/float64(g.live), now)
-	}
-	g.mu.Unlock()
-	if !spend {
-		return refuse(http.StatusServiceUnavailable, "rate_unknown", "the instance is not in touch with the fleet", notYet)
-	}
-	if !taken {
-		return refuse(http.StatusTooManyRequests, "over_rate", "the workspace is over its rate", wait)
-	}
-	j.Units = units
-	return nil
-}
-
-// Refund implements forward.Admission.
-func (m *admission) Refund(j *forward.Job) {
-	g := (*Gateway)(m)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if b := g.buckets[j.Workspace.Name]; b != nil {
-		b.Return(j.Units)
-	}
-}
-
 // Extra implements forward.Admission.
 func (m *admission) Extra(j *forward.Job) bool {
 	g := (*Gateway)(m)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -119,13 +119,6 @@
 	g.unread[beat.Number] = permits
 	beat.Uses = g.takeUses()
 	beat.Broken, g.broken = g.broken, nil
-	beat.Demand = map[string]float64{}
-	for name, d := range g.demand {
-		d.SetBeat(pace.Beat)
-		if r := d.Rate(sent); r >= 1 {
-			beat.Demand[name] = float64(int64(r))
-		}
-	}
 	g.mu.Unlock()
 	data, err := fleetlog.Encode(fleetlog.Record{Instance: g.settings.Instance, Incarnation: g.incarnation, Beat: beat})
 	if err != nil {
@@ -383,34 +376,11 @@
 	}
 }
 
-// part returns this instance's part of a workspace's rate, from the demand that all instances told in the stream. Its
-// own demand counts as it was told, not as it is now: otherwise the parts of instances whose demand rises together
-// would add up to more than the whole. The lock is held.
-func (g *Gateway) part(w *routing.Workspace, now time.Duration) float64 {
-	if !g.fleetRead.Load() {
-		return 0
-	}
-	own, all, n := 0.0, 0.0, 0
-	seen := false
-	for _, m := range g.members.Live(now, quota.Reassign) {
-		d := m.Beat.Demand[w.Name]
-		all += d
-		n++
-		if m.Incarnation == g.incarnation {
-			own, seen = quota.OwnDemand(m.DemandBefore[w.Name], d), true
-		}
-	}
-	if !seen {
-		return 0
-	}
-	g.live = n
-	return quota.Part(own, all, w.Rate, n)
-}
-
 // setBuckets brings the buckets in line with the table. The lock is held.
 func (g *Gateway) setBuckets(t *routing.Table, first bool, now time.Duration) {
+	members := g.rateMembers(now)
 	for _, w := range t.Workspaces() {
-		part := g.part(w, now)
+		part := g.setHolders(w.Name, members)
 		b := g.buckets[w.Name]
 		if b == nil {
 			// Only the very first buckets of the fleet, or those of a new workspace, start full.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,11 +95,12 @@
 	versions   map[residency.Adapter]declared
 	uses       map[useKey]*use
 	inFlight   map[workers.Key]int
-	demand     map[string]*quota.Demand
-	buckets    map[string]*quota.Bucket
-	budgets    map[string]*retry.WindowBudget
-	ejectors   map[string]*retry.Ejector
-	owners     map[workers.Key]*owner
+	// rateHolders are, by workspace, the instances that hold parts of its rate.
+	rateHolders map[string][]holder
+	buckets     map[string]*quota.Bucket
+	budgets     map[string]*retry.WindowBudget
+	ejectors    map[string]*retry.Ejector
+	owners      map[workers.Key]*owner
 	// spreading holds the further copies that are being loaded.
 	spreading map[useKey]bool
 	// missed is when the owner of a worker could last not be reached, by incarnation.
@@ -120,7 +121,7 @@
 		pool: upstream.NewPool(n), registry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		members: fleetlog.NewFold(), known: workers.NewRegistry(), beliefs: residency.NewBeliefs(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]declared{},
-		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, demand: map[string]*quota.Demand{},
+		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, rateHolders: map[string][]holder{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -1,4 +1,4 @@
-// Package fleetlog folds the fleet's own stream of the log service: heartbeats, which carry demand and
+// Package fleetlog folds the fleet's own stream of the log service: heartbeats, which carry uses and
 // use, and claims, which make an instance the owner of a worker.
 //
 // Guarantees: all folds that applied the same records agree on the owner of each worker, and the fence of a
@@ -44,9 +44,7 @@
 	DataCentre string `json:"data_centre"`
 	// LeaseMS is how long, in milliseconds, the author may act as the owner of its workers on this beat.
 	LeaseMS int64 `json:"lease_ms"`
-	// Demand is what each workspace asked for lately, in its units per second.
-	Demand map[string]float64 `json:"demand,omitempty"`
-	Uses   []Use              `json:"uses,omitempty"`
+	Uses    []Use `json:"uses,omitempty"`
 	// Broken are runs of requests that broke off since the beat before.
 	Broken []Broken `json:"broken,omitempty"`
 	// Resigned gives up the incarnation's workers, which others then claim at once.
@@ -95,8 +93,6 @@
 	Instance    string
 	Incarnation string
 	Beat        Beat
-	// DemandBefore is the demand told in the beat before.
-	DemandBefore map[string]float64
 	// Heard is when this process read the latest beat.
 	Heard time.Duration
 }
@@ -173,11 +169,7 @@
 		f.end(r.Incarnation)
 		return r.Beat
 	}
-	next := &Member{Instance: r.Instance, Incarnation: r.Incarnation, Beat: *r.Beat, Heard: now}
-	if m != nil {
-		next.DemandBefore = m.Beat.Demand
-	}
-	f.members[r.Incarnation] = next
+	f.members[r.Incarnation] = &Member{Instance: r.Instance, Incarnation: r.Incarnation, Beat: *r.Beat, Heard: now}
 	return r.Beat
 }
 
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -63,6 +63,8 @@
 	// Units were taken from the workspace's rate. Asked is what the request costs of it, Rate this instance's part in
 	// units per second, and Tokens what the part had left when the request came.
 	Units, Asked, Rate, Tokens float64
+	// UnitsFrom is the address of the instance that the units were charged to; empty for this one.
+	UnitsFrom string
 }
 
 // Lease is a place at a worker for one attempt.
@@ -483,7 +485,7 @@
 		e = e.Str("route", c.job.Route.Name)
 	}
 	if c.job.Workspace != nil {
-		e = e.Str("workspace", c.job.Workspace.Name).Float64("units", c.job.Asked).Float64("part_rate", c.job.Rate).Float64("part_tokens", c.job.Tokens)
+		e = e.Str("workspace", c.job.Workspace.Name).Float64("units", c.job.Asked).Float64("part_rate", c.job.Rate).Float64("part_tokens", c.job.Tokens).Str("units_from", c.job.UnitsFrom)
 	}
 	if c.job.Adapter != "" {
 		e = e.Str("adapter", c.job.Adapter)
