gateway: eight instances read the configuration and the registry for the others

Above eight instances, each now asks one of eight relays, which answers when its own next read has been answered, with that read's age; an instance whose relay does not answer in time reads for itself. A failed read is followed by one that does not wait, since what is known has aged meanwhile. The tests: TestReadsOfLargeFleet, TestLostRelays, TestBufferGivesEveryRecordOnce, TestOnlyNewReadsAnswer, TestRelaysAreFew.

Reads ask for 256 KB.

Homes and holders share one package for rendezvous hashing.

--- a/internal/coordination/residency/homes.go
+++ b/internal/coordination/residency/homes.go
@@ -6,11 +6,11 @@
 package residency
 
 import (
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 )
 
@@ -31,7 +31,7 @@
 	}
 	list := make([]ranked, 0, len(ready))
 	for _, w := range ready {
-		list = append(list, ranked{w, score(a, w.ID)})
+		list = append(list, ranked{w, rendezvous.Score(a.Model, a.Name, w.ID)})
 	}
 	slices.SortFunc(list, func(x, y ranked) int {
 		switch {
@@ -50,23 +50,6 @@
 	return out
 }
 
-func score(a Adapter, worker string) uint64 {
-	h := fnv.New64a()
-	// Write of a hash never fails, by its documentation.
-	_, _ = h.Write([]byte(a.Model))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(a.Name))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(worker))
-	x := h.Sum64()
-	// FNV mixes its last bytes badly; the finalizer of splitmix64 spreads them over all bits.
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 const (
 	// useMemory is the time constant of the decayed use of an adapter. Popularity moves within seconds.
 	useMemory = 5 * time.Second
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -41,28 +41,33 @@
 	d.lost = err != nil
 }
 
-// feed is a source that is loaded once and then followed.
+// feed is a topic of the log service that is loaded once and then followed.
 type feed[T any] struct {
-	name    string
-	load    func(ctx context.Context) (T, int64, error)
-	changes func(ctx context.Context, from int64) (T, int64, error)
+	name, topic string
+	load        func(ctx context.Context) (T, int64, error)
+	decode      func(records []external.Record) (T, error)
 	// apply gets what was read, whether it is a load, and when the read was sent.
 	apply func(v T, snapshot bool, sent time.Duration)
-	// pause is the time between reads.
-	pause time.Duration
+	// wait is how long a read of the log service waits for a change, and pause the time between such reads.
+	wait, pause time.Duration
 }
 
 // follow reads a feed until ctx ends, and loads it anew when its history has expired.
 func follow[T any](ctx context.Context, g *Gateway, f feed[T]) error {
 	d := dependency{name: f.name}
-	next, loaded := int64(0), false
+	r := &reader{g: g, topic: f.topic, interval: f.wait + f.pause}
+	next, loaded, wait := int64(0), false, f.wait
 	for ctx.Err() == nil {
-		sent := g.now()
+		sent, relayed := g.now(), false
 		var v T
 		var err error
 		snapshot := !loaded
 		if loaded {
-			v, next, err = f.changes(ctx, next)
+			var records []external.Record
+			records, next, sent, relayed, err = r.read(ctx, next, wait)
+			if err == nil {
+				v, err = f.decode(records)
+			}
 		} else {
 			v, next, err = f.load(ctx)
 		}
@@ -73,11 +78,15 @@
 		g.observe(&d, err)
 		if err != nil {
 			sleep(ctx, retryPause)
+			// What is known has aged meanwhile; a read that waits would let it age further.
+			wait = 0
 			continue
 		}
-		loaded = true
+		loaded, wait = true, f.wait
 		f.apply(v, snapshot, sent)
-		sleep(ctx, f.pause)
+		if !relayed {
+			sleep(ctx, f.pause)
+		}
 	}
 	return ctx.Err()
 }
@@ -85,11 +94,8 @@
 // followConfig keeps the configuration in force. Versions never go back.
 func (g *Gateway) followConfig(ctx context.Context) error {
 	return follow(ctx, g, feed[external.Update]{
-		name: "config",
-		load: g.around.Config.Load,
-		changes: func(ctx context.Context, from int64) (external.Update, int64, error) {
-			return g.around.Config.Changes(ctx, from, configWait)
-		},
+		name: "config", topic: g.around.Config.Topic(), wait: configWait,
+		load: g.around.Config.Load, decode: g.around.Config.Decode,
 		apply: func(u external.Update, _ bool, sent time.Duration) {
 			g.applyUpdate(u)
 			g.configRead.Store(int64(sent))
@@ -139,11 +145,8 @@
 	answered := g.now()
 	var returned time.Time
 	return follow(ctx, g, feed[[]workers.Entry]{
-		name: "workers",
-		load: g.around.Workers.Load,
-		changes: func(ctx context.Context, from int64) ([]workers.Entry, int64, error) {
-			return g.around.Workers.Changes(ctx, from, 0)
-		},
+		name: "workers", topic: g.around.Workers.Topic(),
+		load: g.around.Workers.Load, decode: g.around.Workers.Decode,
 		apply: func(entries []workers.Entry, snapshot bool, _ time.Duration) {
 			now := g.now()
 			if now-answered > outage {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -184,14 +184,19 @@
 			return after, nil
 		}
 		next = after
-		if len(records) < fullRead {
+		size := 0
+		for _, r := range records {
+			size += len(r.Data)
+		}
+		if size < fullRead {
 			return next, nil
 		}
 	}
 }
 
-// fullRead is a number of records from which more may be left after one read.
-const fullRead = 200
+// fullRead is the size in bytes of the records of one read from which more may be left: half of what a read asks for,
+// which is more than any record.
+const fullRead = 128 << 10
 
 func (g *Gateway) applyFleet(records []external.Record) {
 	now := g.now()
@@ -371,6 +376,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.setBuckets(t, false, now)
+	g.setRelays(now)
 	for _, b := range g.budgets {
 		b.SetSlack(g.retrySlack())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,9 @@
 	Config  external.ConfigFeed
 	Workers external.WorkerFeed
 	// Fleet is the stream of the instances' own records.
-	Fleet   external.Stream
+	Fleet external.Stream
+	// Log reads the topics of the feeds.
+	Log     external.Log
 	Control external.WorkerControl
 	Headers external.Headers
 	// ReadyPath is the path of the balancer's question whether the instance takes requests.
@@ -95,12 +97,20 @@
 	versions   map[residency.Adapter]declared
 	uses       map[useKey]*use
 	inFlight   map[workers.Key]int
+	// relays are the instances that read the log service for the others, in the order in which this one asks them, and
+	// topics what this one has read.
+	relays []holder
+	topics map[string]*relayedTopic
+	// relayMissed is when a relay could last not be asked, by incarnation.
+	relayMissed map[string]time.Duration
 	// rateHolders are, by workspace, the instances that hold parts of its rate.
 	rateHolders map[string][]holder
-	buckets     map[string]*quota.Bucket
-	budgets     map[string]*retry.WindowBudget
-	ejectors    map[string]*retry.Ejector
-	owners      map[workers.Key]*owner
+	// spent is until when a holder that has spent its part is not asked.
+	spent    map[spentKey]time.Duration
+	buckets  map[string]*quota.Bucket
+	budgets  map[string]*retry.WindowBudget
+	ejectors map[string]*retry.Ejector
+	owners   map[workers.Key]*owner
 	// spreading holds the further copies that are being loaded.
 	spreading map[useKey]bool
 	// missed is when the owner of a worker could last not be reached, by incarnation.
@@ -121,7 +131,7 @@
 		pool: upstream.NewPool(n), registry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		members: fleetlog.NewFold(), known: workers.NewRegistry(), beliefs: residency.NewBeliefs(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]declared{},
-		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, rateHolders: map[string][]holder{},
+		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, rateHolders: map[string][]holder{}, spent: map[spentKey]time.Duration{}, topics: map[string]*relayedTopic{}, relayMissed: map[string]time.Duration{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -18,8 +18,8 @@
 	// debtShare is the part of the quota's slack that the holders of a rate may together be in debt with: a request
 	// must not be refused because its tokens lie at another holder.
 	debtShare = 0.5
-	// spendTries is how many holders are asked for the tokens of one request.
-	spendTries = 3
+	// longestSpent is how long a holder that has spent its part is left out at most; others may have given units back.
+	longestSpent = 500 * time.Millisecond
 	// spendTimeout bounds the question to one holder; a hop between data centres takes a few milliseconds.
 	spendTimeout = 60 * time.Millisecond
 	// microtokens is the unit of messages between instances.
@@ -52,6 +52,11 @@
 	}
 	part := 0.0
 	var list []holder
+	for k := range g.spent {
+		if k.workspace == workspace && !slices.ContainsFunc(members, func(m fleetlog.Member) bool { return m.Incarnation == k.incarnation }) {
+			delete(g.spent, k)
+		}
+	}
 	held := quota.Holders(workspace, names)
 	for _, name := range held {
 		m := byName[name]
@@ -94,8 +99,11 @@
 		j.Rate, j.Tokens = b.Level(now)
 	}
 	wait, taken, known := g.spendOwn(w.Name, j.Asked, now)
-	others := g.otherHolders(w.Name, now)
+	others, spentWait := g.otherHolders(w.Name, now)
 	g.mu.Unlock()
+	if !taken && spentWait > 0 && (!known || spentWait < wait) {
+		wait, known = spentWait, true
+	}
 	for _, h := range others {
 		if taken {
 			break
@@ -122,17 +130,27 @@
 	return nil
 }
 
-// otherHolders returns the holders to ask, in random order. The lock is held.
-func (g *Gateway) otherHolders(workspace string, now time.Duration) []holder {
-	var list []holder
+// spentKey names a holder's part of a workspace's rate.
+type spentKey struct{ workspace, incarnation string }
+
+// otherHolders returns the holders to ask, in random order, and how long those take that are left out since they have
+// spent their part, zero if there are none. The lock is held.
+func (g *Gateway) otherHolders(workspace string, now time.Duration) (list []holder, spentWait time.Duration) {
 	for _, h := range g.rateHolders[workspace] {
 		missed, ok := g.missed[h.incarnation]
-		if h.incarnation != g.incarnation && (!ok || now-missed > ownerPause) {
-			list = append(list, h)
+		if h.incarnation == g.incarnation || ok && now-missed <= ownerPause {
+			continue
+		}
+		if left := g.spent[spentKey{workspace, h.incarnation}] - now; left > 0 {
+			if spentWait == 0 || left < spentWait {
+				spentWait = left
+			}
+			continue
 		}
+		list = append(list, h)
 	}
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
-	return list[:min(len(list), spendTries)]
+	return list, spentWait
 }
 
 // spendAt asks another holder for units. If its answer is lost, the units may be spent; the request is not charged
@@ -146,7 +164,13 @@
 		g.log.Info().Err(err).Str("workspace", workspace).Str("holder", h.instance).Msg("holder of a rate not reached")
 		return 0, false, false
 	}
-	return time.Duration(r.WaitMs) * time.Millisecond, r.Refusal == "", r.Refusal != rateUnknown
+	wait = time.Duration(r.WaitMs) * time.Millisecond
+	if wait > 0 {
+		g.mu.Lock()
+		g.spent[spentKey{workspace, h.incarnation}] = g.now() + min(wait, longestSpent)
+		g.mu.Unlock()
+	}
+	return wait, r.Refusal == "", r.Refusal != rateUnknown
 }
 
 // Spend implements peerpb.PeerServer: it charges a request at another instance to this instance's part.
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -49,20 +49,29 @@
 	Versions []routing.AdapterVersion
 }
 
+// Log reads topics of the log service.
+type Log interface {
+	// Read returns the records of a topic from an offset on and the offset after the last. It waits up to wait for
+	// one. ErrExpired comes with the first offset that is kept.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (records []Record, next int64, err error)
+}
+
 // ConfigFeed reads what operators publish.
 type ConfigFeed interface {
-	// Load reads all that is in force, and the position to go on from.
+	// Load reads all that is in force, and the offset of the topic to go on from.
 	Load(ctx context.Context) (Update, int64, error)
-	// Changes reads what came after a position, waiting up to wait. ErrExpired asks for a Load.
-	Changes(ctx context.Context, from int64, wait time.Duration) (Update, int64, error)
+	// Topic is where changes are published, and Decode what records of it say.
+	Topic() string
+	Decode(records []Record) (Update, error)
 }
 
 // WorkerFeed reads the registry of workers.
 type WorkerFeed interface {
-	// Load reads all entries, and the position to go on from.
+	// Load reads all entries, and the offset of the topic to go on from.
 	Load(ctx context.Context) ([]workers.Entry, int64, error)
-	// Changes reads what came after a position, waiting up to wait. ErrExpired asks for a Load.
-	Changes(ctx context.Context, from int64, wait time.Duration) ([]workers.Entry, int64, error)
+	// Topic is where entries change, and Decode what records of it say.
+	Topic() string
+	Decode(records []Record) ([]workers.Entry, error)
 }
 
 // OrderKind is what a worker is ordered to do.
--- a/internal/transport/peer/state.go
+++ b/internal/transport/peer/state.go
@@ -63,6 +63,11 @@
 	return call(ctx, c, addr, r, peerpb.PeerClient.Spend)
 }
 
+// ReadLog asks a member for what it read of a topic of the log service. It answers within CallTimeout.
+func (c *Clients) ReadLog(ctx context.Context, addr string, r *peerpb.ReadLogRequest) (*peerpb.ReadLogResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.ReadLog)
+}
+
 // FetchState returns a peer's exported configuration.
 func (c *Clients) FetchState(ctx context.Context, addr string) ([]byte, error) {
 	k, err := c.conn(addr)
