rendezvous: large instances hold rates and relay the log before small ones

A missed holder also counted as a missed owner of workers for 2 s. Instances tell their memory as their size; holders and relays are picked among those with half of the largest one's before the others. The bound is 150 ms, and missed holders count for rates only. TestHoldersAgree checks the choice.

--- a/internal/coordination/quota/holders.go
+++ b/internal/coordination/quota/holders.go
@@ -8,6 +8,6 @@
 
 // Holders returns the instances that hold equal parts of a workspace's rate: all if they are few. Callers' requests at
 // other instances are charged to one of them.
-func Holders(workspace string, instances []string) []string {
+func Holders(workspace string, instances []rendezvous.Member) []string {
 	return rendezvous.Pick(workspace, instances, maxHolders)
 }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
 	"pgregory.net/rapid"
 )
 
@@ -88,10 +89,13 @@
 }
 
 // TestHoldersAgree guards the division of a rate: instances that know the same members name the same holders, whatever
-// the order in which they know them, and one that leaves or joins changes at most one holder.
+// the order in which they know them, one that leaves or joins changes at most one holder, and small instances hold parts only for want of large ones.
 func TestHoldersAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 1, 90, rapid.ID[string]).Draw(t, "instances")
+		member := rapid.Custom(func(t *rapid.T) rendezvous.Member {
+			return rendezvous.Member{Name: rapid.StringMatching(`[a-z]{1,6}`).Draw(t, "name"), Size: rapid.SampledFrom([]int{100, 500}).Draw(t, "size")}
+		})
+		names := rapid.SliceOfNDistinct(member, 1, 90, func(m rendezvous.Member) string { return m.Name }).Draw(t, "instances")
 		held := Holders("w", names)
 		if len(held) != min(len(names), maxHolders) {
 			t.Fatalf("%d holders of %d instances", len(held), len(names))
@@ -99,6 +103,18 @@
 		if again := Holders("w", rapid.Permutation(names).Draw(t, "order")); !slices.Equal(held, again) {
 			t.Fatalf("%v and %v", held, again)
 		}
+		large := 0
+		for _, m := range names {
+			if m.Size == 500 {
+				large++
+			}
+		}
+		for i, h := range held {
+			small := slices.Contains(names, rendezvous.Member{Name: h, Size: 100})
+			if small && i < large {
+				t.Fatalf("%s is small, and only %d of %d large instances hold parts", h, i, large)
+			}
+		}
 		gone := rapid.IntRange(0, len(names)-1).Draw(t, "gone")
 		fewer := Holders("w", slices.Delete(slices.Clone(names), gone, gone+1))
 		moved := 0
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -18,11 +18,17 @@
 )
 
 // Relays returns the instances that read the log service for the others.
-func Relays(instances []string) []string { return rendezvous.Pick("log", instances, maxRelays) }
+func Relays(instances []rendezvous.Member) []string {
+	return rendezvous.Pick("log", instances, maxRelays)
+}
 
 // Order returns the relays in the order in which the instance asks them, so that the instances spread over them.
 func Order(instance string, relays []string) []string {
-	return rendezvous.Pick(instance, relays, len(relays))
+	members := make([]rendezvous.Member, len(relays))
+	for i, r := range relays {
+		members[i].Name = r
+	}
+	return rendezvous.Pick(instance, members, len(relays))
 }
 
 // Buffer holds the newest records of a topic.
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
 	"pgregory.net/rapid"
 )
 
@@ -83,10 +84,12 @@
 func TestRelaysAreFew(t *testing.T) {
 	Convey("a hundred instances share eight relays evenly", t, func() {
 		var names []string
+		var members []rendezvous.Member
 		for i := range 100 {
 			names = append(names, fmt.Sprint("instance-", i))
+			members = append(members, rendezvous.Member{Name: names[i]})
 		}
-		relays := Relays(names)
+		relays := Relays(members)
 		So(relays, ShouldHaveLength, maxRelays)
 		asks := map[string]int{}
 		for _, n := range names {
--- a/internal/coordination/rendezvous/rendezvous.go
+++ b/internal/coordination/rendezvous/rendezvous.go
@@ -27,22 +27,42 @@
 	return x ^ x>>31
 }
 
-// Pick returns at most n of the members, those with the highest scores for the key, the highest first.
-func Pick(key string, members []string, n int) []string {
+// Member is one that may be picked. Size is its capacity in any unit; members with the same size are alike.
+type Member struct {
+	Name string
+	Size int
+}
+
+// largeShare is the part of the largest member's size from which a member counts as large. What is done for all others
+// costs a member the same whatever its size, so the large ones are picked first.
+const largeShare = 0.5
+
+// Pick returns the names of at most n of the members: large ones first, and among those alike the ones with the highest
+// scores for the key.
+func Pick(key string, members []Member, n int) []string {
 	type ranked struct {
-		member string
-		score  uint64
+		name  string
+		small int
+		score uint64
+	}
+	largest := 0
+	for _, m := range members {
+		largest = max(largest, m.Size)
 	}
 	list := make([]ranked, 0, len(members))
 	for _, m := range members {
-		list = append(list, ranked{m, Score(key, m)})
+		r := ranked{name: m.Name, score: Score(key, m.Name)}
+		if float64(m.Size) < largeShare*float64(largest) {
+			r.small = 1
+		}
+		list = append(list, r)
 	}
 	slices.SortFunc(list, func(x, y ranked) int {
-		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.member, y.member))
+		return cmp.Or(cmp.Compare(x.small, y.small), cmp.Compare(y.score, x.score), cmp.Compare(x.name, y.name))
 	})
 	out := make([]string, 0, n)
 	for _, r := range list[:min(len(list), n)] {
-		out = append(out, r.member)
+		out = append(out, r.name)
 	}
 	return out
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -111,7 +111,7 @@
 	pace := g.pace()
 	beat := &fleetlog.Beat{
 		Number: g.nextBeat(), Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre,
-		Resigned: g.resigned.Load(), LeaseMS: pace.Lease.Milliseconds(),
+		Resigned: g.resigned.Load(), LeaseMS: pace.Lease.Milliseconds(), MemoryMB: g.settings.MemoryMB,
 	}
 	sent := g.now()
 	g.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,8 +101,8 @@
 	// topics what this one has read.
 	relays []holder
 	topics map[string]*relayedTopic
-	// relayMissed is when a relay could last not be asked, by incarnation.
-	relayMissed map[string]time.Duration
+	// relayMissed and holderMissed are when a relay and a holder of a rate could last not be asked, by incarnation.
+	relayMissed, holderMissed map[string]time.Duration
 	// rateHolders are, by workspace, the instances that hold parts of its rate.
 	rateHolders map[string][]holder
 	// spent is until when a holder that has spent its part is not asked.
@@ -131,7 +131,7 @@
 		pool: upstream.NewPool(n), registry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		members: fleetlog.NewFold(), known: workers.NewRegistry(), beliefs: residency.NewBeliefs(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]declared{},
-		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, rateHolders: map[string][]holder{}, spent: map[spentKey]time.Duration{}, topics: map[string]*relayedTopic{}, relayMissed: map[string]time.Duration{},
+		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, rateHolders: map[string][]holder{}, spent: map[spentKey]time.Duration{}, topics: map[string]*relayedTopic{}, relayMissed: map[string]time.Duration{}, holderMissed: map[string]time.Duration{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
+	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
@@ -20,8 +21,9 @@
 	debtShare = 0.5
 	// longestSpent is how long a holder that has spent its part is left out at most; others may have given units back.
 	longestSpent = 500 * time.Millisecond
-	// spendTimeout bounds the question to one holder; a hop between data centres takes a few milliseconds.
-	spendTimeout = 60 * time.Millisecond
+	// spendTimeout bounds the question to one holder. A hop between data centres takes a few milliseconds, but an
+	// instance with a fifth of a core may be held up for most of a scheduling period of 100 ms.
+	spendTimeout = 150 * time.Millisecond
 	// microtokens is the unit of messages between instances.
 	microtokens = 1e6
 	// rateUnknown is the refusal of an instance that holds no part of a rate, or may not spend it.
@@ -45,10 +47,10 @@
 // setHolders sets who holds parts of a workspace's rate, and returns this instance's part. The lock is held.
 func (g *Gateway) setHolders(workspace string, members []fleetlog.Member) float64 {
 	byName := make(map[string]fleetlog.Member, len(members))
-	names := make([]string, 0, len(members))
+	names := make([]rendezvous.Member, 0, len(members))
 	for _, m := range members {
 		byName[m.Instance] = m
-		names = append(names, m.Instance)
+		names = append(names, rendezvous.Member{Name: m.Instance, Size: m.Beat.MemoryMB})
 	}
 	part := 0.0
 	var list []holder
@@ -137,7 +139,7 @@
 // spent their part, zero if there are none. The lock is held.
 func (g *Gateway) otherHolders(workspace string, now time.Duration) (list []holder, spentWait time.Duration) {
 	for _, h := range g.rateHolders[workspace] {
-		missed, ok := g.missed[h.incarnation]
+		missed, ok := g.holderMissed[h.incarnation]
 		if h.incarnation == g.incarnation || ok && now-missed <= ownerPause {
 			continue
 		}
@@ -160,7 +162,9 @@
 	defer cancel()
 	r, err := g.peers.clients.Spend(ctx, h.address, &peerpb.SpendRequest{Workspace: workspace, Microtokens: int64(units * microtokens)})
 	if err != nil {
-		g.ownerMissed(h.incarnation)
+		g.mu.Lock()
+		g.holderMissed[h.incarnation] = g.now()
+		g.mu.Unlock()
 		g.log.Info().Err(err).Str("workspace", workspace).Str("holder", h.instance).Msg("holder of a rate not reached")
 		return 0, false, false
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/relay"
+	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 )
@@ -62,11 +63,11 @@
 // setRelays sets the instances that read the log service for the others: live ones that do not leave. The lock is held.
 func (g *Gateway) setRelays(now time.Duration) {
 	byName := map[string]holder{}
-	var names []string
+	var names []rendezvous.Member
 	for _, m := range g.members.Live(now, quota.Takeover) {
 		if !m.Beat.Resigned {
 			byName[m.Instance] = holder{m.Instance, m.Incarnation, m.Beat.Address}
-			names = append(names, m.Instance)
+			names = append(names, rendezvous.Member{Name: m.Instance, Size: m.Beat.MemoryMB})
 		}
 	}
 	g.relays = g.relays[:0:0]
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -44,7 +44,9 @@
 	DataCentre string `json:"data_centre"`
 	// LeaseMS is how long, in milliseconds, the author may act as the owner of its workers on this beat.
 	LeaseMS int64 `json:"lease_ms"`
-	Uses    []Use `json:"uses,omitempty"`
+	// MemoryMB is the instance's memory in megabytes, as a measure of its size.
+	MemoryMB int   `json:"memory_mb,omitempty"`
+	Uses     []Use `json:"uses,omitempty"`
 	// Broken are runs of requests that broke off since the beat before.
 	Broken []Broken `json:"broken,omitempty"`
 	// Resigned gives up the incarnation's workers, which others then claim at once.
