--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,9 +44,12 @@
 		g.observe(&d, errors.Join(beatErr, readErr))
 		if readErr == nil {
 			g.fleetRead.Store(true)
-			next = g.claimFree(ctx, next)
 		}
+		// Rates and relays first: after a restart of many instances the log service is busy with claims.
 		g.rebalance()
+		if readErr == nil {
+			next = g.claimFree(ctx, next)
+		}
 		pause := g.pace().Beat - time.Since(began) - spread
 		spread = 0
 		if beatErr != nil {
