--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -199,7 +199,7 @@
 
 // fullRead is the size in bytes of the records of one read from which more may be left: half of what a read asks for,
 // which is more than any record.
-const fullRead = 128 << 10
+const fullRead = 64 << 10
 
 func (g *Gateway) applyFleet(records []external.Record) {
 	now := g.now()
