gateway: questions for units end after 0.4 s together

Found by reading: holders that do not answer were asked one after the other, 150 ms each, so a request in a partition waited for up to 1.2 s before it was refused; callers give up one that is not read within a second.

residency.Rejected did what Conflict does and goes.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -104,8 +104,8 @@
 	Unanswered Result = iota
 	Accepted
 	Holds
+	// Conflict: the worker did not carry out the order; it is at another number, busy, or does not know the order.
 	Conflict
-	Rejected
 )
 
 // Snapshot is what a worker's report says of its places.
@@ -421,7 +421,7 @@
 			o.unsure(now)
 		}
 		return
-	case r == Conflict || r == Rejected:
+	case r == Conflict:
 		o.unsure(now)
 		return
 	}
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -19,6 +19,9 @@
 	// debtShare is the part of the quota's slack that the holders of a rate may together be in debt with: a request
 	// must not be refused because its tokens lie at another holder.
 	debtShare = 0.5
+	// spendPatience bounds the questions for one request together. Callers give up a request that is not read within
+	// a second, and one that waits is better sent elsewhere.
+	spendPatience = 400 * time.Millisecond
 	// longestSpent is how long a holder that has spent its part is left out at most; others may have given units back.
 	longestSpent = 500 * time.Millisecond
 	// spendTimeout bounds the question to one holder. A hop between data centres takes a few milliseconds, but an
@@ -107,7 +110,7 @@
 		wait, known = spentWait, true
 	}
 	for _, h := range others {
-		if taken {
+		if taken || g.now()-now > spendPatience {
 			break
 		}
 		hisWait, ok, answered := g.spendAt(h, w.Name, j.Asked)
@@ -155,8 +158,8 @@
 	return list, spentWait
 }
 
-// spendAt asks another holder for units. If its answer is lost, the units may be spent; the request is not charged
-// for them twice, since another holder's are its own.
+// spendAt asks another holder for units. If its answer is lost, it may have spent them, and the next holder is charged
+// too: the workspace gets less than its rate then, never more.
 func (g *Gateway) spendAt(h holder, workspace string, units float64) (wait time.Duration, taken, answered bool) {
 	ctx, cancel := context.WithTimeout(g.lifetime, spendTimeout)
 	defer cancel()
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -1,5 +1,5 @@
-// Package fleetlog folds the fleet's own stream of the log service: heartbeats, which carry uses and
-// use, and claims, which make an instance the owner of a worker.
+// Package fleetlog folds the fleet's own stream of the log service: heartbeats, which tell of use,
+// and claims, which make an instance the owner of a worker.
 //
 // Guarantees: all folds that applied the same records agree on the owner of each worker, and the fence of a
 // claim is unique and rises, since it is derived from the record's offset.
