residency: a version that could not be loaded in time is forgotten

Found by reading the whole change: the wish for a new version of an adapter that the worker dropped before it was loaded had nobody to withdraw it, so it stayed for good, took a place, and counted in the queue. The line for dropped entries is written only if there were any.

--- a/internal/coordination/residency/owner_test.go
+++ b/internal/coordination/residency/owner_test.go
@@ -373,6 +373,16 @@
 		}
 		So(order, ShouldResemble, []Adapter{adapterN(3), adapterN(2), adapterN(1)})
 	})
+	Convey("a version that could not be loaded in time is forgotten when nobody asks for it", t, func() {
+		o := syncedOwner(1)
+		o.Sync(Snapshot{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(2): 1}}, 0)
+		o.Join(adapterN(1), 2, slack, 0)
+		o.Running("other", map[Adapter]int{adapterN(2): 1}, 0)
+		So(o.Next(time.Second).Step, ShouldEqual, StepNone)
+		o.Running("other", nil, time.Second)
+		So(o.Next(slack+2*wantLife).Step, ShouldEqual, StepNone)
+		So(o.Wanted(adapterN(1)), ShouldBeFalse)
+	})
 	Convey("a request that left counts no more", t, func() {
 		o := syncedOwner(4)
 		o.Join(adapterN(1), 0, slack, 0)
--- a/internal/coordination/residency/wants.go
+++ b/internal/coordination/residency/wants.go
@@ -160,6 +160,9 @@
 // pruneWants drops wants that are fulfilled or forgotten, and sorts the others.
 func (o *Owner) pruneWants(now time.Duration) {
 	o.wants = slices.DeleteFunc(o.wants, func(w *want) bool {
+		// What waits for longer than a request would is a version to be loaded before it is due; the worker may have
+		// dropped the adapter meanwhile.
+		w.dues = slices.DeleteFunc(w.dues, func(due time.Duration) bool { return due > 0 && now-due > wantLife })
 		s := o.slots[w.adapter]
 		return len(w.dues) == 0 && now-w.renewed > wantLife || s != nil && s.state == Resident && s.version >= w.version
 	})
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -176,7 +176,7 @@
 			g.beliefs.Entry(e.Worker, now)
 		}
 	}
-	set := g.publishWorkers(changed, wall)
+	set, changed := g.publishWorkers(changed, wall)
 	next, pending := g.known.NextExpiry()
 	g.mu.Unlock()
 	if pending {
@@ -188,8 +188,8 @@
 	}
 }
 
-// publishWorkers makes the registry's workers the ones in use. The lock is held.
-func (g *Gateway) publishWorkers(changed bool, wall time.Time) *workers.Set {
+// publishWorkers makes the registry's workers the ones in use, and reports whether they changed. The lock is held.
+func (g *Gateway) publishWorkers(changed bool, wall time.Time) (*workers.Set, bool) {
 	changed = g.known.Expire(wall) || changed
 	set := g.known.Snapshot()
 	if changed {
@@ -199,15 +199,17 @@
 	if changed {
 		g.dropLostOwners()
 	}
-	return set
+	return set, changed
 }
 
 // expireWorkers drops the workers whose entries did not come back after an outage.
 func (g *Gateway) expireWorkers() {
 	g.mu.Lock()
-	set := g.publishWorkers(false, time.Now())
+	set, changed := g.publishWorkers(false, time.Now())
 	g.mu.Unlock()
-	g.log.Info().Int("workers", len(set.All())).Msg("entries that did not come back are dropped")
+	if changed {
+		g.log.Info().Int("workers", len(set.All())).Msg("entries that did not come back are dropped")
+	}
 }
 
 func (g *Gateway) logEntry(e workers.Entry) {
