--- a/internal/coordination/residency/owner_test.go
+++ b/internal/coordination/residency/owner_test.go
@@ -251,6 +251,21 @@
 	}
 }
 
+// TestOrdersNameTheirVersion guards adapters against late orders: one without a version that is carried out after a newer
+// version was declared replaces the adapter, and takes the number of another order.
+func TestOrdersNameTheirVersion(t *testing.T) {
+	Convey("a load and the question whether it has ended name the first version if none was declared", t, func() {
+		o := syncedOwner(1)
+		o.Want(adapterN(1), 0, 0)
+		load := o.Next(0)
+		So(load.Version, ShouldEqual, 1)
+		o.Result(load, Accepted, 0)
+		poll := o.Next(pollEvery)
+		So(poll.Step, ShouldEqual, StepPoll)
+		So(poll.Version, ShouldEqual, 1)
+	})
+}
+
 // TestReplacementInProgress guards the count of orders while a worker waits for the runs of an adapter to replace it:
 // a repeated load is answered like an accepted one and not counted, and all others are refused.
 func TestReplacementInProgress(t *testing.T) {
