--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -46,8 +46,9 @@
 	name, topic string
 	load        func(ctx context.Context) (T, int64, error)
 	decode      func(records []external.Record) (T, error)
-	// apply gets what was read, whether it is a load, and when the read was sent.
-	apply func(v T, snapshot bool, sent time.Duration)
+	// apply gets what was read, whether it is a load, when the read was sent, and whether the log service failed to
+	// answer since the read before.
+	apply func(v T, snapshot bool, sent time.Duration, afterFailure bool)
 	// wait is how long a read of the log service waits for a change, and pause the time between such reads.
 	wait, pause time.Duration
 }
@@ -56,7 +57,7 @@
 func follow[T any](ctx context.Context, g *Gateway, f feed[T]) error {
 	d := dependency{name: f.name}
 	r := &reader{g: g, topic: f.topic, interval: f.wait + f.pause}
-	next, loaded, wait := int64(0), false, f.wait
+	next, loaded, failed, wait := int64(0), false, false, f.wait
 	for ctx.Err() == nil {
 		sent, relayed := g.now(), false
 		var v T
@@ -77,13 +78,15 @@
 		}
 		g.observe(&d, err)
 		if err != nil {
+			failed = true
 			sleep(ctx, retryPause)
 			// What is known has aged meanwhile; a read that waits would let it age further.
 			wait = 0
 			continue
 		}
 		loaded, wait = true, f.wait
-		f.apply(v, snapshot, sent)
+		f.apply(v, snapshot, sent, failed)
+		failed = false
 		if !relayed {
 			sleep(ctx, f.pause)
 		}
@@ -96,7 +99,7 @@
 	return follow(ctx, g, feed[external.Update]{
 		name: "config", topic: g.around.Config.Topic(), wait: configWait,
 		load: g.around.Config.Load, decode: g.around.Config.Decode,
-		apply: func(u external.Update, _ bool, sent time.Duration) {
+		apply: func(u external.Update, _ bool, sent time.Duration, _ bool) {
 			g.applyUpdate(u)
 			g.configRead.Store(int64(sent))
 		},
@@ -147,9 +150,10 @@
 	return follow(ctx, g, feed[[]workers.Entry]{
 		name: "workers", topic: g.around.Workers.Topic(),
 		load: g.around.Workers.Load, decode: g.around.Workers.Decode,
-		apply: func(entries []workers.Entry, snapshot bool, _ time.Duration) {
+		apply: func(entries []workers.Entry, snapshot bool, _ time.Duration, afterFailure bool) {
 			now := g.now()
-			if now-answered > outage {
+			// A lost relay also leaves a gap, but no entry expires for that.
+			if afterFailure && now-answered > outage {
 				returned = time.Now()
 			}
 			answered = now
