bubble: run tests in virtual time on one processor

Cause: a synctest bubble has one race detector context for all its timers (runtime.timers.raceCtx, go1.26). A receive from a timer channel that has expired uses it on the receiving thread (maybeRunChan, unlockAndRun), so two threads may use it at once and corrupt the detector. Large fleets in a bubble made that frequent.

Ruled out: a data race or a fault of ours. 64 goroutines that do nothing but sleep and receive from an expired timer end in the detector's own checks 6 times of 6; with -cpu 1, 0 times of 6.

Races are still detected: the detector goes by synchronization. All tests and checks stay as they were.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
 	"github.com/turmericworks/turmericworks/internal/standin/authority"
+	"github.com/turmericworks/turmericworks/internal/standin/bubble"
 	"github.com/turmericworks/turmericworks/internal/standin/engine"
 	"github.com/turmericworks/turmericworks/internal/standin/memnet"
 	"github.com/turmericworks/turmericworks/internal/standin/stack"
@@ -67,7 +68,7 @@
 
 // runPreparedFleet is runFleet with a change to each instance before it runs.
 func runPreparedFleet(t *testing.T, n int, change func(*stack.Options), prepare func(*Daemon), f func(*testFleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		fleet := newTestFleet(t, n, change, prepare)
 		defer fleet.close()
 		f(fleet)
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -4,14 +4,15 @@
 	"bytes"
 	"strings"
 	"testing"
-	"testing/synctest"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/turmericworks/turmericworks/internal/standin/bubble"
 )
 
 // TestDropsAreCounted guards the code that logs against a full sink: lines are dropped, not waited for, and counted.
 func TestDropsAreCounted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		var out bytes.Buffer
 		s := New(&out)
 		line := []byte(strings.Repeat("x", 1023) + "\n")
--- /dev/null
+++ b/internal/standin/bubble/bubble_test.go
@@ -0,0 +1,35 @@
+package bubble
+
+import (
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against the end of the test process inside the race detector: with several processors this test
+// fails at nearly every run under -race. It also guards against a processor count that stays at one.
+func TestExpiredTimersUnderRaceDetector(t *testing.T) {
+	before := runtime.GOMAXPROCS(0)
+	received := 0
+	Run(t, func(*testing.T) {
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		for range 64 {
+			all.Go(func() {
+				for range 2000 {
+					timer := time.NewTimer(time.Millisecond)
+					time.Sleep(time.Millisecond)
+					<-timer.C
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				received++
+			})
+		}
+		all.Wait()
+	})
+	if received != 64 || runtime.GOMAXPROCS(0) != before {
+		t.Fatalf("%d goroutines received, %d processors, want 64 and %d", received, runtime.GOMAXPROCS(0), before)
+	}
+}
--- a/internal/transport/tlsconf/tlsconf_test.go
+++ b/internal/transport/tlsconf/tlsconf_test.go
@@ -7,11 +7,11 @@
 	"crypto/tls"
 	"net"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/turmericworks/turmericworks/internal/standin/authority"
+	"github.com/turmericworks/turmericworks/internal/standin/bubble"
 )
 
 // connect does a handshake over loopback, exchanges a byte and returns the serial number that the server
@@ -56,7 +56,7 @@
 // with an old version of TLS, and against replaced files that are not noticed: also when only the
 // certificate changes, and for authorities.
 func TestRefusalsAndReload(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		Convey("TLS between two processes", t, func() {
 			dir, other := t.TempDir(), t.TempDir()
 			ours := must(authority.New(dir, "ours"))
