gateway: one record of instances that could not be reached

Cause: three maps by incarnation (owners, rate holders, relays) had the same job, and only the owners' was trimmed, so that the other two grew with every restart of an instance. One map by purpose replaces them.

Ruled out: one entry for all purposes. An instance whose owner part answers late still holds rates and relays.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,8 +101,6 @@
 	// topics what this one has read.
 	relays []holder
 	topics map[string]*relayedTopic
-	// relayMissed and holderMissed are when a relay and a holder of a rate could last not be asked, by incarnation.
-	relayMissed, holderMissed map[string]time.Duration
 	// rateHolders are, by workspace, the instances that hold parts of its rate.
 	rateHolders map[string][]holder
 	// spent is until when a holder that has spent its part is not asked.
@@ -113,8 +111,8 @@
 	owners   map[workers.Key]*owner
 	// spreading holds the further copies that are being loaded.
 	spreading map[useKey]bool
-	// missed is when the owner of a worker could last not be reached, by incarnation.
-	missed  map[string]time.Duration
+	// missed is when an instance could last not be reached.
+	missed  map[missKey]time.Duration
 	crashes *retry.Crashes
 	// broken are the broken runs to tell in the next heartbeat.
 	broken []fleetlog.Broken
@@ -131,11 +129,11 @@
 		pool: upstream.NewPool(n), registry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		members: fleetlog.NewFold(), known: workers.NewRegistry(), beliefs: residency.NewBeliefs(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]declared{},
-		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, rateHolders: map[string][]holder{}, spent: map[spentKey]time.Duration{}, topics: map[string]*relayedTopic{}, relayMissed: map[string]time.Duration{}, holderMissed: map[string]time.Duration{},
+		uses: map[useKey]*use{}, inFlight: map[workers.Key]int{}, rateHolders: map[string][]holder{}, spent: map[spentKey]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
-		spreading: map[useKey]bool{}, missed: map[string]time.Duration{}, unread: map[int64]ackedBeat{}, crashes: retry.NewCrashes(), live: 1,
+		spreading: map[useKey]bool{}, missed: map[missKey]time.Duration{}, unread: map[int64]ackedBeat{}, crashes: retry.NewCrashes(), live: 1,
 	}
 	g.lifetime, g.end = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
@@ -233,9 +231,9 @@
 		g.mu.Lock()
 		g.beliefs.Retain(exists)
 		g.popularity.Trim(g.now())
-		for id := range g.missed {
-			if _, ok := g.members.Member(id); !ok {
-				delete(g.missed, id)
+		for k := range g.missed {
+			if _, ok := g.members.Member(k.incarnation); !ok {
+				delete(g.missed, k)
 			}
 		}
 		for k, n := range g.inFlight {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -130,13 +130,34 @@
 	return running
 }
 
-// ownerPause is how long an owner that could not be reached is not asked again.
-const ownerPause = 2 * time.Second
+// missPause is how long an instance that could not be reached is not asked again for the same purpose.
+const missPause = 2 * time.Second
 
-func (g *Gateway) ownerMissed(incarnation string) {
+// purpose is what an instance is asked for. One that is slow at one purpose may still serve another.
+type purpose int
+
+const (
+	asOwner purpose = iota
+	asHolder
+	asRelay
+)
+
+// missKey names an instance by its incarnation, and what it was asked for.
+type missKey struct {
+	purpose     purpose
+	incarnation string
+}
+
+func (g *Gateway) miss(p purpose, incarnation string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.missed[incarnation] = g.now()
+	g.missed[missKey{p, incarnation}] = g.now()
+}
+
+// missedLately reports whether an instance should not be asked yet. The lock is held.
+func (g *Gateway) missedLately(p purpose, incarnation string, now time.Duration) bool {
+	missed, ok := g.missed[missKey{p, incarnation}]
+	return ok && now-missed <= missPause
 }
 
 // orderable reports whether a worker has an owner that can be asked to load. The lock is held.
@@ -150,8 +171,7 @@
 	if !ok || m.Beat.Resigned || claim.Incarnation == g.incarnation || now-m.Heard > quota.Takeover(m.Lease()) {
 		return false
 	}
-	missed, ok := g.missed[claim.Incarnation]
-	return !ok || now-missed > ownerPause
+	return !g.missedLately(asOwner, claim.Incarnation, now)
 }
 
 // ensure has the worker's owner make the adapter resident, and reports whether it is. The slack is that of
@@ -181,7 +201,7 @@
 			SlackMs: slack.Milliseconds(),
 		})
 		if err != nil {
-			g.ownerMissed(claim.Incarnation)
+			g.miss(asOwner, claim.Incarnation)
 			g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", a.String()).Msg("owner not reached")
 			return false
 		}
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -142,8 +142,7 @@
 // spent their part, zero if there are none. The lock is held.
 func (g *Gateway) otherHolders(workspace string, now time.Duration) (list []holder, spentWait time.Duration) {
 	for _, h := range g.rateHolders[workspace] {
-		missed, ok := g.holderMissed[h.incarnation]
-		if h.incarnation == g.incarnation || ok && now-missed <= ownerPause {
+		if h.incarnation == g.incarnation || g.missedLately(asHolder, h.incarnation, now) {
 			continue
 		}
 		if left := g.spent[spentKey{workspace, h.incarnation}] - now; left > 0 {
@@ -165,9 +164,7 @@
 	defer cancel()
 	r, err := g.peers.clients.Spend(ctx, h.address, &peerpb.SpendRequest{Workspace: workspace, Microtokens: int64(units * microtokens)})
 	if err != nil {
-		g.mu.Lock()
-		g.holderMissed[h.incarnation] = g.now()
-		g.mu.Unlock()
+		g.miss(asHolder, h.incarnation)
 		g.log.Info().Err(err).Str("workspace", workspace).Str("holder", h.instance).Msg("holder of a rate not reached")
 		return 0, false, false
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -82,7 +82,7 @@
 		return holder{}, false
 	}
 	for _, h := range g.relays {
-		if missed, ok := g.relayMissed[h.incarnation]; !ok || now-missed > ownerPause {
+		if !g.missedLately(asRelay, h.incarnation, now) {
 			return h, true
 		}
 	}
@@ -141,9 +141,7 @@
 	defer cancel()
 	a, err := g.peers.clients.ReadLog(callCtx, h.address, &peerpb.ReadLogRequest{Topic: r.topic, From: from, Seen: r.seen})
 	if err != nil {
-		g.mu.Lock()
-		g.relayMissed[h.incarnation] = g.now()
-		g.mu.Unlock()
+		g.miss(asRelay, h.incarnation)
 		g.log.Info().Err(err).Str("topic", r.topic).Str("relay", h.instance).Msg("relay of the log service not reached")
 		return nil, 0, 0, false
 	}
