platform: a read says whether the stream holds more

Cause: the gateway guessed from the size of a read (64 KB, half of what the adapter asks for) whether more was left, a number that repeated a constant of the adapter.

Ruled out: the number of records, which says nothing about a cut read.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -174,33 +174,22 @@
 // readFleet reads the stream to its end and applies it.
 func (g *Gateway) readFleet(ctx context.Context, next int64) (int64, error) {
 	for {
-		records, after, err := g.around.Fleet.Read(ctx, next, 0)
+		b, err := g.around.Fleet.Read(ctx, next, 0)
 		if errors.Is(err, external.ErrExpired) {
-			next = after
+			next = b.Next
 			continue
 		}
 		if err != nil {
 			return next, err
 		}
-		g.applyFleet(records)
-		if len(records) == 0 || after == next {
-			return after, nil
-		}
-		next = after
-		size := 0
-		for _, r := range records {
-			size += len(r.Data)
-		}
-		if size < fullRead {
+		g.applyFleet(b.Records)
+		next = b.Next
+		if !b.More || len(b.Records) == 0 {
 			return next, nil
 		}
 	}
 }
 
-// fullRead is the size in bytes of the records of one read from which more may be left: half of what a read asks for,
-// which is more than any record.
-const fullRead = 64 << 10
-
 func (g *Gateway) applyFleet(records []external.Record) {
 	now := g.now()
 	g.mu.Lock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -119,15 +119,15 @@
 		}
 	}
 	sent = g.now()
-	records, next, err = g.around.Log.Read(ctx, r.topic, from, wait)
+	b, err := g.around.Log.Read(ctx, r.topic, from, wait)
 	if err == nil {
-		raw := make([][]byte, len(records))
-		for i, rec := range records {
+		raw := make([][]byte, len(b.Records))
+		for i, rec := range b.Records {
 			raw[i] = rec.Data
 		}
 		topic.add(from, raw, sent)
 	}
-	return records, next, sent, false, err
+	return b.Records, b.Next, sent, false, err
 }
 
 // ask reads from a relay.
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -32,15 +32,24 @@
 	Data   []byte
 }
 
+// Batch is what one read of a stream returned.
+type Batch struct {
+	Records []Record
+	// Next is the offset after the last record, or the first offset that is kept if the read failed with ErrExpired.
+	Next int64
+	// More says that the stream held further records when it was read.
+	More bool
+}
+
 // Stream is an append-only stream of the log service.
 type Stream interface {
 	// Append adds a record if the stream ends at the offset at, or at any offset with AnyOffset, and returns
 	// the record's offset. After an error other than ErrConflict and ErrRefused the append may have happened
 	// or may still happen.
 	Append(ctx context.Context, record []byte, at int64) (int64, error)
-	// Read returns the records from an offset on and the offset after the last. It waits up to wait for
-	// one. ErrExpired comes with the first offset that is kept.
-	Read(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Read returns the records from an offset on. It waits up to wait for one. ErrExpired comes with the first offset
+	// that is kept.
+	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
 }
 
 // Update is a change of what operators published. Fields are nil where nothing changed.
@@ -51,9 +60,9 @@
 
 // Log reads topics of the log service.
 type Log interface {
-	// Read returns the records of a topic from an offset on and the offset after the last. It waits up to wait for
-	// one. ErrExpired comes with the first offset that is kept.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Read returns the records of a topic from an offset on. It waits up to wait for one. ErrExpired comes with the
+	// first offset that is kept.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error)
 }
 
 // ConfigFeed reads what operators publish.
