gateway: apply the operators' limits on headers and idle connections

Cause: both limits were read and not applied; fixed, larger ones stood in. A header over the limit is now refused with 431 before admission, so that it costs neither units nor a worker. Both follow the configuration in force.

Ruled out: http.Server's own fields, which are fixed when it starts, before the first configuration is known.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -103,10 +103,10 @@
 	return g.settings.Bounds.RetrySlack * retryShare / float64(g.live)
 }
 
-// BodyLimit implements forward.Admission.
-func (m *admission) BodyLimit() int64 {
+// Limits implements forward.Admission.
+func (m *admission) Limits() routing.Limits {
 	if t := (*Gateway)(m).table.Load(); t != nil {
-		return t.Limits.MaxBodyBytes
+		return t.Limits
 	}
-	return 0
+	return routing.Limits{}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 	metrics  *metrics
 	registry *prometheus.Registry
 	peers    *peers
+	callers  *callers
 
 	// lifetime ends with Serve; background counts the goroutines that run in it.
 	lifetime   context.Context
@@ -133,7 +134,7 @@
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
-		spreading: map[useKey]bool{}, missed: map[missKey]time.Duration{}, unread: map[int64]ackedBeat{}, crashes: retry.NewCrashes(), live: 1,
+		callers: newCallers(clock), spreading: map[useKey]bool{}, missed: map[missKey]time.Duration{}, unread: map[int64]ackedBeat{}, crashes: retry.NewCrashes(), live: 1,
 	}
 	g.lifetime, g.end = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
@@ -222,6 +223,7 @@
 		if !sleep(ctx, upkeepEvery) {
 			return ctx.Err()
 		}
+		g.closeIdleCallers()
 		set := g.workers.Load()
 		exists := func(k workers.Key) bool {
 			w, ok := set.Get(k.ID)
@@ -245,6 +247,19 @@
 	}
 }
 
+// closeIdleCallers applies the configuration's limits on time. A caller that begins a request at the end of the idle
+// time still has the time for its headers.
+func (g *Gateway) closeIdleCallers() {
+	t := g.table.Load()
+	if t == nil || t.Limits.IdleTimeout <= 0 {
+		return
+	}
+	limit := t.Limits.IdleTimeout + t.Limits.HeaderTimeout
+	if n := g.callers.closeIdle(limit); n > 0 {
+		g.log.Info().Int("connections", n).Dur("limit_ms", limit).Int64("config", t.Version).Msg("idle connections of callers closed")
+	}
+}
+
 // sleep waits and reports whether ctx is still in force.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -271,11 +286,10 @@
 }
 
 const (
-	// headerTimeout bounds the time to read a request's headers.
+	// headerTimeout, idleTimeout and maxHeaderBytes apply to all listeners, also without a configuration. Operators'
+	// limits for callers are shorter and apply as well.
 	headerTimeout = 10 * time.Second
-	// idleTimeout closes callers' idle connections. Operators' limits are shorter, and callers keep within
-	// them; a longer time never cuts a caller that does.
-	idleTimeout = 2 * time.Minute
+	idleTimeout   = 2 * time.Minute
 	// maxHeaderBytes bounds a request's headers.
 	maxHeaderBytes = 64 << 10
 )
@@ -283,8 +297,8 @@
 func (g *Gateway) listen() (*servers, error) {
 	s := &servers{}
 	var err error
-	serve := func(address string, h http.Handler) *http.Server {
-		hs := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+	serve := func(address string, h http.Handler, state func(net.Conn, http.ConnState)) *http.Server {
+		hs := &http.Server{Handler: h, ConnState: state, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
 		var l net.Listener
 		if l, err = g.network.Listen(address); err != nil {
 			return hs
@@ -296,13 +310,13 @@
 		}()
 		return hs
 	}
-	if s.callers = serve(g.settings.CallersAddress, g.server); err != nil {
+	if s.callers = serve(g.settings.CallersAddress, g.server, g.callers.state); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if s.readiness = serve(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
+	if s.readiness = serve(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady), nil); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if s.metrics = serve(g.settings.MetricsAddress, g.metrics.handler(g.registry)); err != nil {
+	if s.metrics = serve(g.settings.MetricsAddress, g.metrics.handler(g.registry), nil); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	s.stopPeers, err = g.peers.serve(g.settings.PeerAddress)
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -99,12 +99,15 @@
 	PlainTokens float64
 }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send; a value of 0 is not set.
 type Limits struct {
+	// MaxHeaderBytes counts the request line and all headers.
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// HeaderTimeout is the time to send a request's headers, and IdleTimeout the time that a connection may be idle
+	// before it.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Config is one version of the operators' configuration, in full.
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -115,8 +115,8 @@
 	Extra(j *Job) bool
 	// Spare reports whether Extra would succeed now.
 	Spare(j *Job) bool
-	// BodyLimit is the largest body in bytes; 0 if there is none in force.
-	BodyLimit() int64
+	// Limits are those in force for callers; a value of 0 is not set.
+	Limits() routing.Limits
 }
 
 // Placement chooses workers. Implementations must be safe for concurrent use.
@@ -183,10 +183,14 @@
 }
 
 func (c *call) serve() error {
+	limits := c.server.Admission.Limits()
+	if limits.MaxHeaderBytes > 0 && headerBytes(c.r) > limits.MaxHeaderBytes {
+		return verdict.New(verdict.NotRun, http.StatusRequestHeaderFieldsTooLarge, "header_too_long", "the header is longer than allowed")
+	}
 	if err := c.server.Admission.Admit(c.job, c.r.Host, c.r.URL.Path); err != nil {
 		return err
 	}
-	if err := c.readBody(); err != nil {
+	if err := c.readBody(limits.MaxBodyBytes); err != nil {
 		return err
 	}
 	wait := c.job.Route.Timeout
@@ -202,8 +206,22 @@
 	return c.run(ctx)
 }
 
-func (c *call) readBody() error {
-	limit := c.server.Admission.BodyLimit()
+// headerBytes returns the size of the request line and the headers.
+func headerBytes(r *http.Request) int {
+	const lineEnd, separators = len("\r\n"), len("  ")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + lineEnd
+	if r.Host != "" {
+		size += len("Host: ") + len(r.Host) + lineEnd
+	}
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(": ") + len(v) + lineEnd
+		}
+	}
+	return size
+}
+
+func (c *call) readBody(limit int64) error {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
