program: one frame for command line and exit codes

Ruled out: turmericctl and turmeric-timeline, which return their code for tests and share nothing to the letter.

--- a/cmd/turmeric-gateway/main.go
+++ b/cmd/turmeric-gateway/main.go
@@ -3,18 +3,17 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
 	"github.com/gravitational/trace"
-	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
 	"github.com/turmericworks/turmericworks/internal/gateway"
 	"github.com/turmericworks/turmericworks/internal/logsink"
+	"github.com/turmericworks/turmericworks/internal/program"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/platform"
 )
@@ -24,28 +23,10 @@
 	Check    bool   `long:"check" description:"check the settings, print every fault and exit"`
 }
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // heapShare is the part of the process's memory from which the collector works harder to stay below it.
 const heapShare = 0.6
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
-		os.Exit(exitFailed)
-	}
-}
+func main() { program.Main(run) }
 
 func load(path string) (gateway.Settings, error) {
 	data, err := os.ReadFile(path)
--- a/cmd/turmeric-standin/main.go
+++ b/cmd/turmeric-standin/main.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/jessevdk/go-flags"
 	"github.com/turmericworks/turmericworks/internal/embedded"
+	"github.com/turmericworks/turmericworks/internal/program"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
 	"github.com/turmericworks/turmericworks/internal/standin/authority"
 	"github.com/turmericworks/turmericworks/internal/standin/engine"
@@ -42,25 +42,7 @@
 	TLS          string        `long:"tls" description:"serve TLS with certificates of a new authority, written to this directory"`
 }
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
-		os.Exit(exitFailed)
-	}
-}
+func main() { program.Main(run) }
 
 func run(o options) error {
 	so, err := stackOptions(o)
--- a/cmd/turmericd/main.go
+++ b/cmd/turmericd/main.go
@@ -6,17 +6,16 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
-	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 	"github.com/turmericworks/turmericworks/internal/daemon"
 	"github.com/turmericworks/turmericworks/internal/embedded"
+	"github.com/turmericworks/turmericworks/internal/program"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
@@ -28,25 +27,7 @@
 	KeyDir        string `long:"key-dir" description:"with --embedded: directory for the files caller.key and operator.token" default:"."`
 }
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
-		os.Exit(exitFailed)
-	}
-}
+func main() { program.Main(run) }
 
 func run(o options) error {
 	switch {
