rendezvous: one ranking for members and workers

Cause: residency.Homes repeated the sort by score of rendezvous.Pick.

Ruled out: Pick for workers, since their size must not count.

The tests of residency, relay and quota pass under -race.

--- a/internal/coordination/rendezvous/rendezvous.go
+++ b/internal/coordination/rendezvous/rendezvous.go
@@ -27,6 +27,24 @@
 	return x ^ x>>31
 }
 
+// Rank returns the items by falling score.
+func Rank[T any](items []T, score func(T) uint64) []T {
+	type ranked struct {
+		item  T
+		score uint64
+	}
+	list := make([]ranked, 0, len(items))
+	for _, i := range items {
+		list = append(list, ranked{i, score(i)})
+	}
+	slices.SortStableFunc(list, func(x, y ranked) int { return cmp.Compare(y.score, x.score) })
+	out := make([]T, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.item)
+	}
+	return out
+}
+
 // Member is one that may be picked. Size is its capacity in any unit; members with the same size are alike.
 type Member struct {
 	Name string
@@ -40,29 +58,21 @@
 // Pick returns the names of at most n of the members: large ones first, and among those alike the ones with the highest
 // scores for the key.
 func Pick(key string, members []Member, n int) []string {
-	type ranked struct {
-		name  string
-		small int
-		score uint64
-	}
 	largest := 0
 	for _, m := range members {
 		largest = max(largest, m.Size)
 	}
-	list := make([]ranked, 0, len(members))
-	for _, m := range members {
-		r := ranked{name: m.Name, score: Score(key, m.Name)}
+	small := func(m Member) int {
 		if float64(m.Size) < largeShare*float64(largest) {
-			r.small = 1
+			return 1
 		}
-		list = append(list, r)
+		return 0
 	}
-	slices.SortFunc(list, func(x, y ranked) int {
-		return cmp.Or(cmp.Compare(x.small, y.small), cmp.Compare(y.score, x.score), cmp.Compare(x.name, y.name))
-	})
+	list := Rank(members, func(m Member) uint64 { return Score(key, m.Name) })
+	slices.SortStableFunc(list, func(x, y Member) int { return cmp.Compare(small(x), small(y)) })
 	out := make([]string, 0, n)
-	for _, r := range list[:min(len(list), n)] {
-		out = append(out, r.name)
+	for _, m := range list[:min(len(list), n)] {
+		out = append(out, m.Name)
 	}
 	return out
 }
--- a/internal/coordination/residency/homes.go
+++ b/internal/coordination/residency/homes.go
@@ -7,7 +7,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
@@ -25,29 +24,7 @@
 // Homes returns the workers in the order in which they should hold the adapter, by rendezvous hashing: a
 // worker that joins or leaves moves only its own adapters.
 func Homes(a Adapter, ready []*workers.Worker) []*workers.Worker {
-	type ranked struct {
-		worker *workers.Worker
-		score  uint64
-	}
-	list := make([]ranked, 0, len(ready))
-	for _, w := range ready {
-		list = append(list, ranked{w, rendezvous.Score(a.Model, a.Name, w.ID)})
-	}
-	slices.SortFunc(list, func(x, y ranked) int {
-		switch {
-		case x.score > y.score:
-			return -1
-		case x.score < y.score:
-			return 1
-		default:
-			return 0
-		}
-	})
-	out := make([]*workers.Worker, len(list))
-	for i, r := range list {
-		out[i] = r.worker
-	}
-	return out
+	return rendezvous.Rank(ready, func(w *workers.Worker) uint64 { return rendezvous.Score(a.Model, a.Name, w.ID) })
 }
 
 const (
