gateway: a caller that leaves does not make an owner lost

Cause: a question to a worker's owner that ended because the caller left, or because the time for a further copy was over (1.5 s, the same as the owner's own limit, which starts later), counted as an owner that could not be reached. None of its workers was asked for adapters for 2 s.

Ruled out: owners that are slow or gone; no call lasted for the 2 s of its own limit.

Now an owner is lost only if the question failed by itself or lasted longer than a well owner takes.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,10 @@
 // peerWait is how long an owner lets a peer wait for an adapter before it answers that the load goes on.
 const peerWait = 1500 * time.Millisecond
 
+// ownerAnswer is the time within which an owner that is well has answered: peerWait, a hop between data centres and a
+// few scheduling periods of an instance with a fifth of a core.
+const ownerAnswer = peerWait + 300*time.Millisecond
+
 // peers asks the owners of workers for adapters, and answers as one.
 type peers struct {
 	peerpb.UnimplementedPeerServer
@@ -201,8 +205,11 @@
 			SlackMs: slack.Milliseconds(),
 		})
 		if err != nil {
-			g.miss(asOwner, claim.Incarnation)
-			g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", a.String()).Msg("owner not reached")
+			// The caller may have left, or its time be over, while the owner is well.
+			if ctx.Err() == nil || g.now()-began >= ownerAnswer {
+				g.miss(asOwner, claim.Incarnation)
+				g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", a.String()).Msg("owner not reached")
+			}
 			return false
 		}
 		resident, admitted = r.Resident, r.Accepted
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -323,7 +323,7 @@
 		}
 		g.spreading[useKey{w.ID, a}] = true
 		g.start(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, peerWait)
+			ctx, cancel := context.WithTimeout(ctx, ownerAnswer)
 			defer cancel()
 			g.ensure(ctx, w, a, version, 0)
 			g.mu.Lock()
