--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -42,8 +42,8 @@
 		var readErr error
 		next, readErr = g.readFleet(ctx, next)
 		g.observe(&d, errors.Join(beatErr, readErr))
-		if readErr == nil {
-			g.fleetRead.Store(true)
+		if readErr == nil && !g.fleetRead.Swap(true) {
+			g.log.Info().Int64("end", next).Int("live", g.liveMembers()).Int64("ms", time.Since(began).Milliseconds()).Msg("fleet known")
 		}
 		// Rates and relays first: after a restart of many instances the log service is busy with claims.
 		g.rebalance()
@@ -60,6 +60,13 @@
 	return ctx.Err()
 }
 
+// liveMembers returns how many instances are known that are not silent.
+func (g *Gateway) liveMembers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members.Live(g.now(), quota.Reassign))
+}
+
 // ackedBeat is the last heartbeat that the log service acknowledged, and what it permits.
 type ackedBeat struct {
 	sent, lease, spend time.Duration
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -6,12 +6,9 @@
 package fleetlog
 
 import (
-	"encoding/json"
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/gravitational/trace"
 )
 
 // Use tells of the requests of an instance at a worker for an adapter.
@@ -72,24 +69,6 @@
 	Claim       *Claim `json:"claim,omitempty"`
 }
 
-// Encode returns the wire form of a record.
-func Encode(r Record) ([]byte, error) {
-	b, err := json.Marshal(r)
-	return b, trace.Wrap(err)
-}
-
-// Decode reads the wire form of a record.
-func Decode(b []byte) (Record, error) {
-	var r Record
-	if err := json.Unmarshal(b, &r); err != nil {
-		return Record{}, trace.Wrap(err, "a record of the fleet's stream cannot be read")
-	}
-	if r.Instance == "" || r.Incarnation == "" {
-		return Record{}, trace.BadParameter("a record of the fleet's stream has no author")
-	}
-	return r, nil
-}
-
 // Member is one incarnation of an instance.
 type Member struct {
 	Instance    string
