--- a/internal/state/fleetlog/fleetlog_test.go
+++ b/internal/state/fleetlog/fleetlog_test.go
@@ -114,6 +114,11 @@
 // FuzzDecode guards against records of other writers.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"instance":"a","incarnation":"b","beat":{"number":1}}`))
+	long, err := Encode(busyBeat())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(long)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		if r, err := Decode(data); err == nil {
 			NewFold().Apply(1, r, 0)
