--- a/cmd/turmeric-standin/main.go
+++ b/cmd/turmeric-standin/main.go
@@ -25,7 +25,7 @@
 	Log          string        `long:"log" description:"address of the log service" default:"127.0.0.1:8090"`
 	List         string        `long:"list" description:"address of the instance list" default:"127.0.0.1:8091"`
 	Service      string        `long:"service" description:"address of the plain service" default:"127.0.0.1:8111"`
-	Engine       []string      `long:"engine" description:"address of a model engine; may be repeated" default:"127.0.0.1:8101" default:"127.0.0.1:8102"`
+	Engine       []string      `long:"engine" description:"address of a model engine; may be repeated (default: 127.0.0.1:8101, 127.0.0.1:8102)"`
 	Slots        int           `long:"slots" description:"adapter slots of each engine" default:"8"`
 	Batch        int           `long:"batch" description:"requests that an engine runs at once" default:"64"`
 	Prefill      time.Duration `long:"prefill" description:"time before the first token" default:"40ms"`
@@ -67,6 +67,9 @@
 }
 
 func stackOptions(o options) (stack.Options, error) {
+	if len(o.Engine) == 0 {
+		o.Engine = []string{"127.0.0.1:8101", "127.0.0.1:8102"}
+	}
 	so := stack.Options{
 		LogAddress: o.Log, ListAddress: o.List, ServiceAddress: o.Service, EngineAddresses: o.Engine,
 		Engine: engine.Options{
