gateway: log the prompt parts of attempts that break off

Cause: nothing tells whether requests that crash backend servers have more in common than their route. The log has a line for a worker that was checked, but not which requests broke off there, before or after their answers began.

Change: a line for each attempt that breaks off, with the request's fingerprint, the parts of its prompt and whether its answer had begun. The forwarder reports an attempt that broke off after its first event with an outcome of its own.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -46,8 +46,13 @@
 
 // recordBrokenAttempt records an attempt whose response was missing or truncated, and checks in the background whether
 // its worker crashed if the request is already suspected. The lock is held.
-func (g *Gateway) recordBrokenAttempt(j *forward.Job, w *workers.Worker) {
+func (g *Gateway) recordBrokenAttempt(j *forward.Job, w *workers.Worker, o forward.Outcome) {
 	f := fingerprint(j)
+	parts := make([]string, 0, len(j.Prefix))
+	for _, part := range j.Prefix {
+		parts = append(parts, part.ID)
+	}
+	g.log.Info().Str("request", j.ID).Str("fingerprint", f).Str("worker", w.ID).Stringer("outcome", o).Strs("prompt_parts", parts).Msg("attempt broke off")
 	if f == "" {
 		return
 	}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -160,7 +160,11 @@
 	if a.Name != "" {
 		g.requestStarted(k, a)
 	}
-	return forward.Reservation{Worker: w, AdapterVersion: version, Done: func(o forward.Outcome) { g.attemptEnded(j, w, a, o) }}
+	return forward.Reservation{
+		Worker: w, AdapterVersion: version,
+		Answering: func() {},
+		Done:      func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
+	}
 }
 
 // requestStarted counts the start of a request for an adapter. The lock is held.
@@ -194,8 +198,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := w.Key()
-	if o == forward.Broken {
-		g.recordBrokenAttempt(j, w)
+	if o == forward.Broken || o == forward.Interrupted {
+		g.recordBrokenAttempt(j, w, o)
 	}
 	g.inFlight[k]--
 	if a.Name != "" {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -74,6 +74,8 @@
 	Worker *workers.Worker
 	// AdapterVersion is the adapter version that the worker must hold; 0 accepts any.
 	AdapterVersion int64
+	// Answering reports that the first event of a stream has arrived. It is called at most once.
+	Answering func()
 	// Done reports the outcome of the attempt. It must be called exactly once.
 	Done func(Outcome)
 }
@@ -95,13 +97,15 @@
 	Unreachable
 	// Broken: the response was missing, truncated or not from the worker.
 	Broken
+	// Interrupted: a stream broke off after its first event.
+	Interrupted
 	// Abandoned: the caller disconnected, or its deadline passed.
 	Abandoned
 )
 
 var outcomeNames = map[Outcome]string{
 	Succeeded: "succeeded", Failed: "failed", Rejected: "full", Misdirected: "absent", Unreachable: "unreachable",
-	Broken: "broken", Abandoned: "abandoned",
+	Broken: "broken", Interrupted: "interrupted", Abandoned: "abandoned",
 }
 
 // String returns the name used in logs and metrics.
@@ -175,7 +179,10 @@
 	attempts   int
 	lastWorker string
 	outcome    Outcome
-	verdict    verdict.Verdict
+	// reservation is that of the current attempt, and answering is set once the attempt's first event has arrived.
+	reservation Reservation
+	answering   bool
+	verdict     verdict.Verdict
 	// resumed is the number of attempts after which the stream was first resumed; 0 if it was not.
 	resumed     int
 	lastEventID string
@@ -312,10 +319,14 @@
 		c.placedAfter = time.Since(c.job.Arrived)
 	}
 	c.lastWorker = reservation.Worker.ID
+	c.reservation, c.answering = reservation, false
 	err = c.send(ctx, reservation)
 	if c.outcome == 0 {
 		c.outcome = Broken
 	}
+	if c.outcome == Broken && c.answering {
+		c.outcome = Interrupted
+	}
 	if c.outcome != Succeeded && c.expired(ctx) {
 		c.outcome = Abandoned
 	}
--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -58,6 +58,10 @@
 
 // writeEvents writes complete events to the caller.
 func (c *call) writeEvents(resp *upstream.Response, events []byte) error {
+	if !c.answering {
+		c.answering = true
+		c.reservation.Answering()
+	}
 	if !c.headerSent {
 		c.sendHeader(resp, -1)
 	} else if len(c.job.Tried) > 0 && c.resumed == 0 {
