retry, gateway: refuse parts of prompts that crash workers

Callers saw: with 5 in 100 requests of one route carrying a part of a prompt that ends each worker that begins to answer it, fewer than 2 in 5 of all requests were served, since most workers were away at any time (63 ended).

Cause: crashes were attributed to whole requests by their fingerprints, and no two of these requests are alike. Evidence also travelled in heartbeats only, and requests that waited for an adapter were checked before their wait alone.

Evidence: of 104 attempts that broke off before their answer, no fingerprint occurs at two workers and three parts occur at 15 to 18; one of the three is never answered.

Change: one tracker for fingerprints and parts. Attempts that break off before an answer begins count against what they hold, answers clear it. Instances tell each other at once and say what they have seen answered; refusals are in heartbeats for instances that start. Checked again after a wait for a load.

This works because a part that crashes workers is never answered, whereas any other part of these prompts is answered somewhere within the same second.

TestPromptPartCrashesWorkers failed before (28 to 35 crashes later than 3 s after the fifth, 3 allowed) and passes now. Without the second check TestCrashingPartWhileLoading fails, without refusals in heartbeats TestNewInstanceRefusesCrashingPart.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/forward"
 )
@@ -20,8 +23,10 @@
 	crashCheckTimeout = 300 * time.Millisecond
 	// fingerprintDigits is the number of hexadecimal digits of a fingerprint that are sent to other instances.
 	fingerprintDigits = 16
-	// maxBrokenAttempts bounds the broken attempts reported in one heartbeat.
+	// maxBrokenAttempts bounds the broken attempts reported in one heartbeat or call, and maxCrashRefusals the refusals in
+	// one heartbeat.
 	maxBrokenAttempts = 50
+	maxCrashRefusals  = 50
 )
 
 // fingerprint identifies a request that a caller sends again. A request without a body has none, since unrelated
@@ -38,50 +43,219 @@
 	return f.String()[:fingerprintDigits]
 }
 
-// crashesWorkers reports whether the job has crashed too many workers to be sent to another. The lock is held.
-func (g *Gateway) crashesWorkers(j *forward.Job) bool {
-	f := fingerprint(j)
-	return f != "" && g.crashes.ShouldRefuse(f, g.now())
+// promptPartSuspects returns the parts of the job's prompt without the last, which no other request shares.
+func promptPartSuspects(j *forward.Job) []retry.Suspect {
+	var list []retry.Suspect
+	for i := range len(j.Prefix) - 1 {
+		list = append(list, retry.PromptPartSuspect(j.Prefix[i].ID))
+	}
+	return list
+}
+
+// crashSuspects returns what may be the cause if the job crashes a worker, the most common suspect first.
+func crashSuspects(j *forward.Job) []retry.Suspect {
+	list := promptPartSuspects(j)
+	if f := fingerprint(j); f != "" {
+		list = append(list, retry.RequestSuspect(f))
+	}
+	return list
+}
+
+// crashRefusal returns an error if the job must not be sent to a worker because requests like it crash workers. The lock
+// is held.
+func (g *Gateway) crashRefusal(j *forward.Job) *verdict.Error {
+	if !g.crashes.Refuses() {
+		return nil
+	}
+	r, refused := g.crashes.Refused(crashSuspects(j), g.now())
+	if !refused {
+		return nil
+	}
+	return refuse(http.StatusServiceUnavailable, "crashes_workers", "requests with "+string(r.Suspect)+" have crashed several backend servers", r.Remaining)
 }
 
-// recordBrokenAttempt records an attempt whose response was missing or truncated, and checks in the background whether
-// its worker crashed if the request is already suspected. The lock is held.
+// answerBegan records that a worker began to answer the job, so that nothing in it crashes workers.
+func (g *Gateway) answerBegan(j *forward.Job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := promptPartSuspects(j)
+	if g.crashes.Tracks() {
+		list = crashSuspects(j)
+	}
+	g.clearSuspects(list, j.ID)
+}
+
+// clearSuspects records that suspects were answered, and tells the other instances of refusals that this ends. The lock
+// is held.
+func (g *Gateway) clearSuspects(list []retry.Suspect, request string) {
+	for _, s := range g.crashes.Answered(list, g.now()) {
+		g.log.Info().Str("suspect", string(s)).Str("request", request).Msg("refusal of crashing requests ended by an answer")
+		g.shareCrashReport(crashReport{answered: []retry.Suspect{s}})
+	}
+}
+
+// recordBrokenAttempt records an attempt that broke off. If its answer had not begun, it is evidence against what it has
+// in common with other requests; if there is other evidence against that, a check in the background finds out whether the
+// worker crashed. The lock is held.
 func (g *Gateway) recordBrokenAttempt(j *forward.Job, w *workers.Worker, o forward.Outcome) {
-	f := fingerprint(j)
-	parts := make([]string, 0, len(j.Prefix))
-	for _, part := range j.Prefix {
-		parts = append(parts, part.ID)
+	suspects := crashSuspects(j)
+	g.log.Info().Str("request", j.ID).Str("worker", w.ID).Stringer("outcome", o).Strs("suspects", suspectStrings(suspects)).Msg("attempt broke off")
+	if o == forward.Interrupted {
+		return
 	}
-	g.log.Info().Str("request", j.ID).Str("fingerprint", f).Str("worker", w.ID).Stringer("outcome", o).Strs("prompt_parts", parts).Msg("attempt broke off")
-	if f == "" {
+	now := g.now()
+	b := retry.BrokenAttempt{
+		Worker:   w.ID + "@" + strconv.FormatInt(w.StartedMilli, 10),
+		Suspects: g.crashes.Unanswered(suspects, now), Own: true,
+	}
+	if len(b.Suspects) == 0 {
 		return
 	}
-	b := fleetlog.BrokenAttempt{Request: f, Worker: w.ID + "@" + strconv.FormatInt(w.StartedMilli, 10)}
-	g.addBrokenAttempt(b)
-	if !g.crashes.Suspected(f, g.now()) {
+	g.reportBrokenAttempt(b)
+	if !g.crashes.Suspected(b.Suspects, b.Worker, now) || g.crashes.Confirmed(b.Worker) || g.crashChecks[b.Worker] {
 		return
 	}
-	id := j.ID
+	g.crashChecks[b.Worker] = true
 	g.start(func(ctx context.Context) {
-		if !sleep(ctx, crashCheckDelay) {
-			return
+		crashed := sleep(ctx, crashCheckDelay)
+		if crashed {
+			ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+			defer cancel()
+			crashed = g.pool.ConnectionRefused(ctx, w)
 		}
-		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-		defer cancel()
-		b.Crashed = g.pool.ConnectionRefused(ctx, w)
-		g.log.Info().Str("request", id).Str("fingerprint", f).Str("worker", w.ID).Bool("crashed", b.Crashed).Msg("worker checked after a broken attempt")
-		if b.Crashed {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.addBrokenAttempt(b)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.crashChecks, b.Worker)
+		g.log.Info().Str("worker", w.ID).Bool("crashed", crashed).Msg("worker checked after a broken attempt")
+		if crashed {
+			b.Crashed = true
+			g.reportBrokenAttempt(b)
 		}
 	})
 }
 
-// addBrokenAttempt records a broken attempt and reports it in the next heartbeat. The lock is held.
-func (g *Gateway) addBrokenAttempt(b fleetlog.BrokenAttempt) {
-	g.crashes.Add(b, g.now())
+// reportBrokenAttempt reports a broken attempt of this instance in the next heartbeat, and at once if a part of a prompt
+// may be the cause: requests with such a part come to all instances, faster than heartbeats are read. The lock is held.
+func (g *Gateway) reportBrokenAttempt(b retry.BrokenAttempt) {
 	if len(g.brokenAttempts) < maxBrokenAttempts {
-		g.brokenAttempts = append(g.brokenAttempts, b)
+		g.brokenAttempts = append(g.brokenAttempts, brokenAttemptRecord(b))
+	}
+	if _, isPart := b.Suspects[0].PromptPart(); isPart {
+		g.shareCrashReport(crashReport{attempts: []retry.BrokenAttempt{b}})
+		return
+	}
+	g.crashes.Add(b, g.now())
+	g.decideCrashes()
+}
+
+// decideCrashes refuses what the evidence suffices for, and tells the other instances. The lock is held.
+func (g *Gateway) decideCrashes() {
+	for _, r := range g.crashes.Decide(g.now()) {
+		g.log.Warn().Str("suspect", string(r.Suspect)).Dur("for_ms", r.Remaining).Int("number", r.Number).Msg("requests that crash workers are refused")
+		g.shareCrashReport(crashReport{refusals: []retry.Refusal{r}})
+	}
+}
+
+// adoptCrashRefusal applies the refusal of another instance. If this instance knows better, it says so. The lock is held.
+func (g *Gateway) adoptCrashRefusal(r retry.Refusal, from string) {
+	now := g.now()
+	switch {
+	case g.crashes.Adopt(r, now):
+		g.log.Warn().Str("suspect", string(r.Suspect)).Dur("for_ms", r.Remaining).Int("number", r.Number).Str("from", from).Msg("requests that crash workers are refused")
+	case g.crashes.RecentlyAnswered(r.Suspect, now):
+		g.shareCrashReport(crashReport{answered: []retry.Suspect{r.Suspect}})
+	}
+}
+
+// applyCrashRecords applies what another instance's heartbeat says of crashes. Of heartbeats from before this instance
+// knew the fleet only the refusals of the latest one count: it has not seen the answers that cleared the suspects of the
+// attempts. The lock is held.
+func (g *Gateway) applyCrashRecords(instance string, h *fleetlog.Heartbeat) {
+	if !g.fleetRead.Load() {
+		return
+	}
+	for _, b := range h.BrokenAttempts {
+		g.crashes.Add(brokenAttempt(b), g.now())
+	}
+	for _, r := range h.CrashRefusals {
+		g.adoptCrashRefusal(crashRefusal(r), instance)
+	}
+}
+
+// adoptCrashRefusals applies the refusals that the members' latest heartbeats contain.
+func (g *Gateway) adoptCrashRefusals() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members.Live(g.now(), quota.TakeoverDelay) {
+		for _, r := range m.Heartbeat.CrashRefusals {
+			g.adoptCrashRefusal(crashRefusal(r), m.Instance)
+		}
+	}
+}
+
+// takeBrokenAttempts returns and resets the broken attempts to report. The lock is held.
+func (g *Gateway) takeBrokenAttempts() []fleetlog.BrokenAttempt {
+	list := g.brokenAttempts
+	g.brokenAttempts = nil
+	return list
+}
+
+// crashRefusalRecords returns the refusals in force for a heartbeat. The lock is held.
+func (g *Gateway) crashRefusalRecords() []fleetlog.CrashRefusal {
+	var list []fleetlog.CrashRefusal
+	for _, r := range g.crashes.Refusals(g.now()) {
+		if len(list) == maxCrashRefusals {
+			break
+		}
+		record := fleetlog.CrashRefusal{RemainingMS: r.Remaining.Milliseconds(), Number: r.Number}
+		if id, isPart := r.Suspect.PromptPart(); isPart {
+			record.PromptPart = id
+		} else {
+			record.Request = string(r.Suspect)
+		}
+		list = append(list, record)
+	}
+	return list
+}
+
+func brokenAttemptRecord(b retry.BrokenAttempt) fleetlog.BrokenAttempt {
+	record := fleetlog.BrokenAttempt{Worker: b.Worker, Crashed: b.Crashed}
+	for _, s := range b.Suspects {
+		if id, isPart := s.PromptPart(); isPart {
+			record.PromptParts = append(record.PromptParts, id)
+		} else {
+			record.Request = string(s)
+		}
+	}
+	return record
+}
+
+func brokenAttempt(record fleetlog.BrokenAttempt) retry.BrokenAttempt {
+	b := retry.BrokenAttempt{Worker: record.Worker, Crashed: record.Crashed}
+	for _, id := range record.PromptParts {
+		b.Suspects = append(b.Suspects, retry.PromptPartSuspect(id))
+	}
+	if record.Request != "" {
+		b.Suspects = append(b.Suspects, retry.RequestSuspect(record.Request))
+	}
+	return b
+}
+
+func crashRefusal(record fleetlog.CrashRefusal) retry.Refusal {
+	r := retry.Refusal{
+		Suspect:   retry.RequestSuspect(record.Request),
+		Remaining: time.Duration(record.RemainingMS) * time.Millisecond, Number: record.Number,
+	}
+	if record.PromptPart != "" {
+		r.Suspect = retry.PromptPartSuspect(record.PromptPart)
+	}
+	return r
+}
+
+func suspectStrings(list []retry.Suspect) []string {
+	out := make([]string, 0, len(list))
+	for _, s := range list {
+		out = append(out, string(s))
 	}
+	return out
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,6 +44,7 @@
 		g.logDependency(&d, errors.Join(sendErr, readErr))
 		if readErr == nil && !g.fleetRead.Swap(true) {
 			g.log.Info().Int64("end", next).Int("live", g.liveMemberCount()).Int64("ms", time.Since(start).Milliseconds()).Msg("fleet known")
+			g.adoptCrashRefusals()
 		}
 		// Rates and relays are updated before claims: after a restart of many instances the log service is busy
 		// with their claims.
@@ -132,7 +133,8 @@
 	pending := sentHeartbeat{sent: sent, lease: timing.LeaseDuration, spend: timing.SpendDuration}
 	g.unconfirmed[heartbeat.Number] = pending
 	heartbeat.Usage = g.takeUsage()
-	heartbeat.BrokenAttempts, g.brokenAttempts = g.brokenAttempts, nil
+	heartbeat.BrokenAttempts = g.takeBrokenAttempts()
+	heartbeat.CrashRefusals = g.crashRefusalRecords()
 	g.mu.Unlock()
 	data, err := fleetlog.Encode(fleetlog.Record{Instance: g.settings.Instance, Incarnation: g.incarnation, Heartbeat: heartbeat})
 	if err != nil {
@@ -221,10 +223,9 @@
 			continue
 		}
 		g.applyUsage(rec.Incarnation, heartbeat.Usage, now)
-		for _, b := range heartbeat.BrokenAttempts {
-			g.crashes.Add(b, now)
-		}
+		g.applyCrashRecords(rec.Instance, heartbeat)
 	}
+	g.decideCrashes()
 	g.dropLostOwners()
 	live := map[string]bool{g.incarnation: true}
 	for _, m := range g.members.Live(now, quota.ReassignDelay) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,8 +118,12 @@
 	// unreachable is the time of the last failed call to an instance.
 	unreachable map[peerCall]time.Duration
 	crashes     *retry.WorkerCrashTracker
-	// brokenAttempts are the broken attempts to report in the next heartbeat.
+	// brokenAttempts are the broken attempts to report in the next heartbeat, and crashReport is the next report to the
+	// other instances, nil if none is scheduled.
 	brokenAttempts []fleetlog.BrokenAttempt
+	crashReport    *crashReport
+	// crashChecks are the worker incarnations that are being checked after a broken attempt.
+	crashChecks map[string]bool
 	// lastHeartbeatNumber is the number of this instance's last heartbeat.
 	lastHeartbeatNumber int64
 	// unconfirmed are the heartbeats that were not read back from the stream yet, by number.
@@ -141,7 +145,7 @@
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
 		idleConns: newIdleConns(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
-		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), fleetSize: 1,
+		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, fleetSize: 1,
 	}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -40,10 +40,10 @@
 		j.Service = chooseService(j.Route)
 		g.budget(j.Service).CountRequest(g.now())
 	}
-	crashes := g.crashesWorkers(j)
+	refusal := g.crashRefusal(j)
 	g.mu.Unlock()
-	if crashes {
-		return forward.Reservation{}, refuse(http.StatusServiceUnavailable, "crashes_workers", "the request has crashed several backend servers", 0)
+	if refusal != nil {
+		return forward.Reservation{}, refusal
 	}
 	s, ok := t.Service(j.Service)
 	if !ok {
@@ -162,7 +162,7 @@
 	}
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
-		Answering: func() {},
+		Answering: func() { g.answerBegan(j) },
 		Done:      func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
 	}
 }
@@ -195,6 +195,9 @@
 
 // attemptEnded records the outcome of an attempt at a worker.
 func (g *Gateway) attemptEnded(j *forward.Job, w *workers.Worker, a residency.Adapter, o forward.Outcome) {
+	if j.Route.Kind != routing.Stream && (o == forward.Succeeded || o == forward.Failed) {
+		g.answerBegan(j)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := w.Key()
@@ -249,6 +252,10 @@
 		list := g.candidates(j)
 		version, accepted := g.adapterVersions(a)
 		resident := g.residentWorkers(list, a, accepted)
+		if refusal := g.crashRefusal(j); refusal != nil {
+			g.mu.Unlock()
+			return forward.Reservation{}, refusal
+		}
 		if a.Name == "" || len(resident) > 0 {
 			w := g.leastLoaded(resident)
 			if w == nil {
@@ -286,13 +293,13 @@
 	return forward.Reservation{}, refuse(http.StatusServiceUnavailable, "adapter_absent", "the adapter could not be loaded in time", notReadyRetryAfter)
 }
 
-// reserveLoaded reserves a worker that has just loaded the adapter, unless the worker was removed or replaced
-// or began to drain during the load.
+// reserveLoaded reserves a worker that has just loaded the adapter, unless during the load the worker was removed or
+// replaced or began to drain, or requests like the job were found to crash workers.
 func (g *Gateway) reserveLoaded(j *forward.Job, w *workers.Worker, a residency.Adapter, version int64) (forward.Reservation, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	current, ok := g.workers.Load().Get(w.ID)
-	if !ok || current.Key() != w.Key() || current.Draining {
+	if !ok || current.Key() != w.Key() || current.Draining || g.crashRefusal(j) != nil {
 		return forward.Reservation{}, false
 	}
 	return g.reserve(j, current, a, version), true
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -22,16 +22,29 @@
 	InFlight int `json:"r,omitempty"`
 }
 
-// BrokenAttempt reports that an attempt of a request was cut off at a worker incarnation.
+// BrokenAttempt reports that an attempt of a request was cut off at a worker incarnation before its answer began.
 type BrokenAttempt struct {
-	// Request is a short form of the request's fingerprint.
-	Request string `json:"f"`
+	// Request is a short form of the request's fingerprint, and PromptParts are the parts of its prompt that it may share
+	// with others, in their order. Those that the instance saw answered lately are left out.
+	Request     string   `json:"f,omitempty"`
+	PromptParts []string `json:"p,omitempty"`
 	// Worker identifies the worker incarnation.
 	Worker string `json:"w"`
 	// Crashed is true if the worker was found to be gone right after the attempt.
 	Crashed bool `json:"c,omitempty"`
 }
 
+// CrashRefusal reports that requests are refused since they crash workers: those with a fingerprint, or those with a
+// part of a prompt.
+type CrashRefusal struct {
+	Request    string `json:"f,omitempty"`
+	PromptPart string `json:"p,omitempty"`
+	// RemainingMS is the rest of the refusal in milliseconds when the heartbeat was sent.
+	RemainingMS int64 `json:"ms"`
+	// Number counts the refusals of the same requests from 1.
+	Number int `json:"n"`
+}
+
 // Heartbeat is the heartbeat of an instance.
 type Heartbeat struct {
 	// Number increases with each heartbeat of an incarnation, so that one that was appended late is recognised.
@@ -46,6 +59,8 @@
 	Usage    []Usage `json:"uses,omitempty"`
 	// BrokenAttempts are the attempts that were cut off since the previous heartbeat.
 	BrokenAttempts []BrokenAttempt `json:"broken,omitempty"`
+	// CrashRefusals are the refusals in force.
+	CrashRefusals []CrashRefusal `json:"refusals,omitempty"`
 	// Resigned releases the incarnation's workers, so that other instances can claim them at once.
 	Resigned bool `json:"resigned,omitempty"`
 	// Leaving ends the membership of the incarnation.
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -89,6 +89,11 @@
 	return call(ctx, c, addr, r, peerpb.PeerClient.InFlight)
 }
 
+// ReportCrashes tells a member which attempts broke off and what is refused because it crashes engines.
+func (c *Clients) ReportCrashes(ctx context.Context, addr string, r *peerpb.ReportCrashesRequest) (*peerpb.ReportCrashesResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.ReportCrashes)
+}
+
 type rpc[Q, A any] func(peerpb.PeerClient, context.Context, *Q, ...grpc.CallOption) (*A, error)
 
 func call[Q, A any](ctx context.Context, c *Clients, addr string, request *Q, method rpc[Q, A]) (*A, error) {
