gateway: read and log the limits that workers name

Cause: workers may name in their answers how many requests a second they take from all instances together. Nothing reads that, and the log does not show which instance could have known which limit.

Change: the headers of answers are parsed, and a change of a worker's limit is logged with the requests in flight there.

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -162,8 +162,9 @@
 	}
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
-		Answering: func() { g.answerBegan(j) },
-		Done:      func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
+		NamedLimit: func(limit float64, limited bool) { g.recordLimit(w, limit, limited) },
+		Answering:  func() { g.answerBegan(j) },
+		Done:       func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
 	}
 }
 
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -204,6 +204,10 @@
 	NotRun bool
 	// Misdirected says that the address belongs to another worker, or that the worker has another version loaded.
 	Misdirected bool
+	// Limit is the number of requests per second that the worker takes from all instances together, if Limited is true.
+	// A response without a limit ends an earlier one.
+	Limit   float64
+	Limited bool
 }
 
 // Headers converts the headers of requests and responses between callers, the system and workers.
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -74,6 +74,9 @@
 	Worker *workers.Worker
 	// AdapterVersion is the adapter version that the worker must hold; 0 accepts any.
 	AdapterVersion int64
+	// NamedLimit reports the limit that the worker's response names, in requests per second from all instances, or false
+	// if it names none. It is called for each response.
+	NamedLimit func(limit float64, limited bool)
 	// Answering reports that the first event of a stream has arrived. It is called at most once.
 	Answering func()
 	// Done reports the outcome of the attempt. It must be called exactly once.
@@ -386,6 +389,7 @@
 // receive classifies a worker's response and forwards it to the caller.
 func (c *call) receive(resp *upstream.Response) error {
 	info := c.server.Headers.ParseResponse(resp.StatusCode, resp.Header)
+	c.reservation.NamedLimit(info.Limit, info.Limited)
 	success := resp.StatusCode/100 == 2
 	switch {
 	case info.NotRun:
