quota, gateway: keep the limits that workers name over all instances

Callers saw nothing yet: 13 workers that had asked for fewer requests got as many as before, up to 67 in 4 s where 40 were allowed.

Cause: nothing read the limits, and each instance sees only its own requests.

Evidence: all instances learn all limits from their answers within a second (90 log lines in 20 s, none that ends a limit), and all of them keep sending to each of these workers.

Change: one instance meters each limited worker, chosen by rendezvous hashing; the others reserve each request there, before they load an adapter for it. Reservations may lie as far ahead as a request can wait; a worker without capacity is left out until one could succeed. If all are without capacity the request is refused at once with that time. Heartbeats tell the limits.

TestWorkerLimitExceeded and TestAllWorkersLimited failed before (46 requests in 4 s, 29 allowed; 98, 35 allowed) and pass now.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -54,6 +54,20 @@
 	return min(maxRetryAfter, time.Duration(max(0, missing)/b.rate*float64(time.Second))), false
 }
 
+// Reserve spends units that are or become available within maxWait, and returns how long the caller must wait before it
+// uses them. If that is longer than maxWait, nothing is spent and ok is false.
+func (b *Bucket) Reserve(units float64, maxWait, now time.Duration) (wait time.Duration, ok bool) {
+	b.refill(now)
+	if missing := units - b.tokens; missing > 0 {
+		wait = time.Duration(missing / b.rate * float64(time.Second))
+	}
+	if wait > maxWait {
+		return wait, false
+	}
+	b.tokens -= units
+	return wait, true
+}
+
 // Level returns the rate in units per second and the remaining tokens, which are negative in debt.
 func (b *Bucket) Level(now time.Duration) (rate, tokens float64) {
 	b.refill(now)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
@@ -105,7 +103,7 @@
 	}
 	now := g.now()
 	b := retry.BrokenAttempt{
-		Worker:   w.ID + "@" + strconv.FormatInt(w.StartedMilli, 10),
+		Worker:   incarnationName(w),
 		Suspects: g.crashes.Unanswered(suspects, now), Own: true,
 	}
 	if len(b.Suspects) == 0 {
@@ -167,29 +165,18 @@
 	}
 }
 
-// applyCrashRecords applies what another instance's heartbeat says of crashes. Of heartbeats from before this instance
-// knew the fleet only the refusals of the latest one count: it has not seen the answers that cleared the suspects of the
-// attempts. The lock is held.
+// applyCrashRecords applies what another instance's heartbeat says of crashes. The lock is held.
 func (g *Gateway) applyCrashRecords(instance string, h *fleetlog.Heartbeat) {
-	if !g.fleetRead.Load() {
-		return
-	}
 	for _, b := range h.BrokenAttempts {
 		g.crashes.Add(brokenAttempt(b), g.now())
 	}
-	for _, r := range h.CrashRefusals {
-		g.adoptCrashRefusal(crashRefusal(r), instance)
-	}
+	g.adoptCrashRefusals(instance, h)
 }
 
-// adoptCrashRefusals applies the refusals that the members' latest heartbeats contain.
-func (g *Gateway) adoptCrashRefusals() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, m := range g.members.Live(g.now(), quota.TakeoverDelay) {
-		for _, r := range m.Heartbeat.CrashRefusals {
-			g.adoptCrashRefusal(crashRefusal(r), m.Instance)
-		}
+// adoptCrashRefusals applies the refusals in another instance's heartbeat. The lock is held.
+func (g *Gateway) adoptCrashRefusals(instance string, h *fleetlog.Heartbeat) {
+	for _, r := range h.CrashRefusals {
+		g.adoptCrashRefusal(crashRefusal(r), instance)
 	}
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,7 +44,7 @@
 		g.logDependency(&d, errors.Join(sendErr, readErr))
 		if readErr == nil && !g.fleetRead.Swap(true) {
 			g.log.Info().Int64("end", next).Int("live", g.liveMemberCount()).Int64("ms", time.Since(start).Milliseconds()).Msg("fleet known")
-			g.adoptCrashRefusals()
+			g.applyLatestHeartbeats()
 		}
 		// Rates and relays are updated before claims: after a restart of many instances the log service is busy
 		// with their claims.
@@ -135,6 +135,7 @@
 	heartbeat.Usage = g.takeUsage()
 	heartbeat.BrokenAttempts = g.takeBrokenAttempts()
 	heartbeat.CrashRefusals = g.crashRefusalRecords()
+	heartbeat.WorkerLimits = g.workerLimitRecords()
 	g.mu.Unlock()
 	data, err := fleetlog.Encode(fleetlog.Record{Instance: g.settings.Instance, Incarnation: g.incarnation, Heartbeat: heartbeat})
 	if err != nil {
@@ -223,7 +224,10 @@
 			continue
 		}
 		g.applyUsage(rec.Incarnation, heartbeat.Usage, now)
-		g.applyCrashRecords(rec.Instance, heartbeat)
+		if g.fleetRead.Load() {
+			g.applyCrashRecords(rec.Instance, heartbeat)
+			g.learnLimits(heartbeat)
+		}
 	}
 	g.decideCrashes()
 	g.dropLostOwners()
@@ -236,6 +240,19 @@
 	}
 }
 
+// applyLatestHeartbeats applies to a started instance what the members' latest heartbeats say of crashes and limits. Earlier
+// heartbeats are out of date, and broken attempts are left out: this instance has not seen the answers that cleared them.
+func (g *Gateway) applyLatestHeartbeats() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members.Live(g.now(), quota.TakeoverDelay) {
+		if m.Incarnation != g.incarnation {
+			g.adoptCrashRefusals(m.Instance, &m.Heartbeat)
+			g.learnLimits(&m.Heartbeat)
+		}
+	}
+}
+
 // applyUsage records the usage that another instance reported. The lock is held.
 func (g *Gateway) applyUsage(incarnation string, entries []fleetlog.Usage, now time.Duration) {
 	running := map[string]map[residency.Adapter]int{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,8 +101,8 @@
 	versions       map[residency.Adapter]requiredVersion
 	usage          map[workerAdapter]*usage
 	inFlight       map[workers.Key]int
-	// limits are the limits that workers name, in requests per second from all instances.
-	limits map[workers.Key]float64
+	// limits are the limits that workers name on the requests of all instances.
+	limits *quota.WorkerLimits
 	// relays are the instances that read the log service for the others, in the order in which this instance asks them,
 	// and topics the records that this instance has read.
 	relays []peerInstance
@@ -141,7 +141,7 @@
 		pool: upstream.NewPool(n), metricsRegistry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		members: fleetlog.NewFold(), workerRegistry: workers.NewRegistry(), residency: residency.NewView(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]requiredVersion{},
-		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: map[workers.Key]float64{}, rateHolders: map[string][]peerInstance{},
+		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
@@ -249,6 +249,11 @@
 		g.mu.Lock()
 		g.residency.Retain(exists)
 		g.popularity.Trim(g.now())
+		names := map[string]bool{}
+		for _, w := range set.All() {
+			names[incarnationName(w)] = true
+		}
+		g.limits.Retain(func(name string) bool { return names[name] })
 		for k := range g.unreachable {
 			if _, ok := g.members.Member(k.incarnation); !ok {
 				delete(g.unreachable, k)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,19 +1,182 @@
 package gateway
 
-import "github.com/turmericworks/turmericworks/internal/state/workers"
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
 
-// recordLimit records the limit that a worker's response named, if any.
+	"github.com/turmericworks/turmericworks/internal/coordination/quota"
+	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/forward"
+)
+
+const (
+	// maxLimitWait is how long a request that is late already waits for capacity at a limited worker before another one
+	// is chosen. It is about the time in which another worker loads an adapter.
+	maxLimitWait = 300 * time.Millisecond
+	// minLimitBlock is the shortest time for which a worker without capacity is not asked again.
+	minLimitBlock = 50 * time.Millisecond
+	// maxLimitedWorkers bounds the workers without capacity that are asked for one attempt.
+	maxLimitedWorkers = 6
+)
+
+// incarnationName identifies a worker incarnation in messages between instances.
+func incarnationName(w *workers.Worker) string {
+	return w.ID + "@" + strconv.FormatInt(w.StartedMilli, 10)
+}
+
+// recordLimit records whether a worker's response named a limit.
 func (g *Gateway) recordLimit(w *workers.Worker, limit float64, limited bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	previous, wasLimited := g.limits[w.Key()]
-	if limited == wasLimited && limit == previous {
-		return
+	if g.limits.Answered(incarnationName(w), limit, limited, g.now()) {
+		g.log.Info().Str("worker", w.ID).Float64("requests_per_s", limit).Bool("limited", limited).Int("in_flight", g.inFlight[w.Key()]).Msg("worker's limit changed")
+	}
+}
+
+// claimCapacity reserves the job's request to a worker that may be limited and waits until it may be sent. It reports
+// false if the worker has no capacity in time, or may not be used any more after the wait.
+func (g *Gateway) claimCapacity(ctx context.Context, j *forward.Job, w *workers.Worker) bool {
+	wait, ok := g.reserveRequest(j, w)
+	if !ok || wait <= 0 {
+		return ok
+	}
+	if !sleep(ctx, wait) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stillUsable(j, w) != nil
+}
+
+// limitError returns the error of a job without a worker: if workers would have taken it but for their limits, when the
+// first of them has capacity again.
+func (g *Gateway) limitError(j *forward.Job, err error) error {
+	if err == nil {
+		return nil
+	}
+	var e *verdict.Error
+	if !errors.As(err, &e) || e.Code != codeNoWorker {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	shortest := time.Duration(0)
+	for _, w := range g.workers.Load().Ready(j.Service) {
+		if left, blocked := g.limits.Blocked(incarnationName(w), now); blocked && (shortest == 0 || left < shortest) {
+			shortest = left
+		}
+	}
+	if shortest == 0 {
+		return err
+	}
+	return refuse(http.StatusServiceUnavailable, "workers_limited", "the backend servers limit their requests", shortest)
+}
+
+// limitWait returns how long the job may wait for capacity at a limited worker: until it can no longer meet its target
+// latency, or for maxLimitWait.
+func limitWait(j *forward.Job) time.Duration {
+	slack := j.Route.TargetLatency - time.Since(j.Arrived) - responseReserve
+	return max(0, min(max(slack, maxLimitWait), time.Until(j.Deadline)))
+}
+
+// reserveRequest reserves the job's request at the instance that meters the worker's limit, and returns how long the
+// request must wait. ok is false if the worker has no capacity in time; it is then blocked for a while.
+func (g *Gateway) reserveRequest(j *forward.Job, w *workers.Worker) (wait time.Duration, ok bool) {
+	name := incarnationName(w)
+	maxWait := limitWait(j)
+	g.mu.Lock()
+	now := g.now()
+	rate, limited := g.limits.Rate(name, now)
+	if !limited {
+		g.mu.Unlock()
+		return 0, true
+	}
+	holder, known := g.limitHolder(name, now)
+	if known && holder.incarnation == g.incarnation {
+		wait, ok = g.limits.Reserve(name, rate, maxWait, now)
+	}
+	g.mu.Unlock()
+	reached := known && holder.incarnation == g.incarnation
+	if known && !reached {
+		wait, ok, reached = g.reserveAt(holder, name, rate, maxWait)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now = g.now()
+	if !reached {
+		wait, ok = g.limits.ReserveWithoutHolder(name, rate, g.fleetSize, maxWait, now)
+	}
+	if !ok {
+		g.limits.Block(name, now+max(minLimitBlock, wait-maxWait))
+		g.log.Info().Str("request", j.ID).Str("worker", w.ID).Float64("requests_per_s", rate).Int64("wait_ms", wait.Milliseconds()).
+			Str("holder", holder.instance).Bool("reached", reached).Msg("worker's limit reached")
+	}
+	return wait, ok
+}
+
+// limitHolder returns the instance that meters a worker's limit, or false if none is known that is reachable. The lock
+// is held.
+func (g *Gateway) limitHolder(worker string, now time.Duration) (peerInstance, bool) {
+	byName := map[string]peerInstance{}
+	var names []rendezvous.Member
+	for _, m := range g.rateMembers(now) {
+		if !m.Heartbeat.Resigned {
+			byName[m.Instance] = peerInstance{m.Instance, m.Incarnation, m.Heartbeat.Address}
+			names = append(names, rendezvous.Member{Name: m.Instance, Size: m.Heartbeat.MemoryMB})
+		}
 	}
-	if limited {
-		g.limits[w.Key()] = limit
-	} else {
-		delete(g.limits, w.Key())
+	name, ok := quota.LimitHolder(worker, names)
+	h := byName[name]
+	return h, ok && !g.recentlyUnreachable(roleHolder, h.incarnation, now)
+}
+
+// reserveAt reserves a request at the instance that meters the worker's limit. reached is false if it did not respond. If
+// only its response is lost, the worker gets less than its limit, never more.
+func (g *Gateway) reserveAt(h peerInstance, worker string, rate float64, maxWait time.Duration) (wait time.Duration, ok, reached bool) {
+	ctx, cancel := context.WithTimeout(g.lifetime, spendTimeout)
+	defer cancel()
+	start := g.now()
+	r, err := g.peers.clients.ReserveRequest(ctx, h.address, &peerpb.ReserveRequestRequest{Server: worker, Limit: rate, MaxWaitMs: maxWait.Milliseconds()})
+	if err != nil {
+		g.markUnreachable(roleHolder, h.incarnation)
+		g.log.Info().Err(err).Str("worker", worker).Str("holder", h.instance).Msg("holder of a worker's limit not reached")
+		return 0, false, false
+	}
+	wait = time.Duration(r.WaitMs) * time.Millisecond
+	if r.Reserved {
+		wait -= g.now() - start
+	}
+	return wait, r.Reserved, true
+}
+
+// ReserveRequest implements peerpb.PeerServer.
+func (p *peers) ReserveRequest(_ context.Context, r *peerpb.ReserveRequestRequest) (*peerpb.ReserveRequestResponse, error) {
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	wait, ok := p.g.limits.Reserve(r.Server, r.Limit, time.Duration(r.MaxWaitMs)*time.Millisecond, p.g.now())
+	return &peerpb.ReserveRequestResponse{WaitMs: wait.Milliseconds(), Reserved: ok}, nil
+}
+
+// workerLimitRecords returns the limits that workers have named to this instance, for a heartbeat. The lock is held.
+func (g *Gateway) workerLimitRecords() []fleetlog.WorkerLimit {
+	var list []fleetlog.WorkerLimit
+	for _, n := range g.limits.Own(g.now()) {
+		list = append(list, fleetlog.WorkerLimit{Worker: n.Worker, Rate: n.Rate, AgeMS: n.Age.Milliseconds()})
+	}
+	return list
+}
+
+// learnLimits applies the limits that another instance's heartbeat names. The lock is held.
+func (g *Gateway) learnLimits(h *fleetlog.Heartbeat) {
+	for _, n := range h.WorkerLimits {
+		g.limits.Learn(quota.NamedLimit{Worker: n.Worker, Rate: n.Rate, Age: time.Duration(n.AgeMS) * time.Millisecond}, g.now())
 	}
-	g.log.Info().Str("worker", w.ID).Float64("requests_per_s", limit).Bool("limited", limited).Int("in_flight", g.inFlight[w.Key()]).Msg("worker's limit changed")
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -49,10 +49,14 @@
 	if !ok {
 		return forward.Reservation{}, refuse(http.StatusServiceUnavailable, "no_service", "the route's service is not configured", notReadyRetryAfter)
 	}
+	var reservation forward.Reservation
+	var err error
 	if s.Engine == nil || j.Model == "" {
-		return g.placeByLoad(j)
+		reservation, err = g.placeByLoad(ctx, j)
+	} else {
+		reservation, err = g.placeEngine(ctx, j)
 	}
-	return g.placeEngine(ctx, j)
+	return reservation, g.limitError(j, err)
 }
 
 // chooseService picks one of a route's services at random, by weight.
@@ -92,13 +96,14 @@
 	}
 }
 
-// candidates returns the ready workers that the job was not sent to yet, without ejected ones unless all are ejected.
+// candidates returns the ready workers that the job was not sent to yet and whose limits leave capacity, without ejected
+// ones unless all are ejected.
 // For an idempotent request, an ejected worker that is due for a probe is the only candidate. The lock is held.
 func (g *Gateway) candidates(j *forward.Job) []*workers.Worker {
 	ready := g.workers.Load().Ready(j.Service)
 	untried := make([]*workers.Worker, 0, len(ready))
 	for _, w := range ready {
-		if !slices.Contains(j.Tried, w.Key()) {
+		if _, blocked := g.limits.Blocked(incarnationName(w), g.now()); !blocked && !slices.Contains(j.Tried, w.Key()) {
 			untried = append(untried, w)
 		}
 	}
@@ -138,19 +143,30 @@
 	return best
 }
 
+// codeNoWorker is the refusal code of a job for which there is no worker.
+const codeNoWorker = "no_worker"
+
 func noWorkerError() *verdict.Error {
-	return refuse(http.StatusServiceUnavailable, "no_worker", "no backend server can take the request", notReadyRetryAfter)
+	return refuse(http.StatusServiceUnavailable, codeNoWorker, "no backend server can take the request", notReadyRetryAfter)
 }
 
 // placeByLoad places a job that needs no model or adapter at the least loaded worker.
-func (g *Gateway) placeByLoad(j *forward.Job) (forward.Reservation, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w := g.leastLoaded(g.candidates(j))
-	if w == nil {
-		return forward.Reservation{}, noWorkerError()
+func (g *Gateway) placeByLoad(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
+	for range maxLimitedWorkers {
+		g.mu.Lock()
+		w := g.leastLoaded(g.candidates(j))
+		if w == nil {
+			g.mu.Unlock()
+			break
+		}
+		reservation := g.reserve(j, w, residency.Adapter{}, 0)
+		g.mu.Unlock()
+		if g.claimCapacity(ctx, j, w) {
+			return reservation, nil
+		}
+		reservation.Done(forward.Withheld)
 	}
-	return g.reserve(j, w, residency.Adapter{}, 0), nil
+	return forward.Reservation{}, noWorkerError()
 }
 
 // reserve counts a request at a worker and returns the reservation whose Done ends it. The lock is held.
@@ -213,7 +229,7 @@
 		g.residency.Record(k, a, 0, false, g.now())
 	}
 	e := g.ejectors[j.Service]
-	if e == nil || o == forward.Abandoned || o == forward.Rejected || o == forward.Misdirected {
+	if e == nil || o == forward.Abandoned || o == forward.Rejected || o == forward.Misdirected || o == forward.Withheld {
 		return
 	}
 	e.RecordResult(k.ID, o == forward.Succeeded || o == forward.Failed, time.Now())
@@ -238,7 +254,7 @@
 	a := residency.Adapter{Model: j.Model, Name: j.Adapter}
 	var failed []*workers.Worker
 	late := false
-	for range 2 * loadAttempts {
+	for range 2*loadAttempts + maxLimitedWorkers {
 		slack := j.Route.TargetLatency - time.Since(j.Arrived) - responseReserve
 		if !late && (slack < time.Millisecond || len(failed) == loadAttempts) {
 			late, failed = true, nil
@@ -258,19 +274,19 @@
 			return forward.Reservation{}, refusal
 		}
 		if a.Name == "" || len(resident) > 0 {
-			w := g.leastLoaded(resident)
-			if w == nil {
-				g.mu.Unlock()
+			reservation, ok := g.reserveResident(j, list, resident, a)
+			g.mu.Unlock()
+			if !ok {
 				return forward.Reservation{}, noWorkerError()
 			}
-			g.addReplica(list, resident, a, version)
-			held := int64(0)
-			if version > 0 {
-				held = max(accepted, g.residency.Version(w.Key(), a))
+			if g.claimCapacity(ctx, j, reservation.Worker) {
+				return reservation, nil
 			}
-			reservation := g.reserve(j, w, a, held)
-			g.mu.Unlock()
-			return reservation, nil
+			reservation.Done(forward.Withheld)
+			if ctx.Err() != nil {
+				break
+			}
+			continue
 		}
 		target := g.loadTarget(list, failed, a)
 		g.mu.Unlock()
@@ -281,7 +297,13 @@
 		if target == nil {
 			return forward.Reservation{}, noWorkerError()
 		}
-		if g.ensureResident(ctx, target, a, version, slack) {
+		// A limited worker loads the adapter only if it also takes the request.
+		wait, ok := g.reserveRequest(j, target)
+		if !ok {
+			continue
+		}
+		sendAt := time.Now().Add(wait)
+		if g.ensureResident(ctx, target, a, version, slack) && sleep(ctx, time.Until(sendAt)) {
 			if reservation, ok := g.reserveLoaded(j, target, a, version); ok {
 				return reservation, nil
 			}
@@ -294,18 +316,42 @@
 	return forward.Reservation{}, refuse(http.StatusServiceUnavailable, "adapter_absent", "the adapter could not be loaded in time", notReadyRetryAfter)
 }
 
-// reserveLoaded reserves a worker that has just loaded the adapter, unless during the load the worker was removed or
-// replaced or began to drain, or requests like the job were found to crash workers.
+// reserveResident reserves the least loaded of the workers at which the job's adapter is resident. The lock is held.
+func (g *Gateway) reserveResident(j *forward.Job, list, resident []*workers.Worker, a residency.Adapter) (forward.Reservation, bool) {
+	w := g.leastLoaded(resident)
+	if w == nil {
+		return forward.Reservation{}, false
+	}
+	version, accepted := g.adapterVersions(a)
+	g.addReplica(list, resident, a, version)
+	held := int64(0)
+	if version > 0 {
+		held = max(accepted, g.residency.Version(w.Key(), a))
+	}
+	return g.reserve(j, w, a, held), true
+}
+
+// reserveLoaded reserves a worker that has just loaded the adapter, if it may still be used.
 func (g *Gateway) reserveLoaded(j *forward.Job, w *workers.Worker, a residency.Adapter, version int64) (forward.Reservation, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	current, ok := g.workers.Load().Get(w.ID)
-	if !ok || current.Key() != w.Key() || current.Draining || g.crashRefusal(j) != nil {
+	current := g.stillUsable(j, w)
+	if current == nil {
 		return forward.Reservation{}, false
 	}
 	return g.reserve(j, current, a, version), true
 }
 
+// stillUsable returns the current entry of a worker that was chosen before a wait, or nil if it was removed or replaced or
+// began to drain, or if requests like the job were found to crash workers. The lock is held.
+func (g *Gateway) stillUsable(j *forward.Job, w *workers.Worker) *workers.Worker {
+	current, ok := g.workers.Load().Get(w.ID)
+	if !ok || current.Key() != w.Key() || current.Draining || g.crashRefusal(j) != nil {
+		return nil
+	}
+	return current
+}
+
 // residentWorkers returns the workers at which the adapter is resident in at least the version, as far as this instance
 // knows. The lock is held.
 func (g *Gateway) residentWorkers(list []*workers.Worker, a residency.Adapter, version int64) []*workers.Worker {
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -45,6 +45,16 @@
 	Number int `json:"n"`
 }
 
+// WorkerLimit reports that a worker limits the requests that it takes from all instances.
+type WorkerLimit struct {
+	// Worker identifies the worker incarnation.
+	Worker string `json:"w"`
+	// Rate is in requests per second.
+	Rate float64 `json:"r"`
+	// AgeMS is the time in milliseconds from the answer that named the limit to the heartbeat.
+	AgeMS int64 `json:"ms"`
+}
+
 // Heartbeat is the heartbeat of an instance.
 type Heartbeat struct {
 	// Number increases with each heartbeat of an incarnation, so that one that was appended late is recognised.
@@ -61,6 +71,8 @@
 	BrokenAttempts []BrokenAttempt `json:"broken,omitempty"`
 	// CrashRefusals are the refusals in force.
 	CrashRefusals []CrashRefusal `json:"refusals,omitempty"`
+	// WorkerLimits are the limits that workers have named to the instance.
+	WorkerLimits []WorkerLimit `json:"limits,omitempty"`
 	// Resigned releases the incarnation's workers, so that other instances can claim them at once.
 	Resigned bool `json:"resigned,omitempty"`
 	// Leaving ends the membership of the incarnation.
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -102,13 +102,15 @@
 	Broken
 	// Interrupted: a stream broke off after its first event.
 	Interrupted
+	// Withheld: the request was not sent, because another worker was chosen or none was left.
+	Withheld
 	// Abandoned: the caller disconnected, or its deadline passed.
 	Abandoned
 )
 
 var outcomeNames = map[Outcome]string{
 	Succeeded: "succeeded", Failed: "failed", Rejected: "full", Misdirected: "absent", Unreachable: "unreachable",
-	Broken: "broken", Interrupted: "interrupted", Abandoned: "abandoned",
+	Broken: "broken", Interrupted: "interrupted", Withheld: "withheld", Abandoned: "abandoned",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -94,6 +94,11 @@
 	return call(ctx, c, addr, r, peerpb.PeerClient.ReportCrashes)
 }
 
+// ReserveRequest reserves one request to a backend server at the member that meters the server's limit.
+func (c *Clients) ReserveRequest(ctx context.Context, addr string, r *peerpb.ReserveRequestRequest) (*peerpb.ReserveRequestResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.ReserveRequest)
+}
+
 type rpc[Q, A any] func(peerpb.PeerClient, context.Context, *Q, ...grpc.CallOption) (*A, error)
 
 func call[Q, A any](ctx context.Context, c *Clients, addr string, request *Q, method rpc[Q, A]) (*A, error) {
