upstream, network: limit the head of a response

Callers saw: a request at a worker that sends header bytes or informational responses without end waited until its deadline and got 504.

Cause: http.ReadResponse has no limit on a head, and responses below 200 are skipped without one, so that the connection is read until the deadline and the bytes of one head stay in memory. The HTTP client for engines, reports and the log service used the default limit of 10 MiB.

Change: heads are read through a source that fails after 64 KiB, and the HTTP client has the same limit.

--- a/internal/transport/network/network.go
+++ b/internal/transport/network/network.go
@@ -81,6 +81,10 @@
 // batch.
 const maxIdleConnsPerHost = 256
 
+// MaxResponseHeadBytes bounds the status line and headers of a backend server's response. A faulty server may send bytes
+// without end.
+const MaxResponseHeadBytes = 64 << 10
+
 // idleConnTimeout is how long an idle connection is kept.
 const idleConnTimeout = 30 * time.Second
 
@@ -101,9 +105,10 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return dialPlain(ctx, address)
 		},
-		DialTLSContext:      dialTLSContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialTLSContext:         dialTLSContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: MaxResponseHeadBytes,
+		DisableCompression:     true,
 	}
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -66,6 +66,8 @@
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// source is what reader reads from.
+	source *limitedSource
 	worker workers.Key
 	// idleLimit is how long the connection may be idle.
 	idleLimit time.Duration
@@ -134,11 +136,37 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	source := &limitedSource{conn: nc, left: unlimited}
 	return &Conn{
-		Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), worker: w.Key(), idleLimit: defaultIdleLimit,
+		Conn: nc, reader: bufio.NewReaderSize(source, readBufferBytes), source: source, worker: w.Key(), idleLimit: defaultIdleLimit,
 	}, nil
 }
 
+// unlimited is the number of bytes left of a limitedSource without a limit.
+const unlimited = -1
+
+var errHeadTooLong = trace.LimitExceeded("the head of the response is longer than %d bytes", network.MaxResponseHeadBytes)
+
+// limitedSource reads from a connection and limits the bytes that are read while the head of a response is awaited. The
+// functions of net/http that parse a head have no limit.
+type limitedSource struct {
+	conn net.Conn
+	left int
+}
+
+// Read implements io.Reader.
+func (s *limitedSource) Read(b []byte) (int, error) {
+	switch {
+	case s.left == unlimited:
+		return s.conn.Read(b)
+	case s.left == 0:
+		return 0, errHeadTooLong
+	}
+	n, err := s.conn.Read(b[:min(len(b), s.left)])
+	s.left -= n
+	return n, err
+}
+
 func (p *Pool) put(c *Conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
@@ -259,7 +287,9 @@
 		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, "send_failed", "nothing of the request could be sent")
 	}
 	for range maxResponses {
+		resp.conn.source.left = network.MaxResponseHeadBytes
 		httpResp, err := readResponse(resp.conn.reader, r.Method)
+		resp.conn.source.left = unlimited
 		if err != nil {
 			return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "no_answer", "the backend server gave no complete answer")
 		}
