forward: search a stream's new bytes only for the end of an event

Cause: after each read the whole buffer was searched for the end of an event, so that the cost of an event grew with the square of its length. A worker that sends an event without end in small pieces kept the processor busy.

Change: the search begins where the last one ended.

--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -19,31 +19,56 @@
 // eventEnd is the blank line that ends a server-sent event.
 var eventEnd = []byte("\n\n")
 
+// eventBuffer collects the bytes of a stream until they are complete events.
+type eventBuffer struct {
+	data []byte
+	// searched is the number of leading bytes that contain no end of an event.
+	searched int
+}
+
+// read reads once from r. It returns the complete events in the buffer, which are valid until the next call.
+func (b *eventBuffer) read(r io.Reader) (events []byte, err error) {
+	if len(b.data) == cap(b.data) {
+		b.data = append(b.data, 0)[:len(b.data)]
+	}
+	n, err := r.Read(b.data[len(b.data):cap(b.data)])
+	b.data = b.data[:len(b.data)+n]
+	// The first byte of an end may have been the last one of the read before.
+	from := max(0, b.searched-len(eventEnd)+1)
+	b.searched = len(b.data)
+	end := bytes.LastIndex(b.data[from:], eventEnd)
+	if end < 0 {
+		return nil, err
+	}
+	return b.data[:from+end+len(eventEnd)], err
+}
+
+// consume removes events that read has returned.
+func (b *eventBuffer) consume(events []byte) {
+	b.data = b.data[:copy(b.data, b.data[len(events):])]
+	b.searched = len(b.data)
+}
+
 // forwardStream forwards complete events as they arrive. If the stream breaks off in the middle of an event, the
 // caller has only complete events, after which another worker can resume.
 func (c *call) forwardStream(resp *upstream.Response) error {
-	buf := make([]byte, 0, streamBufferBytes)
+	buf := eventBuffer{data: make([]byte, 0, streamBufferBytes)}
 	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := resp.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
-			end += len(eventEnd)
-			if werr := c.writeEvents(resp, buf[:end]); werr != nil {
+		events, err := buf.read(resp)
+		if len(events) > 0 {
+			if werr := c.writeEvents(resp, events); werr != nil {
 				return werr
 			}
-			buf = buf[:copy(buf, buf[end:])]
+			buf.consume(events)
 		}
 		switch {
-		case err == io.EOF && len(buf) == 0:
+		case err == io.EOF && len(buf.data) == 0:
 			c.outcome = Succeeded
 			if !c.headerSent {
 				c.sendHeader(resp, -1)
 			}
 			return nil
-		case err == nil && len(buf) > maxEventBytes:
+		case err == nil && len(buf.data) > maxEventBytes:
 			c.outcome = Broken
 			return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "event_too_long", "an event of the stream is too long")
 		case err == io.EOF:
