upstream: do not wait for the body of a rejection

Callers saw: a request that a worker rejected with a body without end went to another worker only after the first attempt's deadline.

Cause: the body of a rejection was read to its end, only so that the connection could be reused, before the next attempt.

Change: a body that has not arrived with the head is read in the background, 64 KiB and one second at most; the connection is reused if it ended, and closed otherwise.

--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -399,10 +399,8 @@
 		if info.Misdirected {
 			c.outcome = Misdirected
 		}
-		// The body is read only so that the connection can be reused; the headers already show the rejection.
-		if _, err := resp.ReadAll(maxResponseBytes); err != nil {
-			c.server.Log.Debug().Err(err).Str("request", c.job.ID).Msg("could not read the body of a worker's rejection")
-		}
+		// The headers show the rejection; its body does not matter.
+		resp.Discard()
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "worker_rejected", "the backend server did not take the request").WithRetryAfter(retryAfter)
 	case success && !info.Signed:
 		c.outcome = Broken
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -46,6 +46,9 @@
 	maxResponses = 3
 	// maxStaleBodyBytes bounds the body of a response to an earlier attempt in bytes.
 	maxStaleBodyBytes = 1 << 20
+	// maxDiscardedBytes and discardTimeout bound the rest of a body that is read only so that its connection can be reused.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = time.Second
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 700 * time.Millisecond
 
@@ -240,6 +243,8 @@
 	stopCancel func() bool
 	// complete is set when the body has been read to its end.
 	complete bool
+	// discarding is set if the rest of the body is being read in the background, which then closes the response.
+	discarding bool
 }
 
 // Match reports whether the headers of a response belong to the request that was sent.
@@ -379,13 +384,43 @@
 	return b, err
 }
 
+// Discard reads the rest of a body whose content does not matter, so that the connection can be reused, and closes the
+// response. A body that has not arrived yet is awaited in the background, and not for long: it may have no end.
+func (resp *Response) Discard() {
+	discard := func() {
+		if _, err := io.Copy(io.Discard, io.LimitReader(readerFunc(resp.Read), maxDiscardedBytes)); err != nil {
+			resp.abandon()
+			return
+		}
+		resp.release()
+	}
+	if resp.ContentLength >= 0 && resp.ContentLength <= int64(resp.conn.reader.Buffered()) {
+		discard()
+		resp.discarding = true
+		return
+	}
+	resp.discarding = true
+	if err := resp.conn.SetDeadline(time.Now().Add(discardTimeout)); err != nil {
+		resp.abandon()
+		return
+	}
+	go discard()
+}
+
 type readerFunc func([]byte) (int, error)
 
 func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
 
-// Close ends the exchange. The connection returns to the pool if the response was read to its end and nothing follows
+// Close ends the exchange, unless Discard does. The connection returns to the pool if the response was read to its end and nothing follows
 // it; otherwise it is closed, which tells the worker to stop.
 func (resp *Response) Close() {
+	if !resp.discarding {
+		resp.release()
+	}
+}
+
+// release returns the connection to the pool if it may be reused, and closes it otherwise.
+func (resp *Response) release() {
 	if !resp.complete || resp.Response == nil || resp.Response.Close || !resp.conn.fullyWritten() ||
 		resp.conn.reader.Buffered() > 0 || !resp.stopCancel() {
 		resp.abandon()
