forward: bound the memory of all responses together

Cause: a response without streaming is held in memory until it is complete, up to 8 MiB each, and an event of a stream up to 1 MiB. Nothing bounds the sum: 40 endless bodies at a time take more than an instance of 284 MB has.

Change: bytes beyond the first 64 KiB of a response count towards an eighth of the instance's memory. A response beyond that ends with 502, response_memory_full; short ones are not affected. A response that announces more than its limit is refused before it is read. The older entry path had such a budget for request bodies; both use package bytebudget now.

TestEndlessResponsesTogether failed before (no response was given up before its own limit) and passes now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 	"github.com/turmericworks/turmericworks/internal/transport/forward"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
@@ -57,6 +58,14 @@
 	learned time.Duration
 }
 
+const (
+	// responseMemoryDivisor is the part of the instance's memory that responses may take until they are complete. Their
+	// buffers grow in steps and may be twice as large.
+	responseMemoryDivisor = 8
+	// minMemoryMB is assumed if the settings do not name the instance's memory.
+	minMemoryMB = 64
+)
+
 // Gateway is one instance. The lock mu guards the fields below it and is not held during I/O. An owner's lock may be
 // taken while mu is held, but not the other way round.
 type Gateway struct {
@@ -157,6 +166,7 @@
 	g.server = &forward.Server{
 		Headers: platform.Headers, Admission: (*admission)(g), Placement: (*placement)(g), Pool: g.pool,
 		Metrics: g.metrics, Log: g.log,
+		ResponseMemory: bytebudget.New(int64(max(s.MemoryMB, minMemoryMB)) << 20 / responseMemoryDivisor),
 	}
 	return g
 }
--- a/internal/transport/entry/bounds.go
+++ b/internal/transport/entry/bounds.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/binary"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/event"
@@ -18,39 +16,6 @@
 var errBodyMemoryFull = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "body_memory_full",
 	"the instance holds as many request bodies as it may").WithRetryAfter(time.Second)
 
-// bodyBudget limits the bytes of request bodies in memory. It is safe for concurrent use.
-type bodyBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve counts n more bytes, or returns false if they would exceed the limit.
-func (b *bodyBudget) reserve(n int64) bool {
-	if b.used.Add(n) <= b.limit {
-		return true
-	}
-	b.used.Add(-n)
-	return false
-}
-
-// budgetReader reserves memory for a body as its bytes arrive, and not by its announced length: a caller
-// that announces a large body and sends nothing takes no memory from others.
-type budgetReader struct {
-	io.Reader
-	budget   *bodyBudget
-	reserved *int64
-}
-
-// Read implements io.Reader.
-func (r *budgetReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	if n > 0 && !r.budget.reserve(int64(n)) {
-		return 0, errBodyMemoryFull
-	}
-	*r.reserved += int64(n)
-	return n, err
-}
-
 var errBadPath = verdict.New(verdict.NotRun, http.StatusBadRequest, "bad_path",
 	"the path has empty or dot segments, an encoded slash, a backslash or control characters")
 
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/event"
+	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 )
 
 // Call is one admitted completion request.
@@ -78,12 +79,12 @@
 	opts     Options
 	inFlight *inFlight
 	metrics  *metrics
-	bodies   bodyBudget
+	bodies   *bytebudget.Budget
 }
 
 // New returns a server.
 func New(o Options) *Server {
-	return &Server{opts: o, inFlight: newInFlight(), metrics: newMetrics(o.Registry), bodies: bodyBudget{limit: o.MaxBodyMemory}}
+	return &Server{opts: o, inFlight: newInFlight(), metrics: newMetrics(o.Registry), bodies: bytebudget.New(o.MaxBodyMemory)}
 }
 
 // ConfigChanged cancels the requests in flight whose keys are no longer in the configuration.
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -14,6 +14,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 )
 
 // bodyTimeout is how long a caller may take to send its body.
@@ -34,8 +35,8 @@
 	view   *config.View
 	// admitted is the event of the request's admission, or a zero event before it.
 	admitted event.Event
-	// reserved is the number of bytes that the body takes of the server's body budget.
-	reserved int64
+	// memory is what the body takes of the server's memory for bodies.
+	memory *bytebudget.Usage
 }
 
 // handler serves one request. An error that it returns is written as the response, unless a response
@@ -82,9 +83,9 @@
 func (s *Server) wrap(kind string, h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, hr *http.Request) {
 		rec := &recorder{ResponseWriter: w}
-		r := &request{Request: hr, id: uuid.NewString(), start: time.Now()}
+		r := &request{Request: hr, id: uuid.NewString(), start: time.Now(), memory: s.bodies.NewUsage(0)}
 		rec.Header().Set("X-Request-Id", r.id)
-		defer func() { s.bodies.used.Add(-r.reserved) }()
+		defer r.memory.Release()
 		err := s.serve(rec, r, h)
 		if err != nil {
 			s.writeError(rec, r, err)
@@ -193,7 +194,7 @@
 		return nil, errBodyTooLarge
 	}
 	limited := http.MaxBytesReader(w.ResponseWriter, r.Body, openai.MaxBodyBytes)
-	body, err := io.ReadAll(&budgetReader{Reader: limited, budget: &s.bodies, reserved: &r.reserved})
+	body, err := io.ReadAll(bytebudget.Reader{Reader: limited, Usage: r.memory})
 	if err == nil {
 		// If the deadline stayed set, it would cancel the request's context when it passes.
 		_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Time{})
@@ -201,7 +202,7 @@
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
-	case errors.Is(err, errBodyMemoryFull):
+	case errors.Is(err, bytebudget.ErrExhausted):
 		return nil, errBodyMemoryFull
 	case err == nil && r.caller.keyInBody(body):
 		return nil, errKeyInRequest
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
 )
 
@@ -33,6 +34,9 @@
 	// maxResponseBytes bounds the response to a request without streaming, which is buffered in memory until it
 	// is complete.
 	maxResponseBytes = 8 << 20
+	// freeResponseBytes is the part of a response that does not count towards the memory for responses, so that short
+	// responses are forwarded while long ones use it up.
+	freeResponseBytes = 64 << 10
 	// extraRejections is how many workers may reject a request without running it, in addition to the attempts
 	// that the route allows.
 	extraRejections = 3
@@ -43,6 +47,8 @@
 	retryAfter = 200 * time.Millisecond
 )
 
+var errResponseMemory = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "response_memory_full", "the instance holds as many bytes of responses as it may")
+
 // Job is one request of a caller, with all its attempts at workers.
 type Job struct {
 	external.Request
@@ -150,7 +156,9 @@
 	Placement Placement
 	Pool      *upstream.Pool
 	Metrics   Metrics
-	Log       zerolog.Logger
+	// ResponseMemory bounds the bytes of all responses that are held in memory until they are complete.
+	ResponseMemory *bytebudget.Budget
+	Log            zerolog.Logger
 	// Draining makes the server ask callers to close their connections.
 	Draining atomic.Bool
 	inFlight atomic.Int64
@@ -415,7 +423,13 @@
 // forwardBuffered forwards a response after its last byte has been read, so that a truncated response never reaches
 // the caller.
 func (c *call) forwardBuffered(resp *upstream.Response, success bool) error {
-	body, err := resp.ReadAll(maxResponseBytes)
+	memory := c.server.ResponseMemory.NewUsage(freeResponseBytes)
+	defer memory.Release()
+	body, err := resp.ReadAll(maxResponseBytes, memory)
+	if errors.Is(err, bytebudget.ErrExhausted) {
+		c.outcome = Broken
+		return errResponseMemory
+	}
 	if err != nil {
 		c.outcome = Broken
 		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "cut_answer", "the backend server's answer was cut")
--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
 )
 
@@ -24,12 +26,16 @@
 	data []byte
 	// searched is the number of leading bytes that contain no end of an event.
 	searched int
+	memory   *bytebudget.Usage
 }
 
 // read reads once from r. It returns the complete events in the buffer, which are valid until the next call.
 func (b *eventBuffer) read(r io.Reader) (events []byte, err error) {
 	if len(b.data) == cap(b.data) {
 		b.data = append(b.data, 0)[:len(b.data)]
+		if !b.memory.Add(int64(cap(b.data) - len(b.data))) {
+			return nil, bytebudget.ErrExhausted
+		}
 	}
 	n, err := r.Read(b.data[len(b.data):cap(b.data)])
 	b.data = b.data[:len(b.data)+n]
@@ -52,7 +58,8 @@
 // forwardStream forwards complete events as they arrive. If the stream breaks off in the middle of an event, the
 // caller has only complete events, after which another worker can resume.
 func (c *call) forwardStream(resp *upstream.Response) error {
-	buf := eventBuffer{data: make([]byte, 0, streamBufferBytes)}
+	buf := eventBuffer{data: make([]byte, 0, streamBufferBytes), memory: c.server.ResponseMemory.NewUsage(freeResponseBytes)}
+	defer buf.memory.Release()
 	for {
 		events, err := buf.read(resp)
 		if len(events) > 0 {
@@ -74,6 +81,9 @@
 		case err == io.EOF:
 			c.outcome = Broken
 			return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "cut_answer", "the stream ended in the middle of an event")
+		case errors.Is(err, bytebudget.ErrExhausted):
+			c.outcome = Broken
+			return errResponseMemory
 		case err != nil:
 			c.outcome = Broken
 			return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "cut_answer", "the stream was cut")
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -24,6 +24,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
@@ -375,9 +376,13 @@
 	return n, err
 }
 
-// ReadAll reads the rest of the body. It fails if the body does not end within limit bytes.
-func (resp *Response) ReadAll(limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(readerFunc(resp.Read), limit))
+// ReadAll reads the rest of the body, whose bytes count as the given usage of memory. It fails if the body does not end
+// within limit bytes, at once if it announces more.
+func (resp *Response) ReadAll(limit int64, memory *bytebudget.Usage) ([]byte, error) {
+	if resp.ContentLength > limit {
+		return nil, trace.LimitExceeded("response body has %d bytes, more than %d", resp.ContentLength, limit)
+	}
+	b, err := io.ReadAll(bytebudget.Reader{Reader: io.LimitReader(readerFunc(resp.Read), limit), Usage: memory})
 	if err == nil && !resp.complete {
 		return b, trace.LimitExceeded("response body is longer than %d bytes", limit)
 	}
