gateway: compare a limited worker's wait with what each request allows

Cause: a request that could not wait long enough for a limited worker's capacity made the instance leave the worker out for all requests until that one could have been served; requests with more time went elsewhere, and limits were not used up while the other workers were overloaded.

Change: the instance remembers when a request to the worker could be sent, and each request compares that with its own allowance.

--- a/internal/coordination/quota/workerlimit.go
+++ b/internal/coordination/quota/workerlimit.go
@@ -50,8 +50,8 @@
 	limited bool
 	// own is set if the answer was one to this instance.
 	own bool
-	// blockedUntil is the time until which the worker is not asked for capacity.
-	blockedUntil time.Duration
+	// freeAt is when a request to the worker could be sent, as far as is known.
+	freeAt time.Duration
 	// metered is this instance's bucket as the holder, and fallback that for its part of the limit without the holder.
 	metered, fallback *Bucket
 }
@@ -83,7 +83,7 @@
 	w := l.worker(worker)
 	w.rate, w.limited, w.own, w.namedAt = rate, limited, true, now
 	if !limited {
-		w.blockedUntil = 0
+		w.freeAt = 0
 	}
 	current, _ := l.Rate(worker, now)
 	return limited != wasLimited || limited && current != previous
@@ -141,18 +141,17 @@
 	return (*b).Reserve(1, maxWait, now)
 }
 
-// Block records that a worker has no capacity until the given time.
-func (l *WorkerLimits) Block(worker string, until time.Duration) {
-	l.worker(worker).blockedUntil = until
+// SetWait records how long a request to a worker would have to wait.
+func (l *WorkerLimits) SetWait(worker string, wait, now time.Duration) {
+	l.worker(worker).freeAt = now + wait
 }
 
-// Blocked returns how long a limited worker has no capacity, or false if it may have some.
-func (l *WorkerLimits) Blocked(worker string, now time.Duration) (time.Duration, bool) {
-	w := l.workers[worker]
-	if w == nil || w.blockedUntil <= now {
-		return 0, false
+// Wait returns how long a request to a worker has to wait at least, as far as is known.
+func (l *WorkerLimits) Wait(worker string, now time.Duration) time.Duration {
+	if w := l.workers[worker]; w != nil {
+		return max(0, w.freeAt-now)
 	}
-	return w.blockedUntil - now, true
+	return 0
 }
 
 // Retain removes the limits of workers for which exists returns false.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// maxLimitWait is how long a request that is late already waits for capacity at a limited worker before another one
-	// is chosen. It is about the time in which another worker loads an adapter.
+	// maxLimitWait is how long a request that is late already waits for capacity at a limited worker before another
+	// worker is chosen. It is about the time in which another one loads an adapter.
 	maxLimitWait = 300 * time.Millisecond
-	// minLimitBlock is the shortest time for which a worker without capacity is not asked again.
-	minLimitBlock = 50 * time.Millisecond
+	// limitRetryDelay is the shortest time after which a request that may wait as long as one without success asks again.
+	limitRetryDelay = 50 * time.Millisecond
 	// maxLimitedWorkers bounds the workers without capacity that are asked for one attempt.
 	maxLimitedWorkers = 6
 )
@@ -70,8 +70,8 @@
 	now := g.now()
 	shortest := time.Duration(0)
 	for _, w := range g.workers.Load().Ready(j.Service) {
-		if left, blocked := g.limits.Blocked(incarnationName(w), now); blocked && (shortest == 0 || left < shortest) {
-			shortest = left
+		if wait := g.limits.Wait(incarnationName(w), now); wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
 		}
 	}
 	if shortest == 0 {
@@ -88,7 +88,7 @@
 }
 
 // reserveRequest reserves the job's request at the instance that meters the worker's limit, and returns how long the
-// request must wait. ok is false if the worker has no capacity in time; it is then blocked for a while.
+// request must wait. ok is false if the worker has no capacity in time; requests that may not wait longer then leave it out.
 func (g *Gateway) reserveRequest(j *forward.Job, w *workers.Worker) (wait time.Duration, ok bool) {
 	name := incarnationName(w)
 	maxWait := limitWait(j)
@@ -115,7 +115,7 @@
 		wait, ok = g.limits.ReserveWithoutHolder(name, rate, g.fleetSize, maxWait, now)
 	}
 	if !ok {
-		g.limits.Block(name, now+max(minLimitBlock, wait-maxWait))
+		g.limits.SetWait(name, max(wait, maxWait+limitRetryDelay), now)
 		g.log.Info().Str("request", j.ID).Str("worker", w.ID).Float64("requests_per_s", rate).Int64("wait_ms", wait.Milliseconds()).
 			Str("holder", holder.instance).Bool("reached", reached).Msg("worker's limit reached")
 	}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -102,8 +102,9 @@
 func (g *Gateway) candidates(j *forward.Job) []*workers.Worker {
 	ready := g.workers.Load().Ready(j.Service)
 	untried := make([]*workers.Worker, 0, len(ready))
+	now, maxWait := g.now(), limitWait(j)
 	for _, w := range ready {
-		if _, blocked := g.limits.Blocked(incarnationName(w), g.now()); !blocked && !slices.Contains(j.Tried, w.Key()) {
+		if g.limits.Wait(incarnationName(w), now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
 			untried = append(untried, w)
 		}
 	}
@@ -112,11 +113,10 @@
 		return untried
 	}
 	usable := make([]*workers.Worker, 0, len(untried))
-	now := time.Now()
 	for _, w := range untried {
 		if e.Usable(w.ID) {
 			usable = append(usable, w)
-		} else if j.Route.Kind == routing.Idempotent && e.TryProbe(w.ID, now) {
+		} else if j.Route.Kind == routing.Idempotent && e.TryProbe(w.ID, time.Now()) {
 			return []*workers.Worker{w}
 		}
 	}
