dispatch, daemon: refuse messages that crash engines in many requests

Crashes were attributed to whole requests by their fingerprints.

Change: the scheduler gives the messages of a prompt but the last to the gateway's tracker. Crashes and refusals are records in the control stream. The attribution of crashes to single requests, which isolates suspects, stays.

TestSharedMessageCrashesEngines failed before (24 crashes, 8 allowed) and passes now.

--- a/internal/coordination/retry/workercrashes_test.go
+++ b/internal/coordination/retry/workercrashes_test.go
@@ -193,3 +193,39 @@
 		}
 	})
 }
+
+// TestPromptPartRecords guards against crashes of long ago that count for an instance that reads the log, and against
+// refusals that the log prolongs.
+func TestPromptPartRecords(t *testing.T) {
+	const now = time.Hour
+	crashRecord := func(incarnation string) PromptPartRecord {
+		return PromptPartRecord{Crash: EngineRun{Engine: "e", Incarnation: incarnation}, Attempts: [][]string{{"a", "b"}, {"a", "c"}}}
+	}
+	Convey("crashes of other instances count with an own one, if they are recent", t, func() {
+		for _, age := range []time.Duration{0, brokenAttemptWindow + 1} {
+			c := NewWorkerCrashTracker()
+			c.ApplyRecord(crashRecord("1"), age, now)
+			c.ApplyRecord(crashRecord("2"), age, now)
+			So(c.Decide(now), ShouldBeEmpty)
+			c.AddRecord(crashRecord("3"), now)
+			if age == 0 {
+				So(refusedSuspects(c.Decide(now)), ShouldNotBeEmpty)
+			} else {
+				So(c.Decide(now), ShouldBeEmpty)
+			}
+		}
+	})
+	Convey("a refusal that was read from the log ends with the one that it tells of", t, func() {
+		c := NewWorkerCrashTracker()
+		refusal := PromptPartRecord{Refused: "a", RemainingMS: initialRefusal.Milliseconds(), Number: 1}
+		c.ApplyRecord(refusal, 20*time.Second, now)
+		_, refused := c.Refused(parts("a"), now+initialRefusal-20*time.Second-1)
+		So(refused, ShouldBeTrue)
+		_, refused = c.Refused(parts("a"), now+initialRefusal-20*time.Second)
+		So(refused, ShouldBeFalse)
+		other := NewWorkerCrashTracker()
+		other.ApplyRecord(refusal, 2*initialRefusal, now)
+		_, refused = other.Refused(parts("a"), now)
+		So(refused, ShouldBeFalse)
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,7 +109,7 @@
 	peerpb.RegisterPeerServer(d.peerServer, &peer.Service{Shares: d.control, State: d.control, Slots: d.owners})
 	d.scheduler = dispatch.NewScheduler(dispatch.SchedulerOptions{
 		Fleet: d.fleet, DataCentre: d.settings.DataCentre, Loader: d.owners, Budget: d.control, Gate: d.control,
-		Queue: fairqueue.Settings{MaxTotal: d.settings.Limits.QueuedRequests}, Publish: d.publishBlame, Seed: seedOf(o.Incarnation),
+		Queue: fairqueue.Settings{MaxTotal: d.settings.Limits.QueuedRequests}, Publish: d.publishBlame, PublishPromptParts: d.publishPromptParts, Seed: seedOf(o.Incarnation),
 	})
 	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.control, d.events.record), daemon: d}
 	d.entry = entry.New(entry.Options{
--- a/internal/daemon/engine_test.go
+++ b/internal/daemon/engine_test.go
@@ -71,6 +71,26 @@
 	})
 }
 
+// TestSharedMessageCrashesEngines guards against requests that have only a message of their prompt in common and crash one
+// engine after the other: after few crashes requests with that message are refused, and others are served.
+func TestSharedMessageCrashesEngines(t *testing.T) {
+	const maxCrashes = 8
+	withCrashMarker := func(o *stack.Options) { o.Engine.CrashMarker = "broken template" }
+	runFleet(t, 3, withCrashMarker, func(f *testFleet) {
+		Convey("Engines crash a few times only", t, func() {
+			So(f.countSucceeded(100), ShouldEqual, 100)
+			for n := range 20 {
+				body := fmt.Sprintf(`{"model":"summary","max_tokens":2,"messages":[{"role":"system","content":"broken template"},{"role":"user","content":"%d"}]}`, n)
+				_, err := f.call(n%3, http.MethodPost, "/v1/chat/completions", body, nil)
+				So(err, ShouldBeNil)
+				time.Sleep(3 * time.Second)
+			}
+			So(f.crashes(), ShouldBeLessThanOrEqualTo, maxCrashes)
+			So(fmt.Sprint(f.countSucceeded(10)), ShouldEqual, "10")
+		})
+	})
+}
+
 // crashes returns how often the engines crashed.
 func (f *testFleet) crashes() int {
 	n := 0
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -178,18 +178,30 @@
 // applyControlRecord passes a record of the control stream to the scheduler if it concerns an engine
 // crash.
 func (d *Daemon) applyControlRecord(e record.Entry) {
-	if e.Kind != retry.KindBlame {
-		return
-	}
-	var rec retry.BlameRecord
-	if err := e.Unmarshal(&rec); err == nil {
-		d.scheduler.MergeBlame(rec)
+	switch e.Kind {
+	case retry.KindBlame:
+		var rec retry.BlameRecord
+		if err := e.Unmarshal(&rec); err == nil {
+			d.scheduler.MergeBlame(rec)
+		}
+	case retry.KindPromptParts:
+		var rec retry.PromptPartRecord
+		if err := e.Unmarshal(&rec); err == nil {
+			d.scheduler.MergePromptParts(rec)
+		}
 	}
 }
 
 // publishBlame appends a record of the requests that ran during an engine crash.
-func (d *Daemon) publishBlame(rec retry.BlameRecord) {
-	env, err := record.New(retry.KindBlame, uuid.NewString(), d.opts.Incarnation, rec)
+func (d *Daemon) publishBlame(rec retry.BlameRecord) { d.appendCrashRecord(retry.KindBlame, rec) }
+
+// publishPromptParts appends a record about parts of prompts that may crash engines.
+func (d *Daemon) publishPromptParts(rec retry.PromptPartRecord) {
+	d.appendCrashRecord(retry.KindPromptParts, rec)
+}
+
+func (d *Daemon) appendCrashRecord(kind record.Kind, body any) {
+	env, err := record.New(kind, uuid.NewString(), d.opts.Incarnation, body)
 	if err != nil {
 		return
 	}
--- a/internal/protocol/openai/openai.go
+++ b/internal/protocol/openai/openai.go
@@ -4,6 +4,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 
 	"github.com/gravitational/trace"
@@ -28,6 +30,8 @@
 	// overflow.
 	maxOutputTokens = 1 << 20
 	maxChoices      = 128
+	// partIDBytes is the number of bytes of a message's hash that identify it.
+	partIDBytes = 8
 )
 
 // Request holds the fields of a completion request that determine admission and routing.
@@ -106,6 +110,21 @@
 	return nil
 }
 
+// PromptParts returns identifiers of the messages that the prompt may share with others: all but the last. Equal messages
+// have equal identifiers.
+func (r Request) PromptParts() []string {
+	var list []json.RawMessage
+	if err := json.Unmarshal(r.Messages, &list); err != nil || len(list) < 2 {
+		return nil
+	}
+	var parts []string
+	for _, m := range list[:len(list)-1] {
+		hash := sha256.Sum256(m)
+		parts = append(parts, hex.EncodeToString(hash[:partIDBytes]))
+	}
+	return parts
+}
+
 // promptCount returns the number of prompts. An array of numbers is one prompt that consists of tokens.
 func (r Request) promptCount() int {
 	var list []json.RawMessage
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -34,6 +34,8 @@
 // Reservation is capacity reserved on an engine for one attempt.
 type Reservation struct {
 	Engine *fleet.Engine
+	// Answering reports that the first chunk of a stream has arrived.
+	Answering func()
 	// Release returns the capacity. Calls after the first have no effect.
 	Release func(Outcome)
 }
--- a/internal/transport/dispatch/scheduler.go
+++ b/internal/transport/dispatch/scheduler.go
@@ -61,6 +61,7 @@
 	queue        *fairqueue.Queue
 	loadQueue    *loadbudget.Queue
 	crashes      *retry.CrashAttributor
+	promptParts  *promptParts
 	ejectors     map[string]*retry.Ejector // by base model
 	down         map[string]bool           // engines whose last report failed
 	probing      map[string]bool           // ejected engines that may get one request
@@ -110,6 +111,8 @@
 	Queue fairqueue.Settings
 	// Publish appends a record about an engine crash to the log. It must not block.
 	Publish func(retry.BlameRecord)
+	// PublishPromptParts appends a record about parts of prompts to the log. It must not block.
+	PublishPromptParts func(retry.PromptPartRecord)
 	// Seed seeds the random choices, so that they differ between instances.
 	Seed uint64
 }
@@ -123,7 +126,7 @@
 		publishCrash: o.Publish, ctx: context.Background(),
 		placement: placement.New(placement.DefaultPolicy(), popularity, rnd),
 		queue:     fairqueue.New(o.Queue), loadQueue: loadbudget.NewQueue(loadbudget.DefaultQueueConfig(), rnd),
-		crashes:  retry.NewCrashAttributor(),
+		crashes: retry.NewCrashAttributor(), promptParts: newPromptParts(o.PublishPromptParts),
 		ejectors: map[string]*retry.Ejector{}, down: map[string]bool{}, probing: map[string]bool{},
 		incarnations: map[string]string{}, baseModels: map[string]string{}, waiters: map[string]*waiter{},
 		retired: map[slotKey]time.Time{}, waiterCounts: map[adapter.Ref]int{}, queued: make(chan struct{}, 1),
@@ -227,9 +230,12 @@
 	if old == "" || old == incarnation {
 		return
 	}
-	if _, rec := s.crashes.Crashed(retry.EngineRun{Engine: engine, Incarnation: old}, now); rec != nil && s.publishCrash != nil {
+	run := retry.EngineRun{Engine: engine, Incarnation: old}
+	ids, rec := s.crashes.Crashed(run, now)
+	if rec != nil && s.publishCrash != nil {
 		s.publishCrash(*rec)
 	}
+	s.promptParts.crashed(run, ids)
 }
 
 func placementReport(st backend.Status) placement.Report {
@@ -257,6 +263,13 @@
 	s.crashes.Merge(rec, time.Now())
 }
 
+// MergePromptParts applies a record about parts of prompts that another instance has appended to the log.
+func (s *Scheduler) MergePromptParts(rec retry.PromptPartRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.promptParts.merge(rec)
+}
+
 // LocalService returns, for each workspace, the service that this instance has given to it since its start, divided by
 // the workspace's weight. Heartbeats carry it to the peers.
 func (s *Scheduler) LocalService() map[string]float64 {
@@ -311,6 +324,9 @@
 	if err := s.crashes.Check(w.fingerprint, now); err != nil {
 		return err
 	}
+	if err := s.promptParts.check(w.call.PromptParts); err != nil {
+		return err
+	}
 	s.placement.Requested(w.call.Adapter, 1, now)
 	displaced, err := s.queue.Enqueue(fairqueue.Request{
 		ID: id, Workspace: w.call.Workspace, Adapter: w.call.Adapter, Class: w.call.Class, Worth: w.call.Worth,
@@ -468,6 +484,11 @@
 		s.finishWait(r.ID, acquireResult{err: errNoEngine})
 		return
 	}
+	if err := s.promptParts.check(w.call.PromptParts); err != nil {
+		s.queue.Complete(r.ID, 0, now)
+		s.finishWait(r.ID, acquireResult{err: err})
+		return
+	}
 	run := retry.EngineRun{Engine: d.Engine, Incarnation: d.Incarnation}
 	s.placement.Started(d.Engine, r.Adapter, now)
 	if s.probing[d.Engine] {
@@ -475,9 +496,17 @@
 		s.updateEjected(d.Engine)
 	}
 	s.crashes.Started(r.ID, w.fingerprint, run)
+	s.promptParts.attemptStarted(r.ID, w.call.PromptParts)
 	var once sync.Once
 	release := func(o Outcome) { once.Do(func() { s.release(r, run, o) }) }
-	s.finishWait(r.ID, acquireResult{reservation: Reservation{Engine: engine, Release: release}})
+	s.finishWait(r.ID, acquireResult{reservation: Reservation{Engine: engine, Release: release, Answering: func() { s.answering(r.ID) }}})
+}
+
+// answering records that an attempt began to be answered.
+func (s *Scheduler) answering(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.promptParts.answering(id)
 }
 
 // release returns the capacity of an ended attempt and records its outcome.
@@ -487,6 +516,7 @@
 	now := time.Now()
 	s.queue.Complete(r.ID, float64(o.Tokens), now)
 	s.placement.Finished(run.Engine, r.Adapter, now)
+	s.promptParts.attemptEnded(r.ID, o.Err == nil)
 	for _, rec := range s.crashes.Finished(r.ID, run, o.Err == nil) {
 		if s.publishCrash != nil {
 			s.publishCrash(rec)
--- a/internal/transport/dispatch/stream.go
+++ b/internal/transport/dispatch/stream.go
@@ -88,6 +88,9 @@
 		if chunk.Usage != nil {
 			s.usage = *chunk.Usage
 		}
+		if s.nextPosition == 0 {
+			s.reservation.Answering()
+		}
 		s.nextPosition = chunk.Position + 1
 		s.runner.markSent(s.retry, s.nextPosition)
 		return chunk, nil
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -69,7 +69,7 @@
 	}
 	return Call{
 		RequestID: r.id, Workspace: a.Workspace, Adapter: ref, BaseModel: a.BaseModel, Class: a.Class,
-		Worth: a.Worth, Path: r.URL.Path, Body: body, Tokens: parsed.ReservedTokens(),
+		Worth: a.Worth, Path: r.URL.Path, Body: body, PromptParts: parsed.PromptParts(), Tokens: parsed.ReservedTokens(),
 		Deadline: r.start.Add(a.Deadline()), TraceParent: traceParent(r.Header),
 	}, nil
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -29,6 +29,8 @@
 	Worth     float64
 	Path      string
 	Body      []byte
+	// PromptParts identify the messages of the prompt without the last one, which belongs to this request alone.
+	PromptParts []string
 	// Tokens is the number of tokens to reserve: the estimated prompt plus the largest possible output.
 	Tokens int
 	// Deadline is the time by which the request must be complete.
