retry: attempts sent before a refusal do not prolong it

Cause: a request that is refused after three crashes was refused a second time, for twice the length, by an attempt that had been sent before.

Change: workers at which such attempts break off are no evidence for the next refusal. Also: a request whose caller left asks no further limited worker, and workers are not named while no limit is known.

The new case in TestRefusalEnds failed before.

--- a/internal/coordination/quota/workerlimit.go
+++ b/internal/coordination/quota/workerlimit.go
@@ -141,6 +141,9 @@
 	return (*b).Reserve(1, maxWait, now)
 }
 
+// Empty reports whether no limit is known.
+func (l *WorkerLimits) Empty() bool { return len(l.workers) == 0 }
+
 // SetWait records how long a request to a worker would have to wait.
 func (l *WorkerLimits) SetWait(worker string, wait, now time.Duration) {
 	l.worker(worker).freeAt = now + wait
--- a/internal/coordination/retry/workercrashes.go
+++ b/internal/coordination/retry/workercrashes.go
@@ -89,7 +89,8 @@
 type refusalState struct {
 	until  time.Duration
 	number int
-	// workers are the evidence that led to the refusal of a request. It still counts in comparisons with other suspects.
+	// workers are the evidence that led to the refusal, and those of attempts that were sent before it. They are no
+	// evidence for the next refusal, but for a request they count in comparisons with other suspects.
 	workers map[string]bool
 }
 
@@ -172,8 +173,14 @@
 	w.lastBroken = now
 	w.crashed = w.crashed || b.Crashed
 	for _, s := range b.Suspects {
-		if _, isPart := s.PromptPart(); isPart && c.inForce(s, now) {
+		if !c.inForce(s, now) {
+			continue
+		}
+		// The attempt was sent before the refusal.
+		if _, isPart := s.PromptPart(); isPart {
 			c.explain(w, b.Worker)
+		} else {
+			c.refusals[s].workers[b.Worker] = true
 		}
 	}
 	for i, s := range b.Suspects {
@@ -301,19 +308,17 @@
 	if c.refusals[r.Suspect] == nil && len(c.refusals) >= maxSuspects {
 		return
 	}
-	state := &refusalState{until: now + min(r.Remaining, maxRefusal), number: r.Number}
+	state := &refusalState{until: now + min(r.Remaining, maxRefusal), number: r.Number, workers: map[string]bool{}}
 	c.refusals[r.Suspect] = state
 	e := c.suspects[r.Suspect]
 	if e == nil {
 		return
 	}
-	workers := maps.Clone(e.workers)
-	if _, isPart := r.Suspect.PromptPart(); !isPart {
-		state.workers = workers
-		return
-	}
-	for name := range workers {
-		c.explain(c.workers[name], name)
+	state.workers = maps.Clone(e.workers)
+	if _, isPart := r.Suspect.PromptPart(); isPart {
+		for name := range state.workers {
+			c.explain(c.workers[name], name)
+		}
 	}
 }
 
--- a/internal/coordination/retry/workercrashes_test.go
+++ b/internal/coordination/retry/workercrashes_test.go
@@ -121,6 +121,18 @@
 		So(again[0].Remaining, ShouldEqual, 2*initialRefusal)
 		So(c.Decide(end), ShouldBeEmpty)
 	})
+	Convey("attempts that were sent before a refusal do not prolong it", t, func() {
+		c := NewWorkerCrashTracker()
+		for i := range 3 {
+			crash(c, fmt.Sprint("w", i), start, RequestSuspect("f"))
+		}
+		So(c.Decide(start), ShouldHaveLength, 1)
+		crash(c, "w8", start, RequestSuspect("f"))
+		So(c.Decide(start), ShouldBeEmpty)
+		So(c.Decide(start+initialRefusal), ShouldBeEmpty)
+		crash(c, "w9", start+initialRefusal, RequestSuspect("f"))
+		So(c.Decide(start+initialRefusal), ShouldHaveLength, 1)
+	})
 	Convey("an answer ends a refusal and its consequences", t, func() {
 		c, _ := refuseA()
 		So(c.Answered(parts("a"), start), ShouldResemble, parts("a"))
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -70,7 +70,7 @@
 	now := g.now()
 	shortest := time.Duration(0)
 	for _, w := range g.workers.Load().Ready(j.Service) {
-		if wait := g.limits.Wait(incarnationName(w), now); wait > 0 && (shortest == 0 || wait < shortest) {
+		if wait := g.knownWait(w, now); wait > 0 && (shortest == 0 || wait < shortest) {
 			shortest = wait
 		}
 	}
@@ -80,6 +80,14 @@
 	return refuse(http.StatusServiceUnavailable, "workers_limited", "the backend servers limit their requests", shortest)
 }
 
+// knownWait returns how long a request to a worker has to wait at least for capacity, as far as is known. The lock is held.
+func (g *Gateway) knownWait(w *workers.Worker, now time.Duration) time.Duration {
+	if g.limits.Empty() {
+		return 0
+	}
+	return g.limits.Wait(incarnationName(w), now)
+}
+
 // limitWait returns how long the job may wait for capacity at a limited worker: until it can no longer meet its target
 // latency, or for maxLimitWait.
 func limitWait(j *forward.Job) time.Duration {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -104,7 +104,7 @@
 	untried := make([]*workers.Worker, 0, len(ready))
 	now, maxWait := g.now(), limitWait(j)
 	for _, w := range ready {
-		if g.limits.Wait(incarnationName(w), now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
+		if g.knownWait(w, now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
 			untried = append(untried, w)
 		}
 	}
@@ -165,6 +165,9 @@
 			return reservation, nil
 		}
 		reservation.Done(forward.Withheld)
+		if ctx.Err() != nil {
+			break
+		}
 	}
 	return forward.Reservation{}, noWorkerError()
 }
