upstream: pass on responses to HEAD that announce a long body

Callers would have got 502: a response is refused at once if it announces a longer body than may be held in memory, and a response to HEAD announces the body that it leaves out. Found while reading the change before it landed.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -379,7 +379,7 @@
 // ReadAll reads the rest of the body, whose bytes count as the given usage of memory. It fails if the body does not end
 // within limit bytes, at once if it announces more.
 func (resp *Response) ReadAll(limit int64, memory *bytebudget.Usage) ([]byte, error) {
-	if resp.ContentLength > limit {
+	if resp.ContentLength > limit && resp.Request.Method != http.MethodHead {
 		return nil, trace.LimitExceeded("response body has %d bytes, more than %d", resp.ContentLength, limit)
 	}
 	b, err := io.ReadAll(bytebudget.Reader{Reader: io.LimitReader(readerFunc(resp.Read), limit), Usage: memory})
@@ -416,8 +416,8 @@
 
 func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
 
-// Close ends the exchange, unless Discard does. The connection returns to the pool if the response was read to its end and nothing follows
-// it; otherwise it is closed, which tells the worker to stop.
+// Close ends the exchange, unless Discard does. The connection returns to the pool if the response was read to its end
+// and nothing follows it; otherwise it is closed, which tells the worker to stop.
 func (resp *Response) Close() {
 	if !resp.discarding {
 		resp.release()
