gateway: count a use of an adapter when its request is sent

Cause: a request that found no capacity at a limited worker had counted as a use of its adapter there, and again at the next worker.

Change: requests in flight are counted when a worker is chosen, uses when the request is sent. The check of a worker after a broken attempt is a function of its own.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -114,22 +114,22 @@
 		return
 	}
 	g.crashChecks[b.Worker] = true
-	g.start(func(ctx context.Context) {
-		crashed := sleep(ctx, crashCheckDelay)
-		if crashed {
-			ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-			defer cancel()
-			crashed = g.pool.ConnectionRefused(ctx, w)
-		}
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.crashChecks, b.Worker)
-		g.log.Info().Str("worker", w.ID).Bool("crashed", crashed).Msg("worker checked after a broken attempt")
-		if crashed {
-			b.Crashed = true
-			g.reportBrokenAttempt(b)
-		}
-	})
+	g.start(func(ctx context.Context) { g.checkCrash(ctx, w, b) })
+}
+
+// checkCrash finds out whether the worker's process has ended since an attempt broke off there, and reports it.
+func (g *Gateway) checkCrash(ctx context.Context, w *workers.Worker, b retry.BrokenAttempt) {
+	sleep(ctx, crashCheckDelay)
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	b.Crashed = g.pool.ConnectionRefused(ctx, w)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.crashChecks, b.Worker)
+	g.log.Info().Str("worker", w.ID).Bool("crashed", b.Crashed).Msg("worker checked after a broken attempt")
+	if b.Crashed {
+		g.reportBrokenAttempt(b)
+	}
 }
 
 // reportBrokenAttempt reports a broken attempt of this instance in the next heartbeat, and at once if a part of a prompt
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -187,20 +187,33 @@
 	}
 }
 
-// requestStarted counts the start of a request for an adapter. The lock is held.
+// requestStarted counts a request in flight for an adapter, so that the adapter is not unloaded. The lock is held.
 func (g *Gateway) requestStarted(k workers.Key, a residency.Adapter) {
+	g.usageOf(k, a).inFlight++
+	if o := g.owners[k]; o != nil {
+		o.requestStarted(a, g.now())
+	}
+}
+
+// recordSent counts a use of an adapter by a request that is sent to the worker. The lock is not held.
+func (g *Gateway) recordSent(w *workers.Worker, a residency.Adapter) {
+	if a.Name == "" {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.usageOf(w.Key(), a).count++
+	g.recordUse(w.ID, a, 1, g.now())
+}
+
+// usageOf returns the usage of an adapter at a worker since the last heartbeat. The lock is held.
+func (g *Gateway) usageOf(k workers.Key, a residency.Adapter) *usage {
 	u := g.usage[workerAdapter{k.ID, a}]
 	if u == nil {
 		u = &usage{}
 		g.usage[workerAdapter{k.ID, a}] = u
 	}
-	u.count++
-	u.inFlight++
-	now := g.now()
-	g.recordUse(k.ID, a, 1, now)
-	if o := g.owners[k]; o != nil {
-		o.requestStarted(a, now)
-	}
+	return u
 }
 
 // requestEnded counts the end of a request for an adapter. The lock is held.
@@ -283,6 +296,7 @@
 				return forward.Reservation{}, noWorkerError()
 			}
 			if g.claimCapacity(ctx, j, reservation.Worker) {
+				g.recordSent(reservation.Worker, a)
 				return reservation, nil
 			}
 			reservation.Done(forward.Withheld)
@@ -308,6 +322,7 @@
 		sendAt := time.Now().Add(wait)
 		if g.ensureResident(ctx, target, a, version, slack) && sleep(ctx, time.Until(sendAt)) {
 			if reservation, ok := g.reserveLoaded(j, target, a, version); ok {
+				g.recordSent(target, a)
 				return reservation, nil
 			}
 		}
