daemon: log refused messages and records of crashes that cannot be read

Cause: errors of these records were dropped, and a refusal of requests with a message left no line in the log.

Change: a line for each.

--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -178,18 +178,22 @@
 // applyControlRecord passes a record of the control stream to the scheduler if it concerns an engine
 // crash.
 func (d *Daemon) applyControlRecord(e record.Entry) {
+	var err error
 	switch e.Kind {
 	case retry.KindBlame:
 		var rec retry.BlameRecord
-		if err := e.Unmarshal(&rec); err == nil {
+		if err = e.Unmarshal(&rec); err == nil {
 			d.scheduler.MergeBlame(rec)
 		}
 	case retry.KindPromptParts:
 		var rec retry.PromptPartRecord
-		if err := e.Unmarshal(&rec); err == nil {
+		if err = e.Unmarshal(&rec); err == nil {
 			d.scheduler.MergePromptParts(rec)
 		}
 	}
+	if err != nil {
+		d.log.Warn().Err(err).Str("kind", string(e.Kind)).Msg("record of a crash ignored")
+	}
 }
 
 // publishBlame appends a record of the requests that ran during an engine crash.
@@ -197,12 +201,16 @@
 
 // publishPromptParts appends a record about parts of prompts that may crash engines.
 func (d *Daemon) publishPromptParts(rec retry.PromptPartRecord) {
+	if rec.Refused != "" {
+		d.log.Warn().Str("prompt_part", rec.Refused).Int64("for_ms", rec.RemainingMS).Int("number", rec.Number).Msg("requests that crash engines are refused")
+	}
 	d.appendCrashRecord(retry.KindPromptParts, rec)
 }
 
 func (d *Daemon) appendCrashRecord(kind record.Kind, body any) {
 	env, err := record.New(kind, uuid.NewString(), d.opts.Incarnation, body)
 	if err != nil {
+		d.log.Error().Err(err).Str("kind", string(kind)).Msg("record of a crash not written")
 		return
 	}
 	go d.control.appendRecord(context.Background(), env)
