platform, gateway: report the era of the log service

The log service may be restored from an older copy: it then loses records that it acknowledged and assigns their offsets again. Its responses name an era, which rises by one each time. Nothing read it, so that no log line or metric told a restore from an outage.

No decision depends on the era yet.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -45,7 +45,7 @@
 // feed is a topic of the log service that is loaded once as a snapshot and then read incrementally.
 type feed[T any] struct {
 	name, topic string
-	load        func(ctx context.Context) (T, int64, error)
+	load        func(ctx context.Context) (T, external.Position, error)
 	decode      func(records []external.Record) (T, error)
 	// apply receives the value, whether it is a snapshot, when the read was sent, and whether a read failed since the
 	// previous call.
@@ -71,7 +71,10 @@
 				v, err = f.decode(records)
 			}
 		} else {
-			v, next, err = f.load(ctx)
+			var end external.Position
+			v, end, err = f.load(ctx)
+			next = end.Offset
+			g.observeEra(f.name, end.Era)
 		}
 		if errors.Is(err, external.ErrExpired) {
 			loaded = false
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -143,9 +143,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := g.platform.Fleet.Append(ctx, data, external.AnyOffset); err != nil {
+	p, err := g.platform.Fleet.Append(ctx, data, external.AnyOffset)
+	if err != nil {
 		return err
 	}
+	g.observeEra("append", p.Era)
 	g.acknowledge(pending)
 	return nil
 }
@@ -189,6 +191,7 @@
 func (g *Gateway) readFleet(ctx context.Context, next int64) (int64, error) {
 	for {
 		b, err := g.platform.Fleet.Read(ctx, next, 0)
+		g.observeEra("fleet", b.Era)
 		if errors.Is(err, external.ErrExpired) {
 			next = b.Next
 			continue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,8 @@
 	// configRead is the time on clock, in nanoseconds, at which the last successful read of the configuration was sent;
 	// 0 before the first.
 	configRead atomic.Int64
+	// logEra is the latest era of the log service that a response named, or -1 before the first response.
+	logEra atomic.Int64
 	// acknowledged is the latest heartbeat that is known to be in the fleet's stream.
 	acknowledged atomic.Pointer[sentHeartbeat]
 	// fleetRead is set once the fleet's stream was read to its end.
@@ -161,6 +163,7 @@
 		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]func(){}, fleetSize: 1,
 	}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
+	g.logEra.Store(-1)
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
 	g.workers.Store(workers.NewRegistry().Snapshot())
@@ -178,6 +181,25 @@
 	g.metrics.countLogServiceCall(call, outcome)
 }
 
+// observeEra records the era that a response of the log service named, and logs a new one: records that were
+// acknowledged before may be lost, and their offsets are assigned again.
+func (g *Gateway) observeEra(call string, era int64) {
+	for {
+		known := g.logEra.Load()
+		if era <= known {
+			return
+		}
+		if !g.logEra.CompareAndSwap(known, era) {
+			continue
+		}
+		g.metrics.logEra.Set(float64(era))
+		if known >= 0 {
+			g.log.Warn().Str("call", call).Int64("era", era).Int64("before", known).Msg("log service restored from a copy")
+		}
+		return
+	}
+}
+
 func (g *Gateway) now() time.Duration { return g.clock() }
 
 // configFresh reports whether the last successful read of the configuration is not older than maxAge.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,7 @@
 	attempts        *prometheus.CounterVec
 	logServiceCalls *prometheus.CounterVec
 	orders          *prometheus.CounterVec
+	logEra          prometheus.Gauge
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -42,7 +43,8 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.latency)
+	m.logEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "turmeric_log_service_era", Help: "Latest era of the log service that was observed; it rises by one with each restore from a copy."})
+	r.MustRegister(m.latency, m.logEra)
 	return m
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -126,6 +126,7 @@
 	}
 	sent = g.now()
 	b, err := g.platform.Log.Read(ctx, r.topic, from, wait)
+	g.observeEra(r.topic, b.Era)
 	if err == nil {
 		raw := make([][]byte, len(b.Records))
 		for i, rec := range b.Records {
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -20,6 +20,9 @@
 	ErrConflict = trace.CompareFailed("stream does not end at the expected offset")
 	// ErrExpired means that the records at the requested offset are no longer kept.
 	ErrExpired = trace.NotFound("records at the requested offset have expired")
+	// ErrRestored means that the log service was restored while several calls of one operation were made, so that their
+	// results do not fit together.
+	ErrRestored = trace.CompareFailed("log service was restored during the operation")
 	// ErrRefused means that the log service responded that it did not execute the call.
 	ErrRefused = trace.ConnectionProblem(nil, "log service refused the call")
 )
@@ -27,6 +30,14 @@
 // AnyOffset is the offset that makes an append unconditional.
 const AnyOffset = -1
 
+// Position is a position in a stream or topic. The log service starts a new era when it has been restored from an older
+// copy: it then lacks the newest records and assigns their offsets again. An offset names a record only within its era.
+type Position struct {
+	// Era increases with each restore. It is 0 if the log service does not report eras.
+	Era    int64
+	Offset int64
+}
+
 // Record is a record of a stream.
 type Record struct {
 	Offset int64
@@ -35,6 +46,8 @@
 
 // Batch is the result of a read.
 type Batch struct {
+	// Era is the era in which the read was answered, also with ErrExpired. It is not set with other errors.
+	Era     int64
 	Records []Record
 	// Next is the offset after the last record. If the read failed with ErrExpired, it is the first offset that is
 	// still kept.
@@ -46,9 +59,9 @@
 // Stream is an append-only stream of the log service.
 type Stream interface {
 	// Append appends a record if the stream ends at offset, or if offset is AnyOffset, and returns the record's
-	// offset. After an error other than ErrConflict and ErrRefused, the append may have taken effect or may
+	// position. After an error other than ErrConflict and ErrRefused, the append may have taken effect or may
 	// still take effect.
-	Append(ctx context.Context, record []byte, offset int64) (int64, error)
+	Append(ctx context.Context, record []byte, offset int64) (Position, error)
 	// Read returns the records from offset from on. If there are none, it waits for one for at most wait. With
 	// ErrExpired it returns the first offset that is still kept as Next.
 	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
@@ -69,8 +82,8 @@
 
 // ConfigFeed reads the configuration that operators publish.
 type ConfigFeed interface {
-	// Load returns the configuration in force and the offset of the topic from which later changes are read.
-	Load(ctx context.Context) (Update, int64, error)
+	// Load returns the configuration in force and the position of the topic from which later changes are read.
+	Load(ctx context.Context) (Update, Position, error)
 	// Topic returns the name of the topic of changes, and Decode decodes its records.
 	Topic() string
 	Decode(records []Record) (Update, error)
@@ -78,8 +91,8 @@
 
 // WorkerFeed reads the platform's registry of workers.
 type WorkerFeed interface {
-	// Load returns all entries and the offset of the topic from which later changes are read.
-	Load(ctx context.Context) ([]workers.Entry, int64, error)
+	// Load returns all entries and the position of the topic from which later changes are read.
+	Load(ctx context.Context) ([]workers.Entry, Position, error)
 	// Topic returns the name of the topic of changes, and Decode decodes its records.
 	Topic() string
 	Decode(records []Record) ([]workers.Entry, error)
