gateway, keepalive: no request is lost when an idle connection is closed

Seen by callers: after a change of the configuration that shortens idleTimeoutMs, requests on connections that had been idle for long got neither an answer nor a refusal. Some of them had already been sent on.

Cause: idle connections were closed by the state that net/http reports. net/http reports "active" only once the headers of a request are read, so a connection counted as idle while its request lay unread in the socket, was being read, or was on its way to the handler.

Change: internal/transport/keepalive wraps the connections of callers. A byte that arrives ends the idle time. CloseIdle only ends the read of the goroutine that waits for the next request; that goroutine looks at the socket once more and goes on if bytes wait there. The same holds when net/http's own idle timeout ends.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -23,6 +24,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 	"github.com/turmericworks/turmericworks/internal/transport/forward"
+	"github.com/turmericworks/turmericworks/internal/transport/keepalive"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
 )
@@ -79,7 +81,7 @@
 	metrics         *metrics
 	metricsRegistry *prometheus.Registry
 	peers           *peers
-	idleConns       *idleConns
+	connections     *keepalive.Connections
 
 	// lifetime is cancelled at the end of Serve; background counts the goroutines that run until then.
 	lifetime   context.Context
@@ -159,7 +161,7 @@
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
-		idleConns: newIdleConns(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
+		connections: keepalive.New(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
 		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]func(){}, fleetSize: 1,
 	}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
@@ -310,7 +312,7 @@
 		return
 	}
 	limit := t.Limits.IdleTimeout + t.Limits.HeaderTimeout
-	if n := g.idleConns.closeIdle(limit); n > 0 {
+	if n := g.connections.CloseIdle(limit); n > 0 {
 		g.log.Info().Int("connections", n).Dur("limit_ms", limit).Int64("config", t.Version).Msg("idle connections of callers closed")
 	}
 }
@@ -330,7 +332,9 @@
 // servers are the listeners of a gateway.
 type servers struct {
 	callers, readiness, metrics *http.Server
-	stopPeers                   func()
+	// callersListener accepts the connections of callers.
+	callersListener net.Listener
+	stopPeers       func()
 }
 
 func (s *servers) close() {
@@ -354,32 +358,40 @@
 func (g *Gateway) listen() (*servers, error) {
 	s := &servers{}
 	var err error
-	serve := func(address string, h http.Handler, connState func(net.Conn, http.ConnState)) *http.Server {
-		srv := &http.Server{Handler: h, ConnState: connState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
-		var l net.Listener
-		if l, err = g.network.Listen(address); err != nil {
-			return srv
-		}
-		go func() {
-			if err := srv.Serve(l); err != nil && err != http.ErrServerClosed {
-				g.log.Error().Err(err).Str("address", address).Msg("listener failed")
-			}
-		}()
-		return srv
-	}
-	if s.callers = serve(g.settings.CallersAddress, g.server, g.idleConns.connState); err != nil {
+	if s.callersListener, err = g.network.Listen(g.settings.CallersAddress); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if s.readiness = serve(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady), nil); err != nil {
+	s.callers = g.serveHTTP(g.connections.Listener(s.callersListener), g.server, g.connections.ConnState)
+	if s.readiness, err = g.listenHTTP(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if s.metrics = serve(g.settings.MetricsAddress, g.metrics.handler(g.metricsRegistry), nil); err != nil {
+	if s.metrics, err = g.listenHTTP(g.settings.MetricsAddress, g.metrics.handler(g.metricsRegistry)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	s.stopPeers, err = g.peers.serve(g.settings.PeerAddress)
 	return s, trace.Wrap(err)
 }
 
+// listenHTTP starts a server for h at an address.
+func (g *Gateway) listenHTTP(address string, h http.Handler) (*http.Server, error) {
+	l, err := g.network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return g.serveHTTP(l, h, nil), nil
+}
+
+// serveHTTP starts a server for h on a listener. It goes on with the open connections if the listener is closed.
+func (g *Gateway) serveHTTP(l net.Listener, h http.Handler, connState func(net.Conn, http.ConnState)) *http.Server {
+	srv := &http.Server{Handler: h, ConnState: connState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+	go func() {
+		if err := srv.Serve(l); err != nil && err != http.ErrServerClosed && !errors.Is(err, net.ErrClosed) {
+			g.log.Error().Err(err).Str("address", l.Addr().String()).Msg("listener failed")
+		}
+	}()
+	return srv
+}
+
 // readyMaxAge is the maximum age of the configuration at an instance that reports that it is ready: an instance that
 // cannot reach the log service soon has to refuse all requests with a key.
 const readyMaxAge = maxConfigAge
--- /dev/null
+++ b/internal/transport/keepalive/conn.go
@@ -0,0 +1,167 @@
+package keepalive
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// resumeTimeout bounds the read of bytes that were found on a connection at the end of its idle time.
+const resumeTimeout = 10 * time.Second
+
+// aLongTimeAgo is a deadline that ends a read at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// conn is a connection of a client.
+type conn struct {
+	net.Conn
+	// closed is called when the connection is closed, perhaps more than once.
+	closed func()
+
+	mu sync.Mutex
+	// idle is set while no byte of a request has arrived since the connection was opened or its last response ended, and
+	// since is when that was.
+	idle  bool
+	since time.Duration
+	// used is set once a byte has arrived on the connection.
+	used bool
+	// expired is set if the connection is to be closed unless bytes have arrived.
+	expired bool
+	// deadline is the read deadline that net/http has set last. It counts once the connection is not expired.
+	deadline time.Time
+	// awaited is set once net/http has set the deadline for the first bytes of the next request.
+	awaited bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.begin()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.resume() {
+			return n, err
+		}
+	}
+}
+
+// SetReadDeadline implements net.Conn. net/http sets a deadline before it waits for a request, and the next one when it
+// has the first bytes of that request, which it may have read together with the previous one.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.idle && c.awaited {
+		c.idle, c.expired = false, false
+	}
+	c.awaited = c.idle
+	if c.expired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	defer c.closed()
+	return c.Conn.Close()
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// CloseWrite closes the sending side, as net/http does before it closes a connection whose client may still send.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// waitForRequest records that no request is being read or served.
+func (c *conn) waitForRequest(now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.since, c.awaited = true, now, false
+}
+
+// begin records that a request is being read or served.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used, c.idle = true, false
+	if c.expired {
+		c.expired = false
+		// An error means that the connection is closed, which the next read reports.
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// expire ends the read of the next request, and so the connection, if it has been idle for at least the limit, or for
+// newLimit since it was opened. It reports whether it was idle and not yet expired.
+func (c *conn) expire(now, limit, newLimit time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.used {
+		limit = newLimit
+	}
+	if !c.idle || c.expired || now-c.since < limit {
+		return false
+	}
+	c.expired = true
+	// An error means that the connection is closed.
+	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
+	return true
+}
+
+// resume reports whether a read that has reached its deadline must continue: at the end of an idle time, if bytes have
+// arrived that the read has not returned.
+func (c *conn) resume() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || !bytesWaiting(c.Conn) {
+		return false
+	}
+	c.used, c.idle, c.expired = true, false, false
+	deadline := c.deadline
+	if limit := time.Now().Add(resumeTimeout); !deadline.IsZero() && deadline.Before(limit) {
+		deadline = limit
+	}
+	return c.Conn.SetReadDeadline(deadline) == nil
+}
+
+// bytesWaiting reports whether bytes have arrived on a connection and were not read. The deadline of the connection does
+// not matter. It reports false for connections without a socket.
+func bytesWaiting(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		for {
+			var rerr error
+			if n, _, rerr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); !errors.Is(rerr, unix.EINTR) {
+				return
+			}
+		}
+	})
+	return err == nil && n > 0
+}
--- /dev/null
+++ b/internal/transport/keepalive/keepalive.go
@@ -0,0 +1,121 @@
+// Package keepalive closes the idle connections of an HTTP server's clients without losing a request: the state that
+// net/http reports is idle until the headers of the next request were read, and a request may lie unread in the socket
+// even longer. The goroutine that reads a connection therefore decides on the close itself, after a last look at the
+// socket.
+package keepalive
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// newConnectionLimit is how long Drain leaves a connection open on which no byte has arrived yet.
+	newConnectionLimit = time.Second
+	// drainPollInterval is how often Drain looks for connections that have become idle.
+	drainPollInterval = 20 * time.Millisecond
+)
+
+// Connections tracks the open connections of a server's clients. It is safe for concurrent use.
+type Connections struct {
+	now func() time.Duration
+
+	mu   sync.Mutex
+	open map[*conn]struct{}
+}
+
+// New returns an empty set of connections, whose idle times are measured on a monotonic clock.
+func New(now func() time.Duration) *Connections {
+	return &Connections{now: now, open: map[*conn]struct{}{}}
+}
+
+// Listener returns a listener whose connections are tracked until they are closed.
+func (c *Connections) Listener(l net.Listener) net.Listener {
+	return &listener{Listener: l, connections: c}
+}
+
+// ConnState is the ConnState hook of the server that serves the listener.
+func (c *Connections) ConnState(nc net.Conn, s http.ConnState) {
+	tracked, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateIdle:
+		tracked.waitForRequest(c.now())
+	case http.StateActive:
+		tracked.begin()
+	default:
+	}
+}
+
+// CloseIdle closes the connections on which no byte of a request has arrived for longer than the limit since they were
+// opened or their last response ended. It returns the number of connections that it has newly found idle.
+func (c *Connections) CloseIdle(limit time.Duration) int { return c.expire(limit, limit) }
+
+// Drain closes each connection once no request is being read or served on it, and returns when none is open or ctx has
+// ended. The server must not be shut down before Drain returns: it would drop requests that it has not read to the end
+// of their headers. Connections that are opened during the call are included.
+func (c *Connections) Drain(ctx context.Context) error {
+	t := time.NewTicker(drainPollInterval)
+	defer t.Stop()
+	for {
+		c.expire(0, newConnectionLimit)
+		if c.count() == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+func (c *Connections) expire(limit, newLimit time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, n := c.now(), 0
+	for tracked := range c.open {
+		if tracked.expire(now, limit, newLimit) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+func (c *Connections) add(nc net.Conn) *conn {
+	tracked := &conn{Conn: nc, idle: true, since: c.now()}
+	tracked.closed = func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.open, tracked)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[tracked] = struct{}{}
+	return tracked
+}
+
+type listener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.connections.add(nc), nil
+}
--- /dev/null
+++ b/internal/transport/keepalive/keepalive_test.go
@@ -0,0 +1,276 @@
+package keepalive
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// testTimeout bounds each test's waits for the network.
+const testTimeout = 10 * time.Second
+
+// heldConn is a socket whose reads can be held up before they reach the socket, like those of a goroutine that does not
+// run.
+type heldConn struct {
+	*net.TCPConn
+	held sync.RWMutex
+}
+
+func (c *heldConn) Read(b []byte) (int, error) {
+	c.held.RLock()
+	defer c.held.RUnlock()
+	return c.TCPConn.Read(b)
+}
+
+type heldListener struct {
+	net.Listener
+	// last is the connection that was accepted last.
+	last atomic.Pointer[heldConn]
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &heldConn{TCPConn: nc.(*net.TCPConn)}
+	l.last.Store(c)
+	return c, nil
+}
+
+// testServer is an HTTP server on a socket of the loopback interface.
+type testServer struct {
+	t           *testing.T
+	connections *Connections
+	listener    *heldListener
+	// served counts the requests that reached the handler.
+	served atomic.Int64
+	// holdIdle makes the next connection that becomes idle read nothing until idle is received from and held is unlocked.
+	holdIdle atomic.Bool
+	idle     chan *heldConn
+}
+
+func newTestServer(t *testing.T, idleTimeout time.Duration) *testServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	s := &testServer{
+		t: t, connections: New(func() time.Duration { return time.Since(start) }), listener: &heldListener{Listener: l},
+		idle: make(chan *heldConn, 1),
+	}
+	srv := &http.Server{IdleTimeout: idleTimeout, ReadHeaderTimeout: testTimeout, ConnState: s.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.served.Add(1)
+		_, _ = io.WriteString(w, "hello")
+	})}
+	go func() {
+		if err := srv.Serve(s.connections.Listener(s.listener)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { _ = srv.Close() })
+	return s
+}
+
+func (s *testServer) connState(nc net.Conn, state http.ConnState) {
+	if state == http.StateIdle && s.holdIdle.CompareAndSwap(true, false) {
+		c := s.listener.last.Load()
+		c.held.Lock()
+		s.idle <- c
+	}
+	s.connections.ConnState(nc, state)
+}
+
+// client is a connection of a client.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *testServer) dial() *client {
+	nc, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = nc.Close() })
+	if err := nc.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		s.t.Fatal(err)
+	}
+	return &client{Conn: nc, reader: bufio.NewReader(nc)}
+}
+
+const request = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+// response returns the status of the next response, or an error if it is not complete.
+func (c *client) response() (int, error) {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// exchange sends bytes and returns the status of the response to them.
+func (c *client) exchange(sent string) (int, error) {
+	if _, err := io.WriteString(c, sent); err != nil {
+		return 0, err
+	}
+	return c.response()
+}
+
+// expireOne waits until an idle connection is found.
+func (s *testServer) expireOne() {
+	for end := time.Now().Add(testTimeout); s.connections.CloseIdle(0) == 0; runtime.Gosched() {
+		if time.Now().After(end) {
+			s.t.Fatal("no connection became idle")
+		}
+	}
+}
+
+// unreadRequest sends a second request on a connection while the server reads nothing from it, calls f, and returns the
+// status of the response once the server reads again.
+func (s *testServer) unreadRequest(f func()) (int, error) {
+	c := s.dial()
+	s.holdIdle.Store(true)
+	if _, err := c.exchange(request); err != nil {
+		s.t.Fatal(err)
+	}
+	held := <-s.idle
+	if _, err := io.WriteString(c, request); err != nil {
+		s.t.Fatal(err)
+	}
+	for !bytesWaiting(held) {
+		runtime.Gosched()
+	}
+	f()
+	held.held.Unlock()
+	return c.response()
+}
+
+// TestUnreadRequestIsServed guards against the close of a connection whose next request has arrived and was not read.
+func TestUnreadRequestIsServed(t *testing.T) {
+	Convey("a request that lies in the socket when its connection is closed as idle is served", t, func() {
+		s := newTestServer(t, 0)
+		status, err := s.unreadRequest(s.expireOne)
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusOK)
+	})
+	Convey("so is one that lies there when the server's own idle timeout ends", t, func() {
+		s := newTestServer(t, time.Nanosecond)
+		status, err := s.unreadRequest(func() {})
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusOK)
+	})
+	Convey("so is one that lies there when the server stops", t, func() {
+		s := newTestServer(t, 0)
+		drained := make(chan error, 1)
+		status, err := s.unreadRequest(func() {
+			So(s.listener.Close(), ShouldBeNil)
+			s.expireOne()
+			go func() { drained <- s.connections.Drain(t.Context()) }()
+		})
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusOK)
+		So(<-drained, ShouldBeNil)
+	})
+}
+
+// TestIdleConnectionIsClosed guards against connections that are kept open although nothing arrives on them, used and
+// unused ones.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	Convey("idle connections are closed", t, func() {
+		s := newTestServer(t, 0)
+		c := s.dial()
+		_, err := c.exchange(request)
+		So(err, ShouldBeNil)
+		s.expireOne()
+		_, err = c.response()
+		So(err, ShouldEqual, io.ErrUnexpectedEOF)
+		unused := s.dial()
+		s.expireOne()
+		_, err = unused.response()
+		So(err, ShouldEqual, io.ErrUnexpectedEOF)
+		So(s.connections.Drain(t.Context()), ShouldBeNil)
+	})
+}
+
+// TestBegunHeaderIsNotIdle guards against the close of a connection on which the header of a request has begun to arrive,
+// alone or together with the previous request.
+func TestBegunHeaderIsNotIdle(t *testing.T) {
+	const part = 10
+	for name, first := range map[string]string{"alone": request, "with the previous request": request + request[:part]} {
+		Convey("the request is served, begun "+name, t, func() {
+			s := newTestServer(t, time.Hour)
+			c := s.dial()
+			_, err := c.exchange(first)
+			So(err, ShouldBeNil)
+			if first == request {
+				_, err = io.WriteString(c, request[:part])
+				So(err, ShouldBeNil)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*drainPollInterval)
+			defer cancel()
+			So(s.connections.Drain(ctx), ShouldEqual, context.DeadlineExceeded)
+			_, err = io.WriteString(c, request[part:])
+			So(err, ShouldBeNil)
+			status, err := c.response()
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusOK)
+		})
+	}
+}
+
+// TestNoAnswerIsCut guards against requests that are served on a connection that is then closed without their whole
+// response, while idle connections are closed all the time.
+func TestNoAnswerIsCut(t *testing.T) {
+	Convey("each request that reached the handler is answered", t, func() {
+		const clients, requests = 4, 300
+		s := newTestServer(t, time.Hour)
+		stop := make(chan struct{})
+		var closing, sending sync.WaitGroup
+		closing.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					s.connections.CloseIdle(0)
+				}
+			}
+		})
+		var answered atomic.Int64
+		for range clients {
+			sending.Go(func() {
+				c := s.dial()
+				for range requests {
+					if _, err := c.exchange(request); err != nil {
+						_ = c.Close()
+						c = s.dial()
+						continue
+					}
+					answered.Add(1)
+				}
+			})
+		}
+		sending.Wait()
+		close(stop)
+		closing.Wait()
+		So(answered.Load(), ShouldBeGreaterThan, 0)
+		So(s.served.Load(), ShouldEqual, answered.Load())
+		So(s.connections.Drain(t.Context()), ShouldBeNil)
+	})
+}
