gateway: a planned stop loses no request that has arrived

Seen by callers: at a planned stop, a request that arrived on an open connection when the instance stopped accepting connections got neither an answer nor a refusal.

Cause: http.Server.Shutdown closes connections by the state that net/http reports, which is idle until the headers of a request are read, and then drops each request whose headers it reads after that.

Change: the listener is closed first, and keepalive.Drain closes each connection once nothing has arrived on it; requests that arrive meanwhile are served with "Connection: close".

Evidence, on the old code: TestStopDuringHeader (platform/limits_test.go:153): Expected: 200 Actual: 0 It passes with the change.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -33,7 +33,12 @@
 	left := g.settings.Bounds.grace() - exitMargin - leaveTimeout - time.Since(start)
 	waitCtx, cancel := context.WithTimeout(ctx, max(0, left))
 	defer cancel()
-	if err := s.callers.Shutdown(waitCtx); err != nil {
+	// The connections that are open are served until they are idle; Shutdown would drop requests that it has not read to
+	// the end of their headers.
+	if err := s.callersListener.Close(); err != nil {
+		g.log.Warn().Err(err).Msg("listener for callers not closed")
+	}
+	if err := g.connections.Drain(waitCtx); err != nil {
 		g.log.Warn().Err(err).Int64("in_flight", g.server.InFlight()).Msg("requests still in flight at the end of the grace period; cutting them off")
 	}
 	g.leave(ctx)
