forward: responses that begin after the stop announce the close

Seen by callers: a request in progress at a planned stop got a response without "Connection: close", and the connection was closed right after it, perhaps while the caller sent its next request there.

Cause: the header was set when the request arrived, not when its response began.

Evidence, on the old code: TestStopDuringRequest (platform/limits_test.go:178): Expected: true Actual: false It passes with the change.

--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -175,9 +175,6 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	j := &Job{Request: s.Headers.ParseRequest(r.Header), Arrived: time.Now(), Path: r.URL.Path}
-	if s.Draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c := &call{server: s, job: j, w: w, r: r}
 	err := c.serve()
 	c.finish(err)
@@ -480,11 +477,20 @@
 	if length >= 0 && c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
+	c.announceClose()
 	c.status, c.headerSent, c.verdict = resp.StatusCode, true, verdict.Ran
 	c.firstByteAfter = time.Since(c.job.Arrived)
 	c.w.WriteHeader(resp.StatusCode)
 }
 
+// announceClose asks the caller to close its connection if the server is draining. It is called when the response begins:
+// the request may have arrived before the server began to drain.
+func (c *call) announceClose() {
+	if c.server.Draining.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // errorBody is the body of an error response that the gateway itself gives.
 type errorBody struct {
 	Error struct {
@@ -530,6 +536,7 @@
 	// Marshalling a struct of strings cannot fail.
 	data, _ := json.Marshal(body)
 	h.Set("Content-Length", strconv.Itoa(len(data)))
+	c.announceClose()
 	c.w.WriteHeader(v.Status)
 	if _, err := c.w.Write(data); err != nil {
 		c.server.Log.Debug().Err(err).Str("request", c.job.ID).Msg("caller disconnected before it received the error response")
