gateway, platform: workers that say that they leave get nothing new

What callers would see: a worker that announces in its answers that it leaves (Server-Leaving: 1) got further requests until the registry was read, and in an outage of the log service for as long as that lasted. Requests that waited for an adapter load there were sent to it, and new adapters were loaded there.

Cause: the header was not read.

Change: external.WorkerResponse gets Leaving. A reservation reports the headers of each response with one callback, Answered, in place of NamedLimit, before the body is read. retry.Availability keeps the leaving incarnations, final and for ten minutes after the registry lost them, since it may list them again after an outage. Candidates (first attempts, retries, resumes, probes of ejected workers), requests that were placed and waited, loads, claims and idle connections leave them out. An owner keeps the worker. Callers are not told: the header concerns only those that choose workers.

A request that was to wait for a worker's limit is now checked again also if it need not wait, since the call to the limit's holder takes time.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -292,15 +292,17 @@
 	}
 }
 
-// engineWorkers returns the workers of engine services by id, without draining ones.
+// engineWorkers returns the workers of engine services by id, without draining and leaving ones.
 func (g *Gateway) engineWorkers() map[string]*workers.Worker {
 	t := g.table.Load()
 	out := map[string]*workers.Worker{}
 	if t == nil {
 		return out
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, w := range g.workers.Load().All() {
-		if s, ok := t.Service(w.Service); ok && s.Engine != nil && !w.Draining {
+		if s, ok := t.Service(w.Service); ok && s.Engine != nil && !w.Draining && !g.leaving(w) {
 			out[w.ID] = w
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,8 @@
 	inFlight       map[workers.Key]int
 	// limits are the limits that workers name on the requests of all instances.
 	limits *quota.WorkerLimits
+	// availability is what workers have said about taking further requests from this instance.
+	availability *retry.Availability
 	// relays are the instances that read the log service for the others, in the order in which this instance asks them,
 	// and topics the records that this instance has read.
 	relays []peerInstance
@@ -154,7 +156,7 @@
 		pool: upstream.NewPool(n), metricsRegistry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		members: fleetlog.NewFold(), workerRegistry: workers.NewRegistry(), residency: residency.NewView(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]requiredVersion{},
-		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), rateHolders: map[string][]peerInstance{},
+		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), availability: retry.NewAvailability(), rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake:     make(chan struct{}, 1),
@@ -279,7 +281,8 @@
 			w, ok := set.Get(k.ID)
 			return ok && w.Key() == k
 		}
-		g.pool.Retain(exists)
+		leaving := g.leavingWorkers(set)
+		g.pool.Retain(func(k workers.Key) bool { return exists(k) && !leaving[k] })
 		g.mu.Lock()
 		g.residency.Retain(exists)
 		g.popularity.Trim(g.now())
@@ -287,7 +290,9 @@
 		for _, w := range set.All() {
 			names[incarnationName(w)] = true
 		}
-		g.limits.Retain(func(name string) bool { return names[name] })
+		listed := func(name string) bool { return names[name] }
+		g.limits.Retain(listed)
+		g.availability.Retain(listed, g.now())
 		for k := range g.unreachable {
 			if _, ok := g.members.Member(k.incarnation); !ok {
 				delete(g.unreachable, k)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -31,23 +31,18 @@
 	return w.ID + "@" + strconv.FormatInt(w.StartedMilli, 10)
 }
 
-// recordLimit records whether a worker's response named a limit.
+// recordLimit records whether a worker's response named a limit. The lock is held.
 func (g *Gateway) recordLimit(w *workers.Worker, limit float64, limited bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if g.limits.Answered(incarnationName(w), limit, limited, g.now()) {
 		g.log.Info().Str("worker", w.ID).Float64("requests_per_s", limit).Bool("limited", limited).Int("in_flight", g.inFlight[w.Key()]).Msg("worker's limit changed")
 	}
 }
 
 // claimCapacity reserves the job's request to a worker that may be limited and waits until it may be sent. It reports
-// false if the worker has no capacity in time, or may not be used any more after the wait.
+// false if the worker has no capacity in time, or may not be used any more after that.
 func (g *Gateway) claimCapacity(ctx context.Context, j *forward.Job, w *workers.Worker) bool {
 	wait, ok := g.reserveRequest(j, w)
-	if !ok || wait <= 0 {
-		return ok
-	}
-	if !sleep(ctx, wait) {
+	if !ok || wait > 0 && !sleep(ctx, wait) {
 		return false
 	}
 	g.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,9 +72,9 @@
 		return &peerpb.WantAdapterResponse{}, nil
 	}
 	p.g.mu.Lock()
-	o := p.g.owners[w.Key()]
+	o, leaving := p.g.owners[w.Key()], p.g.leaving(w)
 	p.g.mu.Unlock()
-	if o == nil {
+	if o == nil || leaving {
 		return &peerpb.WantAdapterResponse{}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerLoadWait)
@@ -191,6 +191,7 @@
 	own := g.owners[w.Key()]
 	claim := g.members.Owner(w.ID)
 	member, alive := g.members.Member(claim.Incarnation)
+	leaving := g.leaving(w)
 	g.mu.Unlock()
 	var resident, admitted bool
 	start := g.now()
@@ -201,6 +202,8 @@
 		}
 	}()
 	switch {
+	case leaving:
+		return false
 	case own != nil:
 		resident, admitted = own.ensureResident(ctx, a, version, slack)
 	case !alive:
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
@@ -96,15 +97,15 @@
 	}
 }
 
-// candidates returns the ready workers that the job was not sent to yet and whose limits leave capacity, without ejected
-// ones unless all are ejected.
+// candidates returns the ready workers that the job was not sent to yet, that do not leave, and whose limits leave capacity,
+// without ejected ones unless all are ejected.
 // For an idempotent request, an ejected worker that is due for a probe is the only candidate. The lock is held.
 func (g *Gateway) candidates(j *forward.Job) []*workers.Worker {
 	ready := g.workers.Load().Ready(j.Service)
 	untried := make([]*workers.Worker, 0, len(ready))
 	now, maxWait := g.now(), limitWait(j)
 	for _, w := range ready {
-		if g.knownWait(w, now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
+		if !g.leaving(w) && g.knownWait(w, now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
 			untried = append(untried, w)
 		}
 	}
@@ -181,10 +182,10 @@
 	}
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
-		Sending:    func(revoke func()) { g.attemptSent(j, revoke) },
-		NamedLimit: func(limit float64, limited bool) { g.recordLimit(w, limit, limited) },
-		Answering:  func() { g.answerBegan(j) },
-		Done:       func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
+		Sending:   func(revoke func()) { g.attemptSent(j, revoke) },
+		Answered:  func(r external.WorkerResponse) { g.workerAnswered(w, r) },
+		Answering: func() { g.answerBegan(j) },
+		Done:      func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
 	}
 }
 
@@ -363,10 +364,10 @@
 }
 
 // stillUsable returns the current entry of a worker that was chosen before a wait, or nil if it was removed or replaced or
-// began to drain, or if requests like the job were found to crash workers. The lock is held.
+// began to drain or to leave, or if requests like the job were found to crash workers. The lock is held.
 func (g *Gateway) stillUsable(j *forward.Job, w *workers.Worker) *workers.Worker {
 	current, ok := g.workers.Load().Get(w.ID)
-	if !ok || current.Key() != w.Key() || current.Draining || g.crashRefusal(j) != nil {
+	if !ok || current.Key() != w.Key() || current.Draining || g.leaving(w) || g.crashRefusal(j) != nil {
 		return nil
 	}
 	return current
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -221,6 +221,8 @@
 	// A response without a limit ends an earlier one.
 	Limit   float64
 	Limited bool
+	// Leaving says that the worker leaves. It takes no further requests; those that it runs it runs to their end.
+	Leaving bool
 }
 
 // Headers converts the headers of requests and responses between callers, the system and workers.
@@ -232,6 +234,7 @@
 	WorkerHeaders(caller http.Header, r WorkerRequest) http.Header
 	// ParseResponse returns the values of the headers of a worker's response.
 	ParseResponse(status int, h http.Header) WorkerResponse
-	// CallerHeaders returns the headers of a worker's response that are sent to the caller.
+	// CallerHeaders returns the headers of a worker's response that are sent to the caller, without those that concern
+	// only the exchange between the system and the worker.
 	CallerHeaders(worker http.Header) http.Header
 }
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -83,9 +83,8 @@
 	// Sending is called before the request is sent. The function that it is given ends the attempt: the worker then drops
 	// the request if it has not begun to run it.
 	Sending func(revoke func())
-	// NamedLimit reports the limit that the worker's response names, in requests per second from all instances, or false
-	// if it names none. It is called for each response.
-	NamedLimit func(limit float64, limited bool)
+	// Answered reports the headers of the worker's response. It is called for each response, before its body is read.
+	Answered func(r external.WorkerResponse)
 	// Answering reports that the first event of a stream has arrived. It is called at most once.
 	Answering func()
 	// Done reports the outcome of the attempt. It must be called exactly once.
@@ -409,7 +408,7 @@
 // receive classifies a worker's response and forwards it to the caller.
 func (c *call) receive(resp *upstream.Response) error {
 	info := c.server.Headers.ParseResponse(resp.StatusCode, resp.Header)
-	c.reservation.NamedLimit(info.Limit, info.Limited)
+	c.reservation.Answered(info)
 	success := resp.StatusCode/100 == 2
 	switch {
 	case info.NotRun:
