gateway, platform: workers that back off get nothing for that time

What callers would see: a worker that rejected a request with 503 and a Retry-After still got its part of the requests, which it rejected one after the other. If all workers did so, callers were told to come back after 200 ms, and the requests reached the workers again.

Cause: a worker's Retry-After was not read.

A worker that backs off is chosen only if all do, and only by a request that may wait so long (limitWait); the request then waits in place. Ejected workers are not probed meanwhile, and a request that was placed and waited is checked again. Otherwise the request is refused at once, with code workers_backing_off and the shortest time.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -38,9 +38,12 @@
 	}
 }
 
-// claimCapacity reserves the job's request to a worker that may be limited and waits until it may be sent. It reports
+// claimCapacity reserves the job's request to a worker that may be limited or back off, and waits until it may be sent. It reports
 // false if the worker has no capacity in time, or may not be used any more after that.
 func (g *Gateway) claimCapacity(ctx context.Context, j *forward.Job, w *workers.Worker) bool {
+	if !g.awaitBackoff(ctx, j, w) {
+		return false
+	}
 	wait, ok := g.reserveRequest(j, w)
 	if !ok || wait > 0 && !sleep(ctx, wait) {
 		return false
@@ -50,8 +53,8 @@
 	return g.stillUsable(j, w) != nil
 }
 
-// limitError returns the error of a job without a worker: if workers would have taken it but for their limits, when the
-// first of them has capacity again.
+// limitError returns the error of a job without a worker: if workers would have taken it but for their limits or because they
+// back off, when the first of them takes requests again.
 func (g *Gateway) limitError(j *forward.Job, err error) error {
 	if err == nil {
 		return nil
@@ -63,27 +66,33 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	shortest := time.Duration(0)
+	shortest, backsOff := time.Duration(0), false
 	for _, w := range g.workers.Load().Ready(j.Service) {
-		if wait := g.knownWait(w, now); wait > 0 && (shortest == 0 || wait < shortest) {
-			shortest = wait
+		if wait := g.knownWait(w, now); wait > 0 && !g.leaving(w) && (shortest == 0 || wait < shortest) {
+			shortest, backsOff = wait, g.backoff(w, now) == wait
 		}
 	}
-	if shortest == 0 {
+	switch {
+	case shortest == 0:
 		return err
+	case backsOff:
+		return refuse(http.StatusServiceUnavailable, "workers_backing_off", "the backend servers want no requests for some time", shortest)
+	default:
+		return refuse(http.StatusServiceUnavailable, "workers_limited", "the backend servers limit their requests", shortest)
 	}
-	return refuse(http.StatusServiceUnavailable, "workers_limited", "the backend servers limit their requests", shortest)
 }
 
-// knownWait returns how long a request to a worker has to wait at least for capacity, as far as is known. The lock is held.
+// knownWait returns how long a request to a worker has to wait at least, for capacity and because the worker backs off, as far
+// as is known. The lock is held.
 func (g *Gateway) knownWait(w *workers.Worker, now time.Duration) time.Duration {
+	wait := g.backoff(w, now)
 	if g.limits.Empty() {
-		return 0
+		return wait
 	}
-	return g.limits.Wait(incarnationName(w), now)
+	return max(wait, g.limits.Wait(incarnationName(w), now))
 }
 
-// limitWait returns how long the job may wait for capacity at a limited worker: until it can no longer meet its target
+// limitWait returns how long the job may wait for capacity at a limited worker, or for one that backs off: until it can no longer meet its target
 // latency, or for maxLimitWait.
 func limitWait(j *forward.Job) time.Duration {
 	slack := j.Route.TargetLatency - time.Since(j.Arrived) - responseReserve
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// candidates returns the ready workers that the job was not sent to yet, that do not leave, and whose limits leave capacity,
-// without ejected ones unless all are ejected.
+// candidates returns the ready workers that the job was not sent to yet, that do not leave, and that take it in time as far as
+// their limits and back-offs are known, without ejected ones unless all are ejected.
 // For an idempotent request, an ejected worker that is due for a probe is the only candidate. The lock is held.
 func (g *Gateway) candidates(j *forward.Job) []*workers.Worker {
 	ready := g.workers.Load().Ready(j.Service)
@@ -117,7 +117,7 @@
 	for _, w := range untried {
 		if e.Usable(w.ID) {
 			usable = append(usable, w)
-		} else if j.Route.Kind == routing.Idempotent && e.TryProbe(w.ID, time.Now()) {
+		} else if j.Route.Kind == routing.Idempotent && g.backoff(w, now) == 0 && e.TryProbe(w.ID, time.Now()) {
 			return []*workers.Worker{w}
 		}
 	}
@@ -128,17 +128,19 @@
 }
 
 // leastLoaded returns the candidate with the fewest requests of this instance in flight, with a preference for this
-// data centre. The lock is held.
+// data centre. One that backs off is returned only if all do, then the one that takes requests first. The lock is held.
 func (g *Gateway) leastLoaded(list []*workers.Worker) *workers.Worker {
 	var best *workers.Worker
-	bestScore := 0.0
+	bestScore, bestWait := 0.0, time.Duration(0)
+	now := g.now()
 	for _, w := range list {
+		wait := g.backoff(w, now)
 		score := float64(g.inFlight[w.Key()]) + rand.Float64()
 		if w.DataCentre != g.settings.DataCentre {
 			score += remotePenalty
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = w, score
+		if best == nil || wait < bestWait || wait == bestWait && score < bestScore {
+			best, bestScore, bestWait = w, score, wait
 		}
 	}
 	return best
@@ -292,7 +294,8 @@
 			g.mu.Unlock()
 			return forward.Reservation{}, refusal
 		}
-		if a.Name == "" || len(resident) > 0 {
+		target := g.loadingWorker(list, resident, failed, a)
+		if target == nil && (a.Name == "" || len(resident) > 0) {
 			reservation, ok := g.reserveResident(j, list, resident, a)
 			g.mu.Unlock()
 			if !ok {
@@ -308,7 +311,6 @@
 			}
 			continue
 		}
-		target := g.loadTarget(list, failed, a)
 		g.mu.Unlock()
 		if target == nil && !late && len(failed) > 0 {
 			late, failed = true, nil
@@ -323,7 +325,7 @@
 			continue
 		}
 		sendAt := time.Now().Add(wait)
-		if g.ensureResident(ctx, target, a, version, slack) && sleep(ctx, time.Until(sendAt)) {
+		if g.ensureResident(ctx, target, a, version, slack) && sleep(ctx, time.Until(sendAt)) && g.awaitBackoff(ctx, j, target) {
 			if reservation, ok := g.reserveLoaded(j, target, a, version); ok {
 				g.recordSent(target, a)
 				return reservation, nil
@@ -364,10 +366,10 @@
 }
 
 // stillUsable returns the current entry of a worker that was chosen before a wait, or nil if it was removed or replaced or
-// began to drain or to leave, or if requests like the job were found to crash workers. The lock is held.
+// began to drain, to leave or to back off, or if requests like the job were found to crash workers. The lock is held.
 func (g *Gateway) stillUsable(j *forward.Job, w *workers.Worker) *workers.Worker {
 	current, ok := g.workers.Load().Get(w.ID)
-	if !ok || current.Key() != w.Key() || current.Draining || g.leaving(w) || g.crashRefusal(j) != nil {
+	if !ok || current.Key() != w.Key() || current.Draining || g.leaving(w) || g.backoff(w, g.now()) > 0 || g.crashRefusal(j) != nil {
 		return nil
 	}
 	return current
@@ -385,6 +387,19 @@
 	return out
 }
 
+// loadingWorker returns the worker at which the adapter should be loaded for a job, or nil if there is none, or if the job
+// should go to a worker at which the adapter is resident. A load elsewhere is faster than a long wait for one that backs off.
+// The lock is held.
+func (g *Gateway) loadingWorker(list, resident, failed []*workers.Worker, a residency.Adapter) *workers.Worker {
+	if a.Name == "" || len(g.soonAvailable(resident)) > 0 {
+		return nil
+	}
+	if w := g.loadTarget(g.soonAvailable(list), failed, a); w != nil || len(resident) > 0 {
+		return w
+	}
+	return g.loadTarget(list, failed, a)
+}
+
 // loadTarget returns the worker that should load the adapter: the first in the adapter's ranking of workers that holds
 // the base model, has a reachable owner and did not fail to load the adapter. The lock is held.
 func (g *Gateway) loadTarget(list, failed []*workers.Worker, a residency.Adapter) *workers.Worker {
