gateway, forward: ask once more before a request is sent

What callers would see: nothing; a worker that had just said that it leaves, or that it wants no requests for a time, still got those that waited for a new connection to it, up to 700 ms later.

Cause: whether a worker may be used was asked when it was chosen and after waits for loads and limits, but not after the connection was open.

Change: Reservation.Confirm is called between the two (upstream's BeforeSend, so far unused, may return an error). A request that is withheld goes to another worker and takes nothing from the retry budget, as one that could not be sent.

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -185,6 +185,7 @@
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
 		Sending:   func(revoke func()) { g.attemptSent(j, revoke) },
+		Confirm:   func() error { return g.confirmSend(j, w) },
 		Answered:  func(r external.WorkerResponse) { g.workerAnswered(w, r) },
 		Answering: func() { g.answerBegan(j) },
 		Done:      func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
@@ -375,6 +376,16 @@
 	return current
 }
 
+// confirmSend returns an error if a worker may not be used any more for a request that is about to be sent to it.
+func (g *Gateway) confirmSend(j *forward.Job, w *workers.Worker) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stillUsable(j, w) == nil {
+		return refuse(http.StatusServiceUnavailable, "worker_withdrawn", "the backend server takes no requests any more", notReadyRetryAfter)
+	}
+	return nil
+}
+
 // residentWorkers returns the workers at which the adapter is resident in at least the version, as far as this instance
 // knows. The lock is held.
 func (g *Gateway) residentWorkers(list []*workers.Worker, a residency.Adapter, version int64) []*workers.Worker {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -83,6 +83,9 @@
 	// Sending is called before the request is sent. The function that it is given ends the attempt: the worker then drops
 	// the request if it has not begun to run it.
 	Sending func(revoke func())
+	// Confirm is called when a connection is open, before the request is sent on it. If it returns an error, which carries
+	// the verdict NotRun, the request is not sent there.
+	Confirm func() error
 	// Answered reports the headers of the worker's response. It is called for each response, before its body is read.
 	Answered func(r external.WorkerResponse)
 	// Answering reports that the first event of a stream has arrived. It is called at most once.
@@ -110,7 +113,7 @@
 	Broken
 	// Interrupted: a stream broke off after its first event.
 	Interrupted
-	// Withheld: the request was not sent, because another worker was chosen or none was left.
+	// Withheld: the request was not sent, because another worker was chosen, or the worker takes no requests any more.
 	Withheld
 	// Abandoned: the caller disconnected, its deadline passed, or the attempt was revoked.
 	Abandoned
@@ -288,7 +291,7 @@
 			}
 		}
 		// An attempt that could not be sent put no load on a worker, so it takes nothing from the retry budget.
-		if c.outcome != Unreachable && !c.server.Admission.TakeRetry(c.job) {
+		if c.outcome != Unreachable && c.outcome != Withheld && !c.server.Admission.TakeRetry(c.job) {
 			return c.combineVerdicts(v, ranAttempts > 0)
 		}
 	}
@@ -372,7 +375,13 @@
 		Deadline: remaining, WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
 		Priority: priority, LastEventID: c.lastEventID,
 	})
-	options := upstream.Options{Deadline: c.attemptDeadline()}
+	options := upstream.Options{Deadline: c.attemptDeadline(), BeforeSend: func() error {
+		err := reservation.Confirm()
+		if err != nil {
+			c.outcome = Withheld
+		}
+		return err
+	}}
 	if !c.job.Route.Retryable() {
 		options.MaxIdle = upstream.NonRetryableMaxIdle
 	}
@@ -382,6 +391,9 @@
 	resp, err := c.server.Pool.Send(ctx, reservation.Worker, upstream.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.job.Body,
 	}, match, options)
+	if c.outcome == Withheld {
+		return err
+	}
 	if err != nil {
 		c.outcome = Broken
 		if verdict.FromError(err).Verdict == verdict.NotRun {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -257,8 +257,9 @@
 	Deadline time.Time
 	// MaxIdle is how long a reused connection may have been idle; 0 means up to the connection's own limit.
 	MaxIdle time.Duration
-	// BeforeSend is called once, before the first byte is sent.
-	BeforeSend func()
+	// BeforeSend is called once, before the first byte is sent. If it returns an error, nothing is sent and Send returns
+	// the error, which must carry the verdict NotRun.
+	BeforeSend func() error
 }
 
 // Send sends a request and returns the response that belongs to it. Errors carry a verdict. When ctx is canceled, the
@@ -287,7 +288,9 @@
 		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, "connect_failed", "the connection is closed")
 	}
 	if o.BeforeSend != nil {
-		o.BeforeSend()
+		if err := o.BeforeSend(); err != nil {
+			return err
+		}
 	}
 	if n, err := resp.conn.write(encodeRequest(r)); err != nil && n == 0 {
 		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, "send_failed", "nothing of the request could be sent")
