external: say which responses make a worker back off

Only the comment changes: a back-off is read from every response with status 503, also from one that does not say that the request has not run. The tests of back-offs and leaving workers in platform pass.

--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -221,8 +221,8 @@
 	// A response without a limit ends an earlier one.
 	Limit   float64
 	Limited bool
-	// Backoff is for how long the worker, which turned the request away, wants no further requests from this instance; 0 if
-	// it did not say.
+	// Backoff is for how long the worker wants no further requests from this instance, as it said in a response with status
+	// 503; 0 if it did not say.
 	Backoff time.Duration
 	// Leaving says that the worker leaves. It takes no further requests; those that it runs it runs to their end.
 	Leaving bool
