--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
@@ -96,15 +97,15 @@
 	}
 }
 
-// candidates returns the ready workers that the job was not sent to yet and whose limits leave capacity, without ejected
-// ones unless all are ejected.
+// candidates returns the ready workers that the job was not sent to yet, that do not leave, and that take it in time as far as
+// their limits and back-offs are known, without ejected ones unless all are ejected.
 // For an idempotent request, an ejected worker that is due for a probe is the only candidate. The lock is held.
 func (g *Gateway) candidates(j *forward.Job) []*workers.Worker {
 	ready := g.workers.Load().Ready(j.Service)
 	untried := make([]*workers.Worker, 0, len(ready))
 	now, maxWait := g.now(), limitWait(j)
 	for _, w := range ready {
-		if g.knownWait(w, now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
+		if !g.leaving(w) && g.knownWait(w, now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
 			untried = append(untried, w)
 		}
 	}
@@ -116,7 +117,7 @@
 	for _, w := range untried {
 		if e.Usable(w.ID) {
 			usable = append(usable, w)
-		} else if j.Route.Kind == routing.Idempotent && e.TryProbe(w.ID, time.Now()) {
+		} else if j.Route.Kind == routing.Idempotent && g.backoff(w, now) == 0 && e.TryProbe(w.ID, time.Now()) {
 			return []*workers.Worker{w}
 		}
 	}
@@ -127,17 +128,19 @@
 }
 
 // leastLoaded returns the candidate with the fewest requests of this instance in flight, with a preference for this
-// data centre. The lock is held.
+// data centre. One that backs off is returned only if all do, then the one that takes requests first. The lock is held.
 func (g *Gateway) leastLoaded(list []*workers.Worker) *workers.Worker {
 	var best *workers.Worker
-	bestScore := 0.0
+	bestScore, bestWait := 0.0, time.Duration(0)
+	now := g.now()
 	for _, w := range list {
+		wait := g.backoff(w, now)
 		score := float64(g.inFlight[w.Key()]) + rand.Float64()
 		if w.DataCentre != g.settings.DataCentre {
 			score += remotePenalty
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = w, score
+		if best == nil || wait < bestWait || wait == bestWait && score < bestScore {
+			best, bestScore, bestWait = w, score, wait
 		}
 	}
 	return best
@@ -181,10 +184,11 @@
 	}
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
-		Sending:    func(revoke func()) { g.attemptSent(j, revoke) },
-		NamedLimit: func(limit float64, limited bool) { g.recordLimit(w, limit, limited) },
-		Answering:  func() { g.answerBegan(j) },
-		Done:       func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
+		Sending:   func(revoke func()) { g.attemptSent(j, revoke) },
+		Confirm:   func() error { return g.confirmSend(j, w) },
+		Answered:  func(r external.WorkerResponse) { g.workerAnswered(w, r) },
+		Answering: func() { g.answerBegan(j) },
+		Done:      func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
 	}
 }
 
@@ -291,7 +295,8 @@
 			g.mu.Unlock()
 			return forward.Reservation{}, refusal
 		}
-		if a.Name == "" || len(resident) > 0 {
+		target := g.loadingWorker(list, resident, failed, a)
+		if target == nil && (a.Name == "" || len(resident) > 0) {
 			reservation, ok := g.reserveResident(j, list, resident, a)
 			g.mu.Unlock()
 			if !ok {
@@ -307,7 +312,6 @@
 			}
 			continue
 		}
-		target := g.loadTarget(list, failed, a)
 		g.mu.Unlock()
 		if target == nil && !late && len(failed) > 0 {
 			late, failed = true, nil
@@ -322,7 +326,7 @@
 			continue
 		}
 		sendAt := time.Now().Add(wait)
-		if g.ensureResident(ctx, target, a, version, slack) && sleep(ctx, time.Until(sendAt)) {
+		if g.ensureResident(ctx, target, a, version, slack) && sleep(ctx, time.Until(sendAt)) && g.awaitBackoff(ctx, j, target) {
 			if reservation, ok := g.reserveLoaded(j, target, a, version); ok {
 				g.recordSent(target, a)
 				return reservation, nil
@@ -363,15 +367,25 @@
 }
 
 // stillUsable returns the current entry of a worker that was chosen before a wait, or nil if it was removed or replaced or
-// began to drain, or if requests like the job were found to crash workers. The lock is held.
+// began to drain, to leave or to back off, or if requests like the job were found to crash workers. The lock is held.
 func (g *Gateway) stillUsable(j *forward.Job, w *workers.Worker) *workers.Worker {
 	current, ok := g.workers.Load().Get(w.ID)
-	if !ok || current.Key() != w.Key() || current.Draining || g.crashRefusal(j) != nil {
+	if !ok || current.Key() != w.Key() || current.Draining || g.leaving(w) || g.backoff(w, g.now()) > 0 || g.crashRefusal(j) != nil {
 		return nil
 	}
 	return current
 }
 
+// confirmSend returns an error if a worker may not be used any more for a request that is about to be sent to it.
+func (g *Gateway) confirmSend(j *forward.Job, w *workers.Worker) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stillUsable(j, w) == nil {
+		return refuse(http.StatusServiceUnavailable, "worker_withdrawn", "the backend server takes no requests any more", notReadyRetryAfter)
+	}
+	return nil
+}
+
 // residentWorkers returns the workers at which the adapter is resident in at least the version, as far as this instance
 // knows. The lock is held.
 func (g *Gateway) residentWorkers(list []*workers.Worker, a residency.Adapter, version int64) []*workers.Worker {
@@ -384,6 +398,19 @@
 	return out
 }
 
+// loadingWorker returns the worker at which the adapter should be loaded for a job, or nil if there is none, or if the job
+// should go to a worker at which the adapter is resident. A load elsewhere is faster than a long wait for one that backs off.
+// The lock is held.
+func (g *Gateway) loadingWorker(list, resident, failed []*workers.Worker, a residency.Adapter) *workers.Worker {
+	if a.Name == "" || len(g.soonAvailable(resident)) > 0 {
+		return nil
+	}
+	if w := g.loadTarget(g.soonAvailable(list), failed, a); w != nil || len(resident) > 0 {
+		return w
+	}
+	return g.loadTarget(list, failed, a)
+}
+
 // loadTarget returns the worker that should load the adapter: the first in the adapter's ranking of workers that holds
 // the base model, has a reachable owner and did not fail to load the adapter. The lock is held.
 func (g *Gateway) loadTarget(list, failed []*workers.Worker, a residency.Adapter) *workers.Worker {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -83,9 +83,11 @@
 	// Sending is called before the request is sent. The function that it is given ends the attempt: the worker then drops
 	// the request if it has not begun to run it.
 	Sending func(revoke func())
-	// NamedLimit reports the limit that the worker's response names, in requests per second from all instances, or false
-	// if it names none. It is called for each response.
-	NamedLimit func(limit float64, limited bool)
+	// Confirm is called when a connection is open, before the request is sent on it. If it returns an error, which carries
+	// the verdict NotRun, the request is not sent there.
+	Confirm func() error
+	// Answered reports the headers of the worker's response. It is called for each response, before its body is read.
+	Answered func(r external.WorkerResponse)
 	// Answering reports that the first event of a stream has arrived. It is called at most once.
 	Answering func()
 	// Done reports the outcome of the attempt. It must be called exactly once.
@@ -111,7 +113,7 @@
 	Broken
 	// Interrupted: a stream broke off after its first event.
 	Interrupted
-	// Withheld: the request was not sent, because another worker was chosen or none was left.
+	// Withheld: the request was not sent, because another worker was chosen, or the worker takes no requests any more.
 	Withheld
 	// Abandoned: the caller disconnected, its deadline passed, or the attempt was revoked.
 	Abandoned
@@ -286,7 +288,7 @@
 			}
 		}
 		// An attempt that could not be sent put no load on a worker, so it takes nothing from the retry budget.
-		if c.outcome != Unreachable && !c.server.Admission.TakeRetry(c.job) {
+		if c.outcome != Unreachable && c.outcome != Withheld && !c.server.Admission.TakeRetry(c.job) {
 			return c.combineVerdicts(v, ranAttempts > 0)
 		}
 	}
@@ -370,7 +372,13 @@
 		Deadline: remaining, WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
 		Priority: priority, LastEventID: c.lastEventID,
 	})
-	options := upstream.Options{Deadline: c.attemptDeadline()}
+	options := upstream.Options{Deadline: c.attemptDeadline(), BeforeSend: func() error {
+		err := reservation.Confirm()
+		if err != nil {
+			c.outcome = Withheld
+		}
+		return err
+	}}
 	if !c.job.Route.Retryable() {
 		options.MaxIdle = upstream.NonRetryableMaxIdle
 	}
@@ -380,6 +388,9 @@
 	resp, err := c.server.Pool.Send(ctx, reservation.Worker, upstream.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.job.Body,
 	}, match, options)
+	if c.outcome == Withheld {
+		return err
+	}
 	if err != nil {
 		c.outcome = Broken
 		if verdict.FromError(err).Verdict == verdict.NotRun {
@@ -406,7 +417,7 @@
 // receive classifies a worker's response and forwards it to the caller.
 func (c *call) receive(resp *upstream.Response) error {
 	info := c.server.Headers.ParseResponse(resp.StatusCode, resp.Header)
-	c.reservation.NamedLimit(info.Limit, info.Limited)
+	c.reservation.Answered(info)
 	success := resp.StatusCode/100 == 2
 	switch {
 	case info.NotRun:
