gateway, relay: an offset names a record only within an era

After a restore of the log service, an instance whose position lay at or below the new end read on from there: it skipped what was written before, such as a configuration that withdraws a key (callers with that key were served) or the draining entry of a worker (requests were sent to it). Instances and their relays compared offsets of different eras.

A feed keeps the era of its position. The buffer of a relay has an era: it answers only readers of its own era, and one that sees a new era sends its waiting readers to the log service. ReadLog carries the era; instances without the field count as era 0. The era of a failed read of the fleet's stream is not recorded: it is not known.

New tests on the code before: TestSkippedConfigAfterRestore: Expected: map[int]int{401:2} Actual: map[int]int{200:2} (with relays: 401:14, 200:14) TestSkippedLeavingAfterRestore: Expected: 0 Actual: 4 They pass now. TestConfigAfterRestore passes before and after: the configuration in force never goes back. TestRecordsReadExactlyOnce now has a log that is restored; without the check of the era it fails with "the relay of era 1 answered a reader of era 0".

--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -33,8 +33,37 @@
 	return rendezvous.Pick(instance, members, len(relays))
 }
 
-// Buffer holds the newest records of a topic.
+// Use says what a reader does with an answer.
+type Use int
+
+const (
+	// UseRecords means that the records follow the reader's position.
+	UseRecords Use = iota
+	// LoadAgain means that the log service was restored since the reader's position was valid: an offset then names another
+	// record, so that the reader needs a snapshot.
+	LoadAgain
+	// Ignore means that the answer was given before a restore that the reader knows of: it confirms nothing.
+	Ignore
+)
+
+// Judge decides about an answer of one era to a reader whose position is of another, where known is the latest era that
+// any answer to the reader's instance named.
+func Judge(position, answer, known int64) Use {
+	switch {
+	case position < max(answer, known):
+		return LoadAgain
+	case answer < position:
+		return Ignore
+	default:
+		return UseRecords
+	}
+}
+
+// Buffer holds the newest records of a topic in one era of the log service.
 type Buffer struct {
+	era int64
+	// filled is true once a read of the era was added.
+	filled bool
 	// first is the offset of the oldest record kept, and next the offset after the newest.
 	first, next int64
 	records     [][]byte
@@ -43,11 +72,22 @@
 	sent        time.Duration
 }
 
-// Add adds the records that start at an offset, as returned by a read that was sent at the given time. Records that do
-// not follow the buffered ones replace them.
-func (b *Buffer) Add(from int64, records [][]byte, sent time.Duration) {
-	if from != b.next {
-		b.first, b.next, b.records, b.size = from, from, nil, 0
+// StartEra drops the records of earlier eras: their offsets are assigned to other records.
+func (b *Buffer) StartEra(era int64) {
+	if era > b.era {
+		b.era, b.filled = era, false
+	}
+}
+
+// Add adds the records that start at an offset of an era, as returned by a read that was sent at the given time. Records
+// that do not follow the buffered ones replace them, and those of an earlier era are dropped.
+func (b *Buffer) Add(era, from int64, records [][]byte, sent time.Duration) {
+	b.StartEra(era)
+	if era < b.era {
+		return
+	}
+	if !b.filled || from != b.next {
+		b.filled, b.first, b.next, b.records, b.size = true, from, from, nil, 0
 	}
 	for _, r := range records {
 		b.records = append(b.records, r)
@@ -75,12 +115,14 @@
 	Sent  time.Duration
 }
 
-// Read returns the records from an offset on, if a read with a number above seen has confirmed them. Behind means that
-// the offset is older than the buffer, so the reader must read from the log service itself. If neither ok nor behind
-// is true, the reader should wait for the next read.
-func (b *Buffer) Read(from int64, seen uint64) (a Answer, ok, behind bool) {
+// Read returns the records from an offset of an era on, if a read with a number above seen has confirmed them. Behind
+// means that the offset is older than the buffer or of another era, so the reader must read from the log service itself.
+// If neither ok nor behind is true, the reader should wait for the next read.
+func (b *Buffer) Read(era, from int64, seen uint64) (a Answer, ok, behind bool) {
 	switch {
-	case b.reads <= seen || b.next < from:
+	case era != b.era:
+		return Answer{}, false, true
+	case !b.filled || b.reads <= seen || b.next < from:
 		return Answer{}, false, false
 	case from < b.first:
 		return Answer{}, false, true
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -54,50 +54,68 @@
 	wait, pause time.Duration
 }
 
-// follow reads a feed until ctx ends, and loads a new snapshot when the records after its position have expired.
+// follow reads a feed until ctx ends, and loads a new snapshot when the records after its position have expired, or when
+// the log service was restored, so that the position names another record.
 func follow[T any](ctx context.Context, g *Gateway, f feed[T]) error {
 	d := dependency{name: f.name}
 	r := &topicReader{g: g, topic: f.topic, interval: f.wait + f.pause}
-	next, loaded, failed, wait := int64(0), false, false, f.wait
+	var at external.Position
+	loaded, failed, wait := false, false, f.wait
 	for ctx.Err() == nil {
-		sent, relayed := g.now(), false
-		var v T
-		var err error
 		snapshot := !loaded
-		if loaded {
-			var records []external.Record
-			records, next, sent, relayed, err = r.read(ctx, next, wait)
-			if err == nil {
-				v, err = f.decode(records)
-			}
-		} else {
-			var end external.Position
-			v, end, err = f.load(ctx)
-			next = end.Offset
-			g.observeEra(f.name, end.Era)
-		}
-		if errors.Is(err, external.ErrExpired) {
+		v, got, err := f.read(ctx, r, at, snapshot, wait)
+		if !snapshot && (errors.Is(err, external.ErrExpired) || errors.Is(err, external.ErrRestored)) {
+			g.log.Info().Err(err).Str("feed", f.name).Int64("era", at.Era).Int64("offset", at.Offset).Msg("feed loaded again")
 			loaded = false
 			continue
 		}
 		g.logDependency(&d, err)
 		if err != nil {
 			failed = true
+			if got.next != (external.Position{}) {
+				// Records that cannot be decoded are skipped.
+				at = got.next
+			}
 			sleep(ctx, readRetryDelay)
 			// The local state is already stale: read without waiting for a change.
 			wait = 0
 			continue
 		}
-		loaded, wait = true, f.wait
-		f.apply(v, snapshot, sent, failed)
+		at, loaded, wait = got.next, true, f.wait
+		f.apply(v, snapshot, got.sent, failed)
 		failed = false
-		if !relayed {
+		if !got.relayed {
 			sleep(ctx, f.pause)
 		}
 	}
 	return ctx.Err()
 }
 
+// read loads a snapshot, or reads the changes from a position on.
+func (f *feed[T]) read(ctx context.Context, r *topicReader, at external.Position, snapshot bool, wait time.Duration) (v T, got reading, err error) {
+	if snapshot {
+		got.sent = r.g.now()
+		var end external.Position
+		if v, end, err = f.load(ctx); err != nil {
+			return v, got, err
+		}
+		r.g.observeEra(f.name, end.Era)
+		if err = r.g.checkEra(f.topic, end.Era, end.Era); err != nil {
+			return v, got, err
+		}
+		got.next = end
+		return v, got, nil
+	}
+	if err = r.g.checkEra(f.topic, at.Era, at.Era); err != nil {
+		return v, got, err
+	}
+	if got, err = r.read(ctx, at, wait); err != nil {
+		return v, got, err
+	}
+	v, err = f.decode(got.records)
+	return v, got, err
+}
+
 // followConfig keeps the configuration up to date. The version never decreases.
 func (g *Gateway) followConfig(ctx context.Context) error {
 	return follow(ctx, g, feed[external.Update]{
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -191,7 +191,9 @@
 func (g *Gateway) readFleet(ctx context.Context, next int64) (int64, error) {
 	for {
 		b, err := g.platform.Fleet.Read(ctx, next, 0)
-		g.observeEra("fleet", b.Era)
+		if err == nil || errors.Is(err, external.ErrExpired) {
+			g.observeEra("fleet", b.Era)
+		}
 		if errors.Is(err, external.ErrExpired) {
 			next = b.Next
 			continue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -182,22 +182,27 @@
 }
 
 // observeEra records the era that a response of the log service named, and logs a new one: records that were
-// acknowledged before may be lost, and their offsets are assigned again.
+// acknowledged before may be lost, and their offsets are assigned again. The lock must not be held.
 func (g *Gateway) observeEra(call string, era int64) {
-	for {
-		known := g.logEra.Load()
-		if era <= known {
-			return
-		}
-		if !g.logEra.CompareAndSwap(known, era) {
-			continue
-		}
-		g.metrics.logEra.Set(float64(era))
-		if known >= 0 {
-			g.log.Warn().Str("call", call).Int64("era", era).Int64("before", known).Msg("log service restored from a copy")
+	if era <= g.logEra.Load() {
+		return
+	}
+	g.mu.Lock()
+	known := g.logEra.Load()
+	if era > known {
+		g.logEra.Store(era)
+		for _, t := range g.topics {
+			t.startEra(era)
 		}
+	}
+	g.mu.Unlock()
+	if era <= known {
 		return
 	}
+	g.metrics.logEra.Set(float64(era))
+	if known >= 0 {
+		g.log.Warn().Str("call", call).Int64("era", era).Int64("before", known).Msg("log service restored from a copy")
+	}
 }
 
 func (g *Gateway) now() time.Duration { return g.clock() }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/relay"
 	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
@@ -27,20 +29,33 @@
 }
 
 // add records a successful read, and wakes the calls that wait for it.
-func (t *relayedTopic) add(from int64, records [][]byte, sent time.Duration) {
+func (t *relayedTopic) add(era, from int64, records [][]byte, sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.buffer.Add(from, records, sent)
+	t.buffer.Add(era, from, records, sent)
+	t.wakeReaders()
+}
+
+// startEra drops the records of earlier eras, and wakes the calls that wait for more of them.
+func (t *relayedTopic) startEra(era int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.buffer.StartEra(era)
+	t.wakeReaders()
+}
+
+// wakeReaders wakes the waiting calls. The topic's lock is held.
+func (t *relayedTopic) wakeReaders() {
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
 
-// read returns the records from an offset on, after a read with a number above seen was added. ok is false if the
-// buffer does not reach back to the offset, or if ctx ends.
-func (t *relayedTopic) read(ctx context.Context, from int64, seen uint64) (a relay.Answer, ok bool) {
+// read returns the records from an offset of an era on, after a read with a number above seen was added. ok is false if
+// the buffer does not reach back to the offset or has another era, or if ctx ends.
+func (t *relayedTopic) read(ctx context.Context, era, from int64, seen uint64) (a relay.Answer, ok bool) {
 	for {
 		t.mu.Lock()
-		a, ok, behind := t.buffer.Read(from, seen)
+		a, ok, behind := t.buffer.Read(era, from, seen)
 		changed := t.changed
 		t.mu.Unlock()
 		if ok || behind {
@@ -59,6 +74,7 @@
 	t := g.topics[name]
 	if t == nil {
 		t = &relayedTopic{changed: make(chan struct{})}
+		t.buffer.StartEra(g.logEra.Load())
 		g.topics[name] = t
 	}
 	return t
@@ -105,40 +121,86 @@
 	seen  uint64
 }
 
-// read returns the records from an offset on, the offset after them, the time at which the read that confirmed them was
-// sent to the log service, and whether a relay responded. A relay responds at the interval of its reads, so that the
-// caller need not wait between two reads.
-func (r *topicReader) read(ctx context.Context, from int64, wait time.Duration) (records []external.Record, next int64, sent time.Duration, relayed bool, err error) {
+// reading is the outcome of one successful read.
+type reading struct {
+	records []external.Record
+	// next is the position after the records.
+	next external.Position
+	// sent is when the read that confirmed the records was sent to the log service.
+	sent time.Duration
+	// relayed is true if a relay responded. A relay responds at the interval of its reads, so that the caller need not
+	// wait between two reads.
+	relayed bool
+}
+
+// read returns the records from a position on. It returns external.ErrRestored if the log service was restored since the
+// position was valid.
+func (r *topicReader) read(ctx context.Context, at external.Position, wait time.Duration) (reading, error) {
 	g := r.g
 	g.mu.Lock()
 	p, ok := g.chooseRelay(g.now())
-	topic := g.topic(r.topic)
 	g.mu.Unlock()
 	if ok {
 		start := g.now()
-		if records, next, sent, ok = r.readFromRelay(ctx, p, from); ok {
-			return records, next, sent, true, nil
+		if got, ok := r.readFromRelay(ctx, p, at); ok {
+			if err := g.checkEra(r.topic, at.Era, got.next.Era); err != nil {
+				return reading{}, err
+			}
+			return got, nil
 		}
 		if g.now()-start >= r.interval {
 			// The local state became stale while the relay did not respond: read without waiting for a change.
 			wait = 0
 		}
 	}
-	sent = g.now()
-	b, err := g.platform.Log.Read(ctx, r.topic, from, wait)
-	g.observeEra(r.topic, b.Era)
+	return r.readFromLog(ctx, at, wait)
+}
+
+// readFromLog reads the topic from the log service.
+func (r *topicReader) readFromLog(ctx context.Context, at external.Position, wait time.Duration) (reading, error) {
+	g := r.g
+	sent := g.now()
+	b, err := g.platform.Log.Read(ctx, r.topic, at.Offset, wait)
+	if err == nil || errors.Is(err, external.ErrExpired) {
+		g.observeEra(r.topic, b.Era)
+	}
 	if err == nil {
-		raw := make([][]byte, len(b.Records))
-		for i, rec := range b.Records {
-			raw[i] = rec.Data
-		}
-		topic.add(from, raw, sent)
+		err = g.checkEra(r.topic, at.Era, b.Era)
+	}
+	if err != nil {
+		return reading{}, err
+	}
+	raw := make([][]byte, len(b.Records))
+	for i, rec := range b.Records {
+		raw[i] = rec.Data
+	}
+	g.mu.Lock()
+	topic := g.topic(r.topic)
+	g.mu.Unlock()
+	topic.add(b.Era, at.Offset, raw, sent)
+	return reading{records: b.Records, next: external.Position{Era: b.Era, Offset: b.Next}, sent: sent}, nil
+}
+
+// errOldAnswer means that the log service answered in an earlier era than before.
+var errOldAnswer = trace.CompareFailed("answer of the log service is older than its latest restore")
+
+// checkEra returns nil if an answer of one era may be used by a reader whose position is of another.
+func (g *Gateway) checkEra(topic string, position, answer int64) error {
+	known := g.logEra.Load()
+	switch relay.Judge(position, answer, known) {
+	case relay.LoadAgain:
+		return external.ErrRestored
+	case relay.Ignore:
+		g.log.Warn().Str("topic", topic).Int64("era", answer).Int64("known", known).Msg("answer of an earlier era ignored")
+		return errOldAnswer
+	default:
+		return nil
 	}
-	return b.Records, b.Next, sent, false, err
 }
 
-// readFromRelay reads the topic from a relay.
-func (r *topicReader) readFromRelay(ctx context.Context, p peerInstance, from int64) (records []external.Record, next int64, sent time.Duration, ok bool) {
+// readFromRelay reads the topic from a relay. ok is false if the relay does not respond in time, lacks the records, or
+// has seen another era of the log service.
+func (r *topicReader) readFromRelay(ctx context.Context, p peerInstance, at external.Position) (got reading, ok bool) {
 	if r.relay != p.incarnation {
 		r.relay, r.seen = p.incarnation, 0
 	}
@@ -146,23 +208,25 @@
 	callSent := g.now()
 	callCtx, cancel := context.WithTimeout(ctx, r.interval+relayMargin)
 	defer cancel()
-	a, err := g.peers.clients.ReadLog(callCtx, p.address, &peerpb.ReadLogRequest{Topic: r.topic, From: from, Seen: r.seen})
+	a, err := g.peers.clients.ReadLog(callCtx, p.address, &peerpb.ReadLogRequest{Topic: r.topic, Era: at.Era, From: at.Offset, Seen: r.seen})
 	if err != nil {
 		g.markUnreachable(roleRelay, p.incarnation)
 		g.log.Info().Err(err).Str("topic", r.topic).Str("relay", p.instance).Msg("relay of the log service not reached")
-		return nil, 0, 0, false
+		return reading{}, false
 	}
 	age := time.Duration(a.AgeMs) * time.Millisecond
-	if !a.Relayed || age > r.interval+relayMargin {
-		return nil, 0, 0, false
+	if !a.Relayed || a.Era != at.Era || age > r.interval+relayMargin {
+		return reading{}, false
 	}
 	r.seen = a.Reads
 	for i, data := range a.Records {
-		records = append(records, external.Record{Offset: from + int64(i), Data: data})
+		got.records = append(got.records, external.Record{Offset: at.Offset + int64(i), Data: data})
 	}
 	// The relay responded at the earliest WaitedMs after the call was sent, which gives a lower bound for the time of
 	// its read.
-	return records, a.Next, callSent + time.Duration(a.WaitedMs)*time.Millisecond - age, true
+	got.sent = callSent + time.Duration(a.WaitedMs)*time.Millisecond - age
+	got.next, got.relayed = external.Position{Era: a.Era, Offset: a.Next}, true
+	return got, true
 }
 
 // ReadLog implements peerpb.PeerServer: it returns the records that this instance has read as a relay.
@@ -177,13 +241,13 @@
 		// An instance that reads from a relay itself does not pass its records on.
 		return &peerpb.ReadLogResponse{}, nil
 	}
-	a, ok := topic.read(ctx, r.From, r.Seen)
+	a, ok := topic.read(ctx, r.Era, r.From, r.Seen)
 	if !ok {
 		return &peerpb.ReadLogResponse{}, ctx.Err()
 	}
 	now := g.now()
 	return &peerpb.ReadLogResponse{
-		Relayed: true, Records: a.Records, Next: a.Next, Reads: a.Reads,
+		Relayed: true, Era: r.Era, Records: a.Records, Next: a.Next, Reads: a.Reads,
 		AgeMs: (now - a.Sent + time.Millisecond - 1).Milliseconds(), WaitedMs: (now - start).Milliseconds(),
 	}, nil
 }
