workers: a restored entry does not make a worker usable that was seen leaving

A log service that is restored from an older copy has entries of workers that have drained or gone since. The reload of the registry made them usable again, and callers' requests were sent to workers after their leaving was acknowledged and seen. The copy also lacks workers that registered since; the reload dropped them although they were alive, and requests for their service were refused with 503 until they wrote again.

Draining is final for an incarnation. A restore counts as the end of an outage: workers without an entry have the same grace, from the first answer of the new era. Ignored entries are logged, each departure once.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -25,6 +25,17 @@
 	outageThreshold = 2 * time.Second
 )
 
+// change says how the value of a feed was read.
+type change struct {
+	snapshot bool
+	// era is the era of the log service in which the value was read.
+	era int64
+	// sent is when the read that confirmed the value was sent.
+	sent time.Duration
+	// afterFailure is true if a read failed since the previous value.
+	afterFailure bool
+}
+
 // dependency is the state of a feed, for the log messages when it is lost and regained.
 type dependency struct {
 	name string
@@ -47,9 +58,8 @@
 	name, topic string
 	load        func(ctx context.Context) (T, external.Position, error)
 	decode      func(records []external.Record) (T, error)
-	// apply receives the value, whether it is a snapshot, when the read was sent, and whether a read failed since the
-	// previous call.
-	apply func(v T, snapshot bool, sent time.Duration, afterFailure bool)
+	// apply receives the value and how it was read.
+	apply func(v T, c change)
 	// wait is how long a read of the log service waits for a change, and pause the time between two reads.
 	wait, pause time.Duration
 }
@@ -82,7 +92,7 @@
 			continue
 		}
 		at, loaded, wait = got.next, true, f.wait
-		f.apply(v, snapshot, got.sent, failed)
+		f.apply(v, change{snapshot: snapshot, era: at.Era, sent: got.sent, afterFailure: failed})
 		failed = false
 		if !got.relayed {
 			sleep(ctx, f.pause)
@@ -121,9 +131,9 @@
 	return follow(ctx, g, feed[external.Update]{
 		name: "config", topic: g.platform.Config.Topic(), wait: configWait,
 		load: g.platform.Config.Load, decode: g.platform.Config.Decode,
-		apply: func(u external.Update, _ bool, sent time.Duration, _ bool) {
+		apply: func(u external.Update, c change) {
 			g.applyUpdate(u)
-			g.configRead.Store(int64(sent))
+			g.configRead.Store(int64(c.sent))
 		},
 	})
 }
@@ -173,31 +183,35 @@
 	return follow(ctx, g, feed[[]workers.Entry]{
 		name: "workers", topic: g.platform.Workers.Topic(),
 		load: g.platform.Workers.Load, decode: g.platform.Workers.Decode,
-		apply: func(entries []workers.Entry, snapshot bool, _ time.Duration, afterFailure bool) {
+		apply: func(entries []workers.Entry, c change) {
 			now := g.now()
 			// Losing a relay also causes a gap between reads, but does not make entries expire.
-			if afterFailure && now-lastRead > outageThreshold {
+			if c.afterFailure && now-lastRead > outageThreshold {
 				recovered = time.Now()
 			}
 			lastRead = now
-			g.applyEntries(entries, snapshot, recovered)
+			recovered = g.applyEntries(entries, c, recovered)
 		},
 		pause: g.settings.Bounds.registryReadInterval(),
 	})
 }
 
 // applyEntries applies entries of the registry. The time recovered is when the log service last responded again after
-// an outage, zero if there was none.
-func (g *Gateway) applyEntries(entries []workers.Entry, snapshot bool, recovered time.Time) {
+// an outage, zero if there was none. It returns the time of the latest outage or restore.
+func (g *Gateway) applyEntries(entries []workers.Entry, c change, recovered time.Time) time.Time {
 	wall, now := time.Now(), g.now()
 	g.mu.Lock()
+	if g.restored.After(recovered) {
+		recovered = g.restored
+	}
+	g.workerRegistry.StartEra(c.era)
 	changed := false
-	if snapshot {
+	if c.snapshot {
 		g.workerRegistry.Replace(entries, recovered, wall)
 		changed = true
 	}
 	for _, e := range entries {
-		if !snapshot && g.workerRegistry.Apply(e, recovered, wall) {
+		if !c.snapshot && g.workerRegistry.Apply(e, recovered, wall) {
 			changed = true
 			g.logEntry(e)
 		}
@@ -207,7 +221,11 @@
 	}
 	set, changed := g.publishWorkers(changed, wall)
 	next, pending := g.workerRegistry.NextExpiry()
+	ignored := g.workerRegistry.TakeIgnored()
 	g.mu.Unlock()
+	for _, k := range ignored {
+		g.log.Info().Str("worker", k.ID).Int64("born", k.StartedMilli).Int64("era", c.era).Bool("snapshot", c.snapshot).Msg("restored entry ignored")
+	}
 	if pending {
 		// Expiry must not depend on the next read of the registry, which may be late or fail.
 		time.AfterFunc(next.Sub(wall), g.expireWorkers)
@@ -215,6 +233,7 @@
 	if changed {
 		g.log.Info().Int("workers", len(set.All())).Bool("after_outage", !recovered.IsZero()).Msg("workers changed")
 	}
+	return recovered
 }
 
 // publishWorkers makes the current workers of the registry available for requests, and reports whether they changed.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,9 @@
 	// resigned is set when the instance gives up its workers and claims no more.
 	resigned atomic.Bool
 
-	mu             sync.Mutex
+	mu sync.Mutex
+	// restored is when the latest restore of the log service was seen, zero if there was none.
+	restored       time.Time
 	members        *fleetlog.Fold
 	workerRegistry *workers.Registry
 	residency      *residency.View
@@ -191,6 +193,9 @@
 	known := g.logEra.Load()
 	if era > known {
 		g.logEra.Store(era)
+		if known >= 0 {
+			g.restored = time.Now()
+		}
 		for _, t := range g.topics {
 			t.startEra(era)
 		}
--- a/internal/state/workers/workers.go
+++ b/internal/state/workers/workers.go
@@ -53,7 +53,8 @@
 	Worker *Worker
 }
 
-// expiryGrace is how long after the registry's recovery a worker stays in use whose entry expired during the outage.
+// expiryGrace is how long after the registry's recovery a worker stays in use whose entry expired during the outage, or was
+// lost in a restore.
 // Live workers restore their entries within two seconds of the recovery.
 const expiryGrace = 2 * time.Second
 
@@ -65,46 +66,99 @@
 
 // Registry holds the workers by ID. It is not safe for concurrent use.
 type Registry struct {
-	workers map[string]*registered
+	workers    map[string]*registered
+	era        int64
+	departures departures
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{workers: map[string]*registered{}} }
+func NewRegistry() *Registry {
+	return &Registry{workers: map[string]*registered{}, departures: departures{byKey: map[Key]*departure{}}}
+}
+
+// StartEra sets the era of the log from which later entries are read. It rises when the log was restored from an older
+// copy, which lacks the newest entries and has some that were removed or replaced since.
+func (r *Registry) StartEra(era int64) { r.era = max(r.era, era) }
 
 // Apply applies one change and reports whether the set of usable workers changed. recovered is when the registry
-// recovered from its latest outage, zero if there was none. An entry that is removed shortly after that may only have
-// expired, so its worker stays until expiryGrace after the recovery, unless it was draining.
+// recovered from its latest outage or restore, zero if there was none. An entry that is removed shortly after that may only
+// have expired, so its worker stays until expiryGrace after the recovery, unless it was draining. An incarnation that
+// was draining never becomes usable again; one whose entry was removed does by a later entry.
 func (r *Registry) Apply(e Entry, recovered, now time.Time) bool {
-	old := r.workers[e.ID]
-	if e.Worker != nil {
-		r.workers[e.ID] = &registered{worker: e.Worker}
-		return old == nil || changed(old.worker, e.Worker)
+	switch {
+	case e.Worker == nil:
+		return r.remove(e.ID, recovered, now)
+	case r.departures.outdated(e.Worker):
+		r.departures.ignore(e.Worker.Key())
+		return false
+	default:
+		return r.put(e.Worker)
+	}
+}
+
+// put registers a worker.
+func (r *Registry) put(w *Worker) bool {
+	old := r.workers[w.ID]
+	if old != nil && old.worker.Key() != w.Key() {
+		r.departures.remove(old.worker, r.era)
+	}
+	if w.Draining {
+		r.departures.drain(w)
+	} else {
+		delete(r.departures.byKey, w.Key())
 	}
+	r.workers[w.ID] = &registered{worker: w}
+	return old == nil || changed(old.worker, w)
+}
+
+// remove applies the removal of an entry.
+func (r *Registry) remove(id string, recovered, now time.Time) bool {
+	old := r.workers[id]
 	if old == nil {
 		return false
 	}
+	r.departures.remove(old.worker, r.era)
 	if end := recovered.Add(expiryGrace); !recovered.IsZero() && now.Before(end) && !old.worker.Draining {
-		old.removeAt = end
+		if old.removeAt.IsZero() {
+			old.removeAt = end
+		}
 		return false
 	}
-	delete(r.workers, e.ID)
+	delete(r.workers, id)
 	return true
 }
 
-// Replace applies a snapshot of the whole registry: workers without an entry in it are removed as in Apply.
+// Replace applies a snapshot of the whole registry: workers without an entry in it are removed as in Apply. An incarnation
+// that was removed in an earlier era is not added again by a snapshot, only by a later entry.
 func (r *Registry) Replace(entries []Entry, recovered, now time.Time) {
 	present := map[string]bool{}
 	for _, e := range entries {
-		present[e.ID] = e.Worker != nil
-		r.Apply(e, recovered, now)
+		switch {
+		case e.Worker == nil:
+		case r.departures.outdatedInSnapshot(e.Worker, r.era):
+			r.departures.ignore(e.Worker.Key())
+			old := r.workers[e.ID]
+			present[e.ID] = old != nil && old.worker.Key() == e.Worker.Key()
+		default:
+			r.put(e.Worker)
+			present[e.ID] = true
+		}
 	}
 	for id := range r.workers {
 		if !present[id] {
-			r.Apply(Entry{ID: id}, recovered, now)
+			r.remove(id, recovered, now)
 		}
 	}
 }
 
+// TakeIgnored returns the incarnations of which entries were ignored since the last call, because they were older than
+// what had been seen of them. It returns each departure of an incarnation once.
+func (r *Registry) TakeIgnored() []Key {
+	ignored := r.departures.ignored
+	r.departures.ignored = nil
+	return ignored
+}
+
 // NextExpiry returns when Expire next removes a worker, and false if every worker has an entry.
 func (r *Registry) NextExpiry() (time.Time, bool) {
 	var next time.Time
