residency: an older entry of a worker does not replace a newer one

After a restore of the log service the registry has entries from before a worker's latest orders. Applied, they made an instance send requests for adapters that the worker had unloaded (421 from the worker, another attempt), and not send for those that it had loaded since.

An entry with fewer orders (Seq) than an earlier one of the same incarnation is not applied, and logged.

TestOlderEntry on the code before (with a result added that is always true): Expected: false Actual: true. It passes now.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -215,8 +215,8 @@
 			changed = true
 			g.logEntry(e)
 		}
-		if e.Worker != nil {
-			g.residency.ApplyEntry(e.Worker, now)
+		if e.Worker != nil && !g.residency.ApplyEntry(e.Worker, now) {
+			g.log.Info().Str("worker", e.ID).Int64("seq", e.Worker.Seq).Int64("era", c.era).Msg("older list of adapters ignored")
 		}
 	}
 	set, changed := g.publishWorkers(changed, wall)
