gateway: instances hand on the configuration that they have in force

Between a restore of the log service and the operators' next write, the log service has an older configuration than the instances. One that started then, or had been cut off when the lost configuration was written, served requests with keys that were withdrawn and answered 401 and 404 to keys and routes that were added.

GetConfiguration returns the configuration and the adapter versions that an instance has in force. An instance asks three live members, at the same time and for 700 ms at most, once it has read the configuration and the fleet's stream, and after each restore; it asks again, four times at most, if none answers. It accepts no key and is not ready before it has asked; that holds at a restore too if it had no fresh configuration before. What is newer is put into force, by one instance's goroutine at a time; buckets of workspaces learned at the start begin empty like the others.

New tests on the code before: TestStartAfterRestore: Expected: 0 Actual: 40 (requests served with a withdrawn key) TestLostConfigAtOneInstance: Expected: 0 Actual: 70 TestAdapterVersionAfterRestore: Expected: "2" Actual: "" TestKeysWaitForPeers: Expected '0' to be greater than '0' (but it wasn't)! They pass now. TestKeysWaitForPeers fails without the wait at the start and without the one at a restore.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -134,29 +134,42 @@
 		apply: func(u external.Update, c change) {
 			g.applyUpdate(u)
 			g.configRead.Store(int64(c.sent))
+			g.configLoaded.set()
 		},
 	})
 }
 
-// applyUpdate puts a configuration into force if it is newer, and applies new adapter versions.
+// applyUpdate puts a configuration into force if it is newer, and applies new adapter versions. It is safe for
+// concurrent use.
 func (g *Gateway) applyUpdate(u external.Update) {
 	now := g.now()
-	if u.Config != nil {
-		old := g.table.Load()
-		if old == nil || u.Config.Version > old.Version {
-			t := routing.Compile(*u.Config)
-			g.mu.Lock()
-			g.setBuckets(t, old == nil, now)
-			g.mu.Unlock()
-			g.table.Store(t)
-			g.log.Info().Int64("config", t.Version).Int("routes", len(u.Config.Routes)).Int("workspaces", len(u.Config.Workspaces)).Msg("configuration in force")
-		}
+	if u.Config != nil && g.applyConfig(u.Config, now) {
+		g.log.Info().Int64("config", u.Config.Version).Int("routes", len(u.Config.Routes)).Int("workspaces", len(u.Config.Workspaces)).Msg("configuration in force")
 	}
 	for _, v := range u.Versions {
 		g.applyVersion(v, now)
 	}
 }
 
+// applyConfig puts a configuration into force and reports whether it is newer.
+func (g *Gateway) applyConfig(c *routing.Config, now time.Duration) bool {
+	if old := g.table.Load(); old != nil && c.Version <= old.Version {
+		return false
+	}
+	t := routing.Compile(*c)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := g.table.Load()
+	if old != nil && c.Version <= old.Version {
+		return false
+	}
+	// What other instances have in force at the start is not new to the fleet.
+	g.setBuckets(t, old == nil || !g.peersAsked.Load(), now)
+	g.config = c
+	g.table.Store(t)
+	return true
+}
+
 // applyVersion records a new adapter version and lets the workers that this instance owns load it.
 func (g *Gateway) applyVersion(v routing.AdapterVersion, now time.Duration) {
 	a := residency.Adapter{Model: v.Model, Name: v.Adapter}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -45,6 +45,7 @@
 		if readErr == nil && !g.fleetRead.Swap(true) {
 			g.log.Info().Int64("end", next).Int("live", g.liveMemberCount()).Int64("ms", time.Since(start).Milliseconds()).Msg("fleet known")
 			g.applyLatestHeartbeats()
+			g.fleetKnown.set()
 		}
 		// Rates and relays are updated before claims: after a restart of many instances the log service is busy
 		// with their claims.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,9 +96,14 @@
 	logEra atomic.Int64
 	// acknowledged is the latest heartbeat that is known to be in the fleet's stream.
 	acknowledged atomic.Pointer[sentHeartbeat]
-	// fleetRead is set once the fleet's stream was read to its end.
-	fleetRead atomic.Bool
-	stopping  atomic.Bool
+	// fleetRead is set once the fleet's stream was read to its end, and peersAsked once other instances were asked for the
+	// configuration that they have in force. It is unset at a restore that follows a time without the log service.
+	fleetRead, peersAsked atomic.Bool
+	// configLoaded and fleetKnown are set when the configuration and the fleet's stream were first read, and askPeers
+	// requests that other instances are asked again.
+	configLoaded, fleetKnown signal
+	askPeers                 chan struct{}
+	stopping                 atomic.Bool
 	// wake requests a heartbeat before the interval ends.
 	wake chan struct{}
 	// resigned is set when the instance gives up its workers and claims no more.
@@ -112,8 +117,10 @@
 	residency      *residency.View
 	popularity     *residency.Popularity
 	versions       map[residency.Adapter]requiredVersion
-	usage          map[workerAdapter]*usage
-	inFlight       map[workers.Key]int
+	// config is the configuration in force, nil before the first.
+	config   *routing.Config
+	usage    map[workerAdapter]*usage
+	inFlight map[workers.Key]int
 	// limits are the limits that workers name on the requests of all instances.
 	limits *quota.WorkerLimits
 	// relays are the instances that read the log service for the others, in the order in which this instance asks them,
@@ -159,7 +166,7 @@
 		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
-		wake:     make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), configLoaded: newSignal(), fleetKnown: newSignal(),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
 		idleConns: newIdleConns(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
 		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]func(){}, fleetSize: 1,
@@ -207,15 +214,21 @@
 	g.metrics.logEra.Set(float64(era))
 	if known >= 0 {
 		g.log.Warn().Str("call", call).Int64("era", era).Int64("before", known).Msg("log service restored from a copy")
+		if !g.configFresh(maxConfigAge) {
+			// The restored log service may lack a configuration that this instance has not read.
+			g.peersAsked.Store(false)
+		}
+		g.requestPeerConfig()
 	}
 }
 
 func (g *Gateway) now() time.Duration { return g.clock() }
 
-// configFresh reports whether the last successful read of the configuration is not older than maxAge.
+// configFresh reports whether the last successful read of the configuration is not older than maxAge. An instance that
+// still has to ask others does not know whether they have a newer one that the log service lost.
 func (g *Gateway) configFresh(maxAge time.Duration) bool {
 	read := g.configRead.Load()
-	return read != 0 && g.now()-time.Duration(read) <= maxAge
+	return read != 0 && g.peersAsked.Load() && g.now()-time.Duration(read) <= maxAge
 }
 
 // start runs f in the background. Its context is cancelled at the end of Serve, which waits for f.
@@ -255,7 +268,7 @@
 		g.log.Warn().Str("event", e.String()).Msg("supervisor")
 	}})
 	for name, run := range map[string]func(context.Context) error{
-		"config": g.followConfig, "workers": g.followWorkers, "fleet": g.followFleet, "upkeep": g.cleanUp,
+		"config": g.followConfig, "workers": g.followWorkers, "fleet": g.followFleet, "peer configuration": g.followPeerConfig, "upkeep": g.cleanUp,
 	} {
 		supervisor.Add(service{name, run})
 	}
@@ -337,6 +350,16 @@
 	}
 }
 
+// signal is an event that happens once.
+type signal struct {
+	once *sync.Once
+	done chan struct{}
+}
+
+func newSignal() signal { return signal{once: &sync.Once{}, done: make(chan struct{})} }
+
+func (s signal) set() { s.once.Do(func() { close(s.done) }) }
+
 // servers are the listeners of a gateway.
 type servers struct {
 	callers, readiness, metrics *http.Server
--- a/internal/state/routing/table_test.go
+++ b/internal/state/routing/table_test.go
@@ -1,9 +1,12 @@
 package routing
 
 import (
+	"encoding/json"
+	"reflect"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 )
 
 // TestMatch guards the choice of a route: the longest matching prefix among the routes of the host wins, and a request
@@ -40,3 +43,22 @@
 		So(ok, ShouldBeFalse)
 	})
 }
+
+// TestConfigAsJSON guards the configuration that instances hand on to each other as JSON: a field that gets lost would
+// stay lost at the receiver, which takes the same version from no one else.
+func TestConfigAsJSON(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := rapid.Make[Config]().Draw(t, "config")
+		data, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Config
+		if err := json.Unmarshal(data, &got); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, c) {
+			t.Fatalf("%+v became %+v", c, got)
+		}
+	})
+}
--- a/internal/transport/peer/state.go
+++ b/internal/transport/peer/state.go
@@ -71,6 +71,11 @@
 	return call(ctx, c, addr, r, peerpb.PeerClient.ReadLog)
 }
 
+// GetConfiguration asks a member for the operators' configuration that it has in force.
+func (c *Clients) GetConfiguration(ctx context.Context, addr string, r *peerpb.GetConfigurationRequest) (*peerpb.GetConfigurationResponse, error) {
+	return call(ctx, c, addr, r, peerpb.PeerClient.GetConfiguration)
+}
+
 // FetchState returns a peer's exported configuration.
 func (c *Clients) FetchState(ctx context.Context, addr string) ([]byte, error) {
 	conn, err := c.conn(addr)
