--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -25,6 +25,17 @@
 	outageThreshold = 2 * time.Second
 )
 
+// change says how the value of a feed was read.
+type change struct {
+	snapshot bool
+	// era is the era of the log service in which the value was read.
+	era int64
+	// sent is when the read that confirmed the value was sent.
+	sent time.Duration
+	// afterFailure is true if a read failed since the previous value.
+	afterFailure bool
+}
+
 // dependency is the state of a feed, for the log messages when it is lost and regained.
 type dependency struct {
 	name string
@@ -47,88 +58,118 @@
 	name, topic string
 	load        func(ctx context.Context) (T, external.Position, error)
 	decode      func(records []external.Record) (T, error)
-	// apply receives the value, whether it is a snapshot, when the read was sent, and whether a read failed since the
-	// previous call.
-	apply func(v T, snapshot bool, sent time.Duration, afterFailure bool)
+	// apply receives the value and how it was read.
+	apply func(v T, c change)
 	// wait is how long a read of the log service waits for a change, and pause the time between two reads.
 	wait, pause time.Duration
 }
 
-// follow reads a feed until ctx ends, and loads a new snapshot when the records after its position have expired.
+// follow reads a feed until ctx ends, and loads a new snapshot when the records after its position have expired, or when
+// the log service was restored, so that the position names another record.
 func follow[T any](ctx context.Context, g *Gateway, f feed[T]) error {
 	d := dependency{name: f.name}
 	r := &topicReader{g: g, topic: f.topic, interval: f.wait + f.pause}
-	next, loaded, failed, wait := int64(0), false, false, f.wait
+	var at external.Position
+	loaded, failed, wait := false, false, f.wait
 	for ctx.Err() == nil {
-		sent, relayed := g.now(), false
-		var v T
-		var err error
 		snapshot := !loaded
-		if loaded {
-			var records []external.Record
-			records, next, sent, relayed, err = r.read(ctx, next, wait)
-			if err == nil {
-				v, err = f.decode(records)
-			}
-		} else {
-			var end external.Position
-			v, end, err = f.load(ctx)
-			next = end.Offset
-			g.observeEra(f.name, end.Era)
-		}
-		if errors.Is(err, external.ErrExpired) {
+		v, got, err := f.read(ctx, r, at, snapshot, wait)
+		if !snapshot && (errors.Is(err, external.ErrExpired) || errors.Is(err, external.ErrRestored)) {
+			g.log.Info().Err(err).Str("feed", f.name).Int64("era", at.Era).Int64("offset", at.Offset).Msg("feed loaded again")
 			loaded = false
 			continue
 		}
 		g.logDependency(&d, err)
 		if err != nil {
 			failed = true
+			if got.next != (external.Position{}) {
+				// Records that cannot be decoded are skipped.
+				at = got.next
+			}
 			sleep(ctx, readRetryDelay)
 			// The local state is already stale: read without waiting for a change.
 			wait = 0
 			continue
 		}
-		loaded, wait = true, f.wait
-		f.apply(v, snapshot, sent, failed)
+		at, loaded, wait = got.next, true, f.wait
+		f.apply(v, change{snapshot: snapshot, era: at.Era, sent: got.sent, afterFailure: failed})
 		failed = false
-		if !relayed {
+		if !got.relayed {
 			sleep(ctx, f.pause)
 		}
 	}
 	return ctx.Err()
 }
 
+// read loads a snapshot, or reads the changes from a position on.
+func (f *feed[T]) read(ctx context.Context, r *topicReader, at external.Position, snapshot bool, wait time.Duration) (v T, got reading, err error) {
+	if snapshot {
+		got.sent = r.g.now()
+		var end external.Position
+		if v, end, err = f.load(ctx); err != nil {
+			return v, got, err
+		}
+		r.g.observeEra(f.name, end.Era)
+		if err = r.g.checkEra(f.topic, end.Era, end.Era); err != nil {
+			return v, got, err
+		}
+		got.next = end
+		return v, got, nil
+	}
+	if err = r.g.checkEra(f.topic, at.Era, at.Era); err != nil {
+		return v, got, err
+	}
+	if got, err = r.read(ctx, at, wait); err != nil {
+		return v, got, err
+	}
+	v, err = f.decode(got.records)
+	return v, got, err
+}
+
 // followConfig keeps the configuration up to date. The version never decreases.
 func (g *Gateway) followConfig(ctx context.Context) error {
 	return follow(ctx, g, feed[external.Update]{
 		name: "config", topic: g.platform.Config.Topic(), wait: configWait,
 		load: g.platform.Config.Load, decode: g.platform.Config.Decode,
-		apply: func(u external.Update, _ bool, sent time.Duration, _ bool) {
+		apply: func(u external.Update, c change) {
 			g.applyUpdate(u)
-			g.configRead.Store(int64(sent))
+			g.configRead.Store(int64(c.sent))
+			g.configLoaded.set()
 		},
 	})
 }
 
-// applyUpdate puts a configuration into force if it is newer, and applies new adapter versions.
+// applyUpdate puts a configuration into force if it is newer, and applies new adapter versions. It is safe for
+// concurrent use.
 func (g *Gateway) applyUpdate(u external.Update) {
 	now := g.now()
-	if u.Config != nil {
-		old := g.table.Load()
-		if old == nil || u.Config.Version > old.Version {
-			t := routing.Compile(*u.Config)
-			g.mu.Lock()
-			g.setBuckets(t, old == nil, now)
-			g.mu.Unlock()
-			g.table.Store(t)
-			g.log.Info().Int64("config", t.Version).Int("routes", len(u.Config.Routes)).Int("workspaces", len(u.Config.Workspaces)).Msg("configuration in force")
-		}
+	if u.Config != nil && g.applyConfig(u.Config, now) {
+		g.log.Info().Int64("config", u.Config.Version).Int("routes", len(u.Config.Routes)).Int("workspaces", len(u.Config.Workspaces)).Msg("configuration in force")
 	}
 	for _, v := range u.Versions {
 		g.applyVersion(v, now)
 	}
 }
 
+// applyConfig puts a configuration into force and reports whether it is newer.
+func (g *Gateway) applyConfig(c *routing.Config, now time.Duration) bool {
+	if old := g.table.Load(); old != nil && c.Version <= old.Version {
+		return false
+	}
+	t := routing.Compile(*c)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := g.table.Load()
+	if old != nil && c.Version <= old.Version {
+		return false
+	}
+	// What other instances have in force at the start is not new to the fleet.
+	g.setBuckets(t, old == nil || !g.peersAsked.Load(), now)
+	g.config = c
+	g.table.Store(t)
+	return true
+}
+
 // applyVersion records a new adapter version and lets the workers that this instance owns load it.
 func (g *Gateway) applyVersion(v routing.AdapterVersion, now time.Duration) {
 	a := residency.Adapter{Model: v.Model, Name: v.Adapter}
@@ -155,41 +196,49 @@
 	return follow(ctx, g, feed[[]workers.Entry]{
 		name: "workers", topic: g.platform.Workers.Topic(),
 		load: g.platform.Workers.Load, decode: g.platform.Workers.Decode,
-		apply: func(entries []workers.Entry, snapshot bool, _ time.Duration, afterFailure bool) {
+		apply: func(entries []workers.Entry, c change) {
 			now := g.now()
 			// Losing a relay also causes a gap between reads, but does not make entries expire.
-			if afterFailure && now-lastRead > outageThreshold {
+			if c.afterFailure && now-lastRead > outageThreshold {
 				recovered = time.Now()
 			}
 			lastRead = now
-			g.applyEntries(entries, snapshot, recovered)
+			recovered = g.applyEntries(entries, c, recovered)
 		},
 		pause: g.settings.Bounds.registryReadInterval(),
 	})
 }
 
 // applyEntries applies entries of the registry. The time recovered is when the log service last responded again after
-// an outage, zero if there was none.
-func (g *Gateway) applyEntries(entries []workers.Entry, snapshot bool, recovered time.Time) {
+// an outage, zero if there was none. It returns the time of the latest outage or restore.
+func (g *Gateway) applyEntries(entries []workers.Entry, c change, recovered time.Time) time.Time {
 	wall, now := time.Now(), g.now()
 	g.mu.Lock()
+	if g.restored.After(recovered) {
+		recovered = g.restored
+	}
+	g.workerRegistry.StartEra(c.era)
 	changed := false
-	if snapshot {
+	if c.snapshot {
 		g.workerRegistry.Replace(entries, recovered, wall)
 		changed = true
 	}
 	for _, e := range entries {
-		if !snapshot && g.workerRegistry.Apply(e, recovered, wall) {
+		if !c.snapshot && g.workerRegistry.Apply(e, recovered, wall) {
 			changed = true
 			g.logEntry(e)
 		}
-		if e.Worker != nil {
-			g.residency.ApplyEntry(e.Worker, now)
+		if e.Worker != nil && !g.residency.ApplyEntry(e.Worker, now) {
+			g.log.Info().Str("worker", e.ID).Int64("seq", e.Worker.Seq).Int64("era", c.era).Msg("older list of adapters ignored")
 		}
 	}
 	set, changed := g.publishWorkers(changed, wall)
 	next, pending := g.workerRegistry.NextExpiry()
+	ignored := g.workerRegistry.TakeIgnored()
 	g.mu.Unlock()
+	for _, k := range ignored {
+		g.log.Info().Str("worker", k.ID).Int64("born", k.StartedMilli).Int64("era", c.era).Bool("snapshot", c.snapshot).Msg("restored entry ignored")
+	}
 	if pending {
 		// Expiry must not depend on the next read of the registry, which may be late or fail.
 		time.AfterFunc(next.Sub(wall), g.expireWorkers)
@@ -197,6 +246,7 @@
 	if changed {
 		g.log.Info().Int("workers", len(set.All())).Bool("after_outage", !recovered.IsZero()).Msg("workers changed")
 	}
+	return recovered
 }
 
 // publishWorkers makes the current workers of the registry available for requests, and reports whether they changed.
