gateway: the message between instances does not follow external.Update

GetConfiguration marshalled external.Update itself, so that a field added there for one instance's own use would have become part of the message. It has a type of its own now; its JSON is the same. go test -race ./platform passes.

--- a/internal/gateway/peerconfig.go
+++ b/internal/gateway/peerconfig.go
@@ -29,6 +29,12 @@
 	maxPeerSilence = time.Minute
 )
 
+// inForce is what an instance has in force, as JSON in GetConfigurationResponse. Config is nil if the receiver has it.
+type inForce struct {
+	Config   *routing.Config
+	Versions []routing.AdapterVersion
+}
+
 // followPeerConfig asks other instances for the configuration that they have in force, once the instance has read the
 // configuration and the fleet's stream, and again after each restore of the log service: a restored log service may lack
 // the newest configuration until it is written again.
@@ -116,7 +122,7 @@
 		g.log.Info().Err(err).Str("peer", p.instance).Msg("peer not reached for its configuration")
 		return false
 	}
-	var u external.Update
+	var u inForce
 	if err := json.Unmarshal(r.Update, &u); err != nil {
 		g.log.Warn().Err(err).Str("peer", p.instance).Msg("configuration of a peer is invalid")
 		return false
@@ -124,7 +130,7 @@
 	if u.Config != nil && u.Config.Version > version {
 		g.log.Info().Str("peer", p.instance).Int64("config", u.Config.Version).Int64("before", version).Msg("configuration of a peer is newer")
 	}
-	g.applyUpdate(u)
+	g.applyUpdate(external.Update{Config: u.Config, Versions: u.Versions})
 	return true
 }
 
@@ -148,7 +154,7 @@
 
 // updateInForce returns the version of the configuration in force, the configuration itself if it is newer than known, and
 // the newest versions of adapters.
-func (g *Gateway) updateInForce(known int64) (u external.Update, version int64) {
+func (g *Gateway) updateInForce(known int64) (u inForce, version int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.config != nil {
