gateway, forward: one version of the configuration decides a request

Seen by callers: a request whose body was still arriving when a newer configuration without its service came into force was refused with 503 no_service, although it had been admitted and backend servers for it were there. A stream that was to be resumed then was cut for the same reason.

Cause: Admit and each Place read the table anew. Admit's version now stays with the job until its end.

No other cause of a missing answer was found: no panic, no 500, no 502.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -43,7 +43,7 @@
 	if t == nil {
 		return refuse(http.StatusServiceUnavailable, "no_configuration", "the instance knows no configuration yet", notReadyRetryAfter)
 	}
-	j.ConfigVersion, j.ConfigAge = t.Version, g.now()-time.Duration(g.configRead.Load())
+	j.Config, j.ConfigAge = t, g.now()-time.Duration(g.configRead.Load())
 	route, ok := t.Match(host, path)
 	if !ok {
 		if !g.configFresh(denialMaxAge) {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -34,7 +34,6 @@
 // Place implements forward.Placement.
 func (p *placement) Place(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
 	g := (*Gateway)(p)
-	t := g.table.Load()
 	firstAttempt := j.Service == ""
 	g.mu.Lock()
 	if firstAttempt {
@@ -46,7 +45,7 @@
 	if refusal != nil {
 		return forward.Reservation{}, refusal
 	}
-	s, ok := t.Service(j.Service)
+	s, ok := j.Config.Service(j.Service)
 	if !ok {
 		return forward.Reservation{}, refuse(http.StatusServiceUnavailable, "no_service", "the route's service is not configured", notReadyRetryAfter)
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -56,12 +56,12 @@
 	Workspace *routing.Workspace
 	// Service is the service that the request is sent to, one of those of its route.
 	Service string
-	// ConfigVersion is the version of the configuration by which the request was decided, and ConfigAge the time
-	// since the read that last confirmed that version was sent.
-	ConfigVersion int64
-	ConfigAge     time.Duration
-	Arrived       time.Time
-	Deadline      time.Time
+	// Config is the version of the configuration by which the request is decided until its end, nil if there was none, and
+	// ConfigAge the time since the read that last confirmed that version was sent.
+	Config    *routing.Table
+	ConfigAge time.Duration
+	Arrived   time.Time
+	Deadline  time.Time
 	// Tried lists the workers of the attempts so far.
 	Tried []workers.Key
 	// Path and Body identify a request that crashes workers.
@@ -559,7 +559,11 @@
 	if err != nil {
 		e = c.server.Log.Warn().Str("error", err.Error()).Str("code", verdict.FromError(err).Code)
 	}
-	e = e.Str("request", c.job.ID).Int64("config", c.job.ConfigVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
+	configVersion := int64(0)
+	if c.job.Config != nil {
+		configVersion = c.job.Config.Version
+	}
+	e = e.Str("request", c.job.ID).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
 		Stringer("verdict", c.verdict).Int("attempts", c.attempts).Str("worker", c.lastWorker).
 		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).
 		Int64("ms", duration.Milliseconds()).Bool("caller_left", c.r.Context().Err() != nil)
