gateway: count each crash of a worker that the registry shows as one start

Callers of a part of a prompt that crashes workers saw five requests and more run before the part was refused, where four suffice.

A worker is back about two seconds after a crash, and the registry is read once a second. In between its crashes counted as those of one worker, since an incarnation was named by the start that the registry showed. In the five traces taken, the third and fourth request crashed workers that had crashed two seconds before.

A process that was seen gone is now followed by another one: attempts sent later count for the next process. For that, the first attempt that breaks off at a process is always checked; one check for a process and minute at most, in addition to those made before.

--- a/internal/coordination/retry/workercrashes.go
+++ b/internal/coordination/retry/workercrashes.go
@@ -226,6 +226,9 @@
 	clear(w.suspects)
 }
 
+// Known reports whether attempts were recently cut off at the worker.
+func (c *WorkerCrashTracker) Known(worker string) bool { return c.workers[worker] != nil }
+
 // Confirmed reports whether the worker is known to have crashed.
 func (c *WorkerCrashTracker) Confirmed(worker string) bool {
 	w := c.workers[worker]
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
@@ -85,19 +86,38 @@
 	g.clearSuspects(list, j.ID)
 }
 
+// sentAttempt is an attempt whose answer has not begun.
+type sentAttempt struct {
+	// revoke ends the attempt.
+	revoke func()
+	// process names the worker process to which the attempt was sent.
+	process string
+}
+
 // attemptSent records an attempt that can be revoked until its answer begins.
-func (g *Gateway) attemptSent(j *forward.Job, revoke func()) {
+func (g *Gateway) attemptSent(j *forward.Job, w *workers.Worker, revoke func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unanswered[j] = revoke
+	g.unanswered[j] = sentAttempt{revoke: revoke, process: g.processName(w)}
+}
+
+// processName names the process that a request sent to the worker now reaches. The registry shows a restart only seconds
+// after it, so that each crash since the start that the registry shows stands for one more process. The lock is held.
+func (g *Gateway) processName(w *workers.Worker) string {
+	incarnation := incarnationName(w)
+	name := incarnation
+	for restarts := 1; g.crashes.Confirmed(name); restarts++ {
+		name = incarnation + "+" + strconv.Itoa(restarts)
+	}
+	return name
 }
 
 // revokeAttempts ends the attempts with a refused suspect whose answers have not begun. The lock is held.
 func (g *Gateway) revokeAttempts(r retry.Refusal) {
-	for j, revoke := range g.unanswered {
+	for j, sent := range g.unanswered {
 		if slices.Contains(crashSuspects(j), r.Suspect) {
 			g.log.Info().Str("request", j.ID).Str("suspect", string(r.Suspect)).Msg("attempt revoked")
-			revoke()
+			sent.revoke()
 		}
 	}
 }
@@ -111,10 +131,10 @@
 	}
 }
 
-// recordBrokenAttempt records an attempt that broke off. If its answer had not begun, it is evidence against what it has
-// in common with other requests; if there is other evidence against that, a check in the background finds out whether the
-// worker crashed. The lock is held.
-func (g *Gateway) recordBrokenAttempt(j *forward.Job, w *workers.Worker, o forward.Outcome) {
+// recordBrokenAttempt records an attempt that broke off at a worker process. If its answer had not begun, it is evidence
+// against what it has in common with other requests. If there is other evidence against that, or none against anything at
+// that process, a check in the background finds out whether the process has ended. The lock is held.
+func (g *Gateway) recordBrokenAttempt(j *forward.Job, w *workers.Worker, process string, o forward.Outcome) {
 	suspects := crashSuspects(j)
 	g.log.Info().Str("request", j.ID).Str("worker", w.ID).Stringer("outcome", o).Strs("suspects", suspectStrings(suspects)).Msg("attempt broke off")
 	if o == forward.Interrupted {
@@ -122,14 +142,15 @@
 	}
 	now := g.now()
 	b := retry.BrokenAttempt{
-		Worker:   incarnationName(w),
+		Worker:   process,
 		Suspects: g.crashes.Unanswered(suspects, now), Own: true,
 	}
 	if len(b.Suspects) == 0 {
 		return
 	}
+	first := !g.crashes.Known(b.Worker)
 	g.reportBrokenAttempt(b)
-	if !g.crashes.Suspected(b.Suspects, b.Worker, now) || g.crashes.Confirmed(b.Worker) || g.crashChecks[b.Worker] {
+	if !first && !g.crashes.Suspected(b.Suspects, b.Worker, now) || g.crashes.Confirmed(b.Worker) || g.crashChecks[b.Worker] {
 		return
 	}
 	g.crashChecks[b.Worker] = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,8 +135,8 @@
 	// other instances, nil if none is scheduled.
 	brokenAttempts []fleetlog.BrokenAttempt
 	crashReport    *crashReport
-	// unanswered holds the functions that revoke the attempts whose answers have not begun, by their jobs.
-	unanswered map[*forward.Job]func()
+	// unanswered holds the attempts whose answers have not begun, by their jobs.
+	unanswered map[*forward.Job]sentAttempt
 	// crashChecks are the worker incarnations that are being checked after a broken attempt.
 	crashChecks map[string]bool
 	// lastHeartbeatNumber is the number of this instance's last heartbeat.
@@ -160,7 +160,7 @@
 		wake:     make(chan struct{}, 1),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
 		idleConns: newIdleConns(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
-		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]func(){}, fleetSize: 1,
+		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]sentAttempt{}, fleetSize: 1,
 	}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.logEra.Store(-1)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -181,7 +181,7 @@
 	}
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
-		Sending:    func(revoke func()) { g.attemptSent(j, revoke) },
+		Sending:    func(revoke func()) { g.attemptSent(j, w, revoke) },
 		NamedLimit: func(limit float64, limited bool) { g.recordLimit(w, limit, limited) },
 		Answering:  func() { g.answerBegan(j) },
 		Done:       func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
@@ -235,9 +235,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := w.Key()
+	sent := g.unanswered[j]
 	delete(g.unanswered, j)
 	if o == forward.Broken || o == forward.Interrupted {
-		g.recordBrokenAttempt(j, w, o)
+		g.recordBrokenAttempt(j, w, sent.process, o)
 	}
 	g.inFlight[k]--
 	if a.Name != "" {
