platform, gateway: skip odd entries, and keep the workers that they hide

What callers saw when another writer appended odd entries: requests refused with 503, since an unreadable entry under a worker's ID ended that worker; attempts at addresses that cannot exist (port 0, 65536, 99999); and a newer configuration or adapter version lost, since an unreadable configuration failed the whole read after the position had moved on. An entry without an ID was a worker that any worker's address would answer for.

It says nothing about the worker with its ID: the earlier entry stays in force, until a readable one or a removal follows. TestEntries said in its comment that unreadable entries end a worker; what it checks, removals, is unchanged, and TestUnreadableEntries says the rest.

Records beside an unreadable configuration or version apply. Decode returns no error any more, so that none can lose a batch.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -46,7 +46,7 @@
 type feed[T any] struct {
 	name, topic string
 	load        func(ctx context.Context) (T, external.Position, error)
-	decode      func(records []external.Record) (T, error)
+	decode      func(records []external.Record) T
 	// apply receives the value, whether it is a snapshot, when the read was sent, and whether a read failed since the
 	// previous call.
 	apply func(v T, snapshot bool, sent time.Duration, afterFailure bool)
@@ -68,7 +68,7 @@
 			var records []external.Record
 			records, next, sent, relayed, err = r.read(ctx, next, wait)
 			if err == nil {
-				v, err = f.decode(records)
+				v = f.decode(records)
 			}
 		} else {
 			var end external.Position
@@ -113,6 +113,7 @@
 // applyUpdate puts a configuration into force if it is newer, and applies new adapter versions.
 func (g *Gateway) applyUpdate(u external.Update) {
 	now := g.now()
+	g.logUnreadable("config", u.Unreadable)
 	if u.Config != nil {
 		old := g.table.Load()
 		if old == nil || u.Config.Version > old.Version {
@@ -172,6 +173,7 @@
 // an outage, zero if there was none.
 func (g *Gateway) applyEntries(entries []workers.Entry, snapshot bool, recovered time.Time) {
 	wall, now := time.Now(), g.now()
+	g.logUnreadable("workers", unreadableEntries(entries))
 	g.mu.Lock()
 	changed := false
 	if snapshot {
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -67,10 +67,19 @@
 	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
 }
 
+// Unreadable is a record that could not be decoded and was skipped.
+type Unreadable struct {
+	// Key is the record's key, empty if it has none.
+	Key string
+	Err error
+}
+
 // Update is a change of the configuration that operators published. Fields are nil if they did not change.
 type Update struct {
 	Config   *routing.Config
 	Versions []routing.AdapterVersion
+	// Unreadable lists the records that were skipped; all others are in force.
+	Unreadable []Unreadable
 }
 
 // Log is a read-only client of the log service's topics.
@@ -86,7 +95,7 @@
 	Load(ctx context.Context) (Update, Position, error)
 	// Topic returns the name of the topic of changes, and Decode decodes its records.
 	Topic() string
-	Decode(records []Record) (Update, error)
+	Decode(records []Record) Update
 }
 
 // WorkerFeed reads the platform's registry of workers.
@@ -95,7 +104,7 @@
 	Load(ctx context.Context) ([]workers.Entry, Position, error)
 	// Topic returns the name of the topic of changes, and Decode decodes its records.
 	Topic() string
-	Decode(records []Record) ([]workers.Entry, error)
+	Decode(records []Record) []workers.Entry
 }
 
 // OrderKind is the kind of an order.
--- a/internal/state/workers/workers.go
+++ b/internal/state/workers/workers.go
@@ -47,10 +47,13 @@
 // Key returns the identity of the incarnation.
 func (w *Worker) Key() Key { return Key{ID: w.ID, StartedMilli: w.StartedMilli} }
 
-// Entry is one change in the registry. A nil Worker means that the entry was removed or does not describe a worker.
+// Entry is one change in the registry. A nil Worker means that the entry was removed, unless Unreadable is set.
 type Entry struct {
 	ID     string
 	Worker *Worker
+	// Unreadable says why the entry does not describe a worker, although it was not removed: another writer may have
+	// appended it. The ID is empty if the entry has no readable one.
+	Unreadable error
 }
 
 // expiryGrace is how long after the registry's recovery a worker stays in use whose entry expired during the outage.
@@ -73,8 +76,12 @@
 
 // Apply applies one change and reports whether the set of usable workers changed. recovered is when the registry
 // recovered from its latest outage, zero if there was none. An entry that is removed shortly after that may only have
-// expired, so its worker stays until expiryGrace after the recovery, unless it was draining.
+// expired, so its worker stays until expiryGrace after the recovery, unless it was draining. An unreadable entry says
+// nothing about the worker with its ID, whose earlier entry remains in force.
 func (r *Registry) Apply(e Entry, recovered, now time.Time) bool {
+	if e.Unreadable != nil {
+		return false
+	}
 	old := r.workers[e.ID]
 	if e.Worker != nil {
 		r.workers[e.ID] = &registered{worker: e.Worker}
@@ -91,11 +98,16 @@
 	return true
 }
 
-// Replace applies a snapshot of the whole registry: workers without an entry in it are removed as in Apply.
+// Replace applies a snapshot of the whole registry: workers without an entry in it are removed as in Apply. A worker whose
+// entry is unreadable there may have been removed before; it stays until expiryGrace from now, within which a live one
+// writes its entry again.
 func (r *Registry) Replace(entries []Entry, recovered, now time.Time) {
 	present := map[string]bool{}
 	for _, e := range entries {
-		present[e.ID] = e.Worker != nil
+		present[e.ID] = e.Worker != nil || e.Unreadable != nil
+		if reg := r.workers[e.ID]; reg != nil && e.Unreadable != nil && reg.removeAt.IsZero() {
+			reg.removeAt = now.Add(expiryGrace)
+		}
 		r.Apply(e, recovered, now)
 	}
 	for id := range r.workers {
--- a/internal/state/workers/workers_test.go
+++ b/internal/state/workers/workers_test.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 	return Entry{ID: id, Worker: &Worker{ID: id, Service: "s", StartedMilli: startedMilli}}
 }
 
-// TestEntries guards against new requests to a worker that drains, or whose entry was removed or is not readable.
+// TestEntries guards against new requests to a worker that drains, or whose entry was removed.
 func TestEntries(t *testing.T) {
 	now := time.Unix(100, 0)
 	Convey("entries add, replace, drain and remove a worker", t, func() {
@@ -67,3 +68,35 @@
 		So(pending, ShouldBeFalse)
 	})
 }
+
+// TestUnreadableEntries guards against the end of a worker by an entry that another writer appended under its ID, and
+// against a worker that stays for good because such an entry hid its removal from a snapshot.
+func TestUnreadableEntries(t *testing.T) {
+	now := time.Unix(100, 0)
+	unreadable := Entry{ID: "a", Unreadable: errors.New("not a worker")}
+	Convey("the earlier entry remains in force", t, func() {
+		r := NewRegistry()
+		r.Apply(readyEntry("a", 1), time.Time{}, now)
+		So(r.Apply(unreadable, time.Time{}, now), ShouldBeFalse)
+		So(r.Expire(now.Add(time.Hour)), ShouldBeFalse)
+		So(r.Snapshot().Ready("s"), ShouldHaveLength, 1)
+		So(r.Apply(Entry{ID: "b", Unreadable: unreadable.Unreadable}, time.Time{}, now), ShouldBeFalse)
+		So(r.Snapshot().All(), ShouldHaveLength, 1)
+		So(r.Apply(Entry{ID: "a"}, time.Time{}, now), ShouldBeTrue)
+		So(r.Snapshot().All(), ShouldBeEmpty)
+	})
+	Convey("in a snapshot it remains only for as long as a live worker needs to write its entry again", t, func() {
+		r := NewRegistry()
+		r.Apply(readyEntry("a", 1), time.Time{}, now)
+		r.Apply(readyEntry("b", 1), time.Time{}, now)
+		r.Replace([]Entry{unreadable, {ID: "b", Unreadable: unreadable.Unreadable}}, time.Time{}, now)
+		So(r.Snapshot().Ready("s"), ShouldHaveLength, 2)
+		r.Apply(readyEntry("a", 1), time.Time{}, now.Add(time.Second))
+		next, pending := r.NextExpiry()
+		So(pending, ShouldBeTrue)
+		So(next, ShouldEqual, now.Add(expiryGrace))
+		So(r.Expire(next), ShouldBeTrue)
+		So(r.Snapshot().Ready("s"), ShouldHaveLength, 1)
+		So(r.Snapshot().Ready("s")[0].ID, ShouldEqual, "a")
+	})
+}
