forward: resume a stream only by events that follow its last one

Callers whose stream had broken off got, in the middle of it, the JSON or the text of the next worker's answer, its events from the first one on, or an end as of a complete stream (204, an empty body, a connection that ended before any event). A success on a stream's route that is no event stream was answered with 502 in place of being passed on.

After the head was sent, only a text/event-stream whose first event has an id above the last one goes on; a body that ends with its connection must bring an event, since it may have been cut. Anything else breaks the attempt: another worker may resume if the route allows it, or the connection is aborted. A worker that begins again is no continuation: the rest of its stream may be another run's. A stream whose last event has no id is not resumed, because no id says where.

On the first attempt a success of another type is passed on whole.

Evidence: TestResumedByAnotherAnswer, before the change 12 of 23 cases failed (204, JSON, no type, empty, a head or JSON as events, again from the first or last event, nothing until the connection ended), each with resp.complete: Expected: false Actual: true and TestUnnamedEvents and TestOtherAnswerOnStreamRoute. All pass after it. Errors, rejections and unsigned answers aborted the connection before, too.

--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -202,6 +202,11 @@
 	// resumed is the number of attempts after which the stream was first resumed; 0 if it was not.
 	resumed     int
 	lastEventID string
+	// lastUnnamed is set if the last event that the caller has got has no id, so that the stream cannot be resumed after it.
+	lastUnnamed bool
+	// resuming is set while the caller has got events of earlier attempts, and the current one has sent no event yet that
+	// is known to follow them.
+	resuming bool
 	// placedAfter and firstByteAfter are the times from the arrival to the first placement on a worker and to the
 	// first byte sent to the caller, and maxPause is the longest time between two events of a stream; zero if that
 	// did not happen.
@@ -296,7 +301,9 @@
 }
 
 // retryable reports whether the request may be sent again, either from its start or, for a stream, from its last event.
-func (c *call) retryable() bool { return c.job.Route.Retryable() }
+func (c *call) retryable() bool {
+	return c.job.Route.Retryable() && !c.lastUnnamed
+}
 
 // expired reports whether the caller disconnected or its deadline passed. The connection's own deadline may end a
 // read before ctx ends.
@@ -335,7 +342,7 @@
 		c.placedAfter = time.Since(c.job.Arrived)
 	}
 	c.lastWorker = reservation.Worker.ID
-	c.reservation, c.answering = reservation, false
+	c.reservation, c.answering, c.resuming = reservation, false, c.headerSent
 	attemptCtx, revoke := context.WithCancel(ctx)
 	defer revoke()
 	reservation.Sending(revoke)
@@ -423,7 +430,7 @@
 	case success && !info.Signed:
 		c.outcome = Broken
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "unsigned_answer", "the answer is not the backend server's own")
-	case success && c.job.Route.Kind == routing.Stream:
+	case success && c.job.Route.Kind == routing.Stream && isEventStream(resp, !c.headerSent):
 		return c.forwardStream(resp)
 	default:
 		return c.forwardBuffered(resp, success)
@@ -454,6 +461,9 @@
 	if c.headerSent {
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "not_resumed", "the stream could not be resumed")
 	}
+	if c.job.Route.Kind == routing.Stream {
+		c.reservation.Answering()
+	}
 	c.sendHeader(resp, len(body))
 	if _, err := c.w.Write(body); err != nil {
 		c.verdict = verdict.Ran
--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
@@ -55,6 +57,36 @@
 	b.searched = len(b.data)
 }
 
+// isEventStream reports whether a response is a stream of events. If the type is not said, it is the given one.
+func isEventStream(resp *upstream.Response, unsaid bool) bool {
+	if resp.StatusCode == http.StatusNoContent {
+		return false
+	}
+	contentType := resp.Header.Get("Content-Type")
+	if contentType == "" {
+		return unsaid
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// endsWithConnection reports whether only the end of the connection ends the response's body, so that a body that was
+// cut after an event looks complete.
+func endsWithConnection(resp *upstream.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// followsID reports whether the event with an id comes after the event with the id last. Ids that are not numbers have no
+// order: they only must differ.
+func followsID(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	m, errLast := strconv.ParseUint(last, 10, 64)
+	if err != nil || errLast != nil {
+		return id != last
+	}
+	return n > m
+}
+
 // forwardStream forwards complete events as they arrive. If the stream breaks off in the middle of an event, the
 // caller has only complete events, after which another worker can resume.
 func (c *call) forwardStream(resp *upstream.Response) error {
@@ -63,6 +95,10 @@
 	for {
 		events, err := buf.read(resp)
 		if len(events) > 0 {
+			if err := c.checkResumed(events); err != nil {
+				c.outcome = Broken
+				return err
+			}
 			if werr := c.writeEvents(resp, events); werr != nil {
 				return werr
 			}
@@ -70,6 +106,10 @@
 		}
 		switch {
 		case err == io.EOF && len(buf.data) == 0:
+			if c.resuming && endsWithConnection(resp) {
+				c.outcome = Broken
+				return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "not_resumed", "the connection ended before a further event")
+			}
 			c.outcome = Succeeded
 			if !c.headerSent {
 				c.sendHeader(resp, -1)
@@ -107,8 +147,11 @@
 		c.maxPause = max(c.maxPause, now.Sub(c.lastEventAt))
 	}
 	c.lastEventAt = now
-	if id := lastEventID(events); id != "" {
-		c.lastEventID = id
+	for _, id := range eventIDs(events) {
+		c.lastUnnamed = id == ""
+		if id != "" {
+			c.lastEventID = id
+		}
 	}
 	if _, err := c.w.Write(events); err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "caller_left", "the caller left during the stream")
@@ -119,20 +162,43 @@
 	return nil
 }
 
-// lastEventID returns the id of the last event that has an id, or the empty string.
-func lastEventID(events []byte) string {
-	i := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(events, []byte("id:")):
-		i = 0
-	default:
-		return ""
-	}
-	line := events[i+len("id:"):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
-	}
-	return string(bytes.TrimSpace(line))
+// checkResumed returns an error if the first event of a resumed stream does not follow the last one that the caller has
+// got: the worker began the stream again.
+func (c *call) checkResumed(events []byte) error {
+	if !c.resuming {
+		return nil
+	}
+	ids := eventIDs(events)
+	if len(ids) == 0 {
+		return nil
+	}
+	if !followsID(ids[0], c.lastEventID) || ids[0] == "" {
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "not_resumed", "the backend server did not go on after the last event")
+	}
+	c.resuming = false
+	return nil
+}
+
+// idField begins the line of an event that has its id.
+var idField = []byte("id:")
+
+// eventIDs returns the id of each event, the empty string for one that has none. Comments are no events.
+func eventIDs(events []byte) []string {
+	var ids []string
+	id, isEvent := "", false
+	for line := range bytes.Lines(events) {
+		switch {
+		case len(bytes.TrimSpace(line)) == 0:
+			if isEvent {
+				ids = append(ids, id)
+			}
+			id, isEvent = "", false
+		case line[0] != ':':
+			isEvent = true
+			if value, ok := bytes.CutPrefix(line, idField); ok {
+				id = string(bytes.TrimSpace(value))
+			}
+		}
+	}
+	return ids
 }
