--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -57,7 +57,7 @@
 type feed[T any] struct {
 	name, topic string
 	load        func(ctx context.Context) (T, external.Position, error)
-	decode      func(records []external.Record) (T, error)
+	decode      func(records []external.Record) T
 	// apply receives the value and how it was read.
 	apply func(v T, c change)
 	// wait is how long a read of the log service waits for a change, and pause the time between two reads.
@@ -82,10 +82,6 @@
 		g.logDependency(&d, err)
 		if err != nil {
 			failed = true
-			if got.next != (external.Position{}) {
-				// Records that cannot be decoded are skipped.
-				at = got.next
-			}
 			sleep(ctx, readRetryDelay)
 			// The local state is already stale: read without waiting for a change.
 			wait = 0
@@ -122,8 +118,7 @@
 	if got, err = r.read(ctx, at, wait); err != nil {
 		return v, got, err
 	}
-	v, err = f.decode(got.records)
-	return v, got, err
+	return f.decode(got.records), got, nil
 }
 
 // followConfig keeps the configuration up to date. The version never decreases.
@@ -143,6 +138,7 @@
 // concurrent use.
 func (g *Gateway) applyUpdate(u external.Update) {
 	now := g.now()
+	g.logUnreadable("config", u.Unreadable)
 	if u.Config != nil && g.applyConfig(u.Config, now) {
 		g.log.Info().Int64("config", u.Config.Version).Int("routes", len(u.Config.Routes)).Int("workspaces", len(u.Config.Workspaces)).Msg("configuration in force")
 	}
@@ -213,6 +209,7 @@
 // an outage, zero if there was none. It returns the time of the latest outage or restore.
 func (g *Gateway) applyEntries(entries []workers.Entry, c change, recovered time.Time) time.Time {
 	wall, now := time.Now(), g.now()
+	g.logUnreadable("workers", unreadableEntries(entries))
 	g.mu.Lock()
 	if g.restored.After(recovered) {
 		recovered = g.restored
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -183,7 +183,7 @@
 	}
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
-		Sending:   func(revoke func()) { g.attemptSent(j, revoke) },
+		Sending:   func(revoke func()) { g.attemptSent(j, w, revoke) },
 		Confirm:   func() error { return g.confirmSend(j, w) },
 		Answered:  func(r external.WorkerResponse) { g.workerAnswered(w, r) },
 		Answering: func() { g.answerBegan(j) },
@@ -238,9 +238,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := w.Key()
+	sent := g.unanswered[j]
 	delete(g.unanswered, j)
 	if o == forward.Broken || o == forward.Interrupted {
-		g.recordBrokenAttempt(j, w, o)
+		g.recordBrokenAttempt(j, w, sent.process, o)
 	}
 	g.inFlight[k]--
 	if a.Name != "" {
--- a/internal/state/workers/workers.go
+++ b/internal/state/workers/workers.go
@@ -47,10 +47,13 @@
 // Key returns the identity of the incarnation.
 func (w *Worker) Key() Key { return Key{ID: w.ID, StartedMilli: w.StartedMilli} }
 
-// Entry is one change in the registry. A nil Worker means that the entry was removed or does not describe a worker.
+// Entry is one change in the registry. A nil Worker means that the entry was removed, unless Unreadable is set.
 type Entry struct {
 	ID     string
 	Worker *Worker
+	// Unreadable says why the entry does not describe a worker, although it was not removed: another writer may have
+	// appended it. The ID is empty if the entry has no readable one.
+	Unreadable error
 }
 
 // expiryGrace is how long after the registry's recovery a worker stays in use whose entry expired during the outage, or was
@@ -83,9 +86,12 @@
 // Apply applies one change and reports whether the set of usable workers changed. recovered is when the registry
 // recovered from its latest outage or restore, zero if there was none. An entry that is removed shortly after that may only
 // have expired, so its worker stays until expiryGrace after the recovery, unless it was draining. An incarnation that
-// was draining never becomes usable again; one whose entry was removed does by a later entry.
+// was draining never becomes usable again; one whose entry was removed does by a later entry. An unreadable entry says nothing
+// about the worker with its ID, whose earlier entry remains in force.
 func (r *Registry) Apply(e Entry, recovered, now time.Time) bool {
 	switch {
+	case e.Unreadable != nil:
+		return false
 	case e.Worker == nil:
 		return r.remove(e.ID, recovered, now)
 	case r.departures.outdated(e.Worker):
@@ -129,11 +135,18 @@
 }
 
 // Replace applies a snapshot of the whole registry: workers without an entry in it are removed as in Apply. An incarnation
-// that was removed in an earlier era is not added again by a snapshot, only by a later entry.
+// that was removed in an earlier era is not added again by a snapshot, only by a later entry. A worker whose entry is
+// unreadable there may have been removed before; it stays until expiryGrace from now, within which a live one writes its entry
+// again.
 func (r *Registry) Replace(entries []Entry, recovered, now time.Time) {
 	present := map[string]bool{}
 	for _, e := range entries {
 		switch {
+		case e.Unreadable != nil:
+			present[e.ID] = true
+			if reg := r.workers[e.ID]; reg != nil && reg.removeAt.IsZero() {
+				reg.removeAt = now.Add(expiryGrace)
+			}
 		case e.Worker == nil:
 		case r.departures.outdatedInSnapshot(e.Worker, r.era):
 			r.departures.ignore(e.Worker.Key())
