fleetlog, gateway: owners of workers over restores, expired records and refusals

Callers waited in vain for adapters, and two instances sent orders under one fence, after the log service was restored from an older copy. One fault of one design, in four places:

- The fence was offset + 1, and a restore assigns offsets again.
It now begins with the era in which the author of the claim had read the stream.
An instance acts only under a claim that it read in that era; no other claim of the era has its offset.
- Folds that had applied records which the restore lost disagreed for good with folds that started later.
On a new era each instance now reads the stream again from its first record, and heartbeats restate for which workers their author acts.
The owners depend on records alone.
A fold adopts a higher fence, and an owner that stops restating its claim loses it like a silent one.
- After an order was refused as fenced, the owner started again under the same fence.
The fence is now given up, and the worker is claimed anew when the lease of another owner may have ended.
- An instance that starts after the claims have expired, or that misses records, claimed workers that others own, and the older folds ignored its claim.
It now claims nothing for the longest takeover delay.
A claim names the offset up to which its author had read; it is valid if no record since then made or restated an owner, so that it means the same to folds which know different parts of the past.
(By the replaced fence, two instances became owners: the fold that knew of a dead owner ignored the claim of the one that did not.)

Also: an instance whose lease had ended sends orders again only once it has read the stream to its end, and one that may have been replaced in records that it missed gives its workers up. Records of an earlier process on a machine, read late or again, no longer end a later one, whose workers others would claim at once. Records without an era or offset keep their meaning.

--- a/internal/coordination/quota/timing.go
+++ b/internal/coordination/quota/timing.go
@@ -33,6 +33,9 @@
 	return Timing{HeartbeatInterval: interval, LeaseDuration: 2 * interval, SpendDuration: 4 * interval}
 }
 
+// MaxTakeoverDelay is the TakeoverDelay of the longest lease.
+const MaxTakeoverDelay = 2*maxHeartbeatInterval + takeoverMargin
+
 // TakeoverDelay returns for how long an instance with the given lease must be silent before others may claim its
 // workers.
 func TakeoverDelay(lease time.Duration) time.Duration { return lease + takeoverMargin }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -24,6 +24,9 @@
 	appendTimeout = 600 * time.Millisecond
 	// startJitter is the range of the random delay before the first heartbeat of instances that start together.
 	startJitter = 100 * time.Millisecond
+	// missingWorkerDelay is how long after a worker has vanished from the registry its owner still restates the claim. The
+	// registry may lack workers for some seconds after an outage.
+	missingWorkerDelay = 30 * time.Second
 	// maxUsageEntries bounds the usage entries in one heartbeat; the most used adapters come first.
 	maxUsageEntries = 300
 )
@@ -31,7 +34,6 @@
 // followFleet sends heartbeats, reads those of the other instances, and claims workers without a live owner.
 func (g *Gateway) followFleet(ctx context.Context) error {
 	d := dependency{name: "fleet"}
-	next := int64(0)
 	// Instances that start together would otherwise call the log service at the same moments. The delay before the
 	// first heartbeat is short, since nothing is served before it; a larger random offset is applied to the second.
 	sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
@@ -39,18 +41,17 @@
 	for ctx.Err() == nil {
 		start := time.Now()
 		sendErr := g.sendHeartbeat(ctx)
-		var readErr error
-		next, readErr = g.readFleet(ctx, next)
+		readErr := g.readFleet(ctx)
 		g.logDependency(&d, errors.Join(sendErr, readErr))
 		if readErr == nil && !g.fleetRead.Swap(true) {
-			g.log.Info().Int64("end", next).Int("live", g.liveMemberCount()).Int64("ms", time.Since(start).Milliseconds()).Msg("fleet known")
+			g.log.Info().Int64("end", g.fleetEnd()).Int("live", g.liveMemberCount()).Int64("ms", time.Since(start).Milliseconds()).Msg("fleet known")
 			g.applyLatestHeartbeats()
 		}
 		// Rates and relays are updated before claims: after a restart of many instances the log service is busy
 		// with their claims.
 		g.rebalance()
 		if readErr == nil {
-			next = g.claimAssigned(ctx, next)
+			g.claimAssigned(ctx)
 		}
 		pause := g.timing().HeartbeatInterval - time.Since(start) - offset
 		offset = 0
@@ -62,6 +63,13 @@
 	return ctx.Err()
 }
 
+// fleetEnd returns the offset up to which the fleet's stream was read.
+func (g *Gateway) fleetEnd() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Next()
+}
+
 // liveMemberCount returns the number of instances whose last heartbeat is recent enough to hold shares of the rates.
 func (g *Gateway) liveMemberCount() int {
 	g.mu.Lock()
@@ -82,12 +90,20 @@
 	return quota.NewTiming(g.fleetSize)
 }
 
-// maySendOrders reports whether the last acknowledged heartbeat still permits orders to owned workers.
+// maySendOrders reports whether the last heartbeat that was acknowledged before the fleet's stream was read to its end
+// still permits orders to owned workers. After a lease has ended, the read shows the claims of others before the next
+// order.
 func (g *Gateway) maySendOrders() bool {
-	h := g.acknowledged.Load()
+	h := g.orderLease.Load()
 	return h != nil && g.now()-h.sent <= h.lease
 }
 
+// unchallenged reports whether no other instance could have claimed this instance's workers until the given time.
+func (g *Gateway) unchallenged(until time.Duration) bool {
+	h := g.orderLease.Load()
+	return h != nil && until-h.sent < quota.TakeoverDelay(h.lease)
+}
+
 // maySpend reports whether the last acknowledged heartbeat still permits spending the instance's shares of the rates.
 func (g *Gateway) maySpend() bool {
 	h := g.acknowledged.Load()
@@ -125,13 +141,16 @@
 func (g *Gateway) sendHeartbeat(ctx context.Context) error {
 	timing := g.timing()
 	heartbeat := &fleetlog.Heartbeat{
-		Number: g.nextHeartbeatNumber(), Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre,
+		Number: g.nextHeartbeatNumber(), New: g.acknowledged.Load() == nil, Address: g.settings.PeerAddress, DataCentre: g.settings.DataCentre,
 		Resigned: g.resigned.Load(), LeaseMS: timing.LeaseDuration.Milliseconds(), MemoryMB: g.settings.MemoryMB,
 	}
 	sent := g.now()
 	g.mu.Lock()
 	pending := sentHeartbeat{sent: sent, lease: timing.LeaseDuration, spend: timing.SpendDuration}
 	g.unconfirmed[heartbeat.Number] = pending
+	if !heartbeat.Resigned {
+		heartbeat.Owned = g.members.HeldWorkers()
+	}
 	heartbeat.Usage = g.takeUsage()
 	heartbeat.BrokenAttempts = g.takeBrokenAttempts()
 	heartbeat.CrashRefusals = g.crashRefusalRecords()
@@ -187,31 +206,70 @@
 	return entries[:min(len(entries), maxUsageEntries)]
 }
 
-// readFleet reads the fleet's stream from next to its end, applies the records and returns the new position.
-func (g *Gateway) readFleet(ctx context.Context, next int64) (int64, error) {
+// readFleet reads the fleet's stream to its end and applies the records.
+func (g *Gateway) readFleet(ctx context.Context) error {
 	for {
-		b, err := g.platform.Fleet.Read(ctx, next, 0)
+		from := g.fleetEnd()
+		b, err := g.platform.Fleet.Read(ctx, from, 0)
+		expired := errors.Is(err, external.ErrExpired)
+		if err != nil && !expired {
+			return err
+		}
 		g.observeEra("fleet", b.Era)
-		if errors.Is(err, external.ErrExpired) {
-			next = b.Next
+		latest := g.latestEra.Load()
+		if b.Era < latest.era {
+			return external.ErrRestored
+		}
+		if !g.observeFleetEra(b.Era, latest.seen) {
 			continue
 		}
-		if err != nil {
-			return next, err
+		if expired {
+			if b.Next == from {
+				return err
+			}
+			g.skipFleet(from, b.Next)
+			continue
 		}
-		g.applyFleet(b.Records)
-		next = b.Next
-		if !b.More || len(b.Records) == 0 {
-			return next, nil
+		end := !b.More || len(b.Records) == 0
+		g.applyFleet(b.Records, b.Next, end)
+		if end {
+			g.orderLease.Store(g.acknowledged.Load())
+			return nil
 		}
 	}
 }
 
-// applyFleet applies records of the fleet's stream.
-func (g *Gateway) applyFleet(records []external.Record) {
+// observeFleetEra reports whether the result of a read of the fleet's stream in an era that was first seen at the time
+// seen is to be applied. With a new era, the stream is to be read again.
+func (g *Gateway) observeFleetEra(era int64, seen time.Duration) bool {
+	unchallenged := g.unchallenged(seen)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.members.Era()
+	if g.members.Observe(era, seen, unchallenged) {
+		return true
+	}
+	g.log.Warn().Int64("era", era).Int64("before", before).Bool("unchallenged", unchallenged).Int("owned", len(g.members.HeldWorkers())).
+		Msg("fleet's stream read again after a restore")
+	return false
+}
+
+// skipFleet continues to read the fleet's stream after records that are no longer kept.
+func (g *Gateway) skipFleet(from, first int64) {
+	now := g.now()
+	unchallenged := g.unchallenged(now)
+	g.log.Warn().Int64("from", from).Int64("first", first).Bool("unchallenged", unchallenged).Msg("records of the fleet have expired")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.Skip(first, now, unchallenged)
+}
+
+// applyFleet applies records of the fleet's stream, which end at the offset next. End is set if it is the stream's end.
+func (g *Gateway) applyFleet(records []external.Record, next int64, end bool) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.members.Advance(next, end)
 	for _, r := range records {
 		rec, err := fleetlog.Decode(r.Data)
 		if err != nil {
@@ -307,11 +365,11 @@
 	return out
 }
 
-// claimAssigned claims the workers without a live owner that are assigned to this instance, and returns the position
-// after the claims.
-func (g *Gateway) claimAssigned(ctx context.Context, next int64) int64 {
+// claimAssigned claims the workers without a live owner that are assigned to this instance, and starts the owners of the
+// workers for which it may act.
+func (g *Gateway) claimAssigned(ctx context.Context) {
 	if !g.maySendOrders() || g.resigned.Load() {
-		return next
+		return
 	}
 	engines := g.engineWorkers()
 	ids := make([]string, 0, len(engines))
@@ -320,53 +378,49 @@
 	}
 	slices.Sort(ids)
 	g.mu.Lock()
-	claim := &fleetlog.Claim{Workers: map[string]int64{}}
-	for id, assignee := range g.members.Assignments(ids, g.now(), quota.TakeoverDelay) {
-		if assignee == g.incarnation {
-			claim.Workers[id] = g.members.Owner(id).Fence
-		}
-	}
+	claim := g.members.Claim(ids, g.now(), quota.TakeoverDelay)
 	g.mu.Unlock()
-	if len(claim.Workers) > 0 {
-		var err error
-		if next, err = g.claim(ctx, claim, next); err != nil {
+	// In a later era than the one in which the stream was read, a claim has no use.
+	if claim != nil && claim.Era == g.latestEra.Load().era {
+		if err := g.claim(ctx, claim); err != nil {
 			g.log.Info().Err(err).Int("workers", len(claim.Workers)).Msg("claim of workers failed")
 		}
 	}
 	g.startOwners(engines)
-	return next
 }
 
 // claim appends a claim and reads the stream up to its outcome.
-func (g *Gateway) claim(ctx context.Context, c *fleetlog.Claim, next int64) (int64, error) {
+func (g *Gateway) claim(ctx context.Context, c *fleetlog.Claim) error {
 	data, err := fleetlog.Encode(fleetlog.Record{Instance: g.settings.Instance, Incarnation: g.incarnation, Claim: c})
 	if err != nil {
-		return next, err
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := g.platform.Fleet.Append(ctx, data, external.AnyOffset); err != nil {
-		return next, err
+	p, err := g.platform.Fleet.Append(ctx, data, external.AnyOffset)
+	if err != nil {
+		return err
 	}
-	return g.readFleet(ctx, next)
+	g.observeEra("append", p.Era)
+	return g.readFleet(ctx)
 }
 
-// startOwners starts an owner for each worker that this instance has claimed.
+// startOwners starts an owner for each worker for which this instance may act.
 func (g *Gateway) startOwners(engines map[string]*workers.Worker) {
 	t := g.table.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, w := range engines {
-		claim := g.members.Owner(id)
-		if claim.Incarnation != g.incarnation || g.owners[w.Key()] != nil {
+		fence, held := g.members.Held(id)
+		if !held || g.owners[w.Key()] != nil {
 			continue
 		}
 		s, ok := t.Service(w.Service)
 		if !ok || s.Engine == nil || len(s.Engine.Models) == 0 {
 			continue
 		}
-		g.owners[w.Key()] = g.newOwner(w, s.Engine, claim.Fence)
-		g.log.Info().Str("worker", id).Int64("born", w.StartedMilli).Int64("fence", claim.Fence).Msg("worker owned")
+		g.owners[w.Key()] = g.newOwner(w, s.Engine, fence)
+		g.log.Info().Str("worker", id).Int64("born", w.StartedMilli).Int64("fence", fence).Msg("worker owned")
 	}
 }
 
@@ -375,8 +429,8 @@
 	set := g.workers.Load()
 	for k, o := range g.owners {
 		w, ok := set.Get(k.ID)
-		claim := g.members.Owner(k.ID)
-		if ok && w.Key() == k && !w.Draining && claim.Incarnation == g.incarnation && claim.Fence == o.fence && !o.isStopped() {
+		fence, held := g.members.Held(k.ID)
+		if ok && w.Key() == k && !w.Draining && held && fence == o.fence && !o.isStopped() {
 			continue
 		}
 		o.stop()
@@ -385,6 +439,37 @@
 	}
 }
 
+// releaseMissing gives up the claims of workers that have been missing from the registry for missingWorkerDelay. The lock
+// is held.
+func (g *Gateway) releaseMissing(now time.Duration) {
+	set := g.workers.Load()
+	missing := map[string]time.Duration{}
+	for id := range g.members.HeldWorkers() {
+		if _, ok := set.Get(id); ok {
+			continue
+		}
+		since, known := g.missingSince[id]
+		if !known {
+			since = now
+		}
+		if now-since >= missingWorkerDelay {
+			g.members.Release(id)
+			continue
+		}
+		missing[id] = since
+	}
+	g.missingSince = missing
+}
+
+// fenceRefused records that a worker refused an order of this instance since it had seen a higher fence.
+func (g *Gateway) fenceRefused(worker string, fence int64) {
+	g.log.Warn().Str("worker", worker).Int64("fence", fence).Msg("fence refused by worker")
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.Refused(worker, fence, now)
+}
+
 // listOwners returns the owners of this instance's workers. The lock is held.
 func (g *Gateway) listOwners() []*owner {
 	out := make([]*owner, 0, len(g.owners))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,10 +92,12 @@
 	// configRead is the time on clock, in nanoseconds, at which the last successful read of the configuration was sent;
 	// 0 before the first.
 	configRead atomic.Int64
-	// logEra is the latest era of the log service that a response named, or -1 before the first response.
-	logEra atomic.Int64
+	// latestEra is the latest era of the log service that a response named, nil before the first response.
+	latestEra atomic.Pointer[observedEra]
 	// acknowledged is the latest heartbeat that is known to be in the fleet's stream.
 	acknowledged atomic.Pointer[sentHeartbeat]
+	// orderLease is the acknowledged heartbeat when the fleet's stream was last read to its end. It permits orders.
+	orderLease atomic.Pointer[sentHeartbeat]
 	// fleetRead is set once the fleet's stream was read to its end.
 	fleetRead atomic.Bool
 	stopping  atomic.Bool
@@ -105,7 +107,7 @@
 	resigned atomic.Bool
 
 	mu             sync.Mutex
-	members        *fleetlog.Fold
+	members        *fleetlog.Follower
 	workerRegistry *workers.Registry
 	residency      *residency.View
 	popularity     *residency.Popularity
@@ -143,6 +145,8 @@
 	lastHeartbeatNumber int64
 	// unconfirmed are the heartbeats that were not read back from the stream yet, by number.
 	unconfirmed map[int64]sentHeartbeat
+	// missingSince is since when workers for which this instance may act are missing from the registry, by worker.
+	missingSince map[string]time.Duration
 	// fleetSize is the number of live instances, at least 1.
 	fleetSize int
 }
@@ -152,7 +156,7 @@
 	g := &Gateway{
 		settings: s, platform: platform, network: n, clock: clock,
 		pool: upstream.NewPool(n), metricsRegistry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
-		members: fleetlog.NewFold(), workerRegistry: workers.NewRegistry(), residency: residency.NewView(),
+		workerRegistry: workers.NewRegistry(), residency: residency.NewView(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]requiredVersion{},
 		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
@@ -161,9 +165,10 @@
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
 		idleConns: newIdleConns(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
 		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]func(){}, fleetSize: 1,
+		missingSince: map[string]time.Duration{},
 	}
+	g.members = fleetlog.NewFollower(g.incarnation, quota.MaxTakeoverDelay)
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
-	g.logEra.Store(-1)
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
 	g.workers.Store(workers.NewRegistry().Snapshot())
@@ -181,20 +186,29 @@
 	g.metrics.countLogServiceCall(call, outcome)
 }
 
-// observeEra records the era that a response of the log service named, and logs a new one: records that were
-// acknowledged before may be lost, and their offsets are assigned again.
+// observedEra is an era of the log service and when a response first named it.
+type observedEra struct {
+	era  int64
+	seen time.Duration
+}
+
+// observeEra records the era that a response of the log service named. A new one is logged: records that were
+// acknowledged before may be lost, and their offsets are assigned again. A heartbeat is then sent at once, which restates
+// this instance's workers.
 func (g *Gateway) observeEra(call string, era int64) {
+	observed := &observedEra{era: era, seen: g.now()}
 	for {
-		known := g.logEra.Load()
-		if era <= known {
+		known := g.latestEra.Load()
+		if known != nil && era <= known.era {
 			return
 		}
-		if !g.logEra.CompareAndSwap(known, era) {
+		if !g.latestEra.CompareAndSwap(known, observed) {
 			continue
 		}
 		g.metrics.logEra.Set(float64(era))
-		if known >= 0 {
-			g.log.Warn().Str("call", call).Int64("era", era).Int64("before", known).Msg("log service restored from a copy")
+		if known != nil {
+			g.log.Warn().Str("call", call).Int64("era", era).Int64("before", known.era).Msg("log service restored from a copy")
+			g.requestHeartbeat()
 		}
 		return
 	}
@@ -283,6 +297,7 @@
 		g.mu.Lock()
 		g.residency.Retain(exists)
 		g.popularity.Trim(g.now())
+		g.releaseMissing(g.now())
 		names := map[string]bool{}
 		for _, w := range set.All() {
 			names[incarnationName(w)] = true
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -265,6 +265,9 @@
 	l.Err(err).Str("worker", o.worker.ID).Str("order", orderNames[a.Step]).Str("adapter", a.Adapter.String()).
 		Int64("version", a.Version).Int64("seq", a.Seq).Int64("fence", o.fence).Int("result", int(result)).
 		Int64("ms", (now - start).Milliseconds()).Msg("order")
+	if result == external.OrderFenced {
+		o.g.fenceRefused(o.worker.ID, o.fence)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch result {
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -1,8 +1,8 @@
 // Package fleetlog derives the state of the fleet from its stream in the log service. The stream holds heartbeats,
 // which also report usage, and claims, which make an instance the owner of a worker.
 //
-// All folds that applied the same records agree on the owner of each worker. The fence of a claim is unique and
-// increases, since it is derived from the record's offset.
+// All folds that applied the same records agree on the owner of each worker. The log service may lose the newest records
+// in a restore from an older copy and begin a new era; a Follower then reads the stream anew.
 package fleetlog
 
 import (
@@ -59,6 +59,8 @@
 type Heartbeat struct {
 	// Number increases with each heartbeat of an incarnation, so that one that was appended late is recognised.
 	Number int64 `json:"number"`
+	// New is set until one of the incarnation's heartbeats was acknowledged.
+	New bool `json:"new,omitempty"`
 	// Address is the address on which the instance serves its peers.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
@@ -73,6 +75,9 @@
 	CrashRefusals []CrashRefusal `json:"refusals,omitempty"`
 	// WorkerLimits are the limits that workers have named to the instance.
 	WorkerLimits []WorkerLimit `json:"limits,omitempty"`
+	// Owned maps the workers for which the author acts to the fences of its claims. It makes the claims known again that
+	// are no longer in the stream. It is nil in heartbeats that do not say for which workers their author acts.
+	Owned map[string]int64 `json:"owned"`
 	// Resigned releases the incarnation's workers, so that other instances can claim them at once.
 	Resigned bool `json:"resigned,omitempty"`
 	// Leaving ends the membership of the incarnation.
@@ -81,12 +86,29 @@
 
 // Claim makes its author the owner of workers.
 type Claim struct {
-	// Workers maps each claimed worker to the fence of the claim that is replaced, or 0 if there is none. A worker
-	// is only assigned if that fence is still current, so that of two concurrent claims the first in the stream
-	// wins, and a claim that is appended late has no effect.
+	// Era is the era of the log service in which the author read the stream before the claim. The claim may be stored in a
+	// later one, but never in an earlier one.
+	Era int64 `json:"era,omitempty"`
+	// Next is the offset up to which the author has read the stream. A worker is only assigned if no record from there on
+	// made or restated an owner of it, so that of two concurrent claims the first in the stream wins, and a claim that is
+	// appended late does not replace an owner that its author did not know.
+	Next int64 `json:"next,omitempty"`
+	// Workers maps each claimed worker to the fence of the claim that is replaced, or 0 if there is none. If Next is 0, a
+	// worker is only assigned if that fence is still current.
 	Workers map[string]int64 `json:"workers"`
 }
 
+const (
+	// offsetBits is the number of bits of a fence that hold the offset of the claim and 1; the bits above hold the era.
+	offsetBits = 36
+	// fenceBits is the number of bits of a fence. Such numbers are exact in decoders that read numbers as floating point.
+	fenceBits = 53
+)
+
+// Fence returns the fence of the claim at an offset whose author had read the stream in the given era. It is higher than
+// that of every claim from an earlier era and than that of every earlier claim from the same era.
+func Fence(era, offset int64) int64 { return era<<offsetBits | (offset + 1) }
+
 // Record is one record of the stream.
 type Record struct {
 	// Instance is the name of the machine.
@@ -111,49 +133,82 @@
 	Incarnation string
 	// Instance is the name of the owner's machine.
 	Instance string
-	// Fence is higher than that of every earlier claim.
+	// Fence is higher than that of every earlier owner.
 	Fence int64
 }
 
-// Fold is the state of the fleet. It is not safe for concurrent use.
+// ownership is an owner, the offset of the last record that made or restated it, and when that record was read.
+type ownership struct {
+	Owner
+	stated   int64
+	statedAt time.Duration
+}
+
+// Fold is the state of the fleet. The owners depend only on the records of the stream, so that all folds which read the
+// same records agree on them. It is not safe for concurrent use.
 type Fold struct {
 	members map[string]*Member
-	owners  map[string]Owner
+	owners  map[string]ownership
 	// ended holds the incarnations that have ended, so that a late heartbeat does not add one again.
 	ended map[string]bool
+	// gapless is the offset from which the records were applied without a gap.
+	gapless int64
+	// rereading is set while records are read that may have been applied before.
+	rereading bool
+	// self is the incarnation that runs this fold, empty if none does.
+	self string
+	// pause is for how long after its last statement an owner that is not a member may act.
+	pause time.Duration
 }
 
 // NewFold returns an empty fold.
 func NewFold() *Fold {
-	return &Fold{members: map[string]*Member{}, owners: map[string]Owner{}, ended: map[string]bool{}}
+	return &Fold{members: map[string]*Member{}, owners: map[string]ownership{}, ended: map[string]bool{}}
 }
 
 // Apply applies the record at the given offset, which was read at now, by the monotonic clock of this process. It
 // returns the heartbeat if the record is one that is newer than those applied before.
 func (f *Fold) Apply(offset int64, r Record, now time.Duration) *Heartbeat {
-	if f.ended[r.Incarnation] {
-		return nil
-	}
-	f.endPredecessors(r)
 	switch {
 	case r.Claim != nil:
-		f.applyClaim(offset, r)
+		f.applyClaim(offset, r, now)
 	case r.Heartbeat != nil:
-		return f.applyHeartbeat(r, now)
+		f.applyOwned(offset, r, now)
 	}
-	return nil
+	return f.applyMember(r, now)
 }
 
-// endPredecessors ends the earlier incarnations on the machine of an incarnation that is not a member yet.
-func (f *Fold) endPredecessors(r Record) {
-	if f.members[r.Incarnation] != nil {
-		return
+// reread drops the owners, which the stream states again when it is read from its first record. The members stay.
+func (f *Fold) reread() {
+	clear(f.owners)
+	f.rereading = true
+}
+
+func (f *Fold) applyMember(r Record, now time.Duration) *Heartbeat {
+	if r.Heartbeat == nil || f.ended[r.Incarnation] {
+		return nil
 	}
+	if f.members[r.Incarnation] == nil && !f.endPredecessors(r, now) {
+		return nil
+	}
+	return f.applyHeartbeat(r, now)
+}
+
+// endPredecessors ends the earlier incarnations on the machine of an incarnation that is not a member yet. It reports
+// false if the incarnation may itself be an earlier one than a member, whose heartbeat was appended late or is read again;
+// if it is a later one, its heartbeats show it once the member is silent.
+func (f *Fold) endPredecessors(r Record, now time.Duration) bool {
 	for id, m := range f.members {
-		if m.Instance == r.Instance {
-			f.end(id)
+		if m.Instance != r.Instance {
+			continue
+		}
+		fresh := r.Heartbeat.New || r.Heartbeat.Number == 1 || now-m.LastHeard > m.Lease()
+		if r.Incarnation != f.self && (id == f.self || f.rereading || !fresh) {
+			return false
 		}
+		f.end(id)
 	}
+	return true
 }
 
 func (f *Fold) end(incarnation string) {
@@ -161,10 +216,32 @@
 	f.ended[incarnation] = true
 }
 
-func (f *Fold) applyClaim(offset int64, r Record) {
+// applyClaim assigns workers to the author of a claim. Fences never decrease: a claim from an earlier era, which was
+// appended after a restore, may have a lower one. A claim whose author had read less than this fold cannot be judged; if
+// it succeeded, the heartbeats of its author restate it.
+func (f *Fold) applyClaim(offset int64, r Record, now time.Duration) {
+	if r.Claim.Next > 0 && r.Claim.Next < f.gapless {
+		return
+	}
+	fence := Fence(r.Claim.Era, offset)
 	for worker, previous := range r.Claim.Workers {
-		if f.owners[worker].Fence == previous {
-			f.owners[worker] = Owner{Incarnation: r.Incarnation, Instance: r.Instance, Fence: offset + 1}
+		known := f.owners[worker]
+		current := known.Fence == previous
+		if r.Claim.Next > 0 {
+			current = known.Fence == 0 || known.stated < r.Claim.Next
+		}
+		if current && fence > known.Fence {
+			f.owners[worker] = ownership{Owner{Incarnation: r.Incarnation, Instance: r.Instance, Fence: fence}, offset, now}
+		}
+	}
+}
+
+// applyOwned adopts the ownership that a heartbeat restates, unless the fold knows a higher fence.
+func (f *Fold) applyOwned(offset int64, r Record, now time.Duration) {
+	for worker, fence := range r.Heartbeat.Owned {
+		owner := Owner{Incarnation: r.Incarnation, Instance: r.Instance, Fence: fence}
+		if known := f.owners[worker]; fence > known.Fence || owner == known.Owner {
+			f.owners[worker] = ownership{owner, offset, now}
 		}
 	}
 }
@@ -183,16 +260,7 @@
 }
 
 // Owner returns the owner of a worker, whether or not the owner is alive. The zero value means that there is none.
-func (f *Fold) Owner(worker string) Owner { return f.owners[worker] }
-
-// DropMissingWorkers removes the owners of workers that no longer exist. A worker that returns is claimed again.
-func (f *Fold) DropMissingWorkers(exists func(worker string) bool) {
-	for id := range f.owners {
-		if !exists(id) {
-			delete(f.owners, id)
-		}
-	}
-}
+func (f *Fold) Owner(worker string) Owner { return f.owners[worker].Owner }
 
 // Member returns the member with the given incarnation unless it has ended.
 func (f *Fold) Member(incarnation string) (Member, bool) {
@@ -219,16 +287,17 @@
 	return live
 }
 
-// Assignments maps each worker without a live owner to the incarnation that should claim it. Each such worker goes
-// to the member with the fewest workers, so that all members that read the same records choose the same.
+// Assignments maps each worker without a live owner to the incarnation that should claim it. An owner whose heartbeats do
+// not restate its claim is treated like one that is silent. Each such worker goes to the member with the fewest workers, so
+// that all members that read the same records choose the same.
 func (f *Fold) Assignments(workerIDs []string, now time.Duration, maxSilence func(lease time.Duration) time.Duration) map[string]string {
 	live := f.Live(now, maxSilence)
 	count := map[string]int{}
-	alive := map[string]bool{}
+	alive := map[string]Member{}
 	candidates := live[:0]
 	for _, m := range live {
 		if !m.Heartbeat.Resigned {
-			alive[m.Incarnation] = true
+			alive[m.Incarnation] = m
 			candidates = append(candidates, m)
 		}
 	}
@@ -237,7 +306,13 @@
 	}
 	var free []string
 	for _, id := range workerIDs {
-		if o := f.owners[id]; alive[o.Incarnation] {
+		o := f.owners[id]
+		_, member := f.members[o.Incarnation]
+		if !member && !f.ended[o.Incarnation] && o.Fence > 0 && now-o.statedAt < f.pause {
+			continue
+		}
+		m, ok := alive[o.Incarnation]
+		if ok && (m.Heartbeat.Owned == nil || now-o.statedAt <= maxSilence(m.Lease())) {
 			count[o.Incarnation]++
 		} else {
 			free = append(free, id)
--- /dev/null
+++ b/internal/state/fleetlog/follower.go
@@ -0,0 +1,174 @@
+package fleetlog
+
+import "time"
+
+// Follower is the fold of one incarnation, which reads the stream from its first record on. It derives for which workers
+// the incarnation may act, under which fences, and which workers it claims.
+//
+// The incarnation acts under a claim only after it has read the claim in the era that the claim names. The claim was then
+// stored in that era, and no other record of the era has its offset, so that nobody else acts under its fence. It is not
+// safe for concurrent use.
+type Follower struct {
+	*Fold
+	incarnation string
+	// era is the era in which the stream is read. It is not set before the first read was answered.
+	era     int64
+	started bool
+	// next is the offset from which the stream is read.
+	next int64
+	// pausedUntil is the time until which the incarnation claims nothing since records were lost or skipped. The leases that
+	// owners got before have then ended, or the owners have restated their workers.
+	pausedUntil time.Duration
+	// held are the fences under which the incarnation acts, by worker.
+	held map[string]int64
+	// refused is the time until which workers that refused an order as fenced are not claimed.
+	refused map[string]time.Duration
+}
+
+// NewFollower returns the follower of an incarnation that has read nothing yet. Pause is the longest time after the last
+// heartbeat of an owner until others may claim its workers.
+func NewFollower(incarnation string, pause time.Duration) *Follower {
+	f := &Follower{Fold: NewFold(), incarnation: incarnation, held: map[string]int64{}, refused: map[string]time.Duration{}}
+	f.self, f.pause = incarnation, pause
+	return f
+}
+
+// Next returns the offset from which the stream is to be read next.
+func (f *Follower) Next() int64 { return f.next }
+
+// Era returns the era in which the stream is read.
+func (f *Follower) Era() int64 { return f.era }
+
+// Observe reports whether the result of a read that was answered in an era is to be applied. A read from an older era
+// than the latest is ignored. With a new era, which was first seen at the time seen, the stream is to be read again from
+// its first record. Unchallenged states that until seen nobody could have taken over the incarnation's workers since its
+// last heartbeat; otherwise their claims may be lost, and the incarnation gives its workers up.
+func (f *Follower) Observe(era int64, seen time.Duration, unchallenged bool) bool {
+	switch {
+	case !f.started:
+		f.started, f.era = true, era
+		if era > 0 {
+			f.pauseClaims(seen)
+		}
+		return true
+	case era <= f.era:
+		return era == f.era
+	}
+	f.era, f.next, f.gapless = era, 0, 0
+	f.reread()
+	f.recordsMissed(seen, unchallenged)
+	return false
+}
+
+// Skip continues at the offset first since the records before it are no longer kept. Unchallenged has the meaning that it
+// has for Observe, until now.
+func (f *Follower) Skip(first int64, now time.Duration, unchallenged bool) {
+	f.next, f.gapless = first, first
+	f.recordsMissed(now, unchallenged)
+}
+
+// recordsMissed gives the workers up that others may have claimed in records that the follower cannot read, and pauses
+// claims.
+func (f *Follower) recordsMissed(at time.Duration, unchallenged bool) {
+	if !unchallenged {
+		clear(f.held)
+	}
+	f.pauseClaims(at)
+}
+
+func (f *Follower) pauseClaims(from time.Duration) {
+	f.pausedUntil = max(f.pausedUntil, from+f.pause)
+}
+
+// Advance continues at the offset next, and ends a repeated reading of the stream if it has reached its end.
+func (f *Follower) Advance(next int64, end bool) {
+	f.next = next
+	if end {
+		f.rereading = false
+	}
+}
+
+// Apply applies a record as Fold.Apply does.
+func (f *Follower) Apply(offset int64, r Record, now time.Duration) *Heartbeat {
+	before := map[string]int64{}
+	if f.ownClaim(r) {
+		for worker := range r.Claim.Workers {
+			before[worker] = f.Owner(worker).Fence
+		}
+	}
+	heartbeat := f.Fold.Apply(offset, r, now)
+	for worker, fence := range before {
+		if o := f.Owner(worker); o.Incarnation == f.incarnation && o.Fence > fence {
+			f.held[worker] = o.Fence
+		}
+	}
+	for worker, fence := range f.held {
+		// An owner with a lower fence has not seen the claim of this incarnation yet.
+		if o := f.Owner(worker); o.Fence > fence || o.Fence == fence && o.Incarnation != f.incarnation {
+			delete(f.held, worker)
+		}
+	}
+	return heartbeat
+}
+
+// ownClaim reports whether the record is a claim of this incarnation that was stored in the era in which its author had
+// read the stream.
+func (f *Follower) ownClaim(r Record) bool {
+	return r.Claim != nil && r.Incarnation == f.incarnation && r.Claim.Era == f.era
+}
+
+// Held returns the fence under which the incarnation may act for a worker.
+func (f *Follower) Held(worker string) (fence int64, ok bool) {
+	fence, ok = f.held[worker]
+	return fence, ok
+}
+
+// HeldWorkers returns the workers for which the incarnation may act and their fences, as its heartbeats restate them.
+func (f *Follower) HeldWorkers() map[string]int64 {
+	held := make(map[string]int64, len(f.held))
+	for worker, fence := range f.held {
+		held[worker] = fence
+	}
+	return held
+}
+
+// Release gives a worker up. The incarnation claims it anew if it still needs an owner.
+func (f *Follower) Release(worker string) { delete(f.held, worker) }
+
+// Refused records that a worker refused an order of this incarnation under a fence since it had seen a higher one. The
+// incarnation never acts under the fence again, and claims the worker no sooner than the lease of another owner may have
+// ended.
+func (f *Follower) Refused(worker string, fence int64, now time.Duration) {
+	if held, ok := f.held[worker]; ok && held > fence {
+		return
+	}
+	delete(f.held, worker)
+	f.refused[worker] = now + f.pause
+}
+
+// Claim returns the claim of the workers without a live owner that are assigned to this incarnation, and of those that it
+// owns under a fence under which it may not act. It is nil if there is nothing to claim.
+func (f *Follower) Claim(workerIDs []string, now time.Duration, maxSilence func(lease time.Duration) time.Duration) *Claim {
+	for worker, until := range f.refused {
+		if now >= until {
+			delete(f.refused, worker)
+		}
+	}
+	if !f.started || now < f.pausedUntil {
+		return nil
+	}
+	assigned := f.Assignments(workerIDs, now, maxSilence)
+	claim := &Claim{Era: f.era, Next: f.next, Workers: map[string]int64{}}
+	for _, id := range workerIDs {
+		o := f.Owner(id)
+		_, held := f.held[id]
+		_, refused := f.refused[id]
+		if (assigned[id] == f.incarnation || o.Incarnation == f.incarnation) && !held && !refused {
+			claim.Workers[id] = o.Fence
+		}
+	}
+	if len(claim.Workers) == 0 {
+		return nil
+	}
+	return claim
+}
--- a/internal/state/fleetlog/wire.go
+++ b/internal/state/fleetlog/wire.go
@@ -66,7 +66,23 @@
 	if r.Instance == "" || r.Incarnation == "" {
 		return Record{}, trace.BadParameter("a fleet record names no instance or no incarnation")
 	}
-	return r, nil
+	return r, checkFences(r)
+}
+
+// checkFences refuses eras and fences that no instance writes: one that is too high could not be replaced any more.
+func checkFences(r Record) error {
+	if c := r.Claim; c != nil && (c.Era < 0 || c.Era >= 1<<(fenceBits-offsetBits)) {
+		return trace.BadParameter("a claim names the invalid era %d", c.Era)
+	}
+	if r.Heartbeat == nil {
+		return nil
+	}
+	for worker, fence := range r.Heartbeat.Owned {
+		if fence <= 0 || fence >= 1<<fenceBits {
+			return trace.BadParameter("a heartbeat names the invalid fence %d of worker %s", fence, worker)
+		}
+	}
+	return nil
 }
 
 func inflate(b []byte) ([]byte, error) {
