--- a/internal/state/fleetlog/follower_test.go
+++ b/internal/state/fleetlog/follower_test.go
@@ -18,7 +18,7 @@
 func owning(instance, incarnation string, number, fence int64) Record {
 	r := heartbeat(instance, incarnation, number)
 	r.Heartbeat.Owned = map[string]int64{}
-	if fence > 0 {
+	if fence != 0 {
 		r.Heartbeat.Owned["w"] = fence
 	}
 	return r
--- a/internal/state/fleetlog/wire_test.go
+++ b/internal/state/fleetlog/wire_test.go
@@ -61,6 +61,26 @@
 	})
 }
 
+// TestInvalidFences guards against records that nobody could replace any more: their eras or fences are out of range.
+func TestInvalidFences(t *testing.T) {
+	Convey("they are refused, and records without eras and fences are read", t, func() {
+		for _, r := range []Record{
+			claimFrom("a", "a1", -1, 0), claimFrom("a", "a1", 1<<17, 0), owning("a", "a1", 1, -1), owning("a", "a1", 1, 1<<53),
+		} {
+			wire, err := Encode(r)
+			So(err, ShouldBeNil)
+			_, err = Decode(wire)
+			So(err, ShouldNotBeNil)
+		}
+		r, err := Decode([]byte(`{"instance":"a","incarnation":"a1","claim":{"workers":{"w":7}}}`))
+		So(err, ShouldBeNil)
+		So(r, ShouldResemble, claim("a", "a1", "w", 7))
+		r, err = Decode([]byte(`{"instance":"a","incarnation":"a1","beat":{"number":1,"lease_ms":2000}}`))
+		So(err, ShouldBeNil)
+		So(r, ShouldResemble, heartbeat("a", "a1", 1))
+	})
+}
+
 // BenchmarkDecode measures the cost of decoding a large heartbeat, compressed and as JSON. Each instance decodes the
 // heartbeats of the whole fleet.
 func BenchmarkDecode(b *testing.B) {
