--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -74,7 +74,7 @@
 	t := g.topics[name]
 	if t == nil {
 		t = &relayedTopic{changed: make(chan struct{})}
-		t.buffer.StartEra(g.logEra.Load())
+		t.buffer.StartEra(g.knownEra())
 		g.topics[name] = t
 	}
 	return t
@@ -186,7 +186,7 @@
 
 // checkEra returns nil if an answer of one era may be used by a reader whose position is of another.
 func (g *Gateway) checkEra(topic string, position, answer int64) error {
-	known := g.logEra.Load()
+	known := g.knownEra()
 	switch relay.Judge(position, answer, known) {
 	case relay.LoadAgain:
 		return external.ErrRestored
