fleetlog, gateway: instances that start long after a restore claim at once

Callers saw refusals with no_worker for many seconds after a restore beside restarts of all instances: each instance that started claimed nothing for the longest takeover delay, since it could not know when the log service had been restored, and workers whose owners had stopped stayed without one. Heartbeats now tell the era and its age as far as the author knows it; only the time since the restore counts. Both are lower bounds, so that no lease from before it can still be valid.

Evidence: TestStartLongAfterRestore fails without it (Expected: true Actual: false).

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -152,6 +152,9 @@
 	if !heartbeat.Resigned {
 		heartbeat.Owned = g.members.HeldWorkers()
 	}
+	if heartbeat.Era = g.members.Era(); heartbeat.Era > 0 {
+		heartbeat.EraAgeMS = g.members.EraAge(sent).Milliseconds()
+	}
 	heartbeat.Usage = g.takeUsage()
 	heartbeat.BrokenAttempts = g.takeBrokenAttempts()
 	heartbeat.CrashRefusals = g.crashRefusalRecords()
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -64,6 +64,10 @@
 	// Address is the address on which the instance serves its peers.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
+	// Era is the era of the log service in which the author reads the stream, and EraAgeMS for how many milliseconds at
+	// least the era has lasted.
+	Era      int64 `json:"era,omitempty"`
+	EraAgeMS int64 `json:"era_age_ms,omitempty"`
 	// LeaseMS is how long, in milliseconds, this heartbeat permits its author to act as the owner of its workers.
 	LeaseMS int64 `json:"lease_ms"`
 	// MemoryMB is the instance's memory in megabytes and serves as a measure of its capacity.
--- a/internal/state/fleetlog/follower.go
+++ b/internal/state/fleetlog/follower.go
@@ -14,11 +14,12 @@
 	// era is the era in which the stream is read. It is not set before the first read was answered.
 	era     int64
 	started bool
+	// eraSeen is the earliest time at which an instance is known to have seen the era.
+	eraSeen time.Duration
 	// next is the offset from which the stream is read.
 	next int64
-	// pausedUntil is the time until which the incarnation claims nothing since records were lost or skipped. The leases that
-	// owners got before have then ended, or the owners have restated their workers.
-	pausedUntil time.Duration
+	// skippedAt is when records were last skipped.
+	skippedAt time.Duration
 	// held are the fences under which the incarnation acts, by worker.
 	held map[string]int64
 	// refused is the time until which workers that refused an order as fenced are not claimed.
@@ -46,38 +47,46 @@
 func (f *Follower) Observe(era int64, seen time.Duration, unchallenged bool) bool {
 	switch {
 	case !f.started:
-		f.started, f.era = true, era
-		if era > 0 {
-			f.pauseClaims(seen)
-		}
+		f.started, f.era, f.eraSeen = true, era, seen
 		return true
 	case era <= f.era:
 		return era == f.era
 	}
-	f.era, f.next, f.gapless = era, 0, 0
+	f.era, f.eraSeen, f.next, f.gapless = era, seen, 0, 0
 	f.reread()
-	f.recordsMissed(seen, unchallenged)
+	f.recordsMissed(unchallenged)
 	return false
 }
 
 // Skip continues at the offset first since the records before it are no longer kept. Unchallenged has the meaning that it
 // has for Observe, until now.
 func (f *Follower) Skip(first int64, now time.Duration, unchallenged bool) {
-	f.next, f.gapless = first, first
-	f.recordsMissed(now, unchallenged)
+	f.next, f.gapless, f.skippedAt = first, first, now
+	f.recordsMissed(unchallenged)
 }
 
-// recordsMissed gives the workers up that others may have claimed in records that the follower cannot read, and pauses
-// claims.
-func (f *Follower) recordsMissed(at time.Duration, unchallenged bool) {
+// recordsMissed gives the workers up that others may have claimed in records that the follower cannot read.
+func (f *Follower) recordsMissed(unchallenged bool) {
 	if !unchallenged {
 		clear(f.held)
 	}
-	f.pauseClaims(at)
 }
 
-func (f *Follower) pauseClaims(from time.Duration) {
-	f.pausedUntil = max(f.pausedUntil, from+f.pause)
+// paused reports whether the incarnation claims nothing, since records were lost or skipped: owners that it cannot know may
+// still act until their leases have ended, or they have restated their workers.
+func (f *Follower) paused(now time.Duration) bool {
+	return f.era > 0 && now < f.eraSeen+f.pause || f.gapless > 0 && now < f.skippedAt+f.pause
+}
+
+// EraAge returns for how long the era is known to have lasted.
+func (f *Follower) EraAge(now time.Duration) time.Duration { return now - f.eraSeen }
+
+// learnEraAge applies what a heartbeat tells of the age of the era: an instance that starts long after a restore has no
+// reason to wait.
+func (f *Follower) learnEraAge(h *Heartbeat, now time.Duration) {
+	if h != nil && h.Era == f.era {
+		f.eraSeen = min(f.eraSeen, now-time.Duration(h.EraAgeMS)*time.Millisecond)
+	}
 }
 
 // Advance continues at the offset next, and ends a repeated reading of the stream if it has reached its end.
@@ -96,6 +105,7 @@
 			before[worker] = f.Owner(worker).Fence
 		}
 	}
+	f.learnEraAge(r.Heartbeat, now)
 	heartbeat := f.Fold.Apply(offset, r, now)
 	for worker, fence := range before {
 		if o := f.Owner(worker); o.Incarnation == f.incarnation && o.Fence > fence {
@@ -154,7 +164,7 @@
 			delete(f.refused, worker)
 		}
 	}
-	if !f.started || now < f.pausedUntil {
+	if !f.started || f.paused(now) {
 		return nil
 	}
 	assigned := f.Assignments(workerIDs, now, maxSilence)
--- a/internal/state/fleetlog/follower_test.go
+++ b/internal/state/fleetlog/follower_test.go
@@ -177,3 +177,25 @@
 		So(ok, ShouldBeTrue)
 	})
 }
+
+// TestStartLongAfterRestore guards against workers without an owner when instances start again at any time after a restore:
+// one that starts claims at once if the others have seen the era for long enough, and waits otherwise.
+func TestStartLongAfterRestore(t *testing.T) {
+	const start = time.Hour
+	claims := func(era, ageMS int64, now time.Duration) bool {
+		f := NewFollower("a2", testPause)
+		f.Observe(2, start, false)
+		other := owning("b", "b1", 1, 0)
+		other.Heartbeat.Era, other.Heartbeat.EraAgeMS = era, ageMS
+		f.Apply(0, other, start)
+		f.Apply(1, owning("a", "a2", 1, 0), start)
+		f.Advance(2, true)
+		return f.Claim([]string{"w", "x"}, now, maxSilence) != nil
+	}
+	Convey("an instance that starts after a restore", t, func() {
+		So(claims(2, testPause.Milliseconds(), start), ShouldBeTrue)
+		So(claims(2, testPause.Milliseconds()-1, start), ShouldBeFalse)
+		So(claims(2, testPause.Milliseconds()-1, start+time.Millisecond), ShouldBeTrue)
+		So(claims(1, testPause.Milliseconds(), start), ShouldBeFalse)
+	})
+}
--- a/internal/state/fleetlog/restore_test.go
+++ b/internal/state/fleetlog/restore_test.go
@@ -127,6 +127,9 @@
 	i.number++
 	i.sent[i.number] = s.now
 	h := &Heartbeat{Number: i.number, New: i.acknowledged < 0, LeaseMS: simLease.Milliseconds(), Owned: i.follower.HeldWorkers()}
+	if h.Era = i.follower.Era(); h.Era > 0 {
+		h.EraAgeMS = i.follower.EraAge(s.now).Milliseconds()
+	}
 	s.note("%s beats %d %s %v", i.incarnation, i.number, fate, h.Owned)
 	if s.send(Record{Instance: i.name, Incarnation: i.incarnation, Heartbeat: h}, fate) {
 		i.acknowledged = s.now
