fleetlog: an instance that may not claim yet is assigned no workers

Found in review: an instance that starts after the fleet's stream has lost its first records, or soon after a restore, claims nothing for the longest takeover delay, but counted as the candidate with the fewest workers. The workers of an instance that stopped were assigned to it, and requests for adapters that are not resident there waited or went elsewhere. Its heartbeats now say so, and the others claim meanwhile.

TestPausedInstancesAreAssignedNothing fails without the change.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -152,6 +152,7 @@
 	if !heartbeat.Resigned {
 		heartbeat.Owned = g.members.HeldWorkers()
 	}
+	heartbeat.Paused = g.members.Paused(sent)
 	if heartbeat.Era = g.members.Era(); heartbeat.Era > 0 {
 		heartbeat.EraAgeMS = g.members.EraAge(sent).Milliseconds()
 	}
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -68,6 +68,8 @@
 	// least the era has lasted.
 	Era      int64 `json:"era,omitempty"`
 	EraAgeMS int64 `json:"era_age_ms,omitempty"`
+	// Paused means that the author claims no workers for now, since it cannot know all owners.
+	Paused bool `json:"paused,omitempty"`
 	// LeaseMS is how long, in milliseconds, this heartbeat permits its author to act as the owner of its workers.
 	LeaseMS int64 `json:"lease_ms"`
 	// MemoryMB is the instance's memory in megabytes and serves as a measure of its capacity.
@@ -300,8 +302,11 @@
 	alive := map[string]Member{}
 	candidates := live[:0]
 	for _, m := range live {
-		if !m.Heartbeat.Resigned {
-			alive[m.Incarnation] = m
+		if m.Heartbeat.Resigned {
+			continue
+		}
+		alive[m.Incarnation] = m
+		if !m.Heartbeat.Paused {
 			candidates = append(candidates, m)
 		}
 	}
--- a/internal/state/fleetlog/follower.go
+++ b/internal/state/fleetlog/follower.go
@@ -72,9 +72,9 @@
 	}
 }
 
-// paused reports whether the incarnation claims nothing, since records were lost or skipped: owners that it cannot know may
+// Paused reports whether the incarnation claims nothing, since records were lost or skipped: owners that it cannot know may
 // still act until their leases have ended, or they have restated their workers.
-func (f *Follower) paused(now time.Duration) bool {
+func (f *Follower) Paused(now time.Duration) bool {
 	return f.era > 0 && now < f.eraSeen+f.pause || f.gapless > 0 && now < f.skippedAt+f.pause
 }
 
@@ -164,7 +164,7 @@
 			delete(f.refused, worker)
 		}
 	}
-	if !f.started || f.paused(now) {
+	if !f.started || f.Paused(now) {
 		return nil
 	}
 	assigned := f.Assignments(workerIDs, now, maxSilence)
--- a/internal/state/fleetlog/follower_test.go
+++ b/internal/state/fleetlog/follower_test.go
@@ -199,3 +199,18 @@
 		So(claims(1, testPause.Milliseconds(), start), ShouldBeFalse)
 	})
 }
+
+// TestPausedInstancesAreAssignedNothing guards against workers without an owner while an instance that has just started
+// claims nothing: the others claim them meanwhile, and it keeps those that it owns.
+func TestPausedInstancesAreAssignedNothing(t *testing.T) {
+	Convey("the workers of a resigned instance go to those that may claim", t, func() {
+		f := newOwner()
+		paused := owning("b", "b1", 1, 0)
+		paused.Heartbeat.Paused = true
+		f.Apply(2, paused, 0)
+		So(f.Assignments([]string{"w", "x", "y"}, 0, maxSilence), ShouldResemble, map[string]string{"x": "a1", "y": "a1"})
+		f.Apply(3, claimFrom("b", "b1", 0, 3), 0)
+		So(f.Owner("w").Incarnation, ShouldEqual, "b1")
+		So(f.Assignments([]string{"w"}, 0, maxSilence), ShouldBeEmpty)
+	})
+}
--- a/internal/state/fleetlog/restore_test.go
+++ b/internal/state/fleetlog/restore_test.go
@@ -127,6 +127,7 @@
 	i.number++
 	i.sent[i.number] = s.now
 	h := &Heartbeat{Number: i.number, New: i.acknowledged < 0, LeaseMS: simLease.Milliseconds(), Owned: i.follower.HeldWorkers()}
+	h.Paused = i.follower.Paused(s.now)
 	if h.Era = i.follower.Era(); h.Era > 0 {
 		h.EraAgeMS = i.follower.EraAge(s.now).Milliseconds()
 	}
