gateway: answers from before a restore do not permit keys after it

Found in review: a round of questions to other instances that was under way when a restore was seen ended the wait that the restore had begun, so that keys were accepted for up to 700 ms without the answers of the new round. A round counts for the era in which it began. By reading only; the existing tests of restores pass.

--- a/internal/gateway/peerconfig.go
+++ b/internal/gateway/peerconfig.go
@@ -47,8 +47,9 @@
 		}
 	}
 	for round := 1; ; round++ {
+		era := g.knownEra()
 		answered := g.askPeersForConfig(ctx)
-		g.peersAsked.Store(true)
+		g.recordPeersAsked(era)
 		var again <-chan time.Time
 		if !answered && round < maxConfigRounds {
 			again = time.After(configRoundInterval)
@@ -63,6 +64,16 @@
 	}
 }
 
+// recordPeersAsked records that other instances were asked in an era. Answers from before a restore say nothing about what
+// the log service has lost in it; those of the round that it requests do.
+func (g *Gateway) recordPeersAsked(era int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.knownEra() == era {
+		g.peersAsked.Store(true)
+	}
+}
+
 // requestPeerConfig makes followPeerConfig ask again.
 func (g *Gateway) requestPeerConfig() {
 	select {
