--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -25,7 +25,7 @@
 	g.resigned.Store(true)
 	exit := start.Add(g.settings.Bounds.grace() - exitMargin - leaveTimeout)
 	g.server.Drain(exit)
-	g.log.Info().Int64("in_flight", g.server.InFlight()).Msg("stopping")
+	g.log.Info().Int("in_flight", g.server.InFlight()).Msg("stopping")
 	g.requestHeartbeat()
 	if !sleep(ctx, loadBalancerDelay) {
 		return
@@ -38,7 +38,8 @@
 		g.log.Warn().Err(err).Msg("listener for callers not closed")
 	}
 	if err := g.connections.Drain(waitCtx); err != nil {
-		g.log.Warn().Err(err).Int64("in_flight", g.server.InFlight()).Msg("requests still in flight at the end of the grace period; cutting them off")
+		g.log.Warn().Err(err).Int("in_flight", g.server.InFlight()).Msg("requests still in flight at the end of the grace period; cutting them off")
+		g.server.ReportCutOff()
 	}
 	g.leave(ctx)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,6 +193,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
+	g.connections.Closed = g.callerConnectionClosed
 	g.workers.Store(workers.NewRegistry().Snapshot())
 	g.peers = newPeers(g)
 	g.fleetRelay = &fleetRelay{g: g}
@@ -336,6 +338,14 @@
 	}
 }
 
+// callerConnectionClosed counts the end of a caller's connection.
+func (g *Gateway) callerConnectionClosed(c keepalive.Close) {
+	g.metrics.callerCloses.WithLabelValues(string(c.Cause), strconv.FormatBool(c.Unread)).Inc()
+	if c.Unread {
+		g.log.Warn().Str("cause", string(c.Cause)).Bool("stopping", g.stopping.Load()).Msg("caller's connection closed with bytes unread")
+	}
+}
+
 // sleep waits for the duration and reports whether it passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	requests        *prometheus.CounterVec
 	latency         *prometheus.HistogramVec
 	attempts        *prometheus.CounterVec
+	unfinished      *prometheus.CounterVec
+	callerCloses    *prometheus.CounterVec
 	logServiceCalls *prometheus.CounterVec
 	orders          *prometheus.CounterVec
 	logEra          prometheus.Gauge
@@ -36,6 +38,8 @@
 	m := &metrics{
 		requests:        counter("turmeric_requests_total", "Requests of callers, by kind of route, status and verdict.", "kind", "status", "verdict"),
 		attempts:        counter("turmeric_attempts_total", "Attempts at backend servers, by outcome.", "outcome"),
+		unfinished:      counter("turmeric_unfinished_answers_total", "Requests whose callers got no complete answer, by whether it had begun and by cause.", "begun", "cause"),
+		callerCloses:    counter("turmeric_caller_connections_closed_total", "Connections of callers that have ended, by cause and whether bytes had arrived that were not read.", "cause", "unread"),
 		logServiceCalls: counter("turmeric_log_service_calls_total", "Calls to the log service, by call and outcome.", "call", "outcome"),
 		orders:          counter("turmeric_orders_total", "Orders to workers and reports read, by kind and whether they were answered well.", "order", "ok"),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -62,6 +66,11 @@
 // Attempt implements forward.Metrics.
 func (m *metrics) Attempt(o forward.Outcome) { m.attempts.WithLabelValues(o.String()).Inc() }
 
+// Unfinished implements forward.Metrics.
+func (m *metrics) Unfinished(begun bool, cause string) {
+	m.unfinished.WithLabelValues(strconv.FormatBool(begun), cause).Inc()
+}
+
 func (m *metrics) countLogServiceCall(call, outcome string) {
 	m.logServiceCalls.WithLabelValues(call, outcome).Inc()
 }
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -155,8 +156,14 @@
 type Metrics interface {
 	Request(route *routing.Route, status int, v verdict.Verdict, duration time.Duration)
 	Attempt(o Outcome)
+	// Unfinished records a request whose caller got no complete answer. Begun says whether the answer had begun, and cause is
+	// the code of the error, or CauseExit.
+	Unfinished(begun bool, cause string)
 }
 
+// CauseExit is the cause of an unfinished answer that the end of the process cut off.
+const CauseExit = "exit"
+
 // Server is the HTTP handler for callers.
 type Server struct {
 	Headers   external.Headers
@@ -168,8 +175,11 @@
 	ResponseMemory *bytebudget.Budget
 	Log            zerolog.Logger
 	// stop is set while the server drains.
-	stop     atomic.Pointer[stopPeriod]
-	inFlight atomic.Int64
+	stop atomic.Pointer[stopPeriod]
+
+	mu sync.Mutex
+	// calls are the requests that are being served.
+	calls map[*call]struct{}
 }
 
 // stopPeriod is when the server began to drain, and when it cuts off the requests that it still serves.
@@ -179,18 +189,48 @@
 func (s *Server) Drain(ends time.Time) { s.stop.Store(&stopPeriod{time.Now(), ends}) }
 
 // InFlight returns how many requests are being served.
-func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+func (s *Server) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+// ReportCutOff logs and counts the requests in flight as ones that the end of the process cuts off.
+func (s *Server) ReportCutOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.calls {
+		s.Log.Warn().Str("request", c.job.ID).Str("route", c.progress.route).Str("worker", c.progress.worker).Bool("begun", c.progress.begun).
+			Int64("ms", time.Since(c.job.Arrived).Milliseconds()).Msg("request cut off")
+		s.Metrics.Unfinished(c.progress.begun, CauseExit)
+	}
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
 	j := &Job{Request: s.Headers.ParseRequest(r.Header), Arrived: time.Now(), Path: r.URL.Path}
 	c := &call{server: s, job: j, w: w, r: r}
+	s.add(c)
+	defer s.remove(c)
 	err := c.serve()
 	c.finish(err)
 }
 
+func (s *Server) add(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls == nil {
+		s.calls = map[*call]struct{}{}
+	}
+	s.calls[c] = struct{}{}
+}
+
+func (s *Server) remove(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, c)
+}
+
 // call is the serving of one job: its exchange with the caller and the state of its attempts.
 type call struct {
 	server *Server
@@ -198,6 +238,9 @@
 	w      http.ResponseWriter
 	r      *http.Request
 
+	// progress is guarded by the server's lock.
+	progress progress
+
 	status     int
 	headerSent bool
 	attempts   int
@@ -223,6 +266,22 @@
 	lastEventAt time.Time
 }
 
+// progress is how far the serving of a request has come.
+type progress struct {
+	route string
+	// worker is the worker of the last attempt, empty if there was none.
+	worker string
+	// begun is set once the caller's answer has begun.
+	begun bool
+}
+
+// report changes the call's progress.
+func (c *call) report(change func(p *progress)) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	change(&c.progress)
+}
+
 func (c *call) serve() error {
 	limits := c.server.Admission.Limits()
 	if limits.MaxHeaderBytes > 0 && headerBytes(c.r) > limits.MaxHeaderBytes {
@@ -231,6 +290,7 @@
 	if err := c.server.Admission.Admit(c.job, c.r.Host, c.r.URL.Path); err != nil {
 		return err
 	}
+	c.report(func(p *progress) { p.route = c.job.Route.Name })
 	if err := c.readBody(limits.MaxBodyBytes); err != nil {
 		return err
 	}
@@ -356,6 +416,7 @@
 		c.placedAfter = time.Since(c.job.Arrived)
 	}
 	c.lastWorker = reservation.Worker.ID
+	c.report(func(p *progress) { p.worker = c.lastWorker })
 	c.reservation, c.answering, c.resuming = reservation, false, c.headerSent
 	attemptCtx, revoke := context.WithCancel(ctx)
 	defer revoke()
@@ -516,6 +577,7 @@
 	c.announceClose()
 	c.status, c.headerSent, c.verdict = resp.StatusCode, true, verdict.Ran
 	c.firstByteAfter = time.Since(c.job.Arrived)
+	c.report(func(p *progress) { p.begun = true })
 	c.w.WriteHeader(resp.StatusCode)
 }
 
@@ -546,11 +608,15 @@
 		if v.Verdict == verdict.NotRun && c.job.ChargedUnits > 0 {
 			c.server.Admission.Refund(c.job)
 		}
-		if !c.headerSent {
-			c.sendError(v)
-		}
 	}
-	c.log(err, duration)
+	given := c.answer(err)
+	if err != nil && !c.headerSent {
+		c.sendError(verdict.FromError(err))
+	}
+	c.log(err, given, duration)
+	if given == brokenOff || given == noAnswer {
+		c.server.Metrics.Unfinished(c.headerSent, verdict.FromError(err).Code)
+	}
 	if c.job.Route != nil {
 		c.server.Metrics.Request(c.job.Route, c.status, c.verdict, duration)
 	}
@@ -559,6 +625,34 @@
 	}
 }
 
+// answer is what the caller got.
+type answer string
+
+const (
+	// complete is the whole answer of a worker.
+	complete answer = "complete"
+	// errorAnswer is an answer of the instance itself, also a refusal.
+	errorAnswer answer = "error"
+	// brokenOff is a part of a worker's answer: the instance closes the connection.
+	brokenOff answer = "broken_off"
+	// noAnswer is nothing, since the caller has left.
+	noAnswer answer = "none"
+)
+
+// answer returns what the caller gets if the request ends with an error, or nil.
+func (c *call) answer(err error) answer {
+	switch {
+	case err == nil:
+		return complete
+	case c.headerSent:
+		return brokenOff
+	case c.r.Context().Err() != nil:
+		return noAnswer
+	default:
+		return errorAnswer
+	}
+}
+
 func (c *call) sendError(v *verdict.Error) {
 	c.status = v.Status
 	h := c.w.Header()
@@ -579,7 +673,7 @@
 	}
 }
 
-func (c *call) log(err error, duration time.Duration) {
+func (c *call) log(err error, a answer, duration time.Duration) {
 	e := c.server.Log.Info()
 	if err != nil {
 		e = c.server.Log.Warn().Str("error", err.Error()).Str("code", verdict.FromError(err).Code)
@@ -588,7 +682,7 @@
 	if c.job.Config != nil {
 		configVersion = c.job.Config.Version
 	}
-	e = e.Str("request", c.job.ID).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
+	e = e.Str("request", c.job.ID).Str("answer", string(a)).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
 		Stringer("verdict", c.verdict).Int("attempts", c.attempts).Str("worker", c.lastWorker).
 		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).
 		Int64("ms", duration.Milliseconds()).Bool("caller_left", c.r.Context().Err() != nil)
--- a/internal/transport/keepalive/conn.go
+++ b/internal/transport/keepalive/conn.go
@@ -20,8 +20,9 @@
 // conn is a connection of a client.
 type conn struct {
 	net.Conn
-	// closed is called when the connection is closed, perhaps more than once.
-	closed func()
+	// closed is called once, when the connection has been closed.
+	closed    func(Close)
+	closeOnce sync.Once
 
 	mu sync.Mutex
 	// idle is set while no byte of a request has arrived since the connection was opened or its last response ended, and
@@ -30,8 +31,9 @@
 	since time.Duration
 	// used is set once a byte has arrived on the connection.
 	used bool
-	// expired is set if the connection is to be closed unless bytes have arrived.
+	// expired is set if the connection is to be closed unless bytes have arrived, and cause is why.
 	expired bool
+	cause   Cause
 	// deadline is the read deadline that net/http has set last. It counts once the connection is not expired.
 	deadline time.Time
 	// awaited is set once net/http has set the deadline for the first bytes of the next request.
@@ -70,8 +72,27 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	defer c.closed()
-	return c.Conn.Close()
+	var err error
+	c.closeOnce.Do(func() {
+		d := c.describeClose()
+		err = c.Conn.Close()
+		c.closed(d)
+	})
+	return err
+}
+
+// describeClose returns why the connection is being closed.
+func (c *conn) describeClose() Close {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := Close{Cause: AfterRequest, Unread: bytesWaiting(c.Conn)}
+	switch {
+	case c.expired:
+		d.Cause = c.cause
+	case c.idle:
+		d.Cause = ByCaller
+	}
+	return d
 }
 
 // SetDeadline implements net.Conn.
@@ -111,7 +132,7 @@
 
 // expire ends the read of the next request, and so the connection, if it has been idle for at least the limit, or for
 // newLimit since it was opened. It reports whether it was idle and not yet expired.
-func (c *conn) expire(now, limit, newLimit time.Duration) bool {
+func (c *conn) expire(now, limit, newLimit time.Duration, cause Cause) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.used {
@@ -120,7 +141,7 @@
 	if !c.idle || c.expired || now-c.since < limit {
 		return false
 	}
-	c.expired = true
+	c.expired, c.cause = true, cause
 	// An error means that the connection is closed.
 	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
 	return true
--- a/internal/transport/keepalive/keepalive.go
+++ b/internal/transport/keepalive/keepalive.go
@@ -20,9 +20,33 @@
 	drainPollInterval = 20 * time.Millisecond
 )
 
+// Cause is why a connection was closed.
+type Cause string
+
+// The causes.
+const (
+	// IdleLimit: it was idle for longer than the limit.
+	IdleLimit Cause = "idle_limit"
+	// Stop: it was idle while the server stopped.
+	Stop Cause = "stop"
+	// ByCaller: the client closed it while it was idle, or it did not respond.
+	ByCaller Cause = "caller"
+	// AfterRequest: it was closed during a request or after its response.
+	AfterRequest Cause = "after_request"
+)
+
+// Close describes the end of a connection. Unread is true if bytes had arrived that the server did not read: the client gets a
+// reset.
+type Close struct {
+	Cause  Cause
+	Unread bool
+}
+
 // Connections tracks the open connections of a server's clients. It is safe for concurrent use.
 type Connections struct {
-	now func() time.Duration
+	// Closed is called for each connection that is closed, if it is set before the first connection is accepted.
+	Closed func(Close)
+	now    func() time.Duration
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
@@ -55,7 +79,7 @@
 
 // CloseIdle closes the connections on which no byte of a request has arrived for longer than the limit since they were
 // opened or their last response ended. It returns the number of connections that it has newly found idle.
-func (c *Connections) CloseIdle(limit time.Duration) int { return c.expire(limit, limit) }
+func (c *Connections) CloseIdle(limit time.Duration) int { return c.expire(limit, limit, IdleLimit) }
 
 // Drain closes each connection once no request is being read or served on it, and returns when none is open or ctx has
 // ended. The server must not be shut down before Drain returns: it would drop requests that it has not read to the end
@@ -64,7 +88,7 @@
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
 	for {
-		c.expire(0, newConnectionLimit)
+		c.expire(0, newConnectionLimit, Stop)
 		if c.count() == 0 {
 			return nil
 		}
@@ -76,12 +100,12 @@
 	}
 }
 
-func (c *Connections) expire(limit, newLimit time.Duration) int {
+func (c *Connections) expire(limit, newLimit time.Duration, cause Cause) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, n := c.now(), 0
 	for tracked := range c.open {
-		if tracked.expire(now, limit, newLimit) {
+		if tracked.expire(now, limit, newLimit, cause) {
 			n++
 		}
 	}
@@ -96,7 +120,10 @@
 
 func (c *Connections) add(nc net.Conn) *conn {
 	tracked := &conn{Conn: nc, idle: true, since: c.now()}
-	tracked.closed = func() {
+	tracked.closed = func(d Close) {
+		if c.Closed != nil {
+			c.Closed(d)
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.open, tracked)
--- a/internal/transport/keepalive/keepalive_test.go
+++ b/internal/transport/keepalive/keepalive_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -208,6 +209,40 @@
 	})
 }
 
+// TestCausesOfCloses checks what is reported of connections that end.
+func TestCausesOfCloses(t *testing.T) {
+	closes := make(chan Close, 1)
+	connect := func(t *testing.T) (*testServer, *client) {
+		s := newTestServer(t, 0)
+		s.connections.Closed = func(c Close) { closes <- c }
+		c := s.dial()
+		_, err := c.exchange(request)
+		So(err, ShouldBeNil)
+		return s, c
+	}
+	Convey("the idle limit", t, func() {
+		s, _ := connect(t)
+		s.expireOne()
+		So(<-closes, ShouldResemble, Close{Cause: IdleLimit})
+	})
+	Convey("a stop", t, func() {
+		s, _ := connect(t)
+		So(s.connections.Drain(t.Context()), ShouldBeNil)
+		So(<-closes, ShouldResemble, Close{Cause: Stop})
+	})
+	Convey("the client", t, func() {
+		_, c := connect(t)
+		So(c.Close(), ShouldBeNil)
+		So(<-closes, ShouldResemble, Close{Cause: ByCaller})
+	})
+	Convey("the end of a request, with further bytes unread", t, func() {
+		_, c := connect(t)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n"+strings.Repeat("x", 1<<20))
+		So(err, ShouldBeNil)
+		So(<-closes, ShouldResemble, Close{Cause: AfterRequest, Unread: true})
+	})
+}
+
 // TestBegunHeaderIsNotIdle guards against the close of a connection on which the header of a request has begun to arrive,
 // alone or together with the previous request.
 func TestBegunHeaderIsNotIdle(t *testing.T) {
