drain, forward, gateway: requests in flight at the end of a planned stop get an answer

Cause: at the end of the grace period the instance closed all connections, also those of requests that still waited for an adapter, a place or a worker's answer; and it took streams until 0.55 of the time to its exit, however long streams of their route last. Change: - A request that waits to be sent is refused as soon as its answer would be cut off, 250 ms before the exit at the latest; it has not run. One that was sent and not answered gets 502 with the verdict may-have-run then.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -15,35 +15,60 @@
 	exitMargin = 700 * time.Millisecond
 	// leaveTimeout bounds the append of the last heartbeat.
 	leaveTimeout = 400 * time.Millisecond
+	// lastAnswerTime is how long before the process stops waiting the requests end that are not answered yet, so that their
+	// callers get an error.
+	lastAnswerTime = 250 * time.Millisecond
+	// refusalInterval is the time between two checks for requests that wait and would be cut off.
+	refusalInterval = 100 * time.Millisecond
 )
 
 // drain shuts the instance down without cutting off requests: it reports that it is not ready, gives up its workers,
-// serves new requests until the load balancer has removed it, and waits for the requests in flight.
+// serves new requests until the load balancer has removed it, and waits for the requests in flight. Those that are not answered
+// at the end of the grace period get an error.
 func (g *Gateway) drain(ctx context.Context, s *servers) {
 	start := time.Now()
 	g.stopping.Store(true)
 	g.resigned.Store(true)
 	exit := start.Add(g.settings.Bounds.grace() - exitMargin - leaveTimeout)
-	g.server.Drain(exit)
+	lastAnswers := exit.Add(-lastAnswerTime)
+	g.server.Drain(lastAnswers)
 	g.log.Info().Int("in_flight", g.server.InFlight()).Msg("stopping")
 	g.requestHeartbeat()
+	refusing, stopRefusing := context.WithCancel(ctx)
+	defer stopRefusing()
+	g.start(func(context.Context) { g.refuseWaiting(refusing) })
 	if !sleep(ctx, loadBalancerDelay) {
 		return
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, max(0, time.Until(exit)))
-	defer cancel()
 	// The connections that are open are served until they are idle; Shutdown would drop requests that it has not read to
 	// the end of their headers.
 	if err := s.callersListener.Close(); err != nil {
 		g.log.Warn().Err(err).Msg("listener for callers not closed")
 	}
-	if err := g.connections.Drain(waitCtx); err != nil {
-		g.log.Warn().Err(err).Int("in_flight", g.server.InFlight()).Msg("requests still in flight at the end of the grace period; cutting them off")
-		g.server.ReportCutOff()
+	if !g.awaitCallers(ctx, lastAnswers) {
+		n := g.server.EndUnanswered()
+		g.log.Warn().Int("unanswered", n).Int("in_flight", g.server.InFlight()).Msg("requests still in flight at the end of the grace period")
+		if !g.awaitCallers(ctx, exit) {
+			g.server.ReportCutOff()
+		}
 	}
 	g.leave(ctx)
 }
 
+// refuseWaiting refuses the requests that wait to be sent and would be cut off, until ctx ends.
+func (g *Gateway) refuseWaiting(ctx context.Context) {
+	for sleep(ctx, refusalInterval) {
+		g.server.RefuseWaiting()
+	}
+}
+
+// awaitCallers waits until all connections of callers are closed, and reports whether they are at a time.
+func (g *Gateway) awaitCallers(ctx context.Context, until time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return g.connections.Drain(ctx) == nil
+}
+
 // leave appends a last heartbeat that ends the membership, so that the other instances take over this instance's
 // shares of the rates at once.
 func (g *Gateway) leave(ctx context.Context) {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -51,6 +51,12 @@
 	stopRetryAfter = 10 * time.Millisecond
 )
 
+// codeStopping is the code of errors that a stop of the instance causes.
+const codeStopping = "stopping"
+
+// errStopping ends requests that the end of the process would otherwise cut off.
+var errStopping = errors.New("the instance stops")
+
 var errResponseMemory = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "response_memory_full", "the instance holds as many bytes of responses as it may")
 
 // Job is one request of a caller, with all its attempts at workers.
@@ -180,6 +186,8 @@
 	mu sync.Mutex
 	// calls are the requests that are being served.
 	calls map[*call]struct{}
+	// durations are those of the requests that were served.
+	durations drain.Durations
 }
 
 // stopPeriod is when the server began to drain, and when it cuts off the requests that it still serves.
@@ -188,6 +196,62 @@
 // Drain makes the server ask callers to close their connections, and refuse requests that would be cut off at the time ends.
 func (s *Server) Drain(ends time.Time) { s.stop.Store(&stopPeriod{time.Now(), ends}) }
 
+// RefuseWaiting ends the requests that were sent to no worker and would probably be cut off. They have not run.
+func (s *Server) RefuseWaiting() {
+	s.endCalls(func(p progress) bool {
+		return !p.sent && p.limit.Route != "" && !s.accepts(p.limit)
+	})
+}
+
+// EndUnanswered ends all requests whose answers have not begun, so that their callers get a complete error before the server
+// is closed. It returns their number.
+func (s *Server) EndUnanswered() int {
+	return s.endCalls(func(progress) bool { return true })
+}
+
+// endCalls ends the calls that are chosen among those whose answers have not begun, and returns their number.
+func (s *Server) endCalls(choose func(p progress) bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.calls {
+		if p := &c.progress; !p.begun && !p.ended && p.end != nil && choose(*p) {
+			p.ended = true
+			p.end(errStopping)
+			n++
+		}
+	}
+	return n
+}
+
+// timeLimit is what limits the duration of a request.
+type timeLimit struct {
+	Route    string
+	Deadline time.Time
+	Stream   bool
+}
+
+// accepts reports whether a request is taken or sent, although the server may be draining. The lock is held.
+func (s *Server) accepts(l timeLimit) bool {
+	stop := s.stop.Load()
+	if stop == nil {
+		return true
+	}
+	r := drain.Request{Timeout: time.Until(l.Deadline), Usual: s.durations.Usual(l.Route), Stream: l.Stream}
+	return drain.Accepts(r, time.Since(stop.began), time.Until(stop.ends))
+}
+
+// recordDuration records how long a request took that was answered with success or ended by its deadline.
+func (s *Server) recordDuration(route string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.durations.Record(route, d)
+}
+
+func stoppingError() *verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeStopping, "the instance stops before the answer would be complete").WithRetryAfter(stopRetryAfter)
+}
+
 // InFlight returns how many requests are being served.
 func (s *Server) InFlight() int {
 	s.mu.Lock()
@@ -200,7 +264,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.calls {
-		s.Log.Warn().Str("request", c.job.ID).Str("route", c.progress.route).Str("worker", c.progress.worker).Bool("begun", c.progress.begun).
+		s.Log.Warn().Str("request", c.job.ID).Str("route", c.progress.limit.Route).Str("worker", c.progress.worker).Bool("begun", c.progress.begun).
 			Int64("ms", time.Since(c.job.Arrived).Milliseconds()).Msg("request cut off")
 		s.Metrics.Unfinished(c.progress.begun, CauseExit)
 	}
@@ -268,18 +332,14 @@
 
 // progress is how far the serving of a request has come.
 type progress struct {
-	route string
+	limit timeLimit
 	// worker is the worker of the last attempt, empty if there was none.
 	worker string
-	// begun is set once the caller's answer has begun.
-	begun bool
-}
-
-// report changes the call's progress.
-func (c *call) report(change func(p *progress)) {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	change(&c.progress)
+	// sent is set once the request was sent to a worker, and begun once the caller's answer has begun.
+	sent, begun bool
+	// end ends the call, nil before the request was taken, and ended is set once it was called.
+	end   context.CancelCauseFunc
+	ended bool
 }
 
 func (c *call) serve() error {
@@ -290,7 +350,6 @@
 	if err := c.server.Admission.Admit(c.job, c.r.Host, c.r.URL.Path); err != nil {
 		return err
 	}
-	c.report(func(p *progress) { p.route = c.job.Route.Name })
 	if err := c.readBody(limits.MaxBodyBytes); err != nil {
 		return err
 	}
@@ -302,17 +361,44 @@
 		timeout = min(timeout, d)
 	}
 	c.job.Deadline = c.job.Arrived.Add(timeout)
-	if stop := c.server.stop.Load(); stop != nil {
-		r := drain.Request{Timeout: timeout, Stream: c.job.Route.Kind == routing.Stream}
-		if !drain.Accepts(r, time.Since(stop.began), time.Until(stop.ends)) {
-			return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "stopping", "the instance stops before the answer would be complete").WithRetryAfter(stopRetryAfter)
-		}
-	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.job.Deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if !c.begin(end) {
+		return stoppingError()
+	}
 	return c.run(ctx)
 }
 
+// begin lets the server end the call from now on. It returns false if the server does not take the request.
+func (c *call) begin(end context.CancelCauseFunc) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.progress.limit = timeLimit{Route: c.job.Route.Name, Deadline: c.job.Deadline, Stream: c.job.Route.Kind == routing.Stream}
+	c.progress.end = end
+	return c.server.accepts(c.progress.limit)
+}
+
+// beginSending records that the request is sent to a worker. It returns false if it must not be sent any more.
+func (c *call) beginSending(worker string) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.progress.ended || !c.progress.begun && !c.server.accepts(c.progress.limit) {
+		return false
+	}
+	c.progress.sent, c.progress.worker = true, worker
+	return true
+}
+
+// beginAnswer records that the caller's answer begins. It returns false if the server has ended the call.
+func (c *call) beginAnswer() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.progress.begun = true
+	return !c.progress.ended
+}
+
 // headerBytes returns the size of the request line and the headers.
 func headerBytes(r *http.Request) int {
 	const lineEnd, separators = len("\r\n"), len("  ")
@@ -354,7 +440,7 @@
 		}
 		v := verdict.FromError(err)
 		if c.expired(ctx) {
-			return c.timedOut(v, ranAttempts > 0)
+			return c.endedEarly(ctx, v, ranAttempts > 0)
 		}
 		if v.Verdict != verdict.NotRun {
 			ranAttempts++
@@ -379,8 +465,8 @@
 	return c.job.Route.Retryable() && !c.lastUnnamed
 }
 
-// expired reports whether the caller disconnected or its deadline passed. The connection's own deadline may end a
-// read before ctx ends.
+// expired reports whether the caller disconnected, its deadline passed, or the server ended the call. The connection's own
+// deadline may end a read before ctx ends.
 func (c *call) expired(ctx context.Context) bool {
 	return ctx.Err() != nil || !time.Now().Before(c.job.Deadline)
 }
@@ -394,11 +480,18 @@
 	return verdict.Wrap(v, verdict.MayHaveRun, http.StatusBadGateway, v.Code, v.Message)
 }
 
-func (c *call) timedOut(v *verdict.Error, ran bool) error {
+// endedEarly returns the error of a request whose caller disconnected, whose deadline passed, or that the server ended.
+func (c *call) endedEarly(ctx context.Context, v *verdict.Error, ran bool) error {
 	if c.r.Context().Err() != nil {
 		// No caller receives this response; the log must not report it as a timeout.
 		return verdict.Wrap(v, c.combineVerdicts(v, ran).Verdict, http.StatusGatewayTimeout, "caller_left", "the caller left before its answer")
 	}
+	if context.Cause(ctx) == errStopping {
+		if v.Verdict == verdict.NotRun && !ran {
+			return stoppingError()
+		}
+		return verdict.Wrap(v, verdict.MayHaveRun, http.StatusBadGateway, codeStopping, "the instance stopped before an answer came")
+	}
 	if v.Verdict == verdict.NotRun && !ran {
 		return verdict.Wrap(v, verdict.NotRun, http.StatusServiceUnavailable, "timed_out_unsent", "no backend server took the request in time").WithRetryAfter(retryAfter)
 	}
@@ -412,11 +505,14 @@
 	if err != nil {
 		return err
 	}
+	if !c.beginSending(reservation.Worker.ID) {
+		reservation.Done(Withheld)
+		return stoppingError()
+	}
 	if c.attempts++; c.attempts == 1 {
 		c.placedAfter = time.Since(c.job.Arrived)
 	}
 	c.lastWorker = reservation.Worker.ID
-	c.report(func(p *progress) { p.worker = c.lastWorker })
 	c.reservation, c.answering, c.resuming = reservation, false, c.headerSent
 	attemptCtx, revoke := context.WithCancel(ctx)
 	defer revoke()
@@ -548,6 +644,8 @@
 	if c.job.Route.Kind == routing.Stream {
 		c.reservation.Answering()
 	}
+	// The whole answer is there, so that it is sent even if the server has ended the call.
+	c.beginAnswer()
 	c.sendHeader(resp, len(body))
 	if _, err := c.w.Write(body); err != nil {
 		c.verdict = verdict.Ran
@@ -561,7 +659,7 @@
 	return c.retryable() && len(c.job.Tried)+1 < c.job.Route.MaxAttempts && time.Until(c.job.Deadline) > 0
 }
 
-// sendHeader sends the status and headers to the caller. A negative length stands for a stream.
+// sendHeader sends the status and headers to the caller, after beginAnswer. A negative length stands for a stream.
 func (c *call) sendHeader(resp *upstream.Response, length int) {
 	h := c.w.Header()
 	for k, v := range c.server.Headers.CallerHeaders(resp.Header) {
@@ -577,7 +675,6 @@
 	c.announceClose()
 	c.status, c.headerSent, c.verdict = resp.StatusCode, true, verdict.Ran
 	c.firstByteAfter = time.Since(c.job.Arrived)
-	c.report(func(p *progress) { p.begun = true })
 	c.w.WriteHeader(resp.StatusCode)
 }
 
@@ -620,6 +717,9 @@
 	if c.job.Route != nil {
 		c.server.Metrics.Request(c.job.Route, c.status, c.verdict, duration)
 	}
+	if success := err == nil && c.status/100 == 2; success || c.outcome == Abandoned && !time.Now().Before(c.job.Deadline) {
+		c.server.recordDuration(c.job.Route.Name, duration)
+	}
 	if err != nil && c.headerSent {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -112,6 +112,8 @@
 			}
 			c.outcome = Succeeded
 			if !c.headerSent {
+				// The whole answer is there, as in forwardBuffered.
+				c.beginAnswer()
 				c.sendHeader(resp, -1)
 			}
 			return nil
@@ -138,6 +140,9 @@
 		c.reservation.Answering()
 	}
 	if !c.headerSent {
+		if !c.beginAnswer() {
+			return verdict.Wrap(errStopping, verdict.MayHaveRun, http.StatusBadGateway, codeStopping, "the instance stopped before an answer came")
+		}
 		c.sendHeader(resp, -1)
 	} else if len(c.job.Tried) > 0 && c.resumed == 0 {
 		c.resumed = len(c.job.Tried)
