forward: a panic while a request is served ends in an answer

Callers would see a closed connection: net/http recovers the panic and closes the connection without an answer, after the request was read. Change: the panic is logged with its stack, and the caller gets 500 with the verdict may-have-run. An answer that has begun is broken off as before.

--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -276,8 +277,7 @@
 	c := &call{server: s, job: j, w: w, r: r}
 	s.add(c)
 	defer s.remove(c)
-	err := c.serve()
-	c.finish(err)
+	c.finish(c.serveOrRecover())
 }
 
 func (s *Server) add(c *call) {
@@ -342,6 +342,18 @@
 	ended bool
 }
 
+// serveOrRecover serves the request. A panic becomes an error, so that the caller gets an answer: net/http would close the
+// connection without one.
+func (c *call) serveOrRecover() (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.server.Log.Error().Str("request", c.job.ID).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("serving a request failed with a panic")
+			err = verdict.New(verdict.MayHaveRun, http.StatusInternalServerError, "panic", "the instance failed")
+		}
+	}()
+	return c.serve()
+}
+
 func (c *call) serve() error {
 	limits := c.server.Admission.Limits()
 	if limits.MaxHeaderBytes > 0 && headerBytes(c.r) > limits.MaxHeaderBytes {
