gateway: streams have 0.6 s more at the end of a planned stop

Cause: the instance closed their connections 1.1 s before the end of the grace period, since its last heartbeat was appended only after that. Change: the last heartbeat is appended while the last answers are awaited; unanswered requests end 0.8 s before the end of the grace period and the others 0.5 s, before 1.35 s and 1.1 s.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -11,13 +11,12 @@
 	// loadBalancerDelay is how long connections are still accepted after the instance reports that it is not
 	// ready: the load balancer checks each second and removes an instance after two failed checks.
 	loadBalancerDelay = 2200 * time.Millisecond
-	// exitMargin is how long before the end of the grace period the process stops waiting for requests.
-	exitMargin = 700 * time.Millisecond
+	// lastAnswersMargin is how long before the end of the grace period the requests end that are not answered yet, so that their
+	// callers get an error, and exitMargin how long before it the process stops waiting for answers that have begun.
+	lastAnswersMargin = 800 * time.Millisecond
+	exitMargin        = 500 * time.Millisecond
 	// leaveTimeout bounds the append of the last heartbeat.
 	leaveTimeout = 400 * time.Millisecond
-	// lastAnswerTime is how long before the process stops waiting the requests end that are not answered yet, so that their
-	// callers get an error.
-	lastAnswerTime = 250 * time.Millisecond
 	// refusalInterval is the time between two checks for requests that wait and would be cut off.
 	refusalInterval = 100 * time.Millisecond
 )
@@ -29,8 +28,8 @@
 	start := time.Now()
 	g.stopping.Store(true)
 	g.resigned.Store(true)
-	exit := start.Add(g.settings.Bounds.grace() - exitMargin - leaveTimeout)
-	lastAnswers := exit.Add(-lastAnswerTime)
+	grace := g.settings.Bounds.grace()
+	lastAnswers, exit := start.Add(grace-lastAnswersMargin), start.Add(grace-exitMargin)
 	g.server.Drain(lastAnswers)
 	g.log.Info().Int("in_flight", g.server.InFlight()).Msg("stopping")
 	g.requestHeartbeat()
@@ -45,14 +44,21 @@
 	if err := s.callersListener.Close(); err != nil {
 		g.log.Warn().Err(err).Msg("listener for callers not closed")
 	}
-	if !g.awaitCallers(ctx, lastAnswers) {
+	served := g.awaitCallers(ctx, lastAnswers)
+	if !served {
 		n := g.server.EndUnanswered()
 		g.log.Warn().Int("unanswered", n).Int("in_flight", g.server.InFlight()).Msg("requests still in flight at the end of the grace period")
-		if !g.awaitCallers(ctx, exit) {
-			g.server.ReportCutOff()
-		}
 	}
-	g.leave(ctx)
+	// No request is taken any more.
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		g.leave(ctx)
+	}()
+	if !served && !g.awaitCallers(ctx, exit) {
+		g.server.ReportCutOff()
+	}
+	<-left
 }
 
 // refuseWaiting refuses the requests that wait to be sent and would be cut off, until ctx ends.
