cmd: signals are received from the start of main, and stop signals are never dropped

Operators would see: a SIGHUP or SIGTERM that reaches an instance while it reads its settings for the first time ends the process at once. A SIGTERM beside a series of SIGHUPs is lost: the instance serves on as if it was not told to stop, and is killed at the end of the grace period with all its requests in flight.

Cause: the handlers were installed after the settings were read and the gateway was built. All signals shared one channel of four places, which was not read while the settings file was read; the runtime drops a signal whose channel is full.

Change: program.Signals has one channel for stop signals and one for SIGHUP; main installs both first. Several SIGHUPs during a read lead to one more read. turmericd installs its handlers first, too (found by reading; it has no SIGHUP, and two places for two signals).

--- a/cmd/turmeric-gateway/main.go
+++ b/cmd/turmeric-gateway/main.go
@@ -4,9 +4,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
@@ -27,7 +25,11 @@
 // the garbage collector runs more often to stay below it.
 const memoryLimitShare = 0.6
 
-func main() { program.Main(run) }
+func main() {
+	signals := program.NotifySignals()
+	reread := signals.Reread()
+	program.Main(func(o options) error { return run(o, signals.Stop(), reread) })
+}
 
 // load reads and checks the settings file.
 func load(path string) (gateway.Settings, error) {
@@ -38,7 +40,7 @@
 	return gateway.ParseSettings(data)
 }
 
-func run(o options) error {
+func run(o options, stopSignals, reread <-chan os.Signal) error {
 	s, err := load(o.Settings)
 	if err != nil || o.Check {
 		return err
@@ -59,20 +61,17 @@
 	g = gateway.New(s, platform.Dependencies(client, n), n, gateway.BootClock, log)
 
 	stop := make(chan struct{})
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go watchSignals(signals, stop, o.Settings, log)
+	go func() {
+		<-stopSignals
+		close(stop)
+	}()
+	go checkSettings(reread, o.Settings, log)
 	return g.Serve(context.Background(), stop)
 }
 
-// watchSignals stops the instance at the first SIGTERM or SIGINT. At SIGHUP it only checks the settings file: changed
-// settings apply at the next start.
-func watchSignals(signals <-chan os.Signal, stop chan<- struct{}, path string, log zerolog.Logger) {
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			close(stop)
-			return
-		}
+// checkSettings checks the settings file at each signal. Changed settings apply at the next start.
+func checkSettings(reread <-chan os.Signal, path string, log zerolog.Logger) {
+	for range reread {
 		_, err := load(path)
 		log.Info().Err(err).Msg("settings file checked; changed settings apply at the next start")
 	}
--- a/cmd/turmericd/main.go
+++ b/cmd/turmericd/main.go
@@ -7,8 +7,6 @@
 	"encoding/json"
 	"errors"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
@@ -27,14 +25,17 @@
 	KeyDir        string `long:"key-dir" description:"with --embedded: directory for the files caller.key and operator.token" default:"."`
 }
 
-func main() { program.Main(run) }
+func main() {
+	signals := program.NotifySignals()
+	program.Main(func(o options) error { return run(o, signals.Stop()) })
+}
 
-func run(o options) error {
+func run(o options, signals <-chan os.Signal) error {
 	switch {
 	case o.PrintDefaults:
 		return printDefaults()
 	case o.Embedded:
-		return serveEmbedded(o)
+		return serveEmbedded(o, signals)
 	case o.Settings == "":
 		return trace.BadParameter("--settings or --embedded is needed")
 	}
@@ -46,7 +47,7 @@
 	if err != nil || o.Check {
 		return err
 	}
-	return serve(s, network.TCP{})
+	return serve(s, network.TCP{}, signals)
 }
 
 func printDefaults() error {
@@ -55,24 +56,22 @@
 	return trace.Wrap(e.Encode(daemon.DefaultSettings()))
 }
 
-func serveEmbedded(o options) error {
+func serveEmbedded(o options, signals <-chan os.Signal) error {
 	e, err := embedded.Start(network.TCP{}, o.KeyDir)
 	if err != nil {
 		return err
 	}
 	defer e.Close()
-	return serve(e.Settings, network.TCP{})
+	return serve(e.Settings, network.TCP{}, signals)
 }
 
 // serve runs the daemon. The first signal starts a drain, the second stops the daemon at once.
-func serve(s daemon.Settings, n network.Network) error {
+func serve(s daemon.Settings, n network.Network, signals <-chan os.Signal) error {
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	drain := make(chan struct{})
