cmd: an instance goes on without the reader of its log

Callers would see: all requests in flight at an instance end without an answer when the process that reads its standard output ends.

Cause: the Go runtime raises SIGPIPE if a write to standard output or standard error fails with EPIPE, which ends the process.

Change: daemons ignore SIGPIPE. Writes of the log fail and are dropped, as logsink documents.

--- a/cmd/turmeric-gateway/main_test.go
+++ b/cmd/turmeric-gateway/main_test.go
@@ -18,6 +18,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/turmericworks/turmericworks/internal/gateway"
+	"github.com/turmericworks/turmericworks/internal/logsink"
 )
 
 const (
@@ -91,7 +92,16 @@
 	return l.Addr().String()
 }
 
+// startProcess starts an instance whose output is kept.
 func startProcess(t *testing.T) *process {
+	p := newProcess(t)
+	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stdout
+	p.start()
+	return p
+}
+
+// newProcess returns an instance that was not started.
+func newProcess(t *testing.T) *process {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
 	settings, err := json.Marshal(gateway.Settings{
@@ -109,12 +119,14 @@
 	}
 	p.cmd = exec.CommandContext(ctx, os.Args[0], "--settings", p.path)
 	p.cmd.Env = append(os.Environ(), asGateway+"=1")
-	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stdout
+	return p
+}
+
+func (p *process) start() {
 	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
 	go func() { p.ended <- p.cmd.Wait() }()
-	return p
 }
 
 // answerRead waits until the process reads its settings, calls f while it reads, and gives it the settings.
@@ -196,3 +208,24 @@
 		So(p.stdout.await(p.ctx, `"message":"stopped"`), ShouldBeNil)
 	})
 }
+
+// TestLogReaderEnds guards against a process that ends with its requests in flight because the reader of its log has ended.
+func TestLogReaderEnds(t *testing.T) {
+	Convey("the process serves on and stops in order", t, func() {
+		p := newProcess(t)
+		r, w, err := os.Pipe()
+		So(err, ShouldBeNil)
+		p.cmd.Stdout, p.cmd.Stderr = w, w
+		p.start()
+		So(w.Close(), ShouldBeNil)
+		So(p.answerRead(func() {}), ShouldBeNil)
+		_, err = r.Read(make([]byte, 1))
+		So(err, ShouldBeNil)
+		So(r.Close(), ShouldBeNil)
+		p.signal(syscall.SIGHUP)
+		So(p.answerRead(func() {}), ShouldBeNil)
+		time.Sleep(2 * logsink.FlushInterval)
+		p.signal(syscall.SIGTERM)
+		So(p.wait(), ShouldBeNil)
+	})
+}
--- a/internal/program/signals.go
+++ b/internal/program/signals.go
@@ -20,9 +20,11 @@
 	stop, reread chan os.Signal
 }
 
-// NotifySignals begins to receive signals. A daemon must call it first in main: until then, signals end the process.
+// NotifySignals begins to receive signals. A daemon must call it first in main: until then, signals end the process. It
+// ignores SIGPIPE, which the runtime otherwise raises if the reader of standard output or standard error has ended.
 func NotifySignals() *Signals {
 	s := &Signals{stop: make(chan os.Signal, stopSignals), reread: make(chan os.Signal, rereadSignals)}
+	signal.Ignore(syscall.SIGPIPE)
 	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
 	return s
 }
