keepalive: a connection with the first bytes of a request read ahead is not idle

Callers would see: a request that they began to send while the previous one was still being served ends without an answer if its first one to three bytes were read by then, the rest arrives a little later, and the idle limit or a stop comes between.

Cause: net/http reads one byte while it serves a request, and may read bytes of the next one together with the previous one.

Change: net/http waits for a request with a read into the free part of its buffer. If that read is smaller than the first one on the connection, the buffer holds bytes of the next request, and the connection is not idle. If net/http changed the size of its first read only, connections would no longer become idle, which TestIdleConnectionIsClosed would show.

--- a/internal/transport/keepalive/conn.go
+++ b/internal/transport/keepalive/conn.go
@@ -34,12 +34,15 @@
 	expired bool
 	// deadline is the read deadline that net/http has set last. It counts once the connection is not expired.
 	deadline time.Time
+	// readSize is the size of the first read, 0 before it: that of net/http's empty buffer.
+	readSize int
 	// awaited is set once net/http has set the deadline for the first bytes of the next request.
 	awaited bool
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
+	c.beginRead(len(b))
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
@@ -52,6 +55,20 @@
 	}
 }
 
+// beginRead records a read of at most size bytes. net/http reads into the free part of its buffer while it waits for a
+// request: a smaller read than the first one means that the buffer holds bytes of that request, which arrived while the
+// previous one was read or served.
+func (c *conn) beginRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readSize == 0 {
+		c.readSize = size
+	}
+	if c.idle && size < c.readSize {
+		c.beginLocked()
+	}
+}
+
 // SetReadDeadline implements net.Conn. net/http sets a deadline before it waits for a request, and the next one when it
 // has the first bytes of that request, which it may have read together with the previous one.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -101,6 +118,11 @@
 func (c *conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.beginLocked()
+}
+
+// beginLocked implements begin. The lock is held.
+func (c *conn) beginLocked() {
 	c.used, c.idle = true, false
 	if c.expired {
 		c.expired = false
--- a/internal/transport/keepalive/keepalive.go
+++ b/internal/transport/keepalive/keepalive.go
@@ -1,8 +1,8 @@
 // Package keepalive closes the idle connections of an HTTP server's clients without losing a request that has arrived: the
 // state that net/http reports is idle until the headers of the next request were read, and a request may lie unread in the
-// socket even longer. The goroutine that reads a connection therefore decides on the close itself, after a last look at the
-// socket. One case is not covered: the first bytes of a pipelined request that net/http has read ahead, while the rest has
-// not arrived.
+// socket even longer. The goroutine that reads a connection therefore decides on the close itself, after it has checked the
+// socket once more. The first bytes of a request may also have been read together with the previous one or while that was
+// served; the size of net/http's next read shows it.
 package keepalive
 
 import (
--- a/internal/transport/keepalive/keepalive_test.go
+++ b/internal/transport/keepalive/keepalive_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,12 +25,16 @@
 type heldConn struct {
 	*net.TCPConn
 	held sync.RWMutex
+	// read counts the bytes that were read.
+	read atomic.Int64
 }
 
 func (c *heldConn) Read(b []byte) (int, error) {
 	c.held.RLock()
 	defer c.held.RUnlock()
-	return c.TCPConn.Read(b)
+	n, err := c.TCPConn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
 }
 
 type heldListener struct {
@@ -58,8 +63,13 @@
 	// holdIdle makes the next connection that becomes idle read nothing until idle is received from and held is unlocked.
 	holdIdle atomic.Bool
 	idle     chan *heldConn
+	// hold makes requests for heldPath wait until it is received from.
+	hold chan struct{}
 }
 
+// heldPath is the path of requests that wait in the handler.
+const heldPath = "/held"
+
 func newTestServer(t *testing.T, idleTimeout time.Duration) *testServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -68,10 +78,13 @@
 	start := time.Now()
 	s := &testServer{
 		t: t, connections: New(func() time.Duration { return time.Since(start) }), listener: &heldListener{Listener: l},
-		idle: make(chan *heldConn, 1),
+		idle: make(chan *heldConn, 1), hold: make(chan struct{}),
 	}
-	srv := &http.Server{IdleTimeout: idleTimeout, ReadHeaderTimeout: testTimeout, ConnState: s.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	srv := &http.Server{IdleTimeout: idleTimeout, ReadHeaderTimeout: testTimeout, ConnState: s.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.served.Add(1)
+		if r.URL.Path == heldPath {
+			s.hold <- struct{}{}
+		}
 		_, _ = io.WriteString(w, "hello")
 	})}
 	go func() {
@@ -209,28 +222,52 @@
 }
 
 // TestBegunHeaderIsNotIdle guards against the close of a connection on which the header of a request has begun to arrive,
-// alone or together with the previous request.
+// alone, together with the previous request or while that was served.
 func TestBegunHeaderIsNotIdle(t *testing.T) {
-	const part = 10
-	for name, first := range map[string]string{"alone": request, "with the previous request": request + request[:part]} {
-		Convey("the request is served, begun "+name, t, func() {
-			s := newTestServer(t, time.Hour)
-			c := s.dial()
-			_, err := c.exchange(first)
-			So(err, ShouldBeNil)
-			if first == request {
+	const held = "GET " + heldPath + " HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	for _, part := range []int{1, 2, 3, 10} {
+		for name, begin := range map[string]func(s *testServer, c *client) error{
+			"alone": func(_ *testServer, c *client) error {
+				_, err := c.exchange(request)
+				So(err, ShouldBeNil)
 				_, err = io.WriteString(c, request[:part])
+				return err
+			},
+			"with the previous request": func(_ *testServer, c *client) error {
+				_, err := c.exchange(request + request[:part])
+				return err
+			},
+			"while the previous request was served": func(s *testServer, c *client) error {
+				_, err := io.WriteString(c, held)
 				So(err, ShouldBeNil)
-			}
-			ctx, cancel := context.WithTimeout(t.Context(), 5*drainPollInterval)
-			defer cancel()
-			So(s.connections.Drain(ctx), ShouldEqual, context.DeadlineExceeded)
-			_, err = io.WriteString(c, request[part:])
-			So(err, ShouldBeNil)
-			status, err := c.response()
-			So(err, ShouldBeNil)
-			So(status, ShouldEqual, http.StatusOK)
-		})
+				for s.served.Load() == 0 {
+					runtime.Gosched()
+				}
+				_, err = io.WriteString(c, request[:part])
+				So(err, ShouldBeNil)
+				// net/http reads one byte while it serves a request.
+				for s.listener.last.Load().read.Load() <= int64(len(held)) {
+					runtime.Gosched()
+				}
+				<-s.hold
+				_, err = c.response()
+				return err
+			},
+		} {
+			Convey(fmt.Sprintf("the request is served, its first %d bytes sent %s", part, name), t, func() {
+				s := newTestServer(t, time.Hour)
+				c := s.dial()
+				So(begin(s, c), ShouldBeNil)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*drainPollInterval)
+				defer cancel()
+				So(s.connections.Drain(ctx), ShouldEqual, context.DeadlineExceeded)
+				_, err := io.WriteString(c, request[part:])
+				So(err, ShouldBeNil)
+				status, err := c.response()
+				So(err, ShouldBeNil)
+				So(status, ShouldEqual, http.StatusOK)
+			})
+		}
 	}
 }
 
