forward: an attempt ends early only if another worker can take the request

An idempotent request whose worker was silent for twice the target latency was ended although no other worker could take it: its caller got 502 while the only worker, silent for 1.5 s, would have answered in time. It was the same if the retry budget was used up between the start of the attempt and its end.

Cause: whether a further attempt is possible was judged when the attempt began, from the budget alone, and became the deadline of the connection. It is now judged when the time is over, right before the attempt is ended: another worker of the service takes requests, and the budget grants the next attempt, which it is then taken from. Otherwise the attempt goes on, and is judged again each 100 ms.

TestSlowWorkerWithoutRetryBudget: Expected: 200, Actual: 502.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -88,14 +88,6 @@
 	return g.budget(j.Service).Take(g.now())
 }
 
-// RetryAvailable implements forward.Admission.
-func (m *admission) RetryAvailable(j *forward.Job) bool {
-	g := (*Gateway)(m)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(j.Service).CanTake(g.now())
-}
-
 // budget returns the retry budget of a service. The lock is held.
 func (g *Gateway) budget(service string) *retry.WindowBudget {
 	b := g.budgets[service]
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -60,6 +60,17 @@
 	return reservation, g.limitError(j, err)
 }
 
+// HasOther implements forward.Placement.
+func (p *placement) HasOther(service string, tried []workers.Key) bool {
+	g := (*Gateway)(p)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	return slices.ContainsFunc(g.workers.Load().Ready(service), func(w *workers.Worker) bool {
+		return !slices.Contains(tried, w.Key()) && !g.leaving(w) && g.backoff(w, now) == 0
+	})
+}
+
 // chooseService picks one of a route's services at random, by weight.
 func chooseService(r *routing.Route) string {
 	total := 0.0
--- /dev/null
+++ b/internal/transport/forward/attempt_test.go
@@ -0,0 +1,149 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/turmericworks/turmericworks/internal/protocol/external"
+	"github.com/turmericworks/turmericworks/internal/standin/bubble"
+	"github.com/turmericworks/turmericworks/internal/standin/memnet"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
+	"github.com/turmericworks/turmericworks/internal/transport/upstream"
+)
+
+// standinGateway decides about the requests of a Server: all go to one route, and each attempt to a worker of its own.
+type standinGateway struct {
+	route routing.Route
+	// retries is the number of further attempts that the retry budget allows.
+	retries atomic.Int64
+	placed  atomic.Int64
+	// onFirstEvent is called with the function that revokes an attempt when its first event has arrived.
+	onFirstEvent func(attempt int64, revoke func())
+}
+
+func (g *standinGateway) Admit(j *Job, _, _ string) error {
+	j.Route, j.Service = &g.route, "s"
+	return nil
+}
+func (g *standinGateway) Refund(*Job)                         {}
+func (g *standinGateway) TakeRetry(*Job) bool                 { return g.retries.Add(-1) >= 0 }
+func (g *standinGateway) Limits() routing.Limits              { return routing.Limits{} }
+func (g *standinGateway) HasOther(string, []workers.Key) bool { return true }
+func (g *standinGateway) Attempt(Outcome)                     {}
+func (g *standinGateway) Request(*routing.Route, int, verdict.Verdict, time.Duration) {
+}
+
+func (g *standinGateway) Place(context.Context, *Job) (Reservation, error) {
+	n := g.placed.Add(1)
+	var revoke func()
+	return Reservation{
+		Worker:   &workers.Worker{ID: fmt.Sprint("w", n), Address: fmt.Sprintf("w%d:80", n)},
+		Sending:  func(f func()) { revoke = f },
+		Confirm:  func() error { return nil },
+		Answered: func(external.WorkerResponse) {},
+		Answering: func() {
+			if g.onFirstEvent != nil {
+				g.onFirstEvent(n, revoke)
+			}
+		},
+		Done: func(Outcome) {},
+	}, nil
+}
+
+type standinHeaders struct{}
+
+func (standinHeaders) ParseRequest(h http.Header) external.Request {
+	return external.Request{ID: h.Get("Id")}
+}
+func (standinHeaders) WorkerHeaders(h http.Header, r external.WorkerRequest) http.Header {
+	return http.Header{"Id": h["Id"], "Last": {r.LastEventID}}
+}
+func (standinHeaders) ParseResponse(_ int, h http.Header) external.WorkerResponse {
+	return external.WorkerResponse{ID: h.Get("Id"), Signed: true}
+}
+func (standinHeaders) CallerHeaders(h http.Header) http.Header { return h.Clone() }
+
+// serveThrough sends a request through a Server to workers that answer with a function, and returns the status and the body
+// of the response, and whether it is whole.
+func serveThrough(t *testing.T, g *standinGateway, answer func(worker int, c net.Conn, r *http.Request)) (status int, body string, whole bool) {
+	t.Helper()
+	n := memnet.New()
+	defer time.Sleep(time.Second)
+	for i := 1; i <= 3; i++ {
+		l, err := n.Host(fmt.Sprint("w", i)).Listen(fmt.Sprintf("w%d:80", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(i, c, r)
+				}
+				_ = c.Close()
+			}
+		}()
+	}
+	pool := upstream.NewPool(n.Host("gate"))
+	defer pool.Retain(func(workers.Key) bool { return false })
+	s := &Server{Headers: standinHeaders{}, Admission: g, Placement: g, Metrics: g, Pool: pool, ResponseMemory: bytebudget.New(1 << 20), Log: zerolog.Nop()}
+	l, err := n.Host("gate").Listen("gate:80")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: s}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return n.Host("caller").Dial(ctx, "gate:80")
+	}}}
+	req, err := http.NewRequest(http.MethodGet, "http://gate/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Id", "1")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", false
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err == nil
+}
+
+// TestSlowWorkerWithoutRetryBudget guards against an attempt that is ended because its worker is slow although the retry
+// budget allows no further one by then: the caller gets the slow answer.
+func TestSlowWorkerWithoutRetryBudget(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		g := &standinGateway{route: routing.Route{Kind: routing.Idempotent, MaxAttempts: 2, TargetLatency: 500 * time.Millisecond, Timeout: 5 * time.Second}}
+		g.retries.Store(1)
+		time.AfterFunc(900*time.Millisecond, func() { g.retries.Store(0) })
+		status, body, whole := serveThrough(t, g, func(_ int, c net.Conn, _ *http.Request) {
+			time.Sleep(1500 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
+		})
+		Convey("the answer is forwarded", t, func() {
+			So(status, ShouldEqual, http.StatusOK)
+			So(body, ShouldEqual, "ok")
+			So(whole, ShouldBeTrue)
+			So(g.placed.Load(), ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -42,14 +43,22 @@
 	// that the route allows.
 	extraRejections = 3
 	// attemptLatencyFactor, multiplied by the route's target latency, is how long an idempotent request waits for
-	// a worker that does not respond before it is sent to another one.
+	// a worker that does not respond before it is sent to another one, and otherWorkerInterval how long it waits on if
+	// there is no other one, or the retry budget is used up.
 	attemptLatencyFactor = 2
+	otherWorkerInterval  = 100 * time.Millisecond
 	// retryAfter is the Retry-After of refusals whose cause is likely to pass soon.
 	retryAfter = 200 * time.Millisecond
 	// stopRetryAfter is that of requests to an instance that stops: another one takes them at once.
 	stopRetryAfter = 10 * time.Millisecond
 )
 
+// The causes that end an attempt while its request goes on.
+var (
+	errRevoked = errors.New("the attempt was revoked")
+	errSlow    = errors.New("the worker did not respond in time")
+)
+
 var errResponseMemory = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "response_memory_full", "the instance holds as many bytes of responses as it may")
 
 // Job is one request of a caller, with all its attempts at workers.
@@ -139,8 +148,6 @@
 	// TakeRetry takes one further attempt for the job from the fleet's retry budget. It returns false if the budget
 	// does not allow one.
 	TakeRetry(j *Job) bool
-	// RetryAvailable reports whether TakeRetry would succeed now.
-	RetryAvailable(j *Job) bool
 	// Limits returns the limits in force for callers; a value of 0 means not set.
 	Limits() routing.Limits
 }
@@ -149,6 +156,8 @@
 type Placement interface {
 	// Place waits, at most until the job's deadline, for a worker that can serve the job. Errors carry a verdict.
 	Place(ctx context.Context, j *Job) (Reservation, error)
+	// HasOther reports whether a worker of the service that is not among those tried takes requests.
+	HasOther(service string, tried []workers.Key) bool
 }
 
 // Metrics records requests and attempts. Implementations must be safe for concurrent use.
@@ -206,7 +215,9 @@
 	// reservation is that of the current attempt, and answering is set once the attempt's first event has arrived.
 	reservation Reservation
 	answering   bool
-	verdict     verdict.Verdict
+	// retryTaken is set when the current attempt was ended early and has taken the next one from the retry budget.
+	retryTaken atomic.Bool
+	verdict    verdict.Verdict
 	// resumed is the number of attempts after which the stream was first resumed; 0 if it was not.
 	resumed     int
 	lastEventID string
@@ -308,7 +319,7 @@
 			}
 		}
 		// An attempt that could not be sent put no load on a worker, so it takes nothing from the retry budget.
-		if c.outcome != Unreachable && c.outcome != Withheld && !c.server.Admission.TakeRetry(c.job) {
+		if c.outcome != Unreachable && c.outcome != Withheld && !c.retryTaken.Swap(false) && !c.server.Admission.TakeRetry(c.job) {
 			return c.combineVerdicts(v, ranAttempts > 0)
 		}
 	}
@@ -357,14 +368,15 @@
 	}
 	c.lastWorker = reservation.Worker.ID
 	c.reservation, c.answering, c.resuming = reservation, false, c.headerSent
-	attemptCtx, revoke := context.WithCancel(ctx)
-	defer revoke()
-	reservation.Sending(revoke)
+	attemptCtx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	reservation.Sending(func() { end(errRevoked) })
+	defer c.endIfSlow(attemptCtx, end)()
 	err = c.send(attemptCtx, reservation)
 	if c.outcome == 0 {
 		c.outcome = Broken
 	}
-	if err != nil && ctx.Err() == nil && attemptCtx.Err() != nil {
+	if err != nil && ctx.Err() == nil && context.Cause(attemptCtx) == errRevoked {
 		c.outcome = Abandoned
 		err = verdict.Wrap(err, verdict.FromError(err).Verdict, http.StatusBadGateway, "revoked", "the attempt was ended before its answer began")
 	}
@@ -394,7 +406,7 @@
 		Deadline: remaining, WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
 		Priority: priority, LastEventID: c.lastEventID,
 	})
-	options := upstream.Options{Deadline: c.attemptDeadline(), BeforeSend: func() error {
+	options := upstream.Options{Deadline: c.job.Deadline, BeforeSend: func() error {
 		err := reservation.Confirm()
 		if err != nil {
 			c.outcome = Withheld
@@ -424,16 +436,29 @@
 	return c.receive(resp)
 }
 
-// attemptDeadline returns when the current attempt ends. An attempt at an idempotent request leaves time for another
-// one if the route and the retry budget allow it, since the worker may hang.
-func (c *call) attemptDeadline() time.Time {
+// endIfSlow ends an attempt at an idempotent request whose worker does not respond, once another worker can take the
+// request and the retry budget allows that: the worker may hang, but it may also be slow and the only one.
+// The function that it returns stops the wait.
+func (c *call) endIfSlow(ctx context.Context, end context.CancelCauseFunc) (stop func() bool) {
 	r := c.job.Route
-	canRetry := r.Kind == routing.Idempotent && r.TargetLatency > 0 && len(c.job.Tried)+1 < r.MaxAttempts
 	early := time.Now().Add(attemptLatencyFactor * r.TargetLatency)
-	if canRetry && early.Before(c.job.Deadline) && c.server.Admission.RetryAvailable(c.job) {
-		return early
-	}
-	return c.job.Deadline
+	if r.Kind != routing.Idempotent || r.TargetLatency <= 0 || len(c.job.Tried)+1 >= r.MaxAttempts || !early.Before(c.job.Deadline) {
+		return func() bool { return false }
+	}
+	tried := append(slices.Clone(c.job.Tried), c.reservation.Worker.Key())
+	return time.AfterFunc(time.Until(early), func() {
+		for ctx.Err() == nil {
+			if c.server.Placement.HasOther(c.job.Service, tried) && c.server.Admission.TakeRetry(c.job) {
+				c.retryTaken.Store(true)
+				end(errSlow)
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(otherWorkerInterval):
+			}
+		}
+	}).Stop
 }
 
 // receive classifies a worker's response and forwards it to the caller.
