forward: a stream whose attempt was revoked at its first event is not begun

A new version of an adapter, or a refusal of what crashes workers, revokes the attempts whose answers have not begun. If the first event had been read by then and waited for the lock, the caller got that event and then a cut stream. It gets 502 now, or the stream of the next attempt.

Cause: the attempt was taken from the list of those that can be revoked after the read, and nothing checked afterwards whether it had been revoked in between.

Before, TestRevokedAtFirstEvent/plain: Expected: 502, Actual: 200 (and a cut stream). Passes now, under -race. The cases of resumable and of resumed streams passed on the old code: the stream goes on at the next worker.

--- a/internal/transport/forward/attempt_test.go
+++ b/internal/transport/forward/attempt_test.go
@@ -147,3 +147,52 @@
 		})
 	})
 }
+
+// TestRevokedAtFirstEvent guards against a stream that reaches the caller and is then cut because its attempt was revoked
+// while its first event arrived: the caller gets nothing of a revoked attempt, or the whole stream of the next one.
+func TestRevokedAtFirstEvent(t *testing.T) {
+	const first, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for _, c := range []struct {
+		name      string
+		resumable bool
+		// cutFirst makes the first worker end its stream after one event, so that the second attempt resumes it.
+		cutFirst bool
+		revoked  int64
+		status   int
+		body     string
+	}{
+		{"plain", false, false, 1, http.StatusBadGateway, ""},
+		{"resumable", true, false, 1, http.StatusOK, first + rest},
+		{"resumed", true, true, 2, http.StatusOK, first + rest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				g := &standinGateway{route: routing.Route{Kind: routing.Stream, Resumable: c.resumable, MaxAttempts: 3, Timeout: 5 * time.Second}}
+				g.retries.Store(10)
+				g.onFirstEvent = func(attempt int64, revoke func()) {
+					if attempt == c.revoked {
+						revoke()
+					}
+				}
+				status, body, whole := serveThrough(t, g, func(worker int, conn net.Conn, r *http.Request) {
+					head := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+					if r.Header.Get("Last") == "" {
+						head += fmt.Sprintf("%x\r\n%s\r\n", len(first), first)
+					}
+					if _, err := io.WriteString(conn, head); err != nil || c.cutFirst && worker == 1 {
+						return
+					}
+					time.Sleep(100 * time.Millisecond)
+					_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+				})
+				Convey("no part of the revoked attempt's stream is forwarded", t, func() {
+					So(status, ShouldEqual, c.status)
+					So(whole, ShouldBeTrue)
+					if c.status == http.StatusOK {
+						So(body, ShouldEqual, c.body)
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -215,6 +215,8 @@
 	// reservation is that of the current attempt, and answering is set once the attempt's first event has arrived.
 	reservation Reservation
 	answering   bool
+	// revoked reports whether the current attempt was revoked.
+	revoked func() bool
 	// retryTaken is set when the current attempt was ended early and has taken the next one from the retry budget.
 	retryTaken atomic.Bool
 	verdict    verdict.Verdict
@@ -370,13 +372,14 @@
 	c.reservation, c.answering, c.resuming = reservation, false, c.headerSent
 	attemptCtx, end := context.WithCancelCause(ctx)
 	defer end(nil)
+	c.revoked = func() bool { return context.Cause(attemptCtx) == errRevoked }
 	reservation.Sending(func() { end(errRevoked) })
 	defer c.endIfSlow(attemptCtx, end)()
 	err = c.send(attemptCtx, reservation)
 	if c.outcome == 0 {
 		c.outcome = Broken
 	}
-	if err != nil && ctx.Err() == nil && context.Cause(attemptCtx) == errRevoked {
+	if err != nil && ctx.Err() == nil && c.revoked() {
 		c.outcome = Abandoned
 		err = verdict.Wrap(err, verdict.FromError(err).Verdict, http.StatusBadGateway, "revoked", "the attempt was ended before its answer began")
 	}
--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -20,6 +20,8 @@
 	maxEventBytes = 1 << 20
 )
 
+var errRevokedBegun = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "revoked", "the attempt was ended when its answer began")
+
 // eventEnd is the blank line that ends a server-sent event.
 var eventEnd = []byte("\n\n")
 
@@ -136,6 +138,10 @@
 	if !c.answering {
 		c.answering = true
 		c.reservation.Answering()
+		// It cannot be revoked from here on. If it was, its connection is closed, and the caller would get a cut stream.
+		if c.revoked() {
+			return errRevokedBegun
+		}
 	}
 	if !c.headerSent {
 		c.sendHeader(resp, -1)
