gateway: a request that has waited is not sent with an old adapter version

A request that was placed with the old version of its adapter, and then waited for the capacity of a limited worker, was sent with that version after the time in which it may begin on it. The attempts on their way are revoked at that time; one that is sent later was not revoked at all, so a worker without the new version could begin it at any time.

Cause: the version was judged at the placement, before the wait. It is judged again after the wait, when the request is placed anew, and right before the request is sent.

Before, TestOldVersionAfterWaitForCapacity: Expected [waiting-2 after 3.9s with version "" waiting-0 after 7.9s with version ""] to be empty; the bound of the test is 5 s. Passes now, under -race. TestResumedStreamRevoked passes on the old code: a stream whose resuming attempt is revoked goes on at a third worker.

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -217,7 +217,7 @@
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
 		Sending:   func(revoke func()) { g.attemptSent(j, w, a, version, revoke) },
-		Confirm:   func() error { return g.confirmSend(j, w) },
+		Confirm:   func() error { return g.confirmSend(j, w, a, version) },
 		Answered:  func(r external.WorkerResponse) { g.workerAnswered(w, r) },
 		Answering: func() { g.answerBegan(j) },
 		Done:      func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
@@ -338,7 +338,7 @@
 				return forward.Reservation{}, c.refusal
 			case c.elsewhere:
 				target, elsewhere = further, true
-			case g.claimCapacity(ctx, j, c.reservation.Worker):
+			case g.claimCapacity(ctx, j, c.reservation.Worker) && !g.reservedExpired(c.reservation, a):
 				g.recordSent(c.reservation.Worker, a)
 				return c.reservation, nil
 			default:
@@ -373,6 +373,14 @@
 	return forward.Reservation{}, adapterAbsentError()
 }
 
+// reservedExpired reports whether a request may no longer begin on the version of an adapter with which it was reserved. The
+// lock is not held.
+func (g *Gateway) reservedExpired(r forward.Reservation, a residency.Adapter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.versionExpired(a, r.AdapterVersion)
+}
+
 // reserveAfterLoad lets a worker load the job's adapter and reserves it, if both are done in time and the worker takes the
 // request from sendAt on.
 func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, sendAt time.Time) (forward.Reservation, bool) {
@@ -409,15 +417,25 @@
 }
 
 // confirmSend returns an error if a worker may not be used any more for a request that is about to be sent to it.
-func (g *Gateway) confirmSend(j *forward.Job, w *workers.Worker) error {
+func (g *Gateway) confirmSend(j *forward.Job, w *workers.Worker, a residency.Adapter, version int64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.stillUsable(j, w) == nil {
 		return refuse(http.StatusServiceUnavailable, "worker_withdrawn", "the backend server takes no requests any more", notReadyRetryAfter)
 	}
+	if g.versionExpired(a, version) {
+		return refuse(http.StatusServiceUnavailable, "version_withdrawn", "a newer version of the adapter must be used", notReadyRetryAfter)
+	}
 	return nil
 }
 
+// versionExpired reports whether a request may no longer begin on a version of an adapter, which is 0 for any. Attempts that
+// are on their way are revoked at that time, and one that is sent later is not. The lock is held.
+func (g *Gateway) versionExpired(a residency.Adapter, version int64) bool {
+	required, ok := g.versions[a]
+	return ok && version < required.version && g.now()-required.learned >= g.settings.Bounds.oldVersionBegin()
+}
+
 // residentWorkers returns the workers at which the adapter is resident in at least the version, as far as this instance
 // knows. The lock is held.
 func (g *Gateway) residentWorkers(list []*workers.Worker, a residency.Adapter, version int64) []*workers.Worker {
