upstream: a part of an earlier answer is not joined with the next one

A faulty worker that wrote the beginning of a second copy of an answer on a connection in use again, cut within the head, made the next caller get a success for a failure: the status of the copy with the id, the signature and the body of the next answer.

Cause: the head is read up to its blank line, and the cut copy has none. What is left of the copy's last line and the next status line are one line then: a reason phrase or the value of a header. On a connection that is reused, or after the answer to an earlier attempt, a head that contains a status line is now refused like any answer to another request; the verdict is that the request may have run.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -13,6 +13,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -295,13 +297,16 @@
 	if n, err := resp.conn.write(encodeRequest(r)); err != nil && n == 0 {
 		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, "send_failed", "nothing of the request could be sent")
 	}
-	for range maxResponses {
+	for i := range maxResponses {
 		resp.conn.source.left = network.MaxResponseHeadBytes
 		httpResp, err := readResponse(resp.conn.reader, r.Method)
 		resp.conn.source.left = unlimited
 		if err != nil {
 			return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "no_answer", "the backend server gave no complete answer")
 		}
+		if (resp.conn.reused || i > 0) && joinsTwoHeads(httpResp) {
+			break
+		}
 		if m(httpResp.Header) {
 			resp.Response = httpResp
 			return nil
@@ -370,6 +375,24 @@
 	}
 }
 
+// statusLine is the beginning of a response, up to its status.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// joinsTwoHeads reports whether the head of a response contains the status line of another one. A part of a response to an
+// earlier attempt, which ends within its head, joins the response that follows it: the status would be that of the first and
+// the rest that of the second.
+func joinsTwoHeads(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // Read reads the body. The error io.EOF means that the response is complete.
 func (resp *Response) Read(b []byte) (int, error) {
 	n, err := resp.Body.Read(b)
