gateway: a table is confirmed only by a read that ended before it was taken

An instance that was paused for longer than a withdrawn key may be accepted could accept that key: a request took the table from before the pause, the read that brought the next one ended, and the time of that read then confirmed the old table. It was the same for denials: 404 or 401 by an old table although the next one has the route or the key.

Cause: the table was loaded first and the time of the last read afterwards. The time is loaded first now: the table is put into force before the time of its read is recorded, so that the table is at least as new.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -45,14 +45,17 @@
 // Admit implements forward.Admission.
 func (m *admission) Admit(j *forward.Job, host, path string) error {
 	g := (*Gateway)(m)
+	// The read is loaded before the table, which then is at least as new. The other way round, a newer table may be put into
+	// force in between, and the read that brought it does not confirm the one that the request is decided by.
+	read, confirmed := time.Duration(g.configRead.Load()), g.lastConfirmed()
 	t := g.table.Load()
 	if t == nil {
 		return refuse(http.StatusServiceUnavailable, "no_configuration", "the instance knows no configuration yet", g.unreadyRetryAfter())
 	}
-	j.Config, j.ConfigAge = t, g.now()-time.Duration(g.configRead.Load())
+	j.Config, j.ConfigAge = t, g.now()-read
 	route, ok := t.Match(host, path)
 	if !ok {
-		if !g.configFresh(denialMaxAge) {
+		if !g.recent(confirmed, denialMaxAge) {
 			return refuse(http.StatusServiceUnavailable, "configuration_old", "the configuration may have changed", g.unreadyRetryAfter())
 		}
 		return refuse(http.StatusNotFound, "no_route", "no route leads there", 0)
@@ -61,19 +64,20 @@
 	if route.Public || !t.HasWorkspaces() {
 		return nil
 	}
-	return g.authenticate(t, j)
+	return g.authenticate(t, confirmed, j)
 }
 
-// authenticate looks up the workspace of the job's key and charges the request to the workspace's rate.
-func (g *Gateway) authenticate(t *routing.Table, j *forward.Job) error {
+// authenticate looks up the workspace of the job's key in a table, which was last confirmed at a time, and charges the request
+// to the workspace's rate.
+func (g *Gateway) authenticate(t *routing.Table, confirmed time.Duration, j *forward.Job) error {
 	workspace, ok := t.WorkspaceByKey(j.Key)
 	maxAge := time.Duration(float64(g.settings.Bounds.keyWithdrawal()) * keyMaxAgeShare)
 	switch {
-	case !ok && !g.configFresh(denialMaxAge):
+	case !ok && !g.recent(confirmed, denialMaxAge):
 		return refuse(http.StatusServiceUnavailable, "configuration_old", "the configuration may have changed", g.unreadyRetryAfter())
 	case !ok:
 		return refuse(http.StatusUnauthorized, "unknown_key", "the key is not known", 0)
-	case !g.configFresh(maxAge):
+	case !g.recent(confirmed, maxAge):
 		return refuse(http.StatusServiceUnavailable, "keys_unknown", "the instance cannot tell whether the key was withdrawn", g.unreadyRetryAfter())
 	}
 	j.Workspace = workspace
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,11 +210,21 @@
 
 func (g *Gateway) now() time.Duration { return g.clock() }
 
-// configFresh reports whether the last successful read of the configuration is not older than maxAge. An instance that
+// configFresh reports whether the configuration in force was confirmed within maxAge.
+func (g *Gateway) configFresh(maxAge time.Duration) bool { return g.recent(g.lastConfirmed(), maxAge) }
+
+// lastConfirmed returns when the last successful read of the configuration was sent, 0 if there was none. An instance that
 // still has to ask others does not know whether they have a newer one that the log service lost.
-func (g *Gateway) configFresh(maxAge time.Duration) bool {
-	read := g.configRead.Load()
-	return read != 0 && g.peersAsked.Load() && g.now()-time.Duration(read) <= maxAge
+func (g *Gateway) lastConfirmed() time.Duration {
+	if !g.peersAsked.Load() {
+		return 0
+	}
+	return time.Duration(g.configRead.Load())
+}
+
+// recent reports whether a time returned by lastConfirmed is not 0 and not older than maxAge.
+func (g *Gateway) recent(confirmed, maxAge time.Duration) bool {
+	return confirmed != 0 && g.now()-confirmed <= maxAge
 }
 
 // start runs f in the background. Its context is cancelled at the end of Serve, which waits for f. After that, f is not run:
