gateway, platform: an order is sent only under a lease that is still valid

An instance that was suspended between the check of its lease and the write of an order sent the order afterwards, when another instance may own the worker.

Cause: the lease was judged before the order was chosen and its connection opened.

Before, TestOrderAfterSuspend: orders that arrived after a suspension of 20 s without a heartbeat since: Expected: 0, Actual: 1. Passes now, under -race; orders go on with the next lease.

--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
@@ -315,6 +317,16 @@
 	external.OrderSatisfied: residency.Holds, external.OrderConflict: residency.Conflict, external.OrderRejected: residency.Conflict,
 }
 
+var errLeaseEnded = trace.CompareFailed("the lease for orders to the worker has ended")
+
+// confirmOrder returns an error if the lease has ended since the order was chosen: the process may have been paused.
+func (o *owner) confirmOrder() error {
+	if !o.g.maySendOrders() {
+		return errLeaseEnded
+	}
+	return nil
+}
+
 // sendOrder sends an order to the worker and applies the result to the state.
 func (o *owner) sendOrder(ctx context.Context, a residency.Action) {
 	kind := external.OrderLoad
@@ -324,7 +336,7 @@
 	start := o.g.now()
 	result, err := o.g.platform.Control.Order(ctx, o.worker, external.Order{
 		Kind: kind, Model: a.Adapter.Model, Adapter: a.Adapter.Name, Version: a.Version, Seq: a.Seq,
-		Holder: o.g.settings.Instance, Fence: o.fence,
+		Holder: o.g.settings.Instance, Fence: o.fence, Confirm: o.confirmOrder,
 	})
 	now := o.g.now()
 	o.g.metrics.countOrder(orderNames[a.Step], err == nil)
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -127,6 +127,9 @@
 	// Holder identifies the owner, and Fence is its fencing token.
 	Holder string
 	Fence  int64
+	// Confirm, if set, is called when a connection is open, right before the order is sent on it. If it returns an error, the
+	// order is not sent.
+	Confirm func() error
 }
 
 // OrderResult is the result of an order.
