--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -11,8 +11,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -44,8 +46,12 @@
 	// that the route allows.
 	extraRejections = 3
 	// attemptLatencyFactor, multiplied by the route's target latency, is how long an idempotent request waits for
-	// a worker that does not respond before it is sent to another one.
+	// a worker that does not respond before it is sent to another one, and otherWorkerInterval how long it waits on if
+	// there is no other one, or the retry budget is used up.
 	attemptLatencyFactor = 2
+	otherWorkerInterval  = 100 * time.Millisecond
+	// maxHeaderAge is how long before a request is sent its headers, which name the time that is left, may be built.
+	maxHeaderAge = 20 * time.Millisecond
 	// retryAfter is the Retry-After of refusals whose cause is likely to pass soon.
 	retryAfter = 200 * time.Millisecond
 	// stopRetryAfter is that of requests to an instance that stops: another one takes them at once.
@@ -58,6 +64,12 @@
 // errStopping ends requests that the end of the process would otherwise cut off.
 var errStopping = errors.New("the instance stops")
 
+// The causes that end an attempt while its request goes on.
+var (
+	errRevoked = errors.New("the attempt was revoked")
+	errSlow    = errors.New("the worker did not respond in time")
+)
+
 var errResponseMemory = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "response_memory_full", "the instance holds as many bytes of responses as it may")
 
 // Job is one request of a caller, with all its attempts at workers.
@@ -147,8 +159,6 @@
 	// TakeRetry takes one further attempt for the job from the fleet's retry budget. It returns false if the budget
 	// does not allow one.
 	TakeRetry(j *Job) bool
-	// RetryAvailable reports whether TakeRetry would succeed now.
-	RetryAvailable(j *Job) bool
 	// Limits returns the limits in force for callers; a value of 0 means not set.
 	Limits() routing.Limits
 }
@@ -157,6 +167,8 @@
 type Placement interface {
 	// Place waits, at most until the job's deadline, for a worker that can serve the job. Errors carry a verdict.
 	Place(ctx context.Context, j *Job) (Reservation, error)
+	// HasOther reports whether a worker of the service that is not among those tried takes requests.
+	HasOther(service string, tried []workers.Key) bool
 }
 
 // Metrics records requests and attempts. Implementations must be safe for concurrent use.
@@ -313,7 +325,11 @@
 	// reservation is that of the current attempt, and answering is set once the attempt's first event has arrived.
 	reservation Reservation
 	answering   bool
-	verdict     verdict.Verdict
+	// revoked reports whether the current attempt was revoked.
+	revoked func() bool
+	// retryTaken is set when the current attempt was ended early and has taken the next one from the retry budget.
+	retryTaken atomic.Bool
+	verdict    verdict.Verdict
 	// resumed is the number of attempts after which the stream was first resumed; 0 if it was not.
 	resumed     int
 	lastEventID string
@@ -466,7 +482,7 @@
 			}
 		}
 		// An attempt that could not be sent put no load on a worker, so it takes nothing from the retry budget.
-		if c.outcome != Unreachable && c.outcome != Withheld && !c.server.Admission.TakeRetry(c.job) {
+		if c.outcome != Unreachable && c.outcome != Withheld && !c.retryTaken.Swap(false) && !c.server.Admission.TakeRetry(c.job) {
 			return c.combineVerdicts(v, ranAttempts > 0)
 		}
 	}
@@ -526,14 +542,16 @@
 	}
 	c.lastWorker = reservation.Worker.ID
 	c.reservation, c.answering, c.resuming = reservation, false, c.headerSent
-	attemptCtx, revoke := context.WithCancel(ctx)
-	defer revoke()
-	reservation.Sending(revoke)
+	attemptCtx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	c.revoked = func() bool { return context.Cause(attemptCtx) == errRevoked }
+	reservation.Sending(func() { end(errRevoked) })
+	defer c.endIfSlow(attemptCtx, end)()
 	err = c.send(attemptCtx, reservation)
 	if c.outcome == 0 {
 		c.outcome = Broken
 	}
-	if err != nil && ctx.Err() == nil && attemptCtx.Err() != nil {
+	if err != nil && ctx.Err() == nil && c.revoked() {
 		c.outcome = Abandoned
 		err = verdict.Wrap(err, verdict.FromError(err).Verdict, http.StatusBadGateway, "revoked", "the attempt was ended before its answer began")
 	}
@@ -549,7 +567,8 @@
 	return err
 }
 
-func (c *call) send(ctx context.Context, reservation Reservation) error {
+// workerHeader returns the headers of the request to the worker of a reservation, with the time that is left now.
+func (c *call) workerHeader(reservation Reservation) http.Header {
 	workspace := ""
 	priority := c.job.Route.Priority
 	if c.job.Workspace != nil {
@@ -558,16 +577,22 @@
 			priority = c.job.Workspace.Priority
 		}
 	}
-	remaining := time.Until(c.job.Deadline)
-	header := c.server.Headers.WorkerHeaders(c.r.Header, external.WorkerRequest{
-		Deadline: remaining, WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
+	return c.server.Headers.WorkerHeaders(c.r.Header, external.WorkerRequest{
+		Deadline: time.Until(c.job.Deadline), WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
 		Priority: priority, LastEventID: c.lastEventID,
 	})
-	options := upstream.Options{Deadline: c.attemptDeadline(), BeforeSend: func() error {
+}
+
+func (c *call) send(ctx context.Context, reservation Reservation) error {
+	header, built := c.workerHeader(reservation), time.Now()
+	options := upstream.Options{Deadline: c.job.Deadline, BeforeSend: func() error {
 		err := reservation.Confirm()
 		if err != nil {
 			c.outcome = Withheld
 		}
+		if time.Since(built) > maxHeaderAge {
+			maps.Copy(header, c.workerHeader(reservation))
+		}
 		return err
 	}}
 	if !c.job.Route.Retryable() {
@@ -593,16 +618,29 @@
 	return c.receive(resp)
 }
 
-// attemptDeadline returns when the current attempt ends. An attempt at an idempotent request leaves time for another
-// one if the route and the retry budget allow it, since the worker may hang.
-func (c *call) attemptDeadline() time.Time {
+// endIfSlow ends an attempt at an idempotent request whose worker does not respond, once another worker can take the
+// request and the retry budget allows that: the worker may hang, but it may also be slow and the only one.
+// The function that it returns stops the wait.
+func (c *call) endIfSlow(ctx context.Context, end context.CancelCauseFunc) (stop func() bool) {
 	r := c.job.Route
-	canRetry := r.Kind == routing.Idempotent && r.TargetLatency > 0 && len(c.job.Tried)+1 < r.MaxAttempts
 	early := time.Now().Add(attemptLatencyFactor * r.TargetLatency)
-	if canRetry && early.Before(c.job.Deadline) && c.server.Admission.RetryAvailable(c.job) {
-		return early
-	}
-	return c.job.Deadline
+	if r.Kind != routing.Idempotent || r.TargetLatency <= 0 || len(c.job.Tried)+1 >= r.MaxAttempts || !early.Before(c.job.Deadline) {
+		return func() bool { return false }
+	}
+	tried := append(slices.Clone(c.job.Tried), c.reservation.Worker.Key())
+	return time.AfterFunc(time.Until(early), func() {
+		for ctx.Err() == nil {
+			if c.server.Placement.HasOther(c.job.Service, tried) && c.server.Admission.TakeRetry(c.job) {
+				c.retryTaken.Store(true)
+				end(errSlow)
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(otherWorkerInterval):
+			}
+		}
+	}).Stop
 }
 
 // receive classifies a worker's response and forwards it to the caller.
@@ -619,7 +657,7 @@
 		// The headers show the rejection; its body does not matter.
 		resp.Discard()
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "worker_rejected", "the backend server did not take the request").WithRetryAfter(retryAfter)
-	case success && !info.Signed:
+	case !info.Signed && (success || isPromise(resp.StatusCode)):
 		c.outcome = Broken
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "unsigned_answer", "the answer is not the backend server's own")
 	case success && c.job.Route.Kind == routing.Stream && isEventStream(resp, !c.headerSent):
@@ -629,6 +667,15 @@
 	}
 }
 
+// isPromise reports whether a status tells the caller that its request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // forwardBuffered forwards a response after its last byte has been read, so that a truncated response never reaches
 // the caller.
 func (c *call) forwardBuffered(resp *upstream.Response, success bool) error {
--- a/internal/transport/forward/panic_test.go
+++ b/internal/transport/forward/panic_test.go
@@ -12,6 +12,7 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 )
 
@@ -34,6 +35,8 @@
 
 func (f placementFunc) Place(ctx context.Context, _ *Job) (Reservation, error) { return f(ctx) }
 
+func (placementFunc) HasOther(string, []workers.Key) bool { return false }
+
 type noMetrics struct{}
 
 func (noMetrics) Request(*routing.Route, int, verdict.Verdict, time.Duration) {}
