keepalive, gateway, drain: a stopping instance does not close connections under their callers' requests

Cause: 2.2 s after the stop all idle connections were closed at once, and each other one within 20 ms of its answer. A caller that had got no answer since the stop, or only one that began before it, could not know that, and used them. Change: connections stay open for half of the grace period, and each one for 0.5 s after its last answer, so that the next request gets an answer that announces the close.

--- a/internal/coordination/drain/drain.go
+++ b/internal/coordination/drain/drain.go
@@ -5,7 +5,7 @@
 
 import "time"
 
-// acceptShare is the part of the time between the stop and the exit in which requests are taken whose duration is not known. It
+// acceptShare is the part of the time between the stop and the exit in which requests are taken that may last beyond the exit. It
 // covers the time until the load balancer has removed the instance, and the headers of requests that have begun to arrive by
 // then. For streams it is streamAcceptShare: they cannot end with an error once they have begun.
 const (
@@ -26,12 +26,16 @@
 // Accepts reports whether a request is taken that arrives some time after the stop, or sent to a backend server that it did not
 // reach before, where left is the time until the instance exits and cuts off what it still serves.
 func Accepts(r Request, sinceStop, left time.Duration) bool {
-	if r.Usual > 0 && r.Usual <= left || !r.Stream && r.Timeout <= left {
-		return true
-	}
 	share := acceptShare
 	if r.Stream {
 		share = streamAcceptShare
 	}
-	return r.Usual == 0 && float64(sinceStop) <= share*float64(sinceStop+left)
+	switch late := float64(sinceStop) > share*float64(sinceStop+left); {
+	case !r.Stream && r.Timeout <= left:
+		return true
+	case late:
+		return !r.Stream && r.Usual > 0 && r.Usual <= left
+	default:
+		return r.Usual <= left
+	}
 }
--- a/internal/coordination/drain/drain_test.go
+++ b/internal/coordination/drain/drain_test.go
@@ -34,8 +34,10 @@
 func TestUsualDuration(t *testing.T) {
 	const left = 4 * time.Second
 	request := func(usual time.Duration) Request { return Request{Timeout: time.Minute, Usual: usual, Stream: true} }
-	Convey("one that usually ends before the exit is taken, however late", t, func() {
-		So(Accepts(request(left), time.Hour, left), ShouldBeTrue)
+	Convey("one that usually ends before the exit is taken, streams only early", t, func() {
+		So(Accepts(request(left), left/2, left), ShouldBeTrue)
+		So(Accepts(request(left), left, left), ShouldBeFalse)
+		So(Accepts(Request{Timeout: time.Minute, Usual: left}, time.Hour, left), ShouldBeTrue)
 	})
 	Convey("one that usually lasts longer is refused, however early", t, func() {
 		So(Accepts(request(left+1), 0, left), ShouldBeFalse)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,12 +5,17 @@
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
+	"github.com/turmericworks/turmericworks/internal/transport/keepalive"
 )
 
 const (
 	// loadBalancerDelay is how long connections are still accepted after the instance reports that it is not
 	// ready: the load balancer checks each second and removes an instance after two failed checks.
 	loadBalancerDelay = 2200 * time.Millisecond
+	// holdShare is the share of the grace period in which connections stay open although they are idle, and idleInDrain how long
+	// each one stays open after its last answer.
+	holdShare   = 0.5
+	idleInDrain = 500 * time.Millisecond
 	// lastAnswersMargin is how long before the end of the grace period the requests end that are not answered yet, so that their
 	// callers get an error, and exitMargin how long before it the process stops waiting for answers that have begun.
 	lastAnswersMargin = 800 * time.Millisecond
@@ -44,7 +49,8 @@
 	if err := s.callersListener.Close(); err != nil {
 		g.log.Warn().Err(err).Msg("listener for callers not closed")
 	}
-	served := g.awaitCallers(ctx, lastAnswers)
+	hold := start.Add(time.Duration(holdShare * float64(grace)))
+	served := g.awaitCallers(ctx, lastAnswers, keepalive.DrainTimes{Hold: time.Until(hold), Idle: idleInDrain})
 	if !served {
 		n := g.server.EndUnanswered()
 		g.log.Warn().Int("unanswered", n).Int("in_flight", g.server.InFlight()).Msg("requests still in flight at the end of the grace period")
@@ -55,7 +61,7 @@
 		defer close(left)
 		g.leave(ctx)
 	}()
-	if !served && !g.awaitCallers(ctx, exit) {
+	if !served && !g.awaitCallers(ctx, exit, keepalive.DrainTimes{}) {
 		g.server.ReportCutOff()
 	}
 	<-left
@@ -69,10 +75,10 @@
 }
 
 // awaitCallers waits until all connections of callers are closed, and reports whether they are at a time.
-func (g *Gateway) awaitCallers(ctx context.Context, until time.Time) bool {
+func (g *Gateway) awaitCallers(ctx context.Context, until time.Time, times keepalive.DrainTimes) bool {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	return g.connections.Drain(ctx) == nil
+	return g.connections.Drain(ctx, times) == nil
 }
 
 // leave appends a last heartbeat that ends the membership, so that the other instances take over this instance's
--- a/internal/transport/keepalive/keepalive.go
+++ b/internal/transport/keepalive/keepalive.go
@@ -81,14 +81,26 @@
 // opened or their last response ended. It returns the number of connections that it has newly found idle.
 func (c *Connections) CloseIdle(limit time.Duration) int { return c.expire(limit, limit, IdleLimit) }
 
-// Drain closes each connection once no request is being read or served on it, and returns when none is open or ctx has
-// ended. The server must not be shut down before Drain returns: it would drop requests that it has not read to the end
-// of their headers. Connections that are opened during the call are included.
-func (c *Connections) Drain(ctx context.Context) error {
+// DrainTimes are how long connections stay open in a drain although no request is being read or served on them. A request that
+// a client sends while its connection is being closed gets no response, while one that arrives before that gets one that
+// announces the close.
+type DrainTimes struct {
+	// Hold is how long all connections stay open after the begin of the drain.
+	Hold time.Duration
+	// Idle is how long each one stays open after its last response.
+	Idle time.Duration
+}
+
+// Drain closes each connection once no request is being read or served on it and its time has passed, and returns when none is
+// open or ctx has ended. The server must not be shut down before Drain returns: it would drop requests that it has not read to
+// the end of their headers. Connections that are opened during the call are included.
+func (c *Connections) Drain(ctx context.Context, times DrainTimes) error {
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
-	for {
-		c.expire(0, newConnectionLimit, Stop)
+	for begin := c.now(); ; {
+		if c.now()-begin >= times.Hold {
+			c.expire(times.Idle, max(times.Idle, newConnectionLimit), Stop)
+		}
 		if c.count() == 0 {
 			return nil
 		}
--- a/internal/transport/keepalive/keepalive_test.go
+++ b/internal/transport/keepalive/keepalive_test.go
@@ -195,7 +195,7 @@
 		status, err := s.unreadRequest(func() {
 			So(s.listener.Close(), ShouldBeNil)
 			s.expireOne()
-			go func() { drained <- s.connections.Drain(t.Context()) }()
+			go func() { drained <- s.connections.Drain(t.Context(), DrainTimes{}) }()
 		})
 		So(err, ShouldBeNil)
 		So(status, ShouldEqual, http.StatusOK)
@@ -218,7 +218,7 @@
 		s.expireOne()
 		_, err = unused.response()
 		So(err, ShouldEqual, io.ErrUnexpectedEOF)
-		So(s.connections.Drain(t.Context()), ShouldBeNil)
+		So(s.connections.Drain(t.Context(), DrainTimes{}), ShouldBeNil)
 	})
 }
 
@@ -240,7 +240,7 @@
 	})
 	Convey("a stop", t, func() {
 		s, _ := connect(t)
-		So(s.connections.Drain(t.Context()), ShouldBeNil)
+		So(s.connections.Drain(t.Context(), DrainTimes{}), ShouldBeNil)
 		So(<-closes, ShouldResemble, Close{Cause: Stop})
 	})
 	Convey("the client", t, func() {
@@ -256,6 +256,35 @@
 	})
 }
 
+// TestDrainTimes guards against requests that get no response since their connection is closed as soon as it is idle.
+func TestDrainTimes(t *testing.T) {
+	const wait = 10 * drainPollInterval
+	drain := func(times DrainTimes) (*client, chan error) {
+		s := newTestServer(t, 0)
+		c := s.dial()
+		_, err := c.exchange(request)
+		So(err, ShouldBeNil)
+		drained := make(chan error, 1)
+		go func() { drained <- s.connections.Drain(t.Context(), times) }()
+		time.Sleep(wait)
+		return c, drained
+	}
+	Convey("a request during the hold is served, and the connection is closed after it", t, func() {
+		c, drained := drain(DrainTimes{Hold: 2 * wait})
+		status, err := c.exchange(request)
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusOK)
+		So(<-drained, ShouldBeNil)
+	})
+	Convey("so is one soon after the last response", t, func() {
+		c, drained := drain(DrainTimes{Idle: 2 * wait})
+		status, err := c.exchange(request)
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, http.StatusOK)
+		So(<-drained, ShouldBeNil)
+	})
+}
+
 // TestBegunHeaderIsNotIdle guards against the close of a connection on which the header of a request has begun to arrive,
 // alone, together with the previous request or while that was served.
 func TestBegunHeaderIsNotIdle(t *testing.T) {
@@ -295,7 +324,7 @@
 				So(begin(s, c), ShouldBeNil)
 				ctx, cancel := context.WithTimeout(t.Context(), 5*drainPollInterval)
 				defer cancel()
-				So(s.connections.Drain(ctx), ShouldEqual, context.DeadlineExceeded)
+				So(s.connections.Drain(ctx, DrainTimes{}), ShouldEqual, context.DeadlineExceeded)
 				_, err := io.WriteString(c, request[part:])
 				So(err, ShouldBeNil)
 				status, err := c.response()
@@ -343,6 +372,6 @@
 		closing.Wait()
 		So(answered.Load(), ShouldBeGreaterThan, 0)
 		So(s.served.Load(), ShouldEqual, answered.Load())
-		So(s.connections.Drain(t.Context()), ShouldBeNil)
+		So(s.connections.Drain(t.Context(), DrainTimes{}), ShouldBeNil)
 	})
 }
