forward: a worker is given the time that is left when its request is sent

X-Deadline-Ms was computed before the connection was opened, which may take 0.7 s, or before the process was paused: the worker was given time that the caller no longer had. The headers are built again right before the request is sent if they are older than 20 ms.

Before, TestDeadlineAfterSlowConnect (connection opened in 600 ms, deadline of 4 s): Expected '4000' to be between '3300' and '3400'. Passes now, under -race.

--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -47,6 +48,8 @@
 	// there is no other one, or the retry budget is used up.
 	attemptLatencyFactor = 2
 	otherWorkerInterval  = 100 * time.Millisecond
+	// maxHeaderAge is how long before a request is sent its headers, which name the time that is left, may be built.
+	maxHeaderAge = 20 * time.Millisecond
 	// retryAfter is the Retry-After of refusals whose cause is likely to pass soon.
 	retryAfter = 200 * time.Millisecond
 	// stopRetryAfter is that of requests to an instance that stops: another one takes them at once.
@@ -395,7 +398,8 @@
 	return err
 }
 
-func (c *call) send(ctx context.Context, reservation Reservation) error {
+// workerHeader returns the headers of the request to the worker of a reservation, with the time that is left now.
+func (c *call) workerHeader(reservation Reservation) http.Header {
 	workspace := ""
 	priority := c.job.Route.Priority
 	if c.job.Workspace != nil {
@@ -404,16 +408,22 @@
 			priority = c.job.Workspace.Priority
 		}
 	}
-	remaining := time.Until(c.job.Deadline)
-	header := c.server.Headers.WorkerHeaders(c.r.Header, external.WorkerRequest{
-		Deadline: remaining, WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
+	return c.server.Headers.WorkerHeaders(c.r.Header, external.WorkerRequest{
+		Deadline: time.Until(c.job.Deadline), WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
 		Priority: priority, LastEventID: c.lastEventID,
 	})
+}
+
+func (c *call) send(ctx context.Context, reservation Reservation) error {
+	header, built := c.workerHeader(reservation), time.Now()
 	options := upstream.Options{Deadline: c.job.Deadline, BeforeSend: func() error {
 		err := reservation.Confirm()
 		if err != nil {
 			c.outcome = Withheld
 		}
+		if time.Since(built) > maxHeaderAge {
+			maps.Copy(header, c.workerHeader(reservation))
+		}
 		return err
 	}}
 	if !c.job.Route.Retryable() {
