forward: events whose lines end with a carriage return and a line feed

A stream whose worker ends lines so was held back whole and then cut at its end: its caller got 502, or a cut stream, for a sound one. Only "\n\n" counted as the end of an event; "\n\r\n" does so now, too. TestEventBuffer checks the same as before, over texts with carriage returns.

Before, TestEventsWithCarriageReturns: Expected: 200, Actual: 502. Passes now, under -race.

--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -22,8 +22,23 @@
 
 var errRevokedBegun = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "revoked", "the attempt was ended when its answer began")
 
-// eventEnd is the blank line that ends a server-sent event.
-var eventEnd = []byte("\n\n")
+// eventEnd is the blank line that ends a server-sent event, and eventEndCR one whose line ends with a carriage return and a line
+// feed.
+var (
+	eventEnd   = []byte("\n\n")
+	eventEndCR = []byte("\n\r\n")
+)
+
+// lastEventEnd returns the length of the part of b that ends with the last end of an event, 0 if there is none.
+func lastEventEnd(b []byte) int {
+	end := 0
+	for _, e := range [][]byte{eventEnd, eventEndCR} {
+		if i := bytes.LastIndex(b, e); i >= 0 {
+			end = max(end, i+len(e))
+		}
+	}
+	return end
+}
 
 // eventBuffer collects the bytes of a stream until they are complete events.
 type eventBuffer struct {
@@ -43,14 +58,14 @@
 	}
 	n, err := r.Read(b.data[len(b.data):cap(b.data)])
 	b.data = b.data[:len(b.data)+n]
-	// The first byte of an end may have been the last one of the read before.
-	from := max(0, b.searched-len(eventEnd)+1)
+	// The first bytes of an end may have been the last ones of the read before.
+	from := max(0, b.searched-len(eventEndCR)+1)
 	b.searched = len(b.data)
-	end := bytes.LastIndex(b.data[from:], eventEnd)
-	if end < 0 {
+	end := lastEventEnd(b.data[from:])
+	if end == 0 {
 		return nil, err
 	}
-	return b.data[:from+end+len(eventEnd)], err
+	return b.data[:from+end], err
 }
 
 // consume removes events that read has returned.
