gateway: a reservation at a limited worker ends with its time

A request that had reserved a limited worker's capacity and waited for its time was sent although the process was suspended meanwhile and the time long over: beside the requests that reserved capacity afterwards, the worker got more than its limit. A reservation that is more than 0.5 s late is given up, and the request reserves anew.

Before, TestCapacityAfterSuspend (limit of 2 requests/s, suspension of 10 s), requests in the busiest 3 s: Expected '11' to be less than or equal to '8'. Passes now, three times under -race.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -22,6 +22,9 @@
 	maxLimitWait = 300 * time.Millisecond
 	// limitRetryDelay is the shortest time after which a request that may wait as long as one without success asks again.
 	limitRetryDelay = 50 * time.Millisecond
+	// maxReservationDelay is how long after its time a reserved request may be sent. After a longer pause of the process, the
+	// worker's capacity of that time is over, and what others reserve now would come on top.
+	maxReservationDelay = 500 * time.Millisecond
 	// maxLimitedWorkers bounds the workers without capacity that are asked for one attempt.
 	maxLimitedWorkers = 6
 )
@@ -45,12 +48,16 @@
 		return false
 	}
 	wait, ok := g.reserveRequest(j, w)
-	if !ok || wait > 0 && !sleep(ctx, wait) {
+	if !ok {
+		return false
+	}
+	due := g.now() + wait
+	if wait > 0 && !sleep(ctx, wait) {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stillUsable(j, w) != nil
+	return g.now()-due <= maxReservationDelay && g.stillUsable(j, w) != nil
 }
 
 // limitError returns the error of a job without a worker: if workers would have taken it but for their limits or because they
