keepalive: a stop accepts what is queued and waits for the accept in progress

Callers would see: at the end of the time in which a stopping instance accepts connections, a connection that they have opened, perhaps with a whole request sent on it, is reset; or it is accepted and then ends with the process without an answer.

Cause: the close of a listening socket resets the connections in its queue. A connection that the socket's Accept has returned is counted only once it is tracked; Drain could count none and return before that.

Evidence, with the old close behind the new interface: TestStopAcceptsEstablishedConnections: read tcp 127.0.0.1:57510->127.0.0.1:33553: read: connection reset by peer TestStopWaitsForAccept: Expected: false, Actual: true (the drain had ended while a connection was being accepted)

Change: keepalive.Listener.Stop lets the server's Accept take connections until the queue is empty; the goroutine that accepts then closes the socket, so that no connection is untracked when Stop returns. Handshakes that end between the two are still reset. internal/gateway holds this listener; drain.go does not call Stop yet and closes it as before.

Measured: TestStop* pass, 1 run, and 10 under the race detector. Nothing was measured on a whole instance.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -362,7 +362,7 @@
 type servers struct {
 	callers, readiness, metrics *http.Server
 	// callersListener accepts the connections of callers.
-	callersListener net.Listener
+	callersListener *keepalive.Listener
 	stopPeers       func()
 }
 
@@ -386,11 +386,12 @@
 // listen starts the listeners for callers, readiness checks, metrics and peers.
 func (g *Gateway) listen() (*servers, error) {
 	s := &servers{}
-	var err error
-	if s.callersListener, err = g.network.Listen(g.settings.CallersAddress); err != nil {
+	callers, err := g.network.Listen(g.settings.CallersAddress)
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s.callers = g.serveHTTP(g.connections.Listener(s.callersListener), g.server, g.connections.ConnState)
+	s.callersListener = g.connections.Listener(callers)
+	s.callers = g.serveHTTP(s.callersListener, g.server, g.connections.ConnState)
 	if s.readiness, err = g.listenHTTP(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/transport/keepalive/keepalive.go
+++ b/internal/transport/keepalive/keepalive.go
@@ -34,8 +34,8 @@
 }
 
 // Listener returns a listener whose connections are tracked until they are closed.
-func (c *Connections) Listener(l net.Listener) net.Listener {
-	return &listener{Listener: l, connections: c}
+func (c *Connections) Listener(l net.Listener) *Listener {
+	return &Listener{Listener: l, connections: c, ended: make(chan struct{})}
 }
 
 // ConnState is the ConnState hook of the server that serves the listener.
@@ -59,7 +59,7 @@
 
 // Drain closes each connection once no request is being read or served on it, and returns when none is open or ctx has
 // ended. The server must not be shut down before Drain returns: it would drop requests that it has not read to the end
-// of their headers. Connections that are opened during the call are included.
+// of their headers. Connections that are opened during the call are included; the listener must have been stopped.
 func (c *Connections) Drain(ctx context.Context) error {
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
@@ -106,17 +106,3 @@
 	c.open[tracked] = struct{}{}
 	return tracked
 }
-
-type listener struct {
-	net.Listener
-	connections *Connections
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.connections.add(nc), nil
-}
