gateway: a panic in a background task ends only the task

Callers would see: all requests in flight at an instance end without an answer because a task beside them reached a fault: a refund, a report of crashes, the load of a replica, the orders to a worker, the configuration of a peer, the expiry of worker entries.

Cause: these run in goroutines of their own, outside the supervisor, which recovers only the panics of its services (read in suture v4, supervisor.go).

Change: Gateway.start, the calls to several instances at once and the timer of the expiry recover panics, log them with their stacks and count them in turmeric_panics_total. An owner whose orders end by a panic stops, so that its worker is claimed anew; its state is changed under deferred unlocks, so that the stop does not wait for a lock that is never released.

The owner's stop was only read.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -171,7 +171,7 @@
 		return
 	}
 	g.crashChecks[b.Worker] = true
-	g.start(func(ctx context.Context) { g.checkCrash(ctx, w, b) })
+	g.start("check after a broken attempt", func(ctx context.Context) { g.checkCrash(ctx, w, b) })
 }
 
 // checkCrash finds out whether the worker's process has ended since an attempt broke off there, and reports it.
--- a/internal/gateway/crashreport.go
+++ b/internal/gateway/crashreport.go
@@ -41,7 +41,7 @@
 		return
 	}
 	delay := crashReportDelay + time.Duration(g.fleetSize)*crashReportDelayPerMember
-	g.start(func(ctx context.Context) {
+	g.start("report of crashes", func(ctx context.Context) {
 		if sleep(ctx, delay) {
 			g.sendCrashReport(ctx)
 		}
@@ -67,12 +67,15 @@
 		}
 		calls++
 		go func() {
-			r, err := g.peers.clients.ReportCrashes(ctx, m.Heartbeat.Address, message)
-			if err != nil {
-				// The heartbeat contains the same.
-				g.log.Debug().Err(err).Str("peer", m.Instance).Msg("peer not reached with a report of crashes")
-			}
-			responses <- r
+			var r *peerpb.ReportCrashesResponse
+			defer func() { responses <- r }()
+			g.guard("report of crashes to a peer", func() {
+				var err error
+				if r, err = g.peers.clients.ReportCrashes(ctx, m.Heartbeat.Address, message); err != nil {
+					// The heartbeat contains the same.
+					g.log.Debug().Err(err).Str("peer", m.Instance).Msg("peer not reached with a report of crashes")
+				}
+			})
 		}()
 	}
 	var answered []retry.Suspect
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -183,7 +183,7 @@
 	for _, o := range owners {
 		o.loadNewVersion(a, v.Version)
 	}
-	g.start(func(ctx context.Context) {
+	g.start("end of old adapter versions", func(ctx context.Context) {
 		if sleep(ctx, g.settings.Bounds.oldVersionBegin()) {
 			g.revokeOldVersions(a, v.Version)
 		}
@@ -243,7 +243,7 @@
 	}
 	if pending {
 		// Expiry must not depend on the next read of the registry, which may be late or fail.
-		time.AfterFunc(next.Sub(wall), g.expireWorkers)
+		time.AfterFunc(next.Sub(wall), func() { g.guard("expiry of workers", g.expireWorkers) })
 	}
 	if changed {
 		g.log.Info().Int("workers", len(set.All())).Bool("after_outage", !recovered.IsZero()).Msg("workers changed")
--- a/internal/gateway/fleetrelay.go
+++ b/internal/gateway/fleetrelay.go
@@ -56,7 +56,7 @@
 	now := r.g.now()
 	due := r.batch.Add(len(record), urgent, now)
 	r.mu.Unlock()
-	r.g.start(func(ctx context.Context) {
+	r.g.start("relayed append", func(ctx context.Context) {
 		if sleep(ctx, due-now) {
 			r.flush(ctx)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,9 +217,9 @@
 	return read != 0 && g.peersAsked.Load() && g.now()-time.Duration(read) <= maxAge
 }
 
-// start runs f in the background. Its context is cancelled at the end of Serve, which waits for f. After that, f is not run:
-// calls of other instances may still arrive.
-func (g *Gateway) start(f func(ctx context.Context)) {
+// start runs a task in the background. Its context is cancelled at the end of Serve, which waits for it. After that, it is not
+// run: calls of other instances may still arrive. A panic ends only the task.
+func (g *Gateway) start(task string, f func(ctx context.Context)) {
 	g.starting.Lock()
 	defer g.starting.Unlock()
 	if g.lifetime.Err() != nil {
@@ -228,7 +228,7 @@
 	g.background.Add(1)
 	go func() {
 		defer g.background.Done()
-		f(g.lifetime)
+		g.guard(task, func() { f(g.lifetime) })
 	}()
 }
 
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -44,7 +44,17 @@
 		load:    workerload.New(e.Slots, e.MemoryTokens),
 		changed: make(chan struct{}),
 	}
-	g.start(func(context.Context) { o.run(ctx) })
+	g.start("owner of a worker", func(context.Context) {
+		failed := true
+		defer func() {
+			if failed {
+				// The worker is claimed anew.
+				o.stop()
+			}
+		}()
+		o.run(ctx)
+		failed = false
+	})
 	return o
 }
 
@@ -241,9 +251,7 @@
 		if o.g.resigned.Load() {
 			return
 		}
-		o.mu.Lock()
-		action := o.state.Next(o.g.now())
-		o.mu.Unlock()
+		action := o.next()
 		switch action.Step {
 		case residency.StepNone:
 			o.wait(ctx, action.At)
@@ -251,15 +259,35 @@
 			o.readReport(ctx)
 		case residency.StepRetire:
 			running := o.g.retire(ctx, o.worker, action.Adapter)
-			o.mu.Lock()
-			o.state.ApplyRetired(action.Adapter, running, o.g.now())
-			o.mu.Unlock()
+			o.applyRetired(action.Adapter, running)
 		default:
 			o.sendOrder(ctx, action)
 		}
 	}
 }
 
+// next returns the next action.
+func (o *owner) next() residency.Action {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Next(o.g.now())
+}
+
+// applyRetired applies how many requests for an adapter that is to be unloaded are in flight.
+func (o *owner) applyRetired(a residency.Adapter, running int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.ApplyRetired(a, running, o.g.now())
+}
+
+// applyReport applies a report that was requested at the time sent.
+func (o *owner) applyReport(r residency.Report, sent time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.ApplyReport(r, sent)
+	o.broadcast()
+}
+
 // wait waits until the time at, or for an idle interval if at is 0; wakeUp ends it early.
 func (o *owner) wait(ctx context.Context, at time.Duration) {
 	const idle = time.Second
@@ -298,10 +326,7 @@
 	for _, p := range r.Pending {
 		report.Pending[residency.Adapter{Model: p.Model, Name: p.Name}] = p.Version
 	}
-	o.mu.Lock()
-	o.state.ApplyReport(report, sent)
-	o.broadcast()
-	o.mu.Unlock()
+	o.applyReport(report, sent)
 	o.g.log.Info().Str("worker", o.worker.ID).Int64("seq", r.Seq).Int("adapters", len(report.Resident)).
 		Int("pending", len(report.Pending)).Bool("busy", r.Busy).Strs("models", report.Models).Msg("worker state read")
 }
--- a/internal/gateway/panics.go
+++ b/internal/gateway/panics.go
@@ -1,6 +1,19 @@
 package gateway
 
-import "fmt"
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+// guard runs a task. A panic ends only the task: the process has requests in flight that have no part in it.
+func (g *Gateway) guard(task string, f func()) {
+	defer func() {
+		if v := recover(); v != nil {
+			g.recordPanic(task, v, debug.Stack())
+		}
+	}()
+	f()
+}
 
 // recordPanic logs and counts a panic in a background task or in a call of another instance.
 func (g *Gateway) recordPanic(task string, value any, stack []byte) {
--- a/internal/gateway/peerconfig.go
+++ b/internal/gateway/peerconfig.go
@@ -113,7 +113,11 @@
 	start := g.now()
 	done := make(chan bool, len(peers))
 	for _, p := range peers {
-		go func() { done <- g.askPeerForConfig(ctx, p) }()
+		go func() {
+			ok := false
+			defer func() { done <- ok }()
+			g.guard("configuration of a peer", func() { ok = g.askPeerForConfig(ctx, p) })
+		}()
 	}
 	answered := 0
 	for range peers {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -131,8 +131,12 @@
 		}
 		calls++
 		go func() {
-			r, err := g.peers.clients.Retire(ctx, m.Heartbeat.Address, &peerpb.RetireRequest{Engine: w.ID, Adapter: a.String()})
-			counts <- int(r.GetInFlight())
+			var r *peerpb.RetireResponse
+			defer func() { counts <- int(r.GetInFlight()) }()
+			var err error
+			g.guard("unload at a peer", func() {
+				r, err = g.peers.clients.Retire(ctx, m.Heartbeat.Address, &peerpb.RetireRequest{Engine: w.ID, Adapter: a.String()})
+			})
 			if err != nil {
 				g.log.Debug().Err(err).Str("worker", w.ID).Str("peer", m.Instance).Msg("peer not reached before the unload of an adapter")
 			}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -465,13 +465,15 @@
 			continue
 		}
 		g.replicaLoads[workerAdapter{w.ID, a}] = true
-		g.start(func(ctx context.Context) {
+		g.start("load of a replica", func(ctx context.Context) {
+			defer func() {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				delete(g.replicaLoads, workerAdapter{w.ID, a})
+			}()
 			ctx, cancel := context.WithTimeout(ctx, ownerResponseTimeout)
 			defer cancel()
 			g.ensureResident(ctx, w, wantedAdapter{adapter: a, version: version})
-			g.mu.Lock()
-			delete(g.replicaLoads, workerAdapter{w.ID, a})
-			g.mu.Unlock()
 		})
 		return
 	}
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -212,7 +212,7 @@
 		}
 		return
 	}
-	g.start(func(ctx context.Context) {
+	g.start("refund", func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, spendTimeout)
 		defer cancel()
 		refund := &peerpb.SpendRequest{Workspace: j.Workspace.Name, Microtokens: -int64(j.ChargedUnits * microtokensPerUnit)}
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -112,7 +112,7 @@
 // deadline.
 func (g *Gateway) reportPlace(p workerPlace, r *peerpb.EndRequestRequest) {
 	r.Engine, r.Place = incarnationName(p.worker), p.number
-	g.start(func(ctx context.Context) {
+	g.start("report of a place", func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, endTimeout)
 		defer cancel()
 		if _, err := g.peers.clients.EndRequest(ctx, p.owner.address, r); err != nil {
