gateway: a panic does not leave the instance's lock held

Callers would see: after one fault in a request's placement or in a feed, no further request at the instance gets an answer: each waits for the instance's lock until its deadline, while readiness checks still succeed.

Cause: net/http and the supervisor recover panics of handlers and services, but these held the lock without a deferred unlock.

Evidence, on the old code: TestPanicReleasesLocks, all seven cases (placement with and without a model, worker entries, their expiry, heartbeat, upkeep, wait for an adapter): the panic came, then So(TryLock(), ShouldBeTrue) failed.

Change: longer sections that hold the lock release it by a deferred unlock (Gateway.locked); upkeep and the wait for an adapter are split into functions for that.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -215,29 +215,32 @@
 func (g *Gateway) applyEntries(entries []workers.Entry, c change, recovered time.Time) time.Time {
 	wall, now := time.Now(), g.now()
 	g.logUnreadable("workers", unreadableEntries(entries))
-	g.mu.Lock()
-	if g.restored.After(recovered) {
-		recovered = g.restored
-	}
-	g.workerRegistry.StartEra(c.era)
-	changed := false
-	if c.snapshot {
-		g.workerRegistry.Replace(entries, recovered, wall)
-		changed = true
-	}
-	for _, e := range entries {
-		if !c.snapshot && g.workerRegistry.Apply(e, recovered, wall) {
+	var set *workers.Set
+	var next time.Time
+	var ignored []workers.Key
+	changed, pending := false, false
+	g.locked(func() {
+		if g.restored.After(recovered) {
+			recovered = g.restored
+		}
+		g.workerRegistry.StartEra(c.era)
+		if c.snapshot {
+			g.workerRegistry.Replace(entries, recovered, wall)
 			changed = true
-			g.logEntry(e)
 		}
-		if e.Worker != nil && !g.residency.ApplyEntry(e.Worker, now) {
-			g.log.Info().Str("worker", e.ID).Int64("seq", e.Worker.Seq).Int64("era", c.era).Msg("older list of adapters ignored")
+		for _, e := range entries {
+			if !c.snapshot && g.workerRegistry.Apply(e, recovered, wall) {
+				changed = true
+				g.logEntry(e)
+			}
+			if e.Worker != nil && !g.residency.ApplyEntry(e.Worker, now) {
+				g.log.Info().Str("worker", e.ID).Int64("seq", e.Worker.Seq).Int64("era", c.era).Msg("older list of adapters ignored")
+			}
 		}
-	}
-	set, changed := g.publishWorkers(changed, wall)
-	next, pending := g.workerRegistry.NextExpiry()
-	ignored := g.workerRegistry.TakeIgnored()
-	g.mu.Unlock()
+		set, changed = g.publishWorkers(changed, wall)
+		next, pending = g.workerRegistry.NextExpiry()
+		ignored = g.workerRegistry.TakeIgnored()
+	})
 	for _, k := range ignored {
 		g.log.Info().Str("worker", k.ID).Int64("born", k.StartedMilli).Int64("era", c.era).Bool("snapshot", c.snapshot).Msg("restored entry ignored")
 	}
@@ -268,9 +271,9 @@
 
 // expireWorkers removes the workers whose entries were not written again after an outage.
 func (g *Gateway) expireWorkers() {
-	g.mu.Lock()
-	set, changed := g.publishWorkers(false, time.Now())
-	g.mu.Unlock()
+	var set *workers.Set
+	changed := false
+	g.locked(func() { set, changed = g.publishWorkers(false, time.Now()) })
 	if changed {
 		g.log.Info().Int("workers", len(set.All())).Msg("entries that did not come back are dropped")
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -172,23 +172,23 @@
 	}
 	sent := g.now()
 	started, unchallenged := g.orderLease.Load() != nil, g.unchallenged(sent)
-	g.mu.Lock()
 	pending := sentHeartbeat{sent: sent, lease: timing.LeaseDuration, spend: timing.SpendDuration}
-	g.unconfirmed[heartbeat.Number] = pending
-	if !heartbeat.Resigned {
-		heartbeat.Owned = g.members.HeldWorkers()
-	}
-	// An instance that gets no answers cannot claim what is assigned to it.
-	heartbeat.Paused = g.members.Paused(sent) || started && !unchallenged
-	if heartbeat.Era = g.members.Era(); heartbeat.Era > 0 {
-		heartbeat.EraAgeMS = g.members.EraAge(sent).Milliseconds()
-	}
-	heartbeat.StartAt = g.members.StartAt(sent)
-	heartbeat.Usage = g.takeUsage()
-	heartbeat.BrokenAttempts = g.takeBrokenAttempts()
-	heartbeat.CrashRefusals = g.crashRefusalRecords()
-	heartbeat.WorkerLimits = g.workerLimitRecords()
-	g.mu.Unlock()
+	g.locked(func() {
+		g.unconfirmed[heartbeat.Number] = pending
+		if !heartbeat.Resigned {
+			heartbeat.Owned = g.members.HeldWorkers()
+		}
+		// An instance that gets no answers cannot claim what is assigned to it.
+		heartbeat.Paused = g.members.Paused(sent) || started && !unchallenged
+		if heartbeat.Era = g.members.Era(); heartbeat.Era > 0 {
+			heartbeat.EraAgeMS = g.members.EraAge(sent).Milliseconds()
+		}
+		heartbeat.StartAt = g.members.StartAt(sent)
+		heartbeat.Usage = g.takeUsage()
+		heartbeat.BrokenAttempts = g.takeBrokenAttempts()
+		heartbeat.CrashRefusals = g.crashRefusalRecords()
+		heartbeat.WorkerLimits = g.workerLimitRecords()
+	})
 	data, err := fleetlog.Encode(fleetlog.Record{Instance: g.settings.Instance, Incarnation: g.incarnation, Heartbeat: heartbeat})
 	if err != nil {
 		return fleetAppend{}, err
@@ -475,9 +475,8 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	g.mu.Lock()
-	claim := g.members.Claim(ids, g.now(), quota.TakeoverDelay)
-	g.mu.Unlock()
+	var claim *fleetlog.Claim
+	g.locked(func() { claim = g.members.Claim(ids, g.now(), quota.TakeoverDelay) })
 	// In a later era than the one in which the stream was read, a claim has no use.
 	if claim != nil && claim.Era == g.latestEra.Load().era {
 		if err := g.claim(ctx, claim); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -291,35 +291,40 @@
 			return ctx.Err()
 		}
 		g.closeIdleCallers()
-		set := g.workers.Load()
-		exists := func(k workers.Key) bool {
-			w, ok := set.Get(k.ID)
-			return ok && w.Key() == k
-		}
-		leaving := g.leavingWorkers(set)
-		g.pool.Retain(func(k workers.Key) bool { return exists(k) && !leaving[k] })
-		g.mu.Lock()
-		g.residency.Retain(exists)
-		g.popularity.Trim(g.now())
-		g.releaseMissing(g.now())
-		names := map[string]bool{}
-		for _, w := range set.All() {
-			names[incarnationName(w)] = true
-		}
-		listed := func(name string) bool { return names[name] }
-		g.limits.Retain(listed)
-		g.availability.Retain(listed, g.now())
-		for k := range g.unreachable {
-			if _, ok := g.members.Member(k.incarnation); !ok {
-				delete(g.unreachable, k)
-			}
+		g.removeUnused()
+	}
+}
+
+// removeUnused removes the state of workers and instances that are gone.
+func (g *Gateway) removeUnused() {
+	set := g.workers.Load()
+	exists := func(k workers.Key) bool {
+		w, ok := set.Get(k.ID)
+		return ok && w.Key() == k
+	}
+	leaving := g.leavingWorkers(set)
+	g.pool.Retain(func(k workers.Key) bool { return exists(k) && !leaving[k] })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.residency.Retain(exists)
+	g.popularity.Trim(g.now())
+	g.releaseMissing(g.now())
+	names := map[string]bool{}
+	for _, w := range set.All() {
+		names[incarnationName(w)] = true
+	}
+	listed := func(name string) bool { return names[name] }
+	g.limits.Retain(listed)
+	g.availability.Retain(listed, g.now())
+	for k := range g.unreachable {
+		if _, ok := g.members.Member(k.incarnation); !ok {
+			delete(g.unreachable, k)
 		}
-		for k, n := range g.inFlight {
-			if n == 0 && !exists(k) {
-				delete(g.inFlight, k)
-			}
+	}
+	for k, n := range g.inFlight {
+		if n == 0 && !exists(k) {
+			delete(g.inFlight, k)
 		}
-		g.mu.Unlock()
 	}
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -104,25 +104,28 @@
 func (g *Gateway) reserveRequest(j *forward.Job, w *workers.Worker) (wait time.Duration, ok bool) {
 	name := incarnationName(w)
 	maxWait := limitWait(j)
-	g.mu.Lock()
-	now := g.now()
-	rate, limited := g.limits.Rate(name, now)
+	var rate float64
+	var holder peerInstance
+	limited, known := false, false
+	g.locked(func() {
+		now := g.now()
+		if rate, limited = g.limits.Rate(name, now); !limited {
+			return
+		}
+		if holder, known = g.limitHolder(name, now); known && holder.incarnation == g.incarnation {
+			wait, ok = g.limits.Reserve(name, rate, maxWait, now)
+		}
+	})
 	if !limited {
-		g.mu.Unlock()
 		return 0, true
 	}
-	holder, known := g.limitHolder(name, now)
-	if known && holder.incarnation == g.incarnation {
-		wait, ok = g.limits.Reserve(name, rate, maxWait, now)
-	}
-	g.mu.Unlock()
 	reached := known && holder.incarnation == g.incarnation
 	if known && !reached {
 		wait, ok, reached = g.reserveAt(holder, name, rate, maxWait)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now = g.now()
+	now := g.now()
 	if !reached {
 		wait, ok = g.limits.ReserveWithoutHolder(name, rate, g.fleetSize, maxWait, now)
 	}
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -156,44 +156,61 @@
 
 // ensureResident waits until the adapter is resident.
 func (o *owner) ensureResident(ctx context.Context, want wantedAdapter) (out loadedAdapter) {
-	a, version := want.adapter, want.version
 	due := time.Duration(0)
-	o.mu.Lock()
-	now := o.g.now()
 	if want.slack > 0 {
-		due = now + want.slack
+		due = o.g.now() + want.slack
 	}
-	if o.stopped || !o.g.maySendOrders() || !o.state.Admits(a, version, due, now) || !o.placeWaiter(want, now, &out) {
-		o.mu.Unlock()
+	if out = o.beginWait(want, due); !out.admitted {
 		return out
 	}
-	out.admitted = true
-	o.state.AddWaiter(a, version, due, now)
-	defer func() {
-		o.mu.Lock()
-		o.state.RemoveWaiter(a, due)
-		if !out.resident {
-			o.load.End(out.place, false, o.g.now())
-		}
-		o.mu.Unlock()
-	}()
+	defer func() { o.endWait(want.adapter, due, out) }()
 	for {
-		_, ok := o.state.Holds(a, version)
-		if ok || o.stopped {
-			o.mu.Unlock()
-			out.resident = ok
+		resident, changed := o.checkWait(want.adapter, want.version)
+		if resident || changed == nil {
+			out.resident = resident
 			return out
 		}
-		o.state.Want(a, version, o.g.now())
-		changed := o.changed
-		o.mu.Unlock()
 		o.wakeUp()
 		select {
 		case <-ctx.Done():
 			return out
 		case <-changed:
 		}
-		o.mu.Lock()
+	}
+}
+
+// beginWait adds a request that waits for an adapter until the time due, and gives it its place, if it is admitted.
+func (o *owner) beginWait(want wantedAdapter, due time.Duration) (out loadedAdapter) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.g.now()
+	if o.stopped || !o.g.maySendOrders() || !o.state.Admits(want.adapter, want.version, due, now) || !o.placeWaiter(want, now, &out) {
+		return out
+	}
+	out.admitted = true
+	o.state.AddWaiter(want.adapter, want.version, due, now)
+	return out
+}
+
+// checkWait reports whether an adapter is resident. If it is not, it requests the adapter and returns a channel that is closed at
+// the next change of the state, nil if the owner has stopped.
+func (o *owner) checkWait(a residency.Adapter, version int64) (resident bool, changed <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.state.Holds(a, version); ok || o.stopped {
+		return ok, nil
+	}
+	o.state.Want(a, version, o.g.now())
+	return false, o.changed
+}
+
+// endWait removes a request that has waited, and ends its place if the adapter is not resident.
+func (o *owner) endWait(a residency.Adapter, due time.Duration, out loadedAdapter) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.RemoveWaiter(a, due)
+	if !out.resident {
+		o.load.End(out.place, false, o.g.now())
 	}
 }
 
--- a/internal/gateway/panics.go
+++ b/internal/gateway/panics.go
@@ -15,6 +15,14 @@
 	f()
 }
 
+// locked calls f while the lock is held, and releases it also if f panics: a request or service that fails would otherwise
+// block all others for good.
+func (g *Gateway) locked(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f()
+}
+
 // recordPanic logs and counts a panic in a background task or in a call of another instance.
 func (g *Gateway) recordPanic(task string, value any, stack []byte) {
 	g.metrics.panics.WithLabelValues(task).Inc()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -36,13 +36,14 @@
 func (p *placement) Place(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
 	g := (*Gateway)(p)
 	firstAttempt := j.Service == ""
-	g.mu.Lock()
-	if firstAttempt {
-		j.Service = chooseService(j.Route)
-		g.budget(j.Service).CountRequest(g.now())
-	}
-	refusal := g.crashRefusal(j)
-	g.mu.Unlock()
+	var refusal *verdict.Error
+	g.locked(func() {
+		if firstAttempt {
+			j.Service = chooseService(j.Route)
+			g.budget(j.Service).CountRequest(g.now())
+		}
+		refusal = g.crashRefusal(j)
+	})
 	if refusal != nil {
 		return forward.Reservation{}, refusal
 	}
@@ -177,14 +178,16 @@
 // placeByLoad places a job that needs no model or adapter at the least loaded worker.
 func (g *Gateway) placeByLoad(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
 	for range maxLimitedWorkers {
-		g.mu.Lock()
-		w := g.leastLoaded(g.candidates(j))
+		var w *workers.Worker
+		var reservation forward.Reservation
+		g.locked(func() {
+			if w = g.leastLoaded(g.candidates(j)); w != nil {
+				reservation = g.reserve(j, w, residency.Adapter{}, 0)
+			}
+		})
 		if w == nil {
-			g.mu.Unlock()
 			break
 		}
-		reservation := g.reserve(j, w, residency.Adapter{}, 0)
-		g.mu.Unlock()
 		if g.claimCapacity(ctx, j, w) {
 			return reservation, nil
 		}
@@ -309,17 +312,24 @@
 		if late && len(failed) == loadAttempts {
 			break
 		}
-		g.mu.Lock()
-		list := g.candidates(j)
-		version, accepted := g.adapterVersions(a)
-		resident := g.residentWorkers(list, a, accepted)
-		if refusal := g.crashRefusal(j); refusal != nil {
-			g.mu.Unlock()
+		var list, resident []*workers.Worker
+		var target, further *workers.Worker
+		var version int64
+		var refusal *verdict.Error
+		g.locked(func() {
+			var accepted int64
+			list = g.candidates(j)
+			version, accepted = g.adapterVersions(a)
+			resident = g.residentWorkers(list, a, accepted)
+			if refusal = g.crashRefusal(j); refusal != nil {
+				return
+			}
+			target = g.loadingWorker(list, resident, failed, a)
+			further = g.furtherWorker(list, resident, failed, a, late || elsewhere)
+		})
+		if refusal != nil {
 			return forward.Reservation{}, refusal
 		}
-		target := g.loadingWorker(list, resident, failed, a)
-		further := g.furtherWorker(list, resident, failed, a, late || elsewhere)
-		g.mu.Unlock()
 		if target == nil && len(resident) > 0 {
 			c := g.chooseResident(ctx, j, list, resident, a, further != nil)
 			switch {
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -100,13 +100,16 @@
 		}
 	}
 	now := g.now()
-	g.mu.Lock()
-	if b := g.buckets[w.Name]; b != nil {
-		j.ShareRate, j.ShareTokens = b.Level(now)
-	}
-	wait, taken, known := g.spendOwn(w.Name, j.Cost, now)
-	others, spentWait := g.otherHolders(w.Name, now)
-	g.mu.Unlock()
+	var wait, spentWait time.Duration
+	var taken, known bool
+	var others []peerInstance
+	g.locked(func() {
+		if b := g.buckets[w.Name]; b != nil {
+			j.ShareRate, j.ShareTokens = b.Level(now)
+		}
+		wait, taken, known = g.spendOwn(w.Name, j.Cost, now)
+		others, spentWait = g.otherHolders(w.Name, now)
+	})
 	if !taken && spentWait > 0 && (!known || spentWait < wait) {
 		wait, known = spentWait, true
 	}
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -150,9 +150,8 @@
 // chooseResident asks the owners of the workers at which the job's adapter is resident for a place, and reserves the worker that
 // gives one. If none does, the adapter is to be loaded at another worker, or the job goes where it waits least.
 func (g *Gateway) chooseResident(ctx context.Context, j *forward.Job, list, resident []*workers.Worker, a residency.Adapter, canLoad bool) residentChoice {
-	g.mu.Lock()
-	ranked := g.rankByLoad(resident)
-	g.mu.Unlock()
+	var ranked []*workers.Worker
+	g.locked(func() { ranked = g.rankByLoad(resident) })
 	maxWait := workerload.MaxWait(j.Route.TargetLatency - time.Since(j.Arrived))
 	var answers []workerload.Answer
 	var places []workerPlace
