--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -312,31 +312,18 @@
 		if late && len(failed) == loadAttempts {
 			break
 		}
-		var list, resident []*workers.Worker
-		var target, further *workers.Worker
-		var version int64
-		var refusal *verdict.Error
-		g.locked(func() {
-			var accepted int64
-			list = g.candidates(j)
-			version, accepted = g.adapterVersions(a)
-			resident = g.residentWorkers(list, a, accepted)
-			if refusal = g.crashRefusal(j); refusal != nil {
-				return
-			}
-			target = g.loadingWorker(list, resident, failed, a)
-			further = g.furtherWorker(list, resident, failed, a, late || elsewhere)
-		})
-		if refusal != nil {
-			return forward.Reservation{}, refusal
+		o := g.engineOptions(j, a, failed, late || elsewhere)
+		if o.refusal != nil {
+			return forward.Reservation{}, o.refusal
 		}
-		if target == nil && len(resident) > 0 {
-			c := g.chooseResident(ctx, j, list, resident, a, further != nil)
+		target := o.target
+		if target == nil && len(o.resident) > 0 {
+			c := g.chooseResident(ctx, j, o.list, o.resident, a, o.further != nil)
 			switch {
 			case c.refusal != nil:
 				return forward.Reservation{}, c.refusal
 			case c.elsewhere:
-				target, elsewhere = further, true
+				target, elsewhere = o.further, true
 			case g.claimCapacity(ctx, j, c.reservation.Worker):
 				g.recordSent(c.reservation.Worker, a)
 				return c.reservation, nil
@@ -360,7 +347,7 @@
 		if !ok {
 			continue
 		}
-		want := wantedAdapter{adapter: a, version: version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
+		want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
 		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
 			return reservation, nil
 		}
@@ -372,6 +359,35 @@
 	return forward.Reservation{}, adapterAbsentError()
 }
 
+// engineOptions are the workers at which a job for an adapter may be placed.
+type engineOptions struct {
+	// list holds the candidates, and resident those that hold the adapter.
+	list, resident []*workers.Worker
+	// target is the worker that should load the adapter, nil if the job should go to a resident one, and further the one that
+	// loads it if no resident worker admits the job.
+	target, further *workers.Worker
+	// version is the adapter version that the job should use.
+	version int64
+	// refusal is set if the job must not be placed.
+	refusal *verdict.Error
+}
+
+// engineOptions returns the workers at which a job may be placed. If noFurther is set, no further load may be started for it.
+func (g *Gateway) engineOptions(j *forward.Job, a residency.Adapter, failed []*workers.Worker, noFurther bool) (o engineOptions) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var accepted int64
+	o.list = g.candidates(j)
+	o.version, accepted = g.adapterVersions(a)
+	o.resident = g.residentWorkers(o.list, a, accepted)
+	if o.refusal = g.crashRefusal(j); o.refusal != nil {
+		return o
+	}
+	o.target = g.loadingWorker(o.list, o.resident, failed, a)
+	o.further = g.furtherWorker(o.list, o.resident, failed, a, noFurther)
+	return o
+}
+
 // reserveAfterLoad lets a worker load the job's adapter and reserves it, if both are done in time and the worker takes the
 // request from sendAt on.
 func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, sendAt time.Time) (forward.Reservation, bool) {
