Merge: the accept queue is emptied before the listener closes, panics end no process

gateway: the planned stop uses keepalive.Listener.Stop, so that connections in the queue of the listener are accepted before it is closed (TestStopAcceptsEstablishedConnections, red with the old close).

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -40,13 +40,13 @@
 	g.requestHeartbeat()
 	refusing, stopRefusing := context.WithCancel(ctx)
 	defer stopRefusing()
-	g.start(func(context.Context) { g.refuseWaiting(refusing) })
+	g.start("refuse waiting requests", func(context.Context) { g.refuseWaiting(refusing) })
 	if !sleep(ctx, loadBalancerDelay) {
 		return
 	}
 	// The connections that are open are served until they are idle; Shutdown would drop requests that it has not read to
 	// the end of their headers.
-	if err := s.callersListener.Close(); err != nil {
+	if err := s.callersListener.Stop(ctx); err != nil {
 		g.log.Warn().Err(err).Msg("listener for callers not closed")
 	}
 	hold := start.Add(time.Duration(holdShare * float64(grace)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,9 +229,9 @@
 	return confirmed != 0 && g.now()-confirmed <= maxAge
 }
 
-// start runs f in the background. Its context is cancelled at the end of Serve, which waits for f. After that, f is not run:
-// calls of other instances may still arrive.
-func (g *Gateway) start(f func(ctx context.Context)) {
+// start runs a task in the background. Its context is cancelled at the end of Serve, which waits for it. After that, it is not
+// run: calls of other instances may still arrive. A panic ends only the task.
+func (g *Gateway) start(task string, f func(ctx context.Context)) {
 	g.starting.Lock()
 	defer g.starting.Unlock()
 	if g.lifetime.Err() != nil {
@@ -240,7 +240,7 @@
 	g.background.Add(1)
 	go func() {
 		defer g.background.Done()
-		f(g.lifetime)
+		g.guard(task, func() { f(g.lifetime) })
 	}()
 }
 
@@ -303,35 +303,40 @@
 			return ctx.Err()
 		}
 		g.closeIdleCallers()
-		set := g.workers.Load()
-		exists := func(k workers.Key) bool {
-			w, ok := set.Get(k.ID)
-			return ok && w.Key() == k
-		}
-		leaving := g.leavingWorkers(set)
-		g.pool.Retain(func(k workers.Key) bool { return exists(k) && !leaving[k] })
-		g.mu.Lock()
-		g.residency.Retain(exists)
-		g.popularity.Trim(g.now())
-		g.releaseMissing(g.now())
-		names := map[string]bool{}
-		for _, w := range set.All() {
-			names[incarnationName(w)] = true
-		}
-		listed := func(name string) bool { return names[name] }
-		g.limits.Retain(listed)
-		g.availability.Retain(listed, g.now())
-		for k := range g.unreachable {
-			if _, ok := g.members.Member(k.incarnation); !ok {
-				delete(g.unreachable, k)
-			}
+		g.removeUnused()
+	}
+}
+
+// removeUnused removes the state of workers and instances that are gone.
+func (g *Gateway) removeUnused() {
+	set := g.workers.Load()
+	exists := func(k workers.Key) bool {
+		w, ok := set.Get(k.ID)
+		return ok && w.Key() == k
+	}
+	leaving := g.leavingWorkers(set)
+	g.pool.Retain(func(k workers.Key) bool { return exists(k) && !leaving[k] })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.residency.Retain(exists)
+	g.popularity.Trim(g.now())
+	g.releaseMissing(g.now())
+	names := map[string]bool{}
+	for _, w := range set.All() {
+		names[incarnationName(w)] = true
+	}
+	listed := func(name string) bool { return names[name] }
+	g.limits.Retain(listed)
+	g.availability.Retain(listed, g.now())
+	for k := range g.unreachable {
+		if _, ok := g.members.Member(k.incarnation); !ok {
+			delete(g.unreachable, k)
 		}
-		for k, n := range g.inFlight {
-			if n == 0 && !exists(k) {
-				delete(g.inFlight, k)
-			}
+	}
+	for k, n := range g.inFlight {
+		if n == 0 && !exists(k) {
+			delete(g.inFlight, k)
 		}
-		g.mu.Unlock()
 	}
 }
 
@@ -382,7 +387,7 @@
 type servers struct {
 	callers, readiness, metrics *http.Server
 	// callersListener accepts the connections of callers.
-	callersListener net.Listener
+	callersListener *keepalive.Listener
 	stopPeers       func()
 }
 
@@ -406,11 +411,12 @@
 // listen starts the listeners for callers, readiness checks, metrics and peers.
 func (g *Gateway) listen() (*servers, error) {
 	s := &servers{}
-	var err error
-	if s.callersListener, err = g.network.Listen(g.settings.CallersAddress); err != nil {
+	callers, err := g.network.Listen(g.settings.CallersAddress)
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s.callers = g.serveHTTP(g.connections.Listener(s.callersListener), g.server, g.connections.ConnState)
+	s.callersListener = g.connections.Listener(callers)
+	s.callers = g.serveHTTP(s.callersListener, g.server, g.connections.ConnState)
 	if s.readiness, err = g.listenHTTP(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -46,7 +46,17 @@
 		load:    workerload.New(e.Slots, e.MemoryTokens),
 		changed: make(chan struct{}),
 	}
-	g.start(func(context.Context) { o.run(ctx) })
+	g.start("owner of a worker", func(context.Context) {
+		failed := true
+		defer func() {
+			if failed {
+				// The worker is claimed anew.
+				o.stop()
+			}
+		}()
+		o.run(ctx)
+		failed = false
+	})
 	return o
 }
 
@@ -148,44 +158,61 @@
 
 // ensureResident waits until the adapter is resident.
 func (o *owner) ensureResident(ctx context.Context, want wantedAdapter) (out loadedAdapter) {
-	a, version := want.adapter, want.version
 	due := time.Duration(0)
-	o.mu.Lock()
-	now := o.g.now()
 	if want.slack > 0 {
-		due = now + want.slack
+		due = o.g.now() + want.slack
 	}
-	if o.stopped || !o.g.maySendOrders() || !o.state.Admits(a, version, due, now) || !o.placeWaiter(want, now, &out) {
-		o.mu.Unlock()
+	if out = o.beginWait(want, due); !out.admitted {
 		return out
 	}
-	out.admitted = true
-	o.state.AddWaiter(a, version, due, now)
-	defer func() {
-		o.mu.Lock()
-		o.state.RemoveWaiter(a, due)
-		if !out.resident {
-			o.load.End(out.place, false, o.g.now())
-		}
-		o.mu.Unlock()
-	}()
+	defer func() { o.endWait(want.adapter, due, out) }()
 	for {
-		_, ok := o.state.Holds(a, version)
-		if ok || o.stopped {
-			o.mu.Unlock()
-			out.resident = ok
+		resident, changed := o.checkWait(want.adapter, want.version)
+		if resident || changed == nil {
+			out.resident = resident
 			return out
 		}
-		o.state.Want(a, version, o.g.now())
-		changed := o.changed
-		o.mu.Unlock()
 		o.wakeUp()
 		select {
 		case <-ctx.Done():
 			return out
 		case <-changed:
 		}
-		o.mu.Lock()
+	}
+}
+
+// beginWait adds a request that waits for an adapter until the time due, and gives it its place, if it is admitted.
+func (o *owner) beginWait(want wantedAdapter, due time.Duration) (out loadedAdapter) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.g.now()
+	if o.stopped || !o.g.maySendOrders() || !o.state.Admits(want.adapter, want.version, due, now) || !o.placeWaiter(want, now, &out) {
+		return out
+	}
+	out.admitted = true
+	o.state.AddWaiter(want.adapter, want.version, due, now)
+	return out
+}
+
+// checkWait reports whether an adapter is resident. If it is not, it requests the adapter and returns a channel that is closed at
+// the next change of the state, nil if the owner has stopped.
+func (o *owner) checkWait(a residency.Adapter, version int64) (resident bool, changed <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.state.Holds(a, version); ok || o.stopped {
+		return ok, nil
+	}
+	o.state.Want(a, version, o.g.now())
+	return false, o.changed
+}
+
+// endWait removes a request that has waited, and ends its place if the adapter is not resident.
+func (o *owner) endWait(a residency.Adapter, due time.Duration, out loadedAdapter) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.RemoveWaiter(a, due)
+	if !out.resident {
+		o.load.End(out.place, false, o.g.now())
 	}
 }
 
@@ -243,9 +270,7 @@
 		if o.g.resigned.Load() {
 			return
 		}
-		o.mu.Lock()
-		action := o.state.Next(o.g.now())
-		o.mu.Unlock()
+		action := o.next()
 		switch action.Step {
 		case residency.StepNone:
 			o.wait(ctx, action.At)
@@ -253,15 +278,35 @@
 			o.readReport(ctx)
 		case residency.StepRetire:
 			running := o.g.retire(ctx, o.worker, action.Adapter)
-			o.mu.Lock()
-			o.state.ApplyRetired(action.Adapter, running, o.g.now())
-			o.mu.Unlock()
+			o.applyRetired(action.Adapter, running)
 		default:
 			o.sendOrder(ctx, action)
 		}
 	}
 }
 
+// next returns the next action.
+func (o *owner) next() residency.Action {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Next(o.g.now())
+}
+
+// applyRetired applies how many requests for an adapter that is to be unloaded are in flight.
+func (o *owner) applyRetired(a residency.Adapter, running int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.ApplyRetired(a, running, o.g.now())
+}
+
+// applyReport applies a report that was requested at the time sent.
+func (o *owner) applyReport(r residency.Report, sent time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.ApplyReport(r, sent)
+	o.broadcast()
+}
+
 // wait waits until the time at, or for an idle interval if at is 0; wakeUp ends it early.
 func (o *owner) wait(ctx context.Context, at time.Duration) {
 	const idle = time.Second
@@ -300,10 +345,7 @@
 	for _, p := range r.Pending {
 		report.Pending[residency.Adapter{Model: p.Model, Name: p.Name}] = p.Version
 	}
-	o.mu.Lock()
-	o.state.ApplyReport(report, sent)
-	o.broadcast()
-	o.mu.Unlock()
+	o.applyReport(report, sent)
 	o.g.log.Info().Str("worker", o.worker.ID).Int64("seq", r.Seq).Int("adapters", len(report.Resident)).
 		Int("pending", len(report.Pending)).Bool("busy", r.Busy).Strs("models", report.Models).Msg("worker state read")
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := peer.NewServer(nil)
+	s := peer.NewServer(nil, p.g.recordPanic)
 	peerpb.RegisterPeerServer(s, p)
 	go func() {
 		if err := s.Serve(l); err != nil {
@@ -131,8 +131,12 @@
 		}
 		calls++
 		go func() {
-			r, err := g.peers.clients.Retire(ctx, m.Heartbeat.Address, &peerpb.RetireRequest{Engine: w.ID, Adapter: a.String()})
-			counts <- int(r.GetInFlight())
+			var r *peerpb.RetireResponse
+			defer func() { counts <- int(r.GetInFlight()) }()
+			var err error
+			g.guard("unload at a peer", func() {
+				r, err = g.peers.clients.Retire(ctx, m.Heartbeat.Address, &peerpb.RetireRequest{Engine: w.ID, Adapter: a.String()})
+			})
 			if err != nil {
 				g.log.Debug().Err(err).Str("worker", w.ID).Str("peer", m.Instance).Msg("peer not reached before the unload of an adapter")
 			}
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -100,13 +100,16 @@
 		}
 	}
 	now := g.now()
-	g.mu.Lock()
-	if b := g.buckets[w.Name]; b != nil {
-		j.ShareRate, j.ShareTokens = b.Level(now)
-	}
-	wait, taken, known := g.spendOwn(w.Name, j.Cost, now)
-	others, spentWait := g.otherHolders(w.Name, now)
-	g.mu.Unlock()
+	var wait, spentWait time.Duration
+	var taken, known bool
+	var others []peerInstance
+	g.locked(func() {
+		if b := g.buckets[w.Name]; b != nil {
+			j.ShareRate, j.ShareTokens = b.Level(now)
+		}
+		wait, taken, known = g.spendOwn(w.Name, j.Cost, now)
+		others, spentWait = g.otherHolders(w.Name, now)
+	})
 	if !taken && spentWait > 0 && (!known || spentWait < wait) {
 		wait, known = spentWait, true
 	}
@@ -212,7 +215,7 @@
 		}
 		return
 	}
-	g.start(func(ctx context.Context) {
+	g.start("refund", func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, spendTimeout)
 		defer cancel()
 		refund := &peerpb.SpendRequest{Workspace: j.Workspace.Name, Microtokens: -int64(j.ChargedUnits * microtokensPerUnit)}
