daemon: a planned stop loses no request that has begun to arrive

What callers saw: a request whose header an instance had not read to the end when its planned stop began, or that lay unread in the socket of a connection that net/http takes for idle, got no answer: the connection was closed.

Cause: SetKeepAlivesEnabled(false) at the begin of the stop and Shutdown 2 s later close connections by net/http's state, which says "idle" until the headers of the next request are read. The gateway had the same fault (see docs/incidents/idle-connections-closed.md).

Evidence before (TestStopDuringHeader, in virtual time; 3 of 4 cases red):

used=true,later=1s: Expected '0 unexpected EOF' to start with '200' used=true,later=3s: Expected '0 unexpected EOF' to start with '503' used=false,later=3s: Expected '0 unexpected EOF' to start with '503'

and on real sockets (TestStopWithUnreadRequest, plain text and TLS):

Actual: 'read tcp 127.0.0.1:53274->127.0.0.1:38805: read: connection reset by peer' Actual: 'unexpected EOF'

Change: the listeners of callers and operators use internal/transport/keepalive. A stop closes the listeners, and each connection once it is idle. Connections are tracked below TLS. netutil.LimitListener hides the socket, which keepalive needs, so a limit listener of our own replaces it; with SyscallConn of its connections taken out, TestStopWithUnreadRequest is red again. Connection: close is announced when an answer begins (TestStopAnnouncesClose).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -23,10 +23,10 @@
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
+	"github.com/turmericworks/turmericworks/internal/transport/keepalive"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/internal/transport/peer"
 	"github.com/turmericworks/turmericworks/internal/transport/platformhttp"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 )
 
@@ -70,7 +70,10 @@
 	draining atomic.Bool
 	// refusing is set once a draining instance has reported unready for balancerDelay.
 	refusing atomic.Bool
-	servers  []*http.Server
+	// connections are those of callers and operators, and listeners accept them.
+	connections *keepalive.Connections
+	listeners   []net.Listener
+	servers     []*http.Server
 }
 
 // New assembles an instance. Run starts it.
@@ -84,6 +87,8 @@
 		opts: o, settings: o.Settings, registry: prometheus.NewRegistry(),
 		log: o.Log.With().Str("instance", o.Settings.Instance).Logger(),
 	}
+	created := time.Now()
+	d.connections = keepalive.New(func() time.Duration { return time.Since(created) })
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	var err error
 	if d.tlsConfigs, err = newTLSConfigs(d.settings.TLS, o.Network); err != nil {
@@ -113,7 +118,7 @@
 	})
 	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.control, d.events.record), daemon: d}
 	d.entry = entry.New(entry.Options{
-		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Record: d.events.record, Registry: d.registry,
+		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Draining: d.draining.Load, Record: d.events.record, Registry: d.registry,
 		MaxBodyMemory: int64(d.settings.Limits.MaxBodyMemoryBytes),
 	})
 	d.registry.MustRegister(newCollector(d))
@@ -173,53 +178,6 @@
 	adminConnections = 256
 )
 
-// listen opens a listener and returns a service that serves it. At most limit connections are accepted at
-// a time; further ones wait in the operating system's accept queue. If conf is nil, the listener uses
-// plain text.
-func (d *Daemon) listen(address string, conf *tls.Config, limit int, h http.Handler) (suture.Service, error) {
-	l, err := d.opts.Network.Listen(address)
-	if err != nil {
-		return nil, trace.Wrap(err, "listening on %s", address)
-	}
-	l = netutil.LimitListener(l, limit)
-	if conf != nil {
-		l = tls.NewListener(l, conf)
-	}
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes,
-		// "OPTIONS *" goes to the handler, so that it gets an answer with a verdict like every other
-		// request.
-		DisableGeneralOptionsHandler: true,
-		// HTTP/2 stays off: one connection could carry hundreds of requests, which max_connections does
-		// not bound.
-		Protocols: &http.Protocols{},
-	}
-	s.Protocols.SetHTTP1(true)
-	d.servers = append(d.servers, s)
-	// Close returns the errors of closing the listeners, which do not matter after the stop.
-	return &listenerService{serve: func() error { return s.Serve(l) }, stop: func() { _ = s.Close() }}, nil
-}
-
-// listenerService runs one listener under the supervisor.
-type listenerService struct {
-	serve func() error
-	stop  func()
-}
-
-// Serve implements suture.Service. The supervisor does not restart a listener that has stopped serving.
-func (s *listenerService) Serve(ctx context.Context) error {
-	done := make(chan error, 1)
-	go func() { done <- s.serve() }()
-	select {
-	case <-done:
-		return suture.ErrDoNotRestart
-	case <-ctx.Done():
-		s.stop()
-		return ctx.Err()
-	}
-}
-
 // listenPeers opens the listener for other instances.
 func (d *Daemon) listenPeers() (suture.Service, error) {
 	l, err := d.opts.Network.Listen(d.settings.Listen.Peers)
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -28,23 +28,32 @@
 	d.log.Info().Int("in_flight", d.entry.InFlight()).Msg("draining")
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Limits.DrainSeconds)*time.Second)
 	defer cancel()
-	for _, s := range d.servers {
-		// Callers open a new connection for their next request, which the load balancer sends to another instance.
-		s.SetKeepAlivesEnabled(false)
-	}
 	pauseFor(ctx, balancerDelay)
 	d.refusing.Store(true)
-	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			d.log.Warn().Err(err).Int("cut_requests", d.entry.InFlight()).Msg("drain time ended before all requests had finished")
-		}
-	}
+	d.drainConnections(ctx)
 	waitUntil(ctx, func() bool { return d.actions.inProgress() == 0 })
 	d.waitForOrders(ctx)
 	d.control.leave(ctx)
 	d.log.Info().Msg("drained")
 }
 
+// drainConnections closes the listeners, waits until the open connections are idle and closes them.
+func (d *Daemon) drainConnections(ctx context.Context) {
+	for _, l := range d.listeners {
+		if err := l.Close(); err != nil {
+			d.log.Warn().Err(err).Str("address", l.Addr().String()).Msg("listener not closed")
+		}
+	}
+	// Shutdown would drop requests that it has not read to the end of their headers.
+	if err := d.connections.Drain(ctx); err != nil {
+		d.log.Warn().Err(err).Int("cut_requests", d.entry.InFlight()).Msg("drain time ended before all requests had finished")
+	}
+	for _, s := range d.servers {
+		// The listeners are closed already, and what is still open is cut off intentionally.
+		_ = s.Close()
+	}
+}
+
 // waitForOrders waits until the orders to owned engines have ended, so that the next owners know the
 // engines' contents.
 func (d *Daemon) waitForOrders(ctx context.Context) {
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -68,6 +68,8 @@
 	Admit func() error
 	// Ready returns an error while load balancers should send no requests to the instance.
 	Ready func() error
+	// Draining reports whether callers are to close their connections.
+	Draining func() bool
 	// Record adds an event to the timeline.
 	Record func(event.Event)
 	// Registry collects the server's metrics.
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -51,12 +51,18 @@
 	verdict string
 	// failure is the error that the response carries, or nil.
 	failure *verdict.Error
+	// draining is Options.Draining.
+	draining func() bool
 }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. While the instance drains, also a request that arrived before is answered
+// with the advice to close the connection.
 func (r *recorder) WriteHeader(status int) {
 	if r.status == 0 {
 		r.status = status
+		if r.draining() {
+			r.Header().Set("Connection", "close")
+		}
 	}
 	r.ResponseWriter.WriteHeader(status)
 }
@@ -82,7 +88,7 @@
 // caller, registers the request for cancellation, writes the error response and records metrics and events.
 func (s *Server) wrap(kind string, h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, hr *http.Request) {
-		rec := &recorder{ResponseWriter: w}
+		rec := &recorder{ResponseWriter: w, draining: s.opts.Draining}
 		r := &request{Request: hr, id: uuid.NewString(), start: time.Now(), memory: s.bodies.NewUsage(0)}
 		rec.Header().Set("X-Request-Id", r.id)
 		defer r.memory.Release()
