daemon, entry: requests without an answer get one before a planned stop ends

What callers saw: at the end of limits.drain_seconds the instance closed the connections of all requests that it still served. Those that waited for an engine or for the rest of their body had not run and were not told so; those that were sent were not told that they may have run. A request whose body arrived late in the grace period was sent to an engine although its answer could not be awaited.

Cause: nothing ended the requests before the process exited; the admission was checked only when the headers had arrived.

Evidence before (virtual time, grace period of 8 s):

TestStopEndsUnansweredRequests: Expected 'body that has not arrived whole: 0 unexpected EOF' to start with 'body that has not arrived whole: 503 not-run ' TestStopRefusesWaitingRequests: Expected '0 unexpected EOF' to start with '503 not-run ' TestStopDuringStream: stream cut without an event that says so TestRequestLateInGrace: Expected '0 unexpected EOF' to start with '503 not-run '

Change: 2 s (at most a quarter of the grace period) before the exit the requests in flight are cancelled. What was sent nowhere is refused with 503, not-run, code draining and Retry-After; the rest gets 502 with may-have-run, code stopped; a stream that has begun ends with that error and without its end marker. A body that is still being read no longer delays the end of a cancelled request. After the body, coordination/drain decides whether the request is still taken.

What callers see newly: requests may take 2 s less of the grace period than before. The remaining time also lets the instance hand over its shares, for which none was left when a request lasted to the end (by reading).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,7 +67,8 @@
 	runner       *runner
 	entry        *entry.Server
 
-	draining atomic.Bool
+	// stop is set while the instance drains.
+	stop atomic.Pointer[stopPeriod]
 	// refusing is set once a draining instance has reported unready for balancerDelay.
 	refusing atomic.Bool
 	// connections are those of callers and operators, and listeners accept them.
@@ -118,17 +119,13 @@
 	})
 	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.control, d.events.record), daemon: d}
 	d.entry = entry.New(entry.Options{
-		Config: d.replica.view, Runner: d.runner, Admit: d.admit, Ready: d.ready, Draining: d.draining.Load, Record: d.events.record, Registry: d.registry,
+		Config: d.replica.view, Runner: d.runner, Admit: d.admit, AdmitRun: d.admitRun, Ready: d.ready, Draining: d.draining, Record: d.events.record, Registry: d.registry,
 		MaxBodyMemory: int64(d.settings.Limits.MaxBodyMemoryBytes),
 	})
 	d.registry.MustRegister(newCollector(d))
 	return d, nil
 }
 
-// errDraining refuses new work during a planned stop.
-var errDraining = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "draining",
-	"the instance is stopping; send the request again, to any instance").WithRetryAfter(time.Second)
-
 var errStarting = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "starting",
 	"the instance has no configuration or no token shares yet").WithRetryAfter(time.Second)
 
@@ -144,7 +141,7 @@
 func (d *Daemon) admit() error {
 	switch {
 	case d.refusing.Load():
-		return errDraining
+		return entry.ErrDraining
 	case !d.replica.ready():
 		return errStarting
 	case !d.control.valid() && !d.control.mayServeUnjoined():
@@ -155,8 +152,8 @@
 
 // ready returns the reason why the load balancer must not send requests, or nil.
 func (d *Daemon) ready() error {
-	if d.draining.Load() {
-		return errDraining
+	if d.draining() {
+		return entry.ErrDraining
 	}
 	if err := d.admit(); err != nil {
 		return err
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/turmericworks/turmericworks/internal/coordination/drain"
 	"github.com/turmericworks/turmericworks/internal/state/ledger"
 	"github.com/turmericworks/turmericworks/internal/state/members"
 	"github.com/turmericworks/turmericworks/internal/state/record"
+	"github.com/turmericworks/turmericworks/internal/transport/entry"
 )
 
 const (
@@ -18,35 +20,75 @@
 	// handOverTimeout bounds the transfer of the shares together with the leave record. Shares that are
 	// not transferred by then are granted again after the withdrawal.
 	handOverTimeout = 5 * time.Second
+	// exitMargin is how long before the end of the grace period the instance ends the requests that it still serves, so
+	// that it can answer them and hand over what it holds. In a short grace period it is exitMarginShare of it.
+	exitMargin      = 2 * time.Second
+	exitMarginShare = 0.25
+	// answerTimeout bounds the wait for the answers to these requests.
+	answerTimeout = time.Second
 )
 
+// stopPeriod is when a planned stop began, when the requests that are still served are ended, and when the instance exits.
+type stopPeriod struct{ began, ends, exit time.Time }
+
+func newStopPeriod(grace time.Duration) *stopPeriod {
+	now := time.Now()
+	margin := min(exitMargin, time.Duration(exitMarginShare*float64(grace)))
+	return &stopPeriod{began: now, ends: now.Add(grace - margin), exit: now.Add(grace)}
+}
+
+func (d *Daemon) draining() bool { return d.stop.Load() != nil }
+
+// admitRun returns the reason why a request must not be run that ends at the deadline in any case, or nil.
+func (d *Daemon) admitRun(deadline time.Time, stream bool) error {
+	stop := d.stop.Load()
+	if stop == nil {
+		return nil
+	}
+	r := drain.Request{Timeout: time.Until(deadline), Stream: stream}
+	if !drain.Accepts(r, time.Since(stop.began), time.Until(stop.ends)) {
+		return entry.ErrDraining
+	}
+	return nil
+}
+
 // drain stops the instance without cutting off a request. It reports unready, refuses new requests, waits
 // for the requests in flight and for the recording of non-idempotent calls, hands the shares over and ends
-// the membership.
+// the membership. Requests that last too long get an error; only answers that have begun are cut off.
 func (d *Daemon) drain(ctx context.Context) {
-	d.draining.Store(true)
+	stop := newStopPeriod(time.Duration(d.settings.Limits.DrainSeconds) * time.Second)
+	d.stop.Store(stop)
 	d.log.Info().Int("in_flight", d.entry.InFlight()).Msg("draining")
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Limits.DrainSeconds)*time.Second)
+	ctx, cancel := context.WithDeadline(ctx, stop.exit)
 	defer cancel()
-	pauseFor(ctx, balancerDelay)
+	serving, cancelServing := context.WithDeadline(ctx, stop.ends)
+	defer cancelServing()
+	pauseFor(serving, balancerDelay)
 	d.refusing.Store(true)
-	d.drainConnections(ctx)
+	d.drainConnections(ctx, serving)
 	waitUntil(ctx, func() bool { return d.actions.inProgress() == 0 })
 	d.waitForOrders(ctx)
 	d.control.leave(ctx)
 	d.log.Info().Msg("drained")
 }
 
-// drainConnections closes the listeners, waits until the open connections are idle and closes them.
-func (d *Daemon) drainConnections(ctx context.Context) {
+// drainConnections closes the listeners, waits until the open connections are idle and closes them. When serving has
+// ended, it ends the requests that are still served.
+func (d *Daemon) drainConnections(ctx, serving context.Context) {
 	for _, l := range d.listeners {
 		if err := l.Close(); err != nil {
 			d.log.Warn().Err(err).Str("address", l.Addr().String()).Msg("listener not closed")
 		}
 	}
 	// Shutdown would drop requests that it has not read to the end of their headers.
-	if err := d.connections.Drain(ctx); err != nil {
-		d.log.Warn().Err(err).Int("cut_requests", d.entry.InFlight()).Msg("drain time ended before all requests had finished")
+	if err := d.connections.Drain(serving); err != nil {
+		d.log.Warn().Err(err).Int("ended_requests", d.entry.InFlight()).Msg("drain time ended before all requests had finished; ending them")
+		d.entry.Stop()
+		answering, cancel := context.WithTimeout(ctx, answerTimeout)
+		defer cancel()
+		if err := d.connections.Drain(answering); err != nil {
+			d.log.Warn().Err(err).Int("cut_requests", d.entry.InFlight()).Msg("connections still open at the exit; cutting them off")
+		}
 	}
 	for _, s := range d.servers {
 		// The listeners are closed already, and what is still open is cut off intentionally.
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -21,6 +21,8 @@
 	status  int
 	verdict string
 	body    string
+	// retryAfter is the value of the header Retry-After.
+	retryAfter string
 }
 
 // call sends one request with the fleet's key to an instance.
--- a/internal/daemon/input_test.go
+++ b/internal/daemon/input_test.go
@@ -43,7 +43,10 @@
 		return reply{body: err.Error()}
 	}
 	data, _ := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, verdict: resp.Header.Get("Turmeric-Verdict"), body: string(data)}
+	return reply{
+		status: resp.StatusCode, verdict: resp.Header.Get("Turmeric-Verdict"), body: string(data),
+		retryAfter: resp.Header.Get("Retry-After"),
+	}
 }
 
 // commonHead is the part of a request's head after the path: the end of the request line and the headers that every
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -53,7 +53,7 @@
 // their next requests to another one.
 func (d *Daemon) announceClose(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.draining.Load() {
+		if d.draining() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -120,8 +120,8 @@
 	MaxBodyMemoryBytes int `json:"max_body_memory_bytes,omitempty"`
 	// QueuedRequests is the maximum number of requests that wait for an engine. Default: 10000.
 	QueuedRequests int `json:"queued_requests,omitempty"`
-	// DrainSeconds is how long a planned stop waits for requests in flight. Default: 330, the
-	// longest request and a margin. Unit: seconds.
+	// DrainSeconds is how long a planned stop takes at most. Requests in flight are waited for until 2 s, or a quarter of
+	// it, before its end. Default: 330, the longest request and a margin. Unit: seconds.
 	DrainSeconds int `json:"drain_seconds,omitempty"`
 }
 
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -30,6 +30,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.opts.AdmitRun(call.Deadline, parsed.Stream); err != nil {
+		return err
+	}
 	s.recordAdmission(r, event.Event{
 		Workspace: call.Workspace, Adapter: call.Adapter.Name, Version: call.Adapter.Version, Tokens: int64(call.Tokens),
 	})
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -68,6 +68,9 @@
 	Admit func() error
 	// Ready returns an error while load balancers should send no requests to the instance.
 	Ready func() error
+	// AdmitRun returns an error if a request must not be run, which the caller has sent to the end and which lasts until
+	// the deadline at most; stream is true if its answer may last until then although it began early.
+	AdmitRun func(deadline time.Time, stream bool) error
 	// Draining reports whether callers are to close their connections.
 	Draining func() bool
 	// Record adds an event to the timeline.
@@ -106,6 +109,10 @@
 	s.inFlight.cancelInvalid(func(string) bool { return false })
 }
 
+// Stop ends all requests, at the end of a planned stop: those without an answer get an error with the verdict on whether
+// they ran, and streams end with an error.
+func (s *Server) Stop() { s.inFlight.stop() }
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int { return s.inFlight.len() }
 
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -20,6 +20,9 @@
 // bodyTimeout is how long a caller may take to send its body.
 const bodyTimeout = 30 * time.Second
 
+// aLongTimeAgo is a deadline that ends a read at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
 const (
 	// writeTimeout is how long a caller may take to accept writeChunk bytes of its response.
 	writeTimeout = 10 * time.Second
@@ -160,11 +163,18 @@
 // request ran.
 func (s *Server) cancelled(r *request, err error) error {
 	e := verdict.FromError(err)
-	if !errors.Is(context.Cause(r.Context()), errKeyWithdrawn) {
+	var out verdict.Error
+	switch cause := context.Cause(r.Context()); {
+	case errors.Is(cause, errKeyWithdrawn):
+		s.metrics.withdrawn.Inc()
+		out = *errKeyWithdrawn
+	case errors.Is(cause, errStopped) && e.Verdict == verdict.NotRun:
+		return ErrDraining
+	case errors.Is(cause, errStopped):
+		out = *errStopped
+	default:
 		return e
 	}
-	s.metrics.withdrawn.Inc()
-	out := *errKeyWithdrawn
 	out.Verdict = e.Verdict
 	return &out
 }
@@ -199,11 +209,14 @@
 	if r.ContentLength > openai.MaxBodyBytes {
 		return nil, errBodyTooLarge
 	}
+	control := http.NewResponseController(w.ResponseWriter)
+	// A request that is cancelled does not wait for the rest of its body.
+	stop := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(aLongTimeAgo) })
 	limited := http.MaxBytesReader(w.ResponseWriter, r.Body, openai.MaxBodyBytes)
 	body, err := io.ReadAll(bytebudget.Reader{Reader: limited, Usage: r.memory})
-	if err == nil {
+	if stop() && err == nil {
 		// If the deadline stayed set, it would cancel the request's context when it passes.
-		_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Time{})
+		_ = control.SetReadDeadline(time.Time{})
 	}
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -34,6 +34,10 @@
 	if err != nil {
 		return err
 	}
+	deadline := r.start.Add(route.Deadline())
+	if err := s.opts.AdmitRun(deadline, false); err != nil {
+		return err
+	}
 	s.recordAdmission(r, event.Event{Workspace: route.Workspace, Tokens: int64(max(route.Tokens, 1))})
 	response, err := s.opts.Runner.CallService(r.Context(), ServiceCall{
 		RequestID: r.id, Workspace: route.Workspace, RouteName: name, Route: *route,
@@ -42,7 +46,7 @@
 			ID: r.id, Method: r.Method, Path: "/" + r.PathValue("rest"), Query: r.URL.RawQuery,
 			Header: r.Header, Body: body, TraceParent: traceParent(r.Header),
 		},
-		Deadline: r.start.Add(route.Deadline()),
+		Deadline: deadline,
 	})
 	if err != nil {
 		return err
