entry: a panic while a request is served ends in an answer

What callers would see: a request whose handler panics ended without an answer; net/http closed its connection.

Evidence before (TestPanicInHandler):

http: panic serving 127.0.0.1:47352: fault Expected: nil Actual: 'Get "http://127.0.0.1:42439": EOF'

Change: the panic is logged with its stack, and the caller gets 500 with the code panic and the verdict may-have-run, or not-run if the request was not given to the Runner yet. An answer that had begun is cut, so that it does not look complete; without that the last case of the test is red ("Expected '<nil>' to NOT be nil").

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,7 +119,7 @@
 	})
 	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.control, d.events.record), daemon: d}
 	d.entry = entry.New(entry.Options{
-		Config: d.replica.view, Runner: d.runner, Admit: d.admit, AdmitRun: d.admitRun, Ready: d.ready, Draining: d.draining, Record: d.events.record, Registry: d.registry,
+		Config: d.replica.view, Runner: d.runner, Admit: d.admit, AdmitRun: d.admitRun, Ready: d.ready, Draining: d.draining, Log: d.log, Record: d.events.record, Registry: d.registry,
 		MaxBodyMemory: int64(d.settings.Limits.MaxBodyMemoryBytes),
 	})
 	d.registry.MustRegister(newCollector(d))
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
@@ -75,6 +76,8 @@
 	Draining func() bool
 	// Record adds an event to the timeline.
 	Record func(event.Event)
+	// Log gets the panics of handlers.
+	Log zerolog.Logger
 	// Registry collects the server's metrics.
 	Registry *prometheus.Registry
 	// MaxBodyMemory is the largest number of bytes that all request bodies together may take in memory.
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -95,7 +96,8 @@
 		r := &request{Request: hr, id: uuid.NewString(), start: time.Now(), memory: s.bodies.NewUsage(0)}
 		rec.Header().Set("X-Request-Id", r.id)
 		defer r.memory.Release()
-		err := s.serve(rec, r, h)
+		panicked, err := s.serveOrRecover(rec, r, h)
+		begun := rec.status != 0
 		if err != nil {
 			s.writeError(rec, r, err)
 		}
@@ -104,9 +106,31 @@
 			s.metrics.failures.WithLabelValues(rec.failure.Code).Inc()
 		}
 		s.recordEnd(rec, r, err)
+		if panicked && begun {
+			// The end of the handler would make the answer look complete.
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
+// serveOrRecover serves the request. A panic becomes an error, so that the caller gets an answer: net/http would close the
+// connection. Only what was not given to the Runner has certainly not run.
+func (s *Server) serveOrRecover(rec *recorder, r *request, h handler) (panicked bool, err error) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		s.opts.Log.Error().Str("request", r.id).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("serving a request failed with a panic")
+		v := verdict.MayHaveRun
+		if r.admitted.Kind == "" {
+			v = verdict.NotRun
+		}
+		panicked, err = true, verdict.New(v, http.StatusInternalServerError, "panic", "the instance failed")
+	}()
+	return false, s.serve(rec, r, h)
+}
+
 // recordEnd adds the end of a request to the timeline. It leaves out requests that succeeded without
 // admission: they only read the instance's own state.
 func (s *Server) recordEnd(rec *recorder, r *request, err error) {
