peer, daemon: a panic in a call of another instance does not end the process

What callers would see: grpc-go does not recover from a panic in a handler, so a fault in the handling of one message of a peer ends the process and cuts off all requests in flight.

Evidence before: TestPanicInCall ended the test process:

panic: fault goroutine 13 [running]: .../internal/transport/peer.faultyPeer.Transfer(...)

TestPanicInPeerCallReleasesLocks, with the recovery alone: 7 of 10 calls left a lock held ('Expected: true, Actual: false' from TryLock), after which the instance would answer nothing.

Change: peer.RecoverPanics makes such a call fail and logs the stack; the daemon's server uses it. The daemon's handlers release their locks on a panic. The gateway's server does not use the option: its handlers were not checked for locks.

Measured: the tests named here, and TestWaitForTokensEndsWithTheCaller, TestInstanceStartsWhileLogIsDown, TestMoreAdaptersThanSlots, TestFleetOverTLS and TestRollingReplacementCutsOffNothing, green under -race.

--- a/internal/daemon/controlstep.go
+++ b/internal/daemon/controlstep.go
@@ -293,22 +293,44 @@
 
 // reserveMicrotokens reserves tokens of this instance's own share.
 func (c *control) reserveMicrotokens(ctx context.Context, workspace string, amount int64) (shares.Reservation, shares.Outcome) {
-	c.mu.Lock()
-	r, deadline, outcome := c.shares.Reserve(c.now(), workspace, amount)
-	for outcome == shares.Wait && ctx.Err() == nil {
-		changed := c.changed
-		sends := c.shareRequestSends(ctx)
-		left := deadline - c.now()
-		c.mu.Unlock()
-		for _, send := range sends {
+	a := reserveAttempt{workspace: workspace, amount: amount}
+	for c.tryReserve(ctx, &a); a.outcome == shares.Wait && ctx.Err() == nil; c.tryReserve(ctx, &a) {
+		for _, send := range a.sends {
 			go send()
 		}
-		c.waitForChange(ctx, changed, left)
-		c.mu.Lock()
-		r, outcome = c.shares.Retry(c.now(), workspace, amount, deadline)
+		c.waitForChange(ctx, a.changed, a.left)
+	}
+	return a.reservation, a.outcome
+}
+
+// reserveAttempt is an attempt to reserve tokens.
+type reserveAttempt struct {
+	workspace string
+	amount    int64
+	// tried is set after the first try, which determines the deadline.
+	tried       bool
+	deadline    time.Duration
+	reservation shares.Reservation
+	outcome     shares.Outcome
+	// If the outcome is shares.Wait, sends request shares from peers, and changed and left say until when to wait for them.
+	sends   []func()
+	changed <-chan struct{}
+	left    time.Duration
+}
+
+// tryReserve tries to reserve tokens once.
+func (c *control) tryReserve(ctx context.Context, a *reserveAttempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.tried {
+		a.reservation, a.outcome = c.shares.Retry(c.now(), a.workspace, a.amount, a.deadline)
+	} else {
+		a.reservation, a.deadline, a.outcome = c.shares.Reserve(c.now(), a.workspace, a.amount)
+		a.tried = true
+	}
+	if a.outcome == shares.Wait && ctx.Err() == nil {
+		a.sends, a.changed, a.left = c.shareRequestSends(ctx), c.changed, a.deadline-c.now()
 	}
-	c.mu.Unlock()
-	return r, outcome
 }
 
 func (c *control) waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) {
@@ -327,9 +349,13 @@
 		// A peer spent the tokens, so there is no reservation.
 		return
 	}
+	c.settleMicrotokens(r, microtokens(float64(used)))
+}
+
+func (c *control) settleMicrotokens(r shares.Reservation, used int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.shares.Settle(c.now(), r, microtokens(float64(used)))
+	c.shares.Settle(c.now(), r, used)
 }
 
 // TakeLoad implements dispatch.LoadBudget: one load is one token of the weight store's account. The
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,7 +106,7 @@
 	d.peers = peer.NewClients(d.tlsConfigs.peerClient, d.tlsConfigs.dialPeer, d.control.recordRefusedConnection)
 	d.control.peers = d.peers
 	d.owners = newOwners(d)
-	d.peerServer = peer.NewServer(d.tlsConfigs.peers)
+	d.peerServer = peer.NewServer(d.tlsConfigs.peers, peer.RecoverPanics(d.log)...)
 	operators, err := admin.NewHandler(&adminDaemon{d}, o.Settings.tokens())
 	if err != nil {
 		return nil, err
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -149,19 +149,22 @@
 // incarnation's own join record has been read, since older records of the stream would undo the
 // retirement.
 func (c *control) handleRetire(m slots.Retire, retire bool) (slots.RetireReply, bool) {
-	c.mu.Lock()
-	if !c.members.Active(c.daemon.opts.Incarnation) {
-		c.mu.Unlock()
-		return slots.RetireReply{}, false
-	}
-	reply, ok := c.daemon.gate.handleRetire(m, retire)
-	c.mu.Unlock()
+	reply, ok := c.retireAtGate(m, retire)
 	if ok && retire {
 		c.daemon.scheduler.Retire(m.Engine, m.Adapter)
 	}
 	return reply, ok
 }
 
+func (c *control) retireAtGate(m slots.Retire, retire bool) (slots.RetireReply, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.members.Active(c.daemon.opts.Incarnation) {
+		return slots.RetireReply{}, false
+	}
+	return c.daemon.gate.handleRetire(m, retire)
+}
+
 func (c *control) handleInFlightQuery(m slots.InFlightQuery) (slots.InFlightReply, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/ownersio.go
+++ b/internal/daemon/ownersio.go
@@ -162,25 +162,10 @@
 // acceptWant accepts a request for an adapter version on an engine and waits up to wantAnswerTimeout for
 // the load to end.
 func (o *owners) acceptWant(ctx context.Context, r *peerpb.WantAdapterRequest) *peerpb.WantAdapterResponse {
-	a := adapter.Parse(r.GetAdapter())
-	o.mu.Lock()
-	e := o.engines[r.GetEngine()]
-	if e == nil || !e.configured || !e.owner.Owns() || o.stopping && !r.GetAgain() {
-		o.mu.Unlock()
+	w, sends := o.addWant(r)
+	if w == nil {
 		return &peerpb.WantAdapterResponse{}
 	}
-	now := time.Now()
-	w := e.wants[a]
-	if w == nil || w.hasEnded() && !r.GetAgain() {
-		w = &want{victim: adapter.Parse(r.GetVictim()), payer: r.GetFromIncarnation(), requestedAt: now, ended: make(chan struct{})}
-		e.wants[a] = w
-	}
-	w.expires = now.Add(wantTTL)
-	var sends []func()
-	if !w.hasEnded() {
-		sends = o.step(e, slots.Wanted{Adapter: a})
-	}
-	o.mu.Unlock()
 	runAsync(sends)
 	t := time.NewTimer(wantAnswerTimeout)
 	defer t.Stop()
@@ -196,6 +181,29 @@
 	}
 }
 
+// addWant records a request for an adapter version and returns functions that do the resulting I/O. It returns no want if
+// this instance does not accept loads for the engine.
+func (o *owners) addWant(r *peerpb.WantAdapterRequest) (*want, []func()) {
+	a := adapter.Parse(r.GetAdapter())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.engines[r.GetEngine()]
+	if e == nil || !e.configured || !e.owner.Owns() || o.stopping && !r.GetAgain() {
+		return nil, nil
+	}
+	now := time.Now()
+	w := e.wants[a]
+	if w == nil || w.hasEnded() && !r.GetAgain() {
+		w = &want{victim: adapter.Parse(r.GetVictim()), payer: r.GetFromIncarnation(), requestedAt: now, ended: make(chan struct{})}
+		e.wants[a] = w
+	}
+	w.expires = now.Add(wantTTL)
+	if w.hasEnded() {
+		return w, nil
+	}
+	return w, o.step(e, slots.Wanted{Adapter: a})
+}
+
 // errNoOwner means that no instance accepts loads for the engine at present.
 var errNoOwner = verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no_owner", "no instance accepts loads for the engine")
 
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -6,6 +6,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/lease"
 	"github.com/turmericworks/turmericworks/internal/coordination/shares"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/ledger"
 	"github.com/turmericworks/turmericworks/internal/transport/peer"
 )
 
@@ -13,9 +14,20 @@
 func (c *control) Heartbeat(_ context.Context, r *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	d := c.daemon
 	d.events.observeHLC(r.GetHlc())
-	var service map[string]float64
+	response, service := c.answerHeartbeat(r)
+	if len(service) > 0 {
+		d.scheduler.MergePeerService(r.GetIncarnation(), service)
+	}
+	return response, nil
+}
+
+// answerHeartbeat records what a peer's heartbeat reports. It returns the answer and the service that the peer has given to
+// each workspace, if that is known.
+func (c *control) answerHeartbeat(r *peerpb.HeartbeatRequest) (response *peerpb.HeartbeatResponse, service map[string]float64) {
+	d := c.daemon
 	c.mu.Lock()
-	response := &peerpb.HeartbeatResponse{
+	defer c.mu.Unlock()
+	response = &peerpb.HeartbeatResponse{
 		Instance: d.settings.Instance, Incarnation: d.opts.Incarnation,
 		Positions: peer.PositionMessages(c.positions), Hlc: d.events.hlcNow(),
 	}
@@ -40,11 +52,7 @@
 			response.Promised = c.promises.Answer(now, r.GetIncarnation(), c.members.Active(r.GetIncarnation()))
 		}
 	}
-	c.mu.Unlock()
-	if len(service) > 0 {
-		d.scheduler.MergePeerService(r.GetIncarnation(), service)
-	}
-	return response, nil
+	return response, service
 }
 
 // recordPeerState records the state that a peer reports in its heartbeat. The caller holds the lock.
@@ -80,14 +88,10 @@
 
 // RequestShare implements peer.Shares. The granted parts and tokens follow in a transfer.
 func (c *control) RequestShare(_ context.Context, r *peerpb.ShareRequest) (*peerpb.ShareResponse, error) {
-	c.mu.Lock()
-	t, ok := c.shares.HandleShareRequest(c.now(), peer.ShareRequest(r), r.GetFromIncarnation())
+	t, address, ok := c.grantShare(r)
 	if !ok {
-		c.mu.Unlock()
 		return &peerpb.ShareResponse{Incarnation: c.daemon.opts.Incarnation}, nil
 	}
-	address := c.address(t.To)
-	c.mu.Unlock()
 	if address != "" {
 		// The transfer must not end with the call that requested it.
 		go c.sendTransfer(context.Background(), address, t)
@@ -97,6 +101,16 @@
 	}, nil
 }
 
+// grantShare returns the transfer that a peer's request for a share leads to, and where to send it.
+func (c *control) grantShare(r *peerpb.ShareRequest) (t ledger.Transfer, address string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t, ok = c.shares.HandleShareRequest(c.now(), peer.ShareRequest(r), r.GetFromIncarnation()); ok {
+		address = c.address(t.To)
+	}
+	return t, address, ok
+}
+
 // FrozenCounters implements peer.Shares.
 func (c *control) FrozenCounters(_ context.Context, r *peerpb.FrozenCountersRequest) (*peerpb.FrozenCountersResponse, error) {
 	c.mu.Lock()
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -108,16 +108,19 @@
 
 // ConfigState implements peer.State.
 func (c *control) ConfigState() ([]byte, error) {
-	r := c.daemon.replica
-	r.mu.Lock()
-	capture, err := r.fold.Capture()
-	r.mu.Unlock()
+	capture, err := c.daemon.replica.capture()
 	if err != nil {
 		return nil, err
 	}
 	return capture.Export()
 }
 
+func (r *replica) capture() (config.Capture, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fold.Capture()
+}
+
 // importState replaces the configuration with a peer's if that is newer.
 func (r *replica) importState(data []byte) error {
 	r.mu.Lock()
--- a/internal/daemon/unjoined.go
+++ b/internal/daemon/unjoined.go
@@ -131,10 +131,7 @@
 // Spend implements peer.State. All tokens are spent at once: to refund unused tokens, this instance would
 // have to keep a reservation for longer than the call.
 func (c *control) Spend(ctx context.Context, r *peerpb.SpendRequest) (*peerpb.SpendResponse, error) {
-	c.mu.Lock()
-	stale := r.GetConfigNext() < c.positions[lease.Config]
-	member := c.lease.Valid(c.now()) && c.joinedAt > 0
-	c.mu.Unlock()
+	stale, member := c.checkSpend(r)
 	switch {
 	case stale:
 		return &peerpb.SpendResponse{Refusal: refusalStale}, nil
@@ -144,9 +141,7 @@
 	reservation, outcome := c.reserveMicrotokens(ctx, r.GetWorkspace(), r.GetMicrotokens())
 	switch outcome {
 	case shares.Granted:
-		c.mu.Lock()
-		c.shares.Settle(c.now(), reservation, r.GetMicrotokens())
-		c.mu.Unlock()
+		c.settleMicrotokens(reservation, r.GetMicrotokens())
 		return &peerpb.SpendResponse{}, nil
 	case shares.TooLarge:
 		return &peerpb.SpendResponse{Refusal: refusalTooLarge}, nil
@@ -156,3 +151,11 @@
 		return &peerpb.SpendResponse{Refusal: refusalNoLease}, nil
 	}
 }
+
+// checkSpend reports whether this instance has a newer configuration than the peer that asks it to spend tokens, and whether
+// it is a member that may spend them.
+func (c *control) checkSpend(r *peerpb.SpendRequest) (stale, member bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return r.GetConfigNext() < c.positions[lease.Config], c.lease.Valid(c.now()) && c.joinedAt > 0
+}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -48,16 +48,17 @@
 }
 
 // NewServer returns a gRPC server without services. The configuration must require and verify client
-// certificates; nil means plain text, which the caller must permit only on loopback or by an explicit setting.
-func NewServer(conf *tls.Config) *grpc.Server {
-	return grpc.NewServer(
+// certificates; nil means plain text, which the caller must permit only on loopback or by an explicit setting. The options
+// are added to those that all servers have.
+func NewServer(conf *tls.Config, options ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append([]grpc.ServerOption{
 		grpc.Creds(transportCredentials(conf)),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(connBufferBytes), grpc.WriteBufferSize(connBufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
-	)
+	}, options...)...)
 }
 
 func transportCredentials(conf *tls.Config) credentials.TransportCredentials {
