dispatch, retry: a request that ends before its next attempt keeps the verdict of its attempts

What callers saw: a request whose attempts had all been refused, and that ended while it waited for its next attempt (its deadline, a planned stop), was said to have run, perhaps. A caller may then not send it again.

Cause: the next attempt counted as in flight from the decision to retry on, and the end of the request did not change that.

Evidence before (TestCancelledBetweenAttempts):

Expected: verdict.Verdict(1) (not-run) Actual: verdict.Verdict(2) (may-have-run)

Change: the end of a request is recorded in its retry state, with the verdict of the attempt that was made or would have followed.

Measured: go test -race -count=3 of internal/transport/dispatch and internal/coordination/retry green.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -133,6 +133,13 @@
 	return Decision{Action: Retry, Reason: ReasonRetry, Wait: wait}
 }
 
+// Ended records that the request has ended, with the verdict of the attempt in flight: not-run if that was not sent. No
+// further attempt follows.
+func (c *Call) Ended(v verdict.Verdict) {
+	c.inFlight--
+	c.worstVerdict = max(c.worstVerdict, v)
+}
+
 // retryRefusal returns why no further attempt is permitted, the budget aside, or an empty reason.
 func (c *Call) retryRefusal(now time.Time) Reason {
 	switch {
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -92,6 +92,7 @@
 // retry.
 func (r *Runner) afterFailure(ctx context.Context, call *retry.Call, err error, resumable bool) retry.Decision {
 	if ctx.Err() != nil {
+		r.requestEnded(call, verdict.FromError(err).Verdict)
 		return retry.Decision{}
 	}
 	r.mu.Lock()
@@ -106,10 +107,18 @@
 	case <-t.C:
 		return d
 	case <-ctx.Done():
+		r.requestEnded(call, verdict.NotRun)
 		return retry.Decision{}
 	}
 }
 
+// requestEnded records that a request has ended, with the verdict of the attempt that was made or would have followed.
+func (r *Runner) requestEnded(call *retry.Call, v verdict.Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	call.Ended(v)
+}
+
 // finalError returns the error of the last attempt with the verdict of all attempts. An only attempt keeps its own
 // verdict, also if the request ended before a retry was decided on.
 func finalError(call *retry.Call, err error) error {
