servicehttp: each call of a plain service has its own connection

What callers saw: two faults of reused connections. A service's second copy of an answer, late, was given to the caller of the next call. A GET whose connection broke was sent again by net/http, also on a route whose calls may not be repeated: the service ran it twice.

Evidence before:

TestSecondCopyOfAnswer: Expected: "/second" Actual: "/first" TestCallIsSentOnce, GET: Expected: 1 Actual: 2

Cause: nothing in an answer of a plain service names its call, and net/http repeats calls with idempotent methods on connections that were used before.

Change: connections to plain services are not kept alive. The price is a connection, with TLS a handshake, for each call; its effect on the throughput was not measured.

Measured: go test -race -count=3 ./internal/transport/servicehttp green. TestCutAnswer (a whole answer cut after each byte never counts as whole) was green before too.

--- a/internal/transport/servicehttp/servicehttp.go
+++ b/internal/transport/servicehttp/servicehttp.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
 // maxResponseBytes is the largest size of a response body.
@@ -33,10 +34,11 @@
 }
 
 // New returns a client for the service at base. The client does not follow redirects, since that would repeat
-// the call.
+// the call. Each call has its own connection: on one that was used before, net/http sends some calls again when it breaks, and
+// a late second copy of an earlier answer would be taken for the answer to the next call, which nothing in it identifies.
 func New(base string, rt http.RoundTripper) *Service {
 	return &Service{base: base, client: &http.Client{
-		Transport:     rt,
+		Transport:     network.WithoutKeepAlive(rt),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
