enginehttp: an answer that names another request is dropped

What callers saw: an engine's second copy of an answer, late, on a connection in use again, was given to the caller of the next request of the same adapter version: only the version was checked.

Once an engine has done so, an answer with another one fails with may-have-run and code wrong_request, and idle connections are closed, on which the right answer may still come. An engine that never names requests is served as before.

What remains: a second copy of an error response names no request, so a refusal may still be taken for the next request's. An engine whose client is new (a changed configuration) is not checked until its first answer.

Measured: go test -race -count=3 ./internal/transport/enginehttp green. TestCutAnswer (a whole answer cut after each byte never counts as whole) was green before too. The engine stand-in names requests; other engines were not tried.

--- a/internal/transport/enginehttp/enginehttp.go
+++ b/internal/transport/enginehttp/enginehttp.go
@@ -37,6 +37,8 @@
 	client *http.Client
 	// fresh sends each request on a new connection.
 	fresh *http.Client
+	// namesRequests is set once an answer has named its request. From then on, none may name another one.
+	namesRequests atomic.Bool
 }
 
 // New returns a client for the engine at base.
@@ -130,23 +132,50 @@
 	if resp.StatusCode != http.StatusOK {
 		return backend.Response{}, statusError(resp, body)
 	}
-	return decodeResponse(body)
+	response, id, err := decodeResponse(body)
+	if err == nil {
+		err = e.checkRequestID(id, r.ID)
+	}
+	if err != nil {
+		return backend.Response{}, err
+	}
+	return response, nil
+}
+
+// errWrongRequest means that the engine has sent another request's answer.
+var errWrongRequest = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "wrong_request",
+	"the engine answered another request; its answer was dropped")
+
+// checkRequestID returns an error for an answer that names another request: a second copy of an earlier answer, which came
+// late on a connection that is in use again. Engines that never name the request of X-Request-Id are not checked.
+func (e *Engine) checkRequestID(answered, requestID string) error {
+	switch {
+	case strings.Contains(answered, requestID):
+		e.namesRequests.Store(true)
+		return nil
+	case answered == "" || !e.namesRequests.Load():
+		return nil
+	}
+	// The answer to this request may still come on the connection, which is idle now.
+	e.client.CloseIdleConnections()
+	return errWrongRequest
 }
 
-// decodeResponse decodes the body of a response with status 200.
-func decodeResponse(body []byte) (backend.Response, error) {
+// decodeResponse decodes the body of a response with status 200. It also returns the identifier in the response.
+func decodeResponse(body []byte) (response backend.Response, id string, err error) {
 	var b struct {
+		ID    string        `json:"id"`
 		Model string        `json:"model"`
 		Usage backend.Usage `json:"usage"`
 	}
-	err := json.Unmarshal(body, &b)
+	err = json.Unmarshal(body, &b)
 	if err == nil {
 		err = checkUsage(b.Usage)
 	}
 	if err != nil {
-		return backend.Response{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_invalid", "the engine's answer is not valid")
+		return backend.Response{}, "", verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_invalid", "the engine's answer is not valid")
 	}
-	return backend.Response{Adapter: adapter.Parse(b.Model), Status: http.StatusOK, Body: body, Usage: b.Usage}, nil
+	return backend.Response{Adapter: adapter.Parse(b.Model), Status: http.StatusOK, Body: body, Usage: b.Usage}, b.ID, nil
 }
 
 // maxUsageTokens is more tokens than any request can use. A larger or a negative usage would distort the
@@ -162,16 +191,16 @@
 
 // Stream implements backend.Engine.
 func (e *Engine) Stream(ctx context.Context, r backend.Request) (backend.ChunkReader, error) {
-	return e.openStream(ctx, http.MethodPost, r.Path, requestHeader(r), r.Body)
+	return e.openStream(ctx, r.ID, http.MethodPost, r.Path, requestHeader(r), r.Body)
 }
 
 // Resume implements backend.Engine.
 func (e *Engine) Resume(ctx context.Context, r backend.Request, from int) (backend.ChunkReader, error) {
 	path := fmt.Sprintf("/v1/requests/%s/stream?from=%d&chat=%t", r.ID, from, strings.Contains(r.Path, "chat"))
-	return e.openStream(ctx, http.MethodGet, path, http.Header{}, nil)
+	return e.openStream(ctx, r.ID, http.MethodGet, path, http.Header{}, nil)
 }
 
-func (e *Engine) openStream(ctx context.Context, method, path string, h http.Header, body []byte) (backend.ChunkReader, error) {
+func (e *Engine) openStream(ctx context.Context, requestID, method, path string, h http.Header, body []byte) (backend.ChunkReader, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	resp, err := e.send(ctx, method, path, h, body)
 	if err != nil {
@@ -184,7 +213,9 @@
 		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 		return nil, statusError(resp, data)
 	}
-	return newReader(resp.Body, cancel), nil
+	reader := newReader(resp.Body, cancel)
+	reader.checkID = func(answered string) error { return e.checkRequestID(answered, requestID) }
+	return reader, nil
 }
 
 // Cancel implements backend.Engine. Cancelling a request that has ended is no error.
--- a/internal/transport/enginehttp/fuzz_test.go
+++ b/internal/transport/enginehttp/fuzz_test.go
@@ -17,7 +17,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if resp, err := decodeResponse(data); err == nil && (checkUsage(resp.Usage) != nil || !json.Valid(resp.Body)) {
+		if resp, _, err := decodeResponse(data); err == nil && (checkUsage(resp.Usage) != nil || !json.Valid(resp.Body)) {
 			t.Fatalf("accepted %q", data)
 		}
 		r := newReader(io.NopCloser(bytes.NewReader(data)), func() {})
--- a/internal/transport/enginehttp/reader.go
+++ b/internal/transport/enginehttp/reader.go
@@ -55,6 +55,8 @@
 	cancel context.CancelFunc
 	next   func() (sse.Event, error, bool)
 	stop   func()
+	// checkID returns an error for an event that names another request. It may be nil.
+	checkID func(answered string) error
 }
 
 func newReader(body io.ReadCloser, cancel context.CancelFunc) *reader {
@@ -77,6 +79,7 @@
 	}
 	position, err := strconv.Atoi(event.LastEventID)
 	var b struct {
+		ID    string         `json:"id"`
 		Model string         `json:"model"`
 		Usage *backend.Usage `json:"usage"`
 	}
@@ -89,6 +92,11 @@
 	if err != nil {
 		return backend.Chunk{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_invalid", "an event of the engine's stream is not valid")
 	}
+	if r.checkID != nil {
+		if err := r.checkID(b.ID); err != nil {
+			return backend.Chunk{}, err
+		}
+	}
 	return backend.Chunk{
 		Position: position, Adapter: adapter.Parse(b.Model), Data: []byte(event.Data), Usage: b.Usage,
 	}, nil
