daemon: calls of plain services check the lease when they are sent

What callers would see: an instance whose process was paused after it had admitted a call, or decided to send it, sent it without a valid lease, with a key that may have been withdrawn. Completions check the lease when they are sent (Gate.Begin).

Evidence before (TestServiceCallAfterPause, an instance that has lost its lease):

Expected: 0 calls at the service Actual: 2

Change: calls that may be repeated are refused as not run, and calls that may not be repeated record not-run as their outcome.

What remains: a pause between the check and the write to the connection.

--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -343,8 +343,12 @@
 }
 
 // dispatch sends the call to its service. It continues after the caller has left, since the outcome must
-// be recorded.
+// be recorded. The lease is checked again, since the process may have been paused after the decision to send.
 func (c *actionCall) dispatch() {
+	if !c.actions.daemon.control.valid() {
+		c.send(action.DispatchResult{Result: intent.NotRun})
+		return
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), c.entry.Deadline)
 	defer cancel()
 	answer, err := dispatch.CallService(ctx, c.actions.daemon.fleet.Services(c.entry.Route.Service), c.entry.Request)
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -76,6 +76,15 @@
 	if c.Route.NonIdempotent {
 		return r.daemon.actions.run(ctx, c)
 	}
+	return r.sendToService(ctx, c)
+}
+
+// sendToService sends a call that may be repeated. The lease is checked again, since the process may have been paused, or the
+// call have waited for tokens, after the request was admitted.
+func (r *runner) sendToService(ctx context.Context, c entry.ServiceCall) (backend.ServiceResponse, error) {
+	if !r.daemon.control.valid() && !r.daemon.control.mayServeUnjoined() {
+		return backend.ServiceResponse{}, errNoLease
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	return dispatch.CallService(ctx, r.daemon.fleet.Services(c.Route.Service), c.Request)
