action: a call that was answered at its deadline is not answered again

What callers would see: nothing at first. A call that waits for the outcome of an earlier one with the same key is answered may-have-run at its deadline. When the outcome was recorded later, it was answered a second time, or dispatched although its caller had been answered. If the caller had left, the second answer blocked the call's goroutine for good, and a planned stop then waited for it until the end of its grace period (by reading).

Evidence before (TestOutcomeAfterDeadline):

sim_test.go:188: answer check: r2 got more than one response

Change: such a call ends.

--- a/internal/coordination/action/action.go
+++ b/internal/coordination/action/action.go
@@ -266,6 +266,8 @@
 func (c *Call) resolve(now time.Time) []Action {
 	s := c.view.State
 	switch {
+	case c.responded:
+		return c.finish(nil)
 	case s.Known() && (s.BodyHash != c.req.BodyHash || s.CreatedMilli != c.req.Created.UnixMilli()):
 		return c.finish(c.fail(verdict.New(verdict.NotRun, statusUnprocessable,
 			"idempotency_key_reused", "the Idempotency-Key was used with another body or creation time")))
--- a/internal/coordination/action/action_test.go
+++ b/internal/coordination/action/action_test.go
@@ -70,6 +70,32 @@
 	})
 }
 
+// TestOutcomeAfterDeadline guards against a call that is answered twice because the outcome for which it waited is recorded
+// after its deadline, and against one that is dispatched after its caller was answered.
+func TestOutcomeAfterDeadline(t *testing.T) {
+	Convey("Given two calls with one key, the first of which is dispatched", t, func() {
+		s := newSim(t, 1)
+		inst := s.instances[0]
+		s.newCall(inst, "k", "b")
+		s.commit(s.appends[0])
+		s.read(inst, 1)
+		second := s.newCall(inst, "k", "b")
+		So(second.responses, ShouldEqual, 0)
+		s.advance(callDeadline)
+		So(second.responses, ShouldEqual, 1)
+		So(second.notRun, ShouldBeFalse)
+		for _, result := range []intent.Result{intent.Ran, intent.NotRun} {
+			Convey("the second has one answer and is not dispatched if the outcome is "+string(result), func() {
+				s.endDispatch(s.dispatches[0], result)
+				s.heal()
+				So(second.responses, ShouldEqual, 1)
+				So(second.Finished(), ShouldBeTrue)
+				So(s.dispatches, ShouldHaveLength, 1)
+			})
+		}
+	})
+}
+
 // TestKilledDispatcher guards against a second run when the dispatcher was killed and the caller retries,
 // and against a retry that hangs until its deadline.
 func TestKilledDispatcher(t *testing.T) {
