action, daemon: calls that were not dispatched are refused at the end of a planned stop

What callers saw: a call that may not be repeated and that still waited for its record in the log at the end of a planned stop was said to have run, perhaps, so that it may not be sent again; and it could still be dispatched in the last seconds.

Change: the state machine of a call takes the event Stop: it answers the caller at once. A call that was not dispatched is abandoned, which closes its intent in the log; the outcome of one that was is still recorded.

--- a/internal/coordination/action/action.go
+++ b/internal/coordination/action/action.go
@@ -103,10 +103,15 @@
 // Tick reports that time has passed; see Call.WakeAt.
 type Tick struct{}
 
+// Stop reports that the instance stops soon: the caller must be answered now. A call that was not dispatched is abandoned; the
+// outcome of one that was is still recorded.
+type Stop struct{}
+
 func (ViewUpdate) event()     {}
 func (AppendResult) event()   {}
 func (DispatchResult) event() {}
 func (Tick) event()           {}
+func (Stop) event()           {}
 
 // Action is an operation that the caller of New or Step must perform.
 type Action interface{ action() }
@@ -219,8 +224,11 @@
 // Step handles one event and returns the resulting actions. Deadlines are checked before the event, so a
 // call whose instance was paused past its deadline is not dispatched when the instance resumes.
 func (c *Call) Step(now time.Time, ev Event) []Action {
-	if o, ok := ev.(ViewUpdate); ok {
-		c.view = o.View
+	switch e := ev.(type) {
+	case ViewUpdate:
+		c.view = e.View
+	case Stop:
+		c.req.Deadline, c.intentDeadline = now, now
 	}
 	actions := c.checkDeadlines(now)
 	switch e := ev.(type) {
--- a/internal/coordination/action/action_test.go
+++ b/internal/coordination/action/action_test.go
@@ -96,6 +96,36 @@
 	})
 }
 
+// TestStop guards against a caller that is cut off, or is told that its call may have run although it was not and will not be
+// dispatched, because its instance stops.
+func TestStop(t *testing.T) {
+	Convey("Given a call on an instance that stops", t, func() {
+		s := newSim(t, 1)
+		inst := s.instances[0]
+		c := s.newCall(inst, "k", "b")
+		Convey("before the call's intent is in force, it has not run and is never dispatched", func() {
+			s.stop(inst)
+			So(c.responses, ShouldEqual, 1)
+			So(c.notRun, ShouldBeTrue)
+			s.commit(s.appends[0])
+			s.read(inst, 1)
+			s.heal()
+			So(s.dispatches, ShouldBeEmpty)
+		})
+		Convey("after the dispatch, it may have run, and its outcome is still recorded", func() {
+			s.commit(s.appends[0])
+			s.read(inst, 1)
+			So(s.dispatches, ShouldHaveLength, 1)
+			s.stop(inst)
+			So(c.responses, ShouldEqual, 1)
+			So(c.notRun, ShouldBeFalse)
+			s.heal()
+			So(c.responses, ShouldEqual, 1)
+			So(s.runsPerKey["k"], ShouldEqual, 1)
+		})
+	})
+}
+
 // TestKilledDispatcher guards against a second run when the dispatcher was killed and the caller retries,
 // and against a retry that hangs until its deadline.
 func TestKilledDispatcher(t *testing.T) {
--- a/internal/coordination/action/sim_test.go
+++ b/internal/coordination/action/sim_test.go
@@ -205,6 +205,13 @@
 	}
 }
 
+// stop reports to an instance's calls that their callers can no longer be answered soon.
+func (s *sim) stop(inst *instance) {
+	for _, c := range inst.calls {
+		s.step(inst, c, Stop{})
+	}
+}
+
 // read makes an instance apply up to n more log entries and update the views of its calls.
 func (s *sim) read(inst *instance, n int) {
 	if inst.paused {
@@ -320,6 +327,7 @@
 					}
 				}
 			},
+			"planned stop":       func(t *rapid.T) { s.stop(pick(t)) },
 			"append answer lost": func(t *rapid.T) { s.report(anyAppend(t), AppendUnknown) },
 			"append not sent": func(t *rapid.T) {
 				if a := anyAppend(t); !a.reported && !a.committed {
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -30,6 +30,8 @@
 	// accepts.
 	batchInstances        = 7
 	batchAppendsPerSecond = 300
+	// stopAnswerTimeout bounds the wait for the answer of a call on an instance that stops.
+	stopAnswerTimeout = 500 * time.Millisecond
 	// appendTimeout bounds one append.
 	appendTimeout = 2 * time.Second
 )
@@ -55,6 +57,8 @@
 	// pending holds the calls that wait for the result of an append, in the order of their records.
 	pending []appendWaiter
 	calls   map[*actionCall]struct{}
+	// stopping is set once callers are answered at once, at the end of a planned stop.
+	stopping bool
 }
 
 // appendWaiter is a call that waits for its records to be appended.
@@ -225,9 +229,35 @@
 	case r := <-ac.result:
 		return r.response, r.err
 	case <-ctx.Done():
-		return backend.ServiceResponse{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, http.StatusGatewayTimeout,
-			"caller_gone", "the caller left before the outcome")
 	}
+	if a.isStopping() {
+		// The call's loop answers at once, and knows whether the call was dispatched.
+		t := time.NewTimer(stopAnswerTimeout)
+		defer t.Stop()
+		select {
+		case r := <-ac.result:
+			return r.response, r.err
+		case <-t.C:
+		}
+	}
+	return backend.ServiceResponse{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, http.StatusGatewayTimeout,
+		"caller_gone", "the caller left before the outcome")
+}
+
+// stop answers the callers of all calls, at the end of a planned stop. It must be called before the requests are cancelled.
+func (a *actions) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopping = true
+	for c := range a.calls {
+		c.send(action.Stop{})
+	}
+}
+
+func (a *actions) isStopping() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stopping
 }
 
 func (a *actions) start(c entry.ServiceCall, created time.Time) (*actionCall, error) {
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -83,6 +83,7 @@
 	// Shutdown would drop requests that it has not read to the end of their headers.
 	if err := d.connections.Drain(serving); err != nil {
 		d.log.Warn().Err(err).Int("ended_requests", d.entry.InFlight()).Msg("drain time ended before all requests had finished; ending them")
+		d.actions.stop()
 		d.entry.Stop()
 		answering, cancel := context.WithTimeout(ctx, answerTimeout)
 		defer cancel()
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -212,3 +212,29 @@
 		})
 	})
 }
+
+// TestStopBeforeDispatch guards against a call that may not be repeated, that waits for its record in the log at the end of a
+// planned stop, and that is said to have run, perhaps.
+func TestStopBeforeDispatch(t *testing.T) {
+	const grace = 4 * time.Second
+	prepare := func(d *Daemon) { d.settings.Limits.DrainSeconds = int(grace / time.Second) }
+	runPreparedFleet(t, 3, nil, prepare, func(f *testFleet) {
+		// The other instances keep the lease valid without the log.
+		Convey("The call is refused as not run, and does not run", t, func() {
+			start := time.Now()
+			close(f.instance(0).drain)
+			time.Sleep(1500 * time.Millisecond)
+			c, r := f.dialCaller(post("/services/lots/log", "Idempotency-Key: "+newIdempotencyKey()+"\r\n", "lot"))
+			defer func() { _ = c.Close() }()
+			time.Sleep(time.Millisecond) // less than records wait for others in their batch
+			f.stack.Log.SetDown(true)
+			answer := readReply(r)
+			answered := time.Since(start)
+			<-f.instance(0).done
+			So(answered, ShouldBeGreaterThan, 2*time.Second)
+			So(answered, ShouldBeLessThan, grace)
+			So(fmt.Sprint(answer.status, " ", answer.verdict, " ", answer.body), ShouldStartWith, "503 not-run ")
+			So(f.stack.Service.Entries(), ShouldBeEmpty)
+		})
+	})
+}
