--- a/internal/coordination/action/action_test.go
+++ b/internal/coordination/action/action_test.go
@@ -70,6 +70,62 @@
 	})
 }
 
+// TestOutcomeAfterDeadline guards against a call that is answered twice because the outcome for which it waited is recorded
+// after its deadline, and against one that is dispatched after its caller was answered.
+func TestOutcomeAfterDeadline(t *testing.T) {
+	Convey("Given two calls with one key, the first of which is dispatched", t, func() {
+		s := newSim(t, 1)
+		inst := s.instances[0]
+		s.newCall(inst, "k", "b")
+		s.commit(s.appends[0])
+		s.read(inst, 1)
+		second := s.newCall(inst, "k", "b")
+		So(second.responses, ShouldEqual, 0)
+		s.advance(callDeadline)
+		So(second.responses, ShouldEqual, 1)
+		So(second.notRun, ShouldBeFalse)
+		for _, result := range []intent.Result{intent.Ran, intent.NotRun} {
+			Convey("the second has one answer and is not dispatched if the outcome is "+string(result), func() {
+				s.endDispatch(s.dispatches[0], result)
+				s.heal()
+				So(second.responses, ShouldEqual, 1)
+				So(second.Finished(), ShouldBeTrue)
+				So(s.dispatches, ShouldHaveLength, 1)
+			})
+		}
+	})
+}
+
+// TestStop guards against a caller that is cut off, or is told that its call may have run although it was not and will not be
+// dispatched, because its instance stops.
+func TestStop(t *testing.T) {
+	Convey("Given a call on an instance that stops", t, func() {
+		s := newSim(t, 1)
+		inst := s.instances[0]
+		c := s.newCall(inst, "k", "b")
+		Convey("before the call's intent is in force, it has not run and is never dispatched", func() {
+			s.stop(inst)
+			So(c.responses, ShouldEqual, 1)
+			So(c.notRun, ShouldBeTrue)
+			s.commit(s.appends[0])
+			s.read(inst, 1)
+			s.heal()
+			So(s.dispatches, ShouldBeEmpty)
+		})
+		Convey("after the dispatch, it may have run, and its outcome is still recorded", func() {
+			s.commit(s.appends[0])
+			s.read(inst, 1)
+			So(s.dispatches, ShouldHaveLength, 1)
+			s.stop(inst)
+			So(c.responses, ShouldEqual, 1)
+			So(c.notRun, ShouldBeFalse)
+			s.heal()
+			So(c.responses, ShouldEqual, 1)
+			So(s.runsPerKey["k"], ShouldEqual, 1)
+		})
+	})
+}
+
 // TestKilledDispatcher guards against a second run when the dispatcher was killed and the caller retries,
 // and against a retry that hangs until its deadline.
 func TestKilledDispatcher(t *testing.T) {
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
@@ -68,8 +69,15 @@
 	Admit func() error
 	// Ready returns an error while load balancers should send no requests to the instance.
 	Ready func() error
+	// AdmitRun returns an error if a request must not be run, which the caller has sent to the end and which lasts until
+	// the deadline at most; stream is true if its answer may last until then although it began early.
+	AdmitRun func(deadline time.Time, stream bool) error
+	// Draining reports whether callers are to close their connections.
+	Draining func() bool
 	// Record adds an event to the timeline.
 	Record func(event.Event)
+	// Log gets the panics of handlers.
+	Log zerolog.Logger
 	// Registry collects the server's metrics.
 	Registry *prometheus.Registry
 	// MaxBodyMemory is the largest number of bytes that all request bodies together may take in memory.
@@ -104,6 +112,10 @@
 	s.inFlight.cancelInvalid(func(string) bool { return false })
 }
 
+// Stop ends all requests, at the end of a planned stop: those without an answer get an error with the verdict on whether
+// they ran, and streams end with an error.
+func (s *Server) Stop() { s.inFlight.stop() }
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int { return s.inFlight.len() }
 
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -20,6 +21,9 @@
 // bodyTimeout is how long a caller may take to send its body.
 const bodyTimeout = 30 * time.Second
 
+// aLongTimeAgo is a deadline that ends a read at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
 const (
 	// writeTimeout is how long a caller may take to accept writeChunk bytes of its response.
 	writeTimeout = 10 * time.Second
@@ -51,12 +55,18 @@
 	verdict string
 	// failure is the error that the response carries, or nil.
 	failure *verdict.Error
+	// draining is Options.Draining.
+	draining func() bool
 }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. While the instance drains, also a request that arrived before is answered
+// with the advice to close the connection.
 func (r *recorder) WriteHeader(status int) {
 	if r.status == 0 {
 		r.status = status
+		if r.draining() {
+			r.Header().Set("Connection", "close")
+		}
 	}
 	r.ResponseWriter.WriteHeader(status)
 }
@@ -82,11 +92,12 @@
 // caller, registers the request for cancellation, writes the error response and records metrics and events.
 func (s *Server) wrap(kind string, h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, hr *http.Request) {
-		rec := &recorder{ResponseWriter: w}
+		rec := &recorder{ResponseWriter: w, draining: s.opts.Draining}
 		r := &request{Request: hr, id: uuid.NewString(), start: time.Now(), memory: s.bodies.NewUsage(0)}
 		rec.Header().Set("X-Request-Id", r.id)
 		defer r.memory.Release()
-		err := s.serve(rec, r, h)
+		panicked, err := s.serveOrRecover(rec, r, h)
+		begun := rec.status != 0
 		if err != nil {
 			s.writeError(rec, r, err)
 		}
@@ -95,9 +106,31 @@
 			s.metrics.failures.WithLabelValues(rec.failure.Code).Inc()
 		}
 		s.recordEnd(rec, r, err)
+		if panicked && begun {
+			// The end of the handler would make the answer look complete.
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
+// serveOrRecover serves the request. A panic becomes an error, so that the caller gets an answer: net/http would close the
+// connection. Only what was not given to the Runner has certainly not run.
+func (s *Server) serveOrRecover(rec *recorder, r *request, h handler) (panicked bool, err error) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		s.opts.Log.Error().Str("request", r.id).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("serving a request failed with a panic")
+		v := verdict.MayHaveRun
+		if r.admitted.Kind == "" {
+			v = verdict.NotRun
+		}
+		panicked, err = true, verdict.New(v, http.StatusInternalServerError, "panic", "the instance failed")
+	}()
+	return false, s.serve(rec, r, h)
+}
+
 // recordEnd adds the end of a request to the timeline. It leaves out requests that succeeded without
 // admission: they only read the instance's own state.
 func (s *Server) recordEnd(rec *recorder, r *request, err error) {
@@ -154,11 +187,18 @@
 // request ran.
 func (s *Server) cancelled(r *request, err error) error {
 	e := verdict.FromError(err)
-	if !errors.Is(context.Cause(r.Context()), errKeyWithdrawn) {
+	var out verdict.Error
+	switch cause := context.Cause(r.Context()); {
+	case errors.Is(cause, errKeyWithdrawn):
+		s.metrics.withdrawn.Inc()
+		out = *errKeyWithdrawn
+	case errors.Is(cause, errStopped) && e.Verdict == verdict.NotRun:
+		return ErrDraining
+	case errors.Is(cause, errStopped):
+		out = *errStopped
+	default:
 		return e
 	}
-	s.metrics.withdrawn.Inc()
-	out := *errKeyWithdrawn
 	out.Verdict = e.Verdict
 	return &out
 }
@@ -193,11 +233,14 @@
 	if r.ContentLength > openai.MaxBodyBytes {
 		return nil, errBodyTooLarge
 	}
+	control := http.NewResponseController(w.ResponseWriter)
+	// A request that is cancelled does not wait for the rest of its body.
+	stop := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(aLongTimeAgo) })
 	limited := http.MaxBytesReader(w.ResponseWriter, r.Body, openai.MaxBodyBytes)
 	body, err := io.ReadAll(bytebudget.Reader{Reader: limited, Usage: r.memory})
-	if err == nil {
+	if stop() && err == nil {
 		// If the deadline stayed set, it would cancel the request's context when it passes.
-		_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Time{})
+		_ = control.SetReadDeadline(time.Time{})
 	}
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
