signals: received from the initialization of the packages on

Seen: TestHangUpAfterStart (a SIGHUP 5 ms to 40 ms after the runtime has started ends the process) failed 9 of 30 starts on a busy machine although main asked for signals first. Cause: the packages that a daemon imports are initialized before main, which took 22 ms there (GODEBUG=inittrace=1), 18 ms of them one package.

--- a/cmd/turmeric-gateway/main.go
+++ b/cmd/turmeric-gateway/main.go
@@ -12,6 +12,7 @@
 	"github.com/turmericworks/turmericworks/internal/gateway"
 	"github.com/turmericworks/turmericworks/internal/logsink"
 	"github.com/turmericworks/turmericworks/internal/program"
+	"github.com/turmericworks/turmericworks/internal/signals"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/platform"
 )
@@ -25,11 +26,7 @@
 // the garbage collector runs more often to stay below it.
 const memoryLimitShare = 0.6
 
-func main() {
-	signals := program.NotifySignals()
-	reread := signals.Reread()
-	program.Main(func(o options) error { return run(o, signals.Stop(), reread) })
-}
+func main() { program.Main(run) }
 
 // load reads and checks the settings file.
 func load(path string) (gateway.Settings, error) {
@@ -40,7 +37,7 @@
 	return gateway.ParseSettings(data)
 }
 
-func run(o options, stopSignals, reread <-chan os.Signal) error {
+func run(o options) error {
 	s, err := load(o.Settings)
 	if err != nil || o.Check {
 		return err
@@ -62,10 +59,10 @@
 
 	stop := make(chan struct{})
 	go func() {
-		<-stopSignals
+		<-signals.Stop()
 		close(stop)
 	}()
-	go checkSettings(reread, o.Settings, log)
+	go checkSettings(signals.Reread(), o.Settings, log)
 	return g.Serve(context.Background(), stop)
 }
 
--- a/cmd/turmericd/main.go
+++ b/cmd/turmericd/main.go
@@ -14,6 +14,7 @@
 	"github.com/turmericworks/turmericworks/internal/daemon"
 	"github.com/turmericworks/turmericworks/internal/embedded"
 	"github.com/turmericworks/turmericworks/internal/program"
+	"github.com/turmericworks/turmericworks/internal/signals"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
@@ -26,16 +27,15 @@
 }
 
 func main() {
-	signals := program.NotifySignals()
-	program.Main(func(o options) error { return run(o, signals.Stop()) })
+	program.Main(run)
 }
 
-func run(o options, signals <-chan os.Signal) error {
+func run(o options) error {
 	switch {
 	case o.PrintDefaults:
 		return printDefaults()
 	case o.Embedded:
-		return serveEmbedded(o, signals)
+		return serveEmbedded(o)
 	case o.Settings == "":
 		return trace.BadParameter("--settings or --embedded is needed")
 	}
@@ -47,7 +47,7 @@
 	if err != nil || o.Check {
 		return err
 	}
-	return serve(s, network.TCP{}, signals)
+	return serve(s, network.TCP{}, nil)
 }
 
 func printDefaults() error {
@@ -56,17 +56,19 @@
 	return trace.Wrap(e.Encode(daemon.DefaultSettings()))
 }
 
-func serveEmbedded(o options, signals <-chan os.Signal) error {
+// serveEmbedded runs the daemon for a user at a terminal, whose end stops it.
+func serveEmbedded(o options) error {
 	e, err := embedded.Start(network.TCP{}, o.KeyDir)
 	if err != nil {
 		return err
 	}
 	defer e.Close()
-	return serve(e.Settings, network.TCP{}, signals)
+	return serve(e.Settings, network.TCP{}, signals.Reread())
 }
 
-// serve runs the daemon. The first signal starts a drain, the second stops the daemon at once.
-func serve(s daemon.Settings, n network.Network, signals <-chan os.Signal) error {
+// serve runs the daemon. The first signal to stop starts a drain, the second stops the daemon at once, as a signal from hangUps
+// does; nil for none.
+func serve(s daemon.Settings, n network.Network, hangUps <-chan os.Signal) error {
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return trace.Wrap(err)
@@ -76,9 +78,13 @@
 	defer stop()
 	drain := make(chan struct{})
 	go func() {
-		<-signals
+		<-signals.Stop()
 		close(drain)
-		<-signals
+		<-signals.Stop()
+		stop()
+	}()
+	go func() {
+		<-hangUps
 		stop()
 	}()
 	o := daemon.Options{Settings: s, Network: n, Log: log, Gate: daemon.NewGate()}
--- a/internal/program/signals_test.go
+++ b/internal/signals/signals_test.go
@@ -1,4 +1,4 @@
-package program
+package signals
 
 import (
 	"os"
@@ -37,14 +37,13 @@
 // TestSignals guards against stop signals that are lost beside signals to read the settings again, and the reverse.
 func TestSignals(t *testing.T) {
 	Convey("stop signals are kept beside many others, in their order", t, func() {
-		s := NotifySignals()
-		reread := s.Reread()
+		reread := Reread()
 		for range 8 {
 			send(t, syscall.SIGHUP)
 		}
 		send(t, syscall.SIGTERM, syscall.SIGINT)
-		So(receive(s.Stop()), ShouldEqual, syscall.SIGTERM)
-		So(receive(s.Stop()), ShouldEqual, syscall.SIGINT)
+		So(receive(Stop()), ShouldEqual, syscall.SIGTERM)
+		So(receive(Stop()), ShouldEqual, syscall.SIGINT)
 		Convey("and a signal to read again is received after others, once", func() {
 			So(receive(reread), ShouldEqual, syscall.SIGHUP)
 			So(reread, ShouldBeEmpty)
