--- a/internal/transport/keepalive/conn.go
+++ b/internal/transport/keepalive/conn.go
@@ -188,7 +188,17 @@
 // bytesWaiting reports whether bytes have arrived on a connection and were not read. The deadline of the connection does
 // not matter. It reports false for connections without a socket.
 func bytesWaiting(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
+	return askSocket(nc, func(fd int) (int, error) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return n, err
+	})
+}
+
+// askSocket reports whether a system call on the socket of a connection or listener returns a positive number. It reports false
+// if there is no socket.
+func askSocket(s any, call func(fd int) (int, error)) bool {
+	sc, ok := s.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -198,10 +208,9 @@
 	}
 	n := 0
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
 		for {
-			var rerr error
-			if n, _, rerr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); !errors.Is(rerr, unix.EINTR) {
+			var callErr error
+			if n, callErr = call(int(fd)); !errors.Is(callErr, unix.EINTR) {
 				return
 			}
 		}
--- a/internal/transport/keepalive/listener.go
+++ b/internal/transport/keepalive/listener.go
@@ -7,7 +7,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -99,22 +98,7 @@
 // connectionWaiting reports whether a connection waits in the queue of a listening socket. It reports false for listeners
 // without a socket.
 func connectionWaiting(l net.Listener) bool {
-	sc, ok := l.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		for {
-			var perr error
-			if n, perr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0); !errors.Is(perr, unix.EINTR) {
-				return
-			}
-		}
+	return askSocket(l, func(fd int) (int, error) {
+		return unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
 	})
-	return err == nil && n > 0
 }
