forward: in a stop, a slow attempt is not ended for one that would not be sent

An idempotent request whose worker is slow was ended for another attempt late in a planned stop, and that attempt was then refused since it might not end before the exit: the caller got an error although the slow answer would have come in time. TestSlowWorkerInStop is red without the check (502 in place of 200).

--- a/internal/transport/forward/attempt_test.go
+++ b/internal/transport/forward/attempt_test.go
@@ -32,6 +32,8 @@
 	placed  atomic.Int64
 	// onFirstEvent is called with the function that revokes an attempt when its first event has arrived.
 	onFirstEvent func(attempt int64, revoke func())
+	// beforeRequest is called before the request is sent to the server.
+	beforeRequest func(s *Server)
 }
 
 func (g *standinGateway) Admit(j *Job, _, _ string) error {
@@ -105,6 +107,9 @@
 	pool := upstream.NewPool(n.Host("gate"))
 	defer pool.Retain(func(workers.Key) bool { return false })
 	s := &Server{Headers: standinHeaders{}, Admission: g, Placement: g, Metrics: g, Pool: pool, ResponseMemory: bytebudget.New(1 << 20), Log: zerolog.Nop()}
+	if g.beforeRequest != nil {
+		g.beforeRequest(s)
+	}
 	l, err := n.Host("gate").Listen("gate:80")
 	if err != nil {
 		t.Fatal(err)
@@ -149,6 +154,31 @@
 	})
 }
 
+// TestSlowWorkerInStop guards against an attempt that is ended because its worker is slow although the server stops and would
+// send no further one: the caller gets the slow answer.
+func TestSlowWorkerInStop(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		const untilEnd, late = 7200 * time.Millisecond, 3900 * time.Millisecond
+		g := &standinGateway{route: routing.Route{Kind: routing.Idempotent, MaxAttempts: 2, TargetLatency: time.Second, Timeout: 20 * time.Second}}
+		g.retries.Store(10)
+		g.beforeRequest = func(s *Server) {
+			s.Drain(time.Now().Add(untilEnd))
+			time.Sleep(late)
+		}
+		status, body, whole := serveThrough(t, g, func(_ int, c net.Conn, _ *http.Request) {
+			time.Sleep(2500 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
+		})
+		Convey("the answer is forwarded", t, func() {
+			So(status, ShouldEqual, http.StatusOK)
+			So(body, ShouldEqual, "ok")
+			So(whole, ShouldBeTrue)
+			So(g.placed.Load(), ShouldEqual, 1)
+			So(g.retries.Load(), ShouldEqual, 10)
+		})
+	})
+}
+
 // TestRevokedAtFirstEvent guards against a stream that reaches the caller and is then cut because its attempt was revoked
 // while its first event arrived: the caller gets nothing of a revoked attempt, or the whole stream of the next one.
 func TestRevokedAtFirstEvent(t *testing.T) {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -412,13 +412,25 @@
 func (c *call) beginSending(worker string) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	if c.progress.ended || !c.progress.begun && !c.server.accepts(c.progress.limit) {
+	if !c.maySend() {
 		return false
 	}
 	c.progress.sent, c.progress.worker = true, worker
 	return true
 }
 
+// maySendAgain reports whether a further attempt would be sent now.
+func (c *call) maySendAgain() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.maySend()
+}
+
+// maySend reports whether the request may be sent to a worker. The server's lock is held.
+func (c *call) maySend() bool {
+	return !c.progress.ended && (c.progress.begun || c.server.accepts(c.progress.limit))
+}
+
 // beginAnswer records that the caller's answer begins. It returns false if the server has ended the call.
 func (c *call) beginAnswer() bool {
 	c.server.mu.Lock()
@@ -619,7 +631,8 @@
 }
 
 // endIfSlow ends an attempt at an idempotent request whose worker does not respond, once another worker can take the
-// request and the retry budget allows that: the worker may hang, but it may also be slow and the only one.
+// request, and the retry budget and a stop of the server allow that: the worker may hang, but it may also be slow and the
+// only one.
 // The function that it returns stops the wait.
 func (c *call) endIfSlow(ctx context.Context, end context.CancelCauseFunc) (stop func() bool) {
 	r := c.job.Route
@@ -630,7 +643,7 @@
 	tried := append(slices.Clone(c.job.Tried), c.reservation.Worker.Key())
 	return time.AfterFunc(time.Until(early), func() {
 		for ctx.Err() == nil {
-			if c.server.Placement.HasOther(c.job.Service, tried) && c.server.Admission.TakeRetry(c.job) {
+			if c.maySendAgain() && c.server.Placement.HasOther(c.job.Service, tried) && c.server.Admission.TakeRetry(c.job) {
 				c.retryTaken.Store(true)
 				end(errSlow)
 				return
