gateway: a slow attempt is not ended for a worker that is known to have reached its limit

HasOther took a worker with a known wait for its limit for one that takes requests; Place does not. The slow worker's answer was given up and the caller got 502 workers_limited. TestSlowWorkerBesideLimitedOne is red without the check.

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -67,7 +67,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	return slices.ContainsFunc(g.workers.Load().Ready(service), func(w *workers.Worker) bool {
-		return !slices.Contains(tried, w.Key()) && !g.leaving(w) && g.backoff(w, now) == 0
+		return !slices.Contains(tried, w.Key()) && !g.leaving(w) && g.knownWait(w, now) == 0
 	})
 }
 
