--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -73,7 +73,7 @@
 	refusing atomic.Bool
 	// connections are those of callers and operators, and listeners accept them.
 	connections *keepalive.Connections
-	listeners   []net.Listener
+	listeners   []*keepalive.Listener
 	servers     []*http.Server
 }
 
@@ -106,7 +106,9 @@
 	d.peers = peer.NewClients(d.tlsConfigs.peerClient, d.tlsConfigs.dialPeer, d.control.recordRefusedConnection)
 	d.control.peers = d.peers
 	d.owners = newOwners(d)
-	d.peerServer = peer.NewServer(d.tlsConfigs.peers, peer.RecoverPanics(d.log)...)
+	d.peerServer = peer.NewServer(d.tlsConfigs.peers, func(call string, value any, stack []byte) {
+		d.log.Error().Str("call", call).Str("panic", fmt.Sprint(value)).Bytes("stack", stack).Msg("call of a peer failed")
+	})
 	operators, err := admin.NewHandler(&adminDaemon{d}, o.Settings.tokens())
 	if err != nil {
 		return nil, err
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -9,12 +9,15 @@
 	"github.com/turmericworks/turmericworks/internal/state/members"
 	"github.com/turmericworks/turmericworks/internal/state/record"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
+	"github.com/turmericworks/turmericworks/internal/transport/keepalive"
 )
 
 const (
 	// balancerDelay is how long an instance continues to accept requests after it reports unready, so that
 	// the load balancer stops sending requests before they are refused.
 	balancerDelay = 2 * time.Second
+	// idleInDrain is how long a drain leaves a connection open after its last answer, which asks the caller to close it.
+	idleInDrain = 500 * time.Millisecond
 	// drainPollInterval is how often a drain checks whether its current step has finished.
 	drainPollInterval = 50 * time.Millisecond
 	// handOverTimeout bounds the transfer of the shares together with the leave record. Shares that are
@@ -76,18 +79,18 @@
 // ended, it ends the requests that are still served.
 func (d *Daemon) drainConnections(ctx, serving context.Context) {
 	for _, l := range d.listeners {
-		if err := l.Close(); err != nil {
+		if err := l.Stop(ctx); err != nil {
 			d.log.Warn().Err(err).Str("address", l.Addr().String()).Msg("listener not closed")
 		}
 	}
 	// Shutdown would drop requests that it has not read to the end of their headers.
-	if err := d.connections.Drain(serving); err != nil {
+	if err := d.connections.Drain(serving, keepalive.DrainTimes{Idle: idleInDrain}); err != nil {
 		d.log.Warn().Err(err).Int("ended_requests", d.entry.InFlight()).Msg("drain time ended before all requests had finished; ending them")
 		d.actions.stop()
 		d.entry.Stop()
 		answering, cancel := context.WithTimeout(ctx, answerTimeout)
 		defer cancel()
-		if err := d.connections.Drain(answering); err != nil {
+		if err := d.connections.Drain(answering, keepalive.DrainTimes{}); err != nil {
 			d.log.Warn().Err(err).Int("cut_requests", d.entry.InFlight()).Msg("connections still open at the exit; cutting them off")
 		}
 	}
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
@@ -17,13 +18,14 @@
 // a time; further ones wait in the operating system's accept queue. If conf is nil, the listener uses
 // plain text.
 func (d *Daemon) listen(address string, conf *tls.Config, limit int, h http.Handler) (suture.Service, error) {
-	l, err := d.opts.Network.Listen(address)
+	inner, err := d.opts.Network.Listen(address)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", address)
 	}
-	l = d.connections.Listener(newLimitListener(l, limit))
+	tracked := d.connections.Listener(newLimitListener(inner, limit))
+	var l net.Listener = tracked
 	if conf != nil {
-		l = tls.NewListener(l, conf)
+		l = tls.NewListener(tracked, conf)
 	}
 	s := &http.Server{
 		Handler: d.announceClose(h), ConnState: d.connectionState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -36,7 +38,7 @@
 		Protocols: &http.Protocols{},
 	}
 	s.Protocols.SetHTTP1(true)
-	d.servers, d.listeners = append(d.servers, s), append(d.listeners, l)
+	d.servers, d.listeners = append(d.servers, s), append(d.listeners, tracked)
 	// Close returns the errors of closing the listeners, which do not matter after the stop.
 	return &listenerService{serve: func() error { return s.Serve(l) }, stop: func() { _ = s.Close() }}, nil
 }
@@ -79,8 +81,8 @@
 	}
 }
 
-// limitListener accepts a limited number of connections at a time. Unlike those of netutil.LimitListener, its
-// connections give access to their sockets, which package keepalive needs to find bytes that were not read.
+// limitListener accepts a limited number of connections at a time. Unlike netutil.LimitListener, it and its connections
+// give access to their sockets, which package keepalive needs to find connections and bytes that wait.
 type limitListener struct {
 	net.Listener
 	// places holds one element for each connection that is open or being accepted.
@@ -115,6 +117,25 @@
 	return l.Listener.Close()
 }
 
+// SetDeadline bounds the calls of Accept that take a connection from the socket's queue.
+func (l *limitListener) SetDeadline(t time.Time) error {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return d.SetDeadline(t)
+	}
+	return errors.ErrUnsupported
+}
+
+// SyscallConn implements syscall.Conn.
+func (l *limitListener) SyscallConn() (syscall.RawConn, error) { return socketOf(l.Listener) }
+
+// socketOf returns the socket of a listener or a connection.
+func socketOf(v any) (syscall.RawConn, error) {
+	if s, ok := v.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 type limitedConn struct {
 	net.Conn
 	release func()
@@ -127,9 +148,4 @@
 }
 
 // SyscallConn implements syscall.Conn.
-func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
-	if s, ok := c.Conn.(syscall.Conn); ok {
-		return s.SyscallConn()
-	}
-	return nil, errors.ErrUnsupported
-}
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return socketOf(c.Conn) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,6 +193,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
+	g.connections.Closed = g.callerConnectionClosed
 	g.workers.Store(workers.NewRegistry().Snapshot())
 	g.peers = newPeers(g)
 	g.fleetRelay = &fleetRelay{g: g}
@@ -210,16 +212,26 @@
 
 func (g *Gateway) now() time.Duration { return g.clock() }
 
-// configFresh reports whether the last successful read of the configuration is not older than maxAge. An instance that
+// configFresh reports whether the configuration in force was confirmed within maxAge.
+func (g *Gateway) configFresh(maxAge time.Duration) bool { return g.recent(g.lastConfirmed(), maxAge) }
+
+// lastConfirmed returns when the last successful read of the configuration was sent, 0 if there was none. An instance that
 // still has to ask others does not know whether they have a newer one that the log service lost.
-func (g *Gateway) configFresh(maxAge time.Duration) bool {
-	read := g.configRead.Load()
-	return read != 0 && g.peersAsked.Load() && g.now()-time.Duration(read) <= maxAge
+func (g *Gateway) lastConfirmed() time.Duration {
+	if !g.peersAsked.Load() {
+		return 0
+	}
+	return time.Duration(g.configRead.Load())
+}
+
+// recent reports whether a time returned by lastConfirmed is not 0 and not older than maxAge.
+func (g *Gateway) recent(confirmed, maxAge time.Duration) bool {
+	return confirmed != 0 && g.now()-confirmed <= maxAge
 }
 
-// start runs f in the background. Its context is cancelled at the end of Serve, which waits for f. After that, f is not run:
-// calls of other instances may still arrive.
-func (g *Gateway) start(f func(ctx context.Context)) {
+// start runs a task in the background. Its context is cancelled at the end of Serve, which waits for it. After that, it is not
+// run: calls of other instances may still arrive. A panic ends only the task.
+func (g *Gateway) start(task string, f func(ctx context.Context)) {
 	g.starting.Lock()
 	defer g.starting.Unlock()
 	if g.lifetime.Err() != nil {
@@ -228,7 +240,7 @@
 	g.background.Add(1)
 	go func() {
 		defer g.background.Done()
-		f(g.lifetime)
+		g.guard(task, func() { f(g.lifetime) })
 	}()
 }
 
@@ -291,35 +303,40 @@
 			return ctx.Err()
 		}
 		g.closeIdleCallers()
-		set := g.workers.Load()
-		exists := func(k workers.Key) bool {
-			w, ok := set.Get(k.ID)
-			return ok && w.Key() == k
-		}
-		leaving := g.leavingWorkers(set)
-		g.pool.Retain(func(k workers.Key) bool { return exists(k) && !leaving[k] })
-		g.mu.Lock()
-		g.residency.Retain(exists)
-		g.popularity.Trim(g.now())
-		g.releaseMissing(g.now())
-		names := map[string]bool{}
-		for _, w := range set.All() {
-			names[incarnationName(w)] = true
-		}
-		listed := func(name string) bool { return names[name] }
-		g.limits.Retain(listed)
-		g.availability.Retain(listed, g.now())
-		for k := range g.unreachable {
-			if _, ok := g.members.Member(k.incarnation); !ok {
-				delete(g.unreachable, k)
-			}
+		g.removeUnused()
+	}
+}
+
+// removeUnused removes the state of workers and instances that are gone.
+func (g *Gateway) removeUnused() {
+	set := g.workers.Load()
+	exists := func(k workers.Key) bool {
+		w, ok := set.Get(k.ID)
+		return ok && w.Key() == k
+	}
+	leaving := g.leavingWorkers(set)
+	g.pool.Retain(func(k workers.Key) bool { return exists(k) && !leaving[k] })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.residency.Retain(exists)
+	g.popularity.Trim(g.now())
+	g.releaseMissing(g.now())
+	names := map[string]bool{}
+	for _, w := range set.All() {
+		names[incarnationName(w)] = true
+	}
+	listed := func(name string) bool { return names[name] }
+	g.limits.Retain(listed)
+	g.availability.Retain(listed, g.now())
+	for k := range g.unreachable {
+		if _, ok := g.members.Member(k.incarnation); !ok {
+			delete(g.unreachable, k)
 		}
-		for k, n := range g.inFlight {
-			if n == 0 && !exists(k) {
-				delete(g.inFlight, k)
-			}
+	}
+	for k, n := range g.inFlight {
+		if n == 0 && !exists(k) {
+			delete(g.inFlight, k)
 		}
-		g.mu.Unlock()
 	}
 }
 
@@ -336,6 +353,14 @@
 	}
 }
 
+// callerConnectionClosed counts the end of a caller's connection.
+func (g *Gateway) callerConnectionClosed(c keepalive.Close) {
+	g.metrics.callerCloses.WithLabelValues(string(c.Cause), strconv.FormatBool(c.Unread)).Inc()
+	if c.Unread {
+		g.log.Warn().Str("cause", string(c.Cause)).Bool("stopping", g.stopping.Load()).Msg("caller's connection closed with bytes unread")
+	}
+}
+
 // sleep waits for the duration and reports whether it passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -362,7 +387,7 @@
 type servers struct {
 	callers, readiness, metrics *http.Server
 	// callersListener accepts the connections of callers.
-	callersListener net.Listener
+	callersListener *keepalive.Listener
 	stopPeers       func()
 }
 
@@ -386,11 +411,12 @@
 // listen starts the listeners for callers, readiness checks, metrics and peers.
 func (g *Gateway) listen() (*servers, error) {
 	s := &servers{}
-	var err error
-	if s.callersListener, err = g.network.Listen(g.settings.CallersAddress); err != nil {
+	callers, err := g.network.Listen(g.settings.CallersAddress)
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s.callers = g.serveHTTP(g.connections.Listener(s.callersListener), g.server, g.connections.ConnState)
+	s.callersListener = g.connections.Listener(callers)
+	s.callers = g.serveHTTP(s.callersListener, g.server, g.connections.ConnState)
 	if s.readiness, err = g.listenHTTP(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -36,13 +36,14 @@
 func (p *placement) Place(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
 	g := (*Gateway)(p)
 	firstAttempt := j.Service == ""
-	g.mu.Lock()
-	if firstAttempt {
-		j.Service = chooseService(j.Route)
-		g.budget(j.Service).CountRequest(g.now())
-	}
-	refusal := g.crashRefusal(j)
-	g.mu.Unlock()
+	var refusal *verdict.Error
+	g.locked(func() {
+		if firstAttempt {
+			j.Service = chooseService(j.Route)
+			g.budget(j.Service).CountRequest(g.now())
+		}
+		refusal = g.crashRefusal(j)
+	})
 	if refusal != nil {
 		return forward.Reservation{}, refusal
 	}
@@ -60,6 +61,17 @@
 	return reservation, g.limitError(j, err)
 }
 
+// HasOther implements forward.Placement.
+func (p *placement) HasOther(service string, tried []workers.Key) bool {
+	g := (*Gateway)(p)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	return slices.ContainsFunc(g.workers.Load().Ready(service), func(w *workers.Worker) bool {
+		return !slices.Contains(tried, w.Key()) && !g.leaving(w) && g.backoff(w, now) == 0
+	})
+}
+
 // chooseService picks one of a route's services at random, by weight.
 func chooseService(r *routing.Route) string {
 	total := 0.0
@@ -177,14 +189,16 @@
 // placeByLoad places a job that needs no model or adapter at the least loaded worker.
 func (g *Gateway) placeByLoad(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
 	for range maxLimitedWorkers {
-		g.mu.Lock()
-		w := g.leastLoaded(g.candidates(j))
+		var w *workers.Worker
+		var reservation forward.Reservation
+		g.locked(func() {
+			if w = g.leastLoaded(g.candidates(j)); w != nil {
+				reservation = g.reserve(j, w, residency.Adapter{}, 0)
+			}
+		})
 		if w == nil {
-			g.mu.Unlock()
 			break
 		}
-		reservation := g.reserve(j, w, residency.Adapter{}, 0)
-		g.mu.Unlock()
 		if g.claimCapacity(ctx, j, w) {
 			return reservation, nil
 		}
@@ -206,7 +220,7 @@
 	return forward.Reservation{
 		Worker: w, AdapterVersion: version,
 		Sending:   func(revoke func()) { g.attemptSent(j, w, a, version, revoke) },
-		Confirm:   func() error { return g.confirmSend(j, w) },
+		Confirm:   func() error { return g.confirmSend(j, w, a, version) },
 		Answered:  func(r external.WorkerResponse) { g.workerAnswered(w, r) },
 		Answering: func() { g.answerBegan(j) },
 		Done:      func(o forward.Outcome) { g.attemptEnded(j, w, a, o) },
@@ -309,25 +323,19 @@
 		if late && len(failed) == loadAttempts {
 			break
 		}
-		g.mu.Lock()
-		list := g.candidates(j)
-		version, accepted := g.adapterVersions(a)
-		resident := g.residentWorkers(list, a, accepted)
-		if refusal := g.crashRefusal(j); refusal != nil {
-			g.mu.Unlock()
-			return forward.Reservation{}, refusal
+		o := g.engineOptions(j, a, failed, late || elsewhere)
+		if o.refusal != nil {
+			return forward.Reservation{}, o.refusal
 		}
-		target := g.loadingWorker(list, resident, failed, a)
-		further := g.furtherWorker(list, resident, failed, a, late || elsewhere)
-		g.mu.Unlock()
-		if target == nil && len(resident) > 0 {
-			c := g.chooseResident(ctx, j, list, resident, a, further != nil)
+		target := o.target
+		if target == nil && len(o.resident) > 0 {
+			c := g.chooseResident(ctx, j, o.list, o.resident, a, o.further != nil)
 			switch {
 			case c.refusal != nil:
 				return forward.Reservation{}, c.refusal
 			case c.elsewhere:
-				target, elsewhere = further, true
-			case g.claimCapacity(ctx, j, c.reservation.Worker):
+				target, elsewhere = o.further, true
+			case g.claimCapacity(ctx, j, c.reservation.Worker) && !g.reservedExpired(c.reservation, a):
 				g.recordSent(c.reservation.Worker, a)
 				return c.reservation, nil
 			default:
@@ -350,7 +358,7 @@
 		if !ok {
 			continue
 		}
-		want := wantedAdapter{adapter: a, version: version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
+		want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
 		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
 			return reservation, nil
 		}
@@ -362,6 +370,43 @@
 	return forward.Reservation{}, adapterAbsentError()
 }
 
+// reservedExpired reports whether a request may no longer begin on the version of an adapter with which it was reserved. The
+// lock is not held.
+func (g *Gateway) reservedExpired(r forward.Reservation, a residency.Adapter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.versionExpired(a, r.AdapterVersion)
+}
+
+// engineOptions are the workers at which a job for an adapter may be placed.
+type engineOptions struct {
+	// list holds the candidates, and resident those that hold the adapter.
+	list, resident []*workers.Worker
+	// target is the worker that should load the adapter, nil if the job should go to a resident one, and further the one that
+	// loads it if no resident worker admits the job.
+	target, further *workers.Worker
+	// version is the adapter version that the job should use.
+	version int64
+	// refusal is set if the job must not be placed.
+	refusal *verdict.Error
+}
+
+// engineOptions returns the workers at which a job may be placed. If noFurther is set, no further load may be started for it.
+func (g *Gateway) engineOptions(j *forward.Job, a residency.Adapter, failed []*workers.Worker, noFurther bool) (o engineOptions) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var accepted int64
+	o.list = g.candidates(j)
+	o.version, accepted = g.adapterVersions(a)
+	o.resident = g.residentWorkers(o.list, a, accepted)
+	if o.refusal = g.crashRefusal(j); o.refusal != nil {
+		return o
+	}
+	o.target = g.loadingWorker(o.list, o.resident, failed, a)
+	o.further = g.furtherWorker(o.list, o.resident, failed, a, noFurther)
+	return o
+}
+
 // reserveAfterLoad lets a worker load the job's adapter and reserves it, if both are done in time and the worker takes the
 // request from sendAt on.
 func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, sendAt time.Time) (forward.Reservation, bool) {
@@ -398,15 +443,25 @@
 }
 
 // confirmSend returns an error if a worker may not be used any more for a request that is about to be sent to it.
-func (g *Gateway) confirmSend(j *forward.Job, w *workers.Worker) error {
+func (g *Gateway) confirmSend(j *forward.Job, w *workers.Worker, a residency.Adapter, version int64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.stillUsable(j, w) == nil {
 		return refuse(http.StatusServiceUnavailable, "worker_withdrawn", "the backend server takes no requests any more", notReadyRetryAfter)
 	}
+	if g.versionExpired(a, version) {
+		return refuse(http.StatusServiceUnavailable, "version_withdrawn", "a newer version of the adapter must be used", notReadyRetryAfter)
+	}
 	return nil
 }
 
+// versionExpired reports whether a request may no longer begin on a version of an adapter, which is 0 for any. Attempts that
+// are on their way are revoked at that time, and one that is sent later is not. The lock is held.
+func (g *Gateway) versionExpired(a residency.Adapter, version int64) bool {
+	required, ok := g.versions[a]
+	return ok && version < required.version && g.now()-required.learned >= g.settings.Bounds.oldVersionBegin()
+}
+
 // residentWorkers returns the workers at which the adapter is resident in at least the version, as far as this instance
 // knows. The lock is held.
 func (g *Gateway) residentWorkers(list []*workers.Worker, a residency.Adapter, version int64) []*workers.Worker {
@@ -465,13 +520,15 @@
 			continue
 		}
 		g.replicaLoads[workerAdapter{w.ID, a}] = true
-		g.start(func(ctx context.Context) {
+		g.start("load of a replica", func(ctx context.Context) {
+			defer func() {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				delete(g.replicaLoads, workerAdapter{w.ID, a})
+			}()
 			ctx, cancel := context.WithTimeout(ctx, ownerResponseTimeout)
 			defer cancel()
 			g.ensureResident(ctx, w, wantedAdapter{adapter: a, version: version})
-			g.mu.Lock()
-			delete(g.replicaLoads, workerAdapter{w.ID, a})
-			g.mu.Unlock()
 		})
 		return
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -11,8 +11,12 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"runtime/debug"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,14 +46,30 @@
 	// that the route allows.
 	extraRejections = 3
 	// attemptLatencyFactor, multiplied by the route's target latency, is how long an idempotent request waits for
-	// a worker that does not respond before it is sent to another one.
+	// a worker that does not respond before it is sent to another one, and otherWorkerInterval how long it waits on if
+	// there is no other one, or the retry budget is used up.
 	attemptLatencyFactor = 2
+	otherWorkerInterval  = 100 * time.Millisecond
+	// maxHeaderAge is how long before a request is sent its headers, which name the time that is left, may be built.
+	maxHeaderAge = 20 * time.Millisecond
 	// retryAfter is the Retry-After of refusals whose cause is likely to pass soon.
 	retryAfter = 200 * time.Millisecond
 	// stopRetryAfter is that of requests to an instance that stops: another one takes them at once.
 	stopRetryAfter = 10 * time.Millisecond
 )
 
+// codeStopping is the code of errors that a stop of the instance causes.
+const codeStopping = "stopping"
+
+// errStopping ends requests that the end of the process would otherwise cut off.
+var errStopping = errors.New("the instance stops")
+
+// The causes that end an attempt while its request goes on.
+var (
+	errRevoked = errors.New("the attempt was revoked")
+	errSlow    = errors.New("the worker did not respond in time")
+)
+
 var errResponseMemory = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "response_memory_full", "the instance holds as many bytes of responses as it may")
 
 // Job is one request of a caller, with all its attempts at workers.
@@ -139,8 +159,6 @@
 	// TakeRetry takes one further attempt for the job from the fleet's retry budget. It returns false if the budget
 	// does not allow one.
 	TakeRetry(j *Job) bool
-	// RetryAvailable reports whether TakeRetry would succeed now.
-	RetryAvailable(j *Job) bool
 	// Limits returns the limits in force for callers; a value of 0 means not set.
 	Limits() routing.Limits
 }
@@ -149,14 +167,22 @@
 type Placement interface {
 	// Place waits, at most until the job's deadline, for a worker that can serve the job. Errors carry a verdict.
 	Place(ctx context.Context, j *Job) (Reservation, error)
+	// HasOther reports whether a worker of the service that is not among those tried takes requests.
+	HasOther(service string, tried []workers.Key) bool
 }
 
 // Metrics records requests and attempts. Implementations must be safe for concurrent use.
 type Metrics interface {
 	Request(route *routing.Route, status int, v verdict.Verdict, duration time.Duration)
 	Attempt(o Outcome)
+	// Unfinished records a request whose caller got no complete answer. Begun says whether the answer had begun, and cause is
+	// the code of the error, or CauseExit.
+	Unfinished(begun bool, cause string)
 }
 
+// CauseExit is the cause of an unfinished answer that the end of the process cut off.
+const CauseExit = "exit"
+
 // Server is the HTTP handler for callers.
 type Server struct {
 	Headers   external.Headers
@@ -168,8 +194,13 @@
 	ResponseMemory *bytebudget.Budget
 	Log            zerolog.Logger
 	// stop is set while the server drains.
-	stop     atomic.Pointer[stopPeriod]
-	inFlight atomic.Int64
+	stop atomic.Pointer[stopPeriod]
+
+	mu sync.Mutex
+	// calls are the requests that are being served.
+	calls map[*call]struct{}
+	// durations are those of the requests that were served.
+	durations drain.Durations
 }
 
 // stopPeriod is when the server began to drain, and when it cuts off the requests that it still serves.
@@ -178,17 +209,102 @@
 // Drain makes the server ask callers to close their connections, and refuse requests that would be cut off at the time ends.
 func (s *Server) Drain(ends time.Time) { s.stop.Store(&stopPeriod{time.Now(), ends}) }
 
+// RefuseWaiting ends the requests that were sent to no worker and would probably be cut off. They have not run.
+func (s *Server) RefuseWaiting() {
+	s.endCalls(func(p progress) bool {
+		return !p.sent && p.limit.Route != "" && !s.accepts(p.limit)
+	})
+}
+
+// EndUnanswered ends all requests whose answers have not begun, so that their callers get a complete error before the server
+// is closed. It returns their number.
+func (s *Server) EndUnanswered() int {
+	return s.endCalls(func(progress) bool { return true })
+}
+
+// endCalls ends the calls that are chosen among those whose answers have not begun, and returns their number.
+func (s *Server) endCalls(choose func(p progress) bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.calls {
+		if p := &c.progress; !p.begun && !p.ended && p.end != nil && choose(*p) {
+			p.ended = true
+			p.end(errStopping)
+			n++
+		}
+	}
+	return n
+}
+
+// timeLimit is what limits the duration of a request.
+type timeLimit struct {
+	Route    string
+	Deadline time.Time
+	Stream   bool
+}
+
+// accepts reports whether a request is taken or sent, although the server may be draining. The lock is held.
+func (s *Server) accepts(l timeLimit) bool {
+	stop := s.stop.Load()
+	if stop == nil {
+		return true
+	}
+	r := drain.Request{Timeout: time.Until(l.Deadline), Usual: s.durations.Usual(l.Route), Stream: l.Stream}
+	return drain.Accepts(r, time.Since(stop.began), time.Until(stop.ends))
+}
+
+// recordDuration records how long a request took that was answered with success or ended by its deadline.
+func (s *Server) recordDuration(route string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.durations.Record(route, d)
+}
+
+func stoppingError() *verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, codeStopping, "the instance stops before the answer would be complete").WithRetryAfter(stopRetryAfter)
+}
+
 // InFlight returns how many requests are being served.
-func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+func (s *Server) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+// ReportCutOff logs and counts the requests in flight as ones that the end of the process cuts off.
+func (s *Server) ReportCutOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.calls {
+		s.Log.Warn().Str("request", c.job.ID).Str("route", c.progress.limit.Route).Str("worker", c.progress.worker).Bool("begun", c.progress.begun).
+			Int64("ms", time.Since(c.job.Arrived).Milliseconds()).Msg("request cut off")
+		s.Metrics.Unfinished(c.progress.begun, CauseExit)
+	}
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
 	j := &Job{Request: s.Headers.ParseRequest(r.Header), Arrived: time.Now(), Path: r.URL.Path}
 	c := &call{server: s, job: j, w: w, r: r}
-	err := c.serve()
-	c.finish(err)
+	s.add(c)
+	defer s.remove(c)
+	c.finish(c.serveOrRecover())
+}
+
+func (s *Server) add(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls == nil {
+		s.calls = map[*call]struct{}{}
+	}
+	s.calls[c] = struct{}{}
+}
+
+func (s *Server) remove(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, c)
 }
 
 // call is the serving of one job: its exchange with the caller and the state of its attempts.
@@ -198,6 +314,9 @@
 	w      http.ResponseWriter
 	r      *http.Request
 
+	// progress is guarded by the server's lock.
+	progress progress
+
 	status     int
 	headerSent bool
 	attempts   int
@@ -206,7 +325,11 @@
 	// reservation is that of the current attempt, and answering is set once the attempt's first event has arrived.
 	reservation Reservation
 	answering   bool
-	verdict     verdict.Verdict
+	// revoked reports whether the current attempt was revoked.
+	revoked func() bool
+	// retryTaken is set when the current attempt was ended early and has taken the next one from the retry budget.
+	retryTaken atomic.Bool
+	verdict    verdict.Verdict
 	// resumed is the number of attempts after which the stream was first resumed; 0 if it was not.
 	resumed     int
 	lastEventID string
@@ -223,6 +346,30 @@
 	lastEventAt time.Time
 }
 
+// progress is how far the serving of a request has come.
+type progress struct {
+	limit timeLimit
+	// worker is the worker of the last attempt, empty if there was none.
+	worker string
+	// sent is set once the request was sent to a worker, and begun once the caller's answer has begun.
+	sent, begun bool
+	// end ends the call, nil before the request was taken, and ended is set once it was called.
+	end   context.CancelCauseFunc
+	ended bool
+}
+
+// serveOrRecover serves the request. A panic becomes an error, so that the caller gets an answer: net/http would close the
+// connection without one.
+func (c *call) serveOrRecover() (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.server.Log.Error().Str("request", c.job.ID).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("serving a request failed with a panic")
+			err = verdict.New(verdict.MayHaveRun, http.StatusInternalServerError, "panic", "the instance failed")
+		}
+	}()
+	return c.serve()
+}
+
 func (c *call) serve() error {
 	limits := c.server.Admission.Limits()
 	if limits.MaxHeaderBytes > 0 && headerBytes(c.r) > limits.MaxHeaderBytes {
@@ -242,17 +389,44 @@
 		timeout = min(timeout, d)
 	}
 	c.job.Deadline = c.job.Arrived.Add(timeout)
-	if stop := c.server.stop.Load(); stop != nil {
-		r := drain.Request{Timeout: timeout, Stream: c.job.Route.Kind == routing.Stream}
-		if !drain.Accepts(r, time.Since(stop.began), time.Until(stop.ends)) {
-			return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "stopping", "the instance stops before the answer would be complete").WithRetryAfter(stopRetryAfter)
-		}
-	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.job.Deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if !c.begin(end) {
+		return stoppingError()
+	}
 	return c.run(ctx)
 }
 
+// begin lets the server end the call from now on. It returns false if the server does not take the request.
+func (c *call) begin(end context.CancelCauseFunc) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.progress.limit = timeLimit{Route: c.job.Route.Name, Deadline: c.job.Deadline, Stream: c.job.Route.Kind == routing.Stream}
+	c.progress.end = end
+	return c.server.accepts(c.progress.limit)
+}
+
+// beginSending records that the request is sent to a worker. It returns false if it must not be sent any more.
+func (c *call) beginSending(worker string) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.progress.ended || !c.progress.begun && !c.server.accepts(c.progress.limit) {
+		return false
+	}
+	c.progress.sent, c.progress.worker = true, worker
+	return true
+}
+
+// beginAnswer records that the caller's answer begins. It returns false if the server has ended the call.
+func (c *call) beginAnswer() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.progress.begun = true
+	return !c.progress.ended
+}
+
 // headerBytes returns the size of the request line and the headers.
 func headerBytes(r *http.Request) int {
 	const lineEnd, separators = len("\r\n"), len("  ")
@@ -294,7 +468,7 @@
 		}
 		v := verdict.FromError(err)
 		if c.expired(ctx) {
-			return c.timedOut(v, ranAttempts > 0)
+			return c.endedEarly(ctx, v, ranAttempts > 0)
 		}
 		if v.Verdict != verdict.NotRun {
 			ranAttempts++
@@ -308,7 +482,7 @@
 			}
 		}
 		// An attempt that could not be sent put no load on a worker, so it takes nothing from the retry budget.
-		if c.outcome != Unreachable && c.outcome != Withheld && !c.server.Admission.TakeRetry(c.job) {
+		if c.outcome != Unreachable && c.outcome != Withheld && !c.retryTaken.Swap(false) && !c.server.Admission.TakeRetry(c.job) {
 			return c.combineVerdicts(v, ranAttempts > 0)
 		}
 	}
@@ -319,8 +493,8 @@
 	return c.job.Route.Retryable() && !c.lastUnnamed
 }
 
-// expired reports whether the caller disconnected or its deadline passed. The connection's own deadline may end a
-// read before ctx ends.
+// expired reports whether the caller disconnected, its deadline passed, or the server ended the call. The connection's own
+// deadline may end a read before ctx ends.
 func (c *call) expired(ctx context.Context) bool {
 	return ctx.Err() != nil || !time.Now().Before(c.job.Deadline)
 }
@@ -334,11 +508,18 @@
 	return verdict.Wrap(v, verdict.MayHaveRun, http.StatusBadGateway, v.Code, v.Message)
 }
 
-func (c *call) timedOut(v *verdict.Error, ran bool) error {
+// endedEarly returns the error of a request whose caller disconnected, whose deadline passed, or that the server ended.
+func (c *call) endedEarly(ctx context.Context, v *verdict.Error, ran bool) error {
 	if c.r.Context().Err() != nil {
 		// No caller receives this response; the log must not report it as a timeout.
 		return verdict.Wrap(v, c.combineVerdicts(v, ran).Verdict, http.StatusGatewayTimeout, "caller_left", "the caller left before its answer")
 	}
+	if context.Cause(ctx) == errStopping {
+		if v.Verdict == verdict.NotRun && !ran {
+			return stoppingError()
+		}
+		return verdict.Wrap(v, verdict.MayHaveRun, http.StatusBadGateway, codeStopping, "the instance stopped before an answer came")
+	}
 	if v.Verdict == verdict.NotRun && !ran {
 		return verdict.Wrap(v, verdict.NotRun, http.StatusServiceUnavailable, "timed_out_unsent", "no backend server took the request in time").WithRetryAfter(retryAfter)
 	}
@@ -352,19 +533,25 @@
 	if err != nil {
 		return err
 	}
+	if !c.beginSending(reservation.Worker.ID) {
+		reservation.Done(Withheld)
+		return stoppingError()
+	}
 	if c.attempts++; c.attempts == 1 {
 		c.placedAfter = time.Since(c.job.Arrived)
 	}
 	c.lastWorker = reservation.Worker.ID
 	c.reservation, c.answering, c.resuming = reservation, false, c.headerSent
-	attemptCtx, revoke := context.WithCancel(ctx)
-	defer revoke()
-	reservation.Sending(revoke)
+	attemptCtx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	c.revoked = func() bool { return context.Cause(attemptCtx) == errRevoked }
+	reservation.Sending(func() { end(errRevoked) })
+	defer c.endIfSlow(attemptCtx, end)()
 	err = c.send(attemptCtx, reservation)
 	if c.outcome == 0 {
 		c.outcome = Broken
 	}
-	if err != nil && ctx.Err() == nil && attemptCtx.Err() != nil {
+	if err != nil && ctx.Err() == nil && c.revoked() {
 		c.outcome = Abandoned
 		err = verdict.Wrap(err, verdict.FromError(err).Verdict, http.StatusBadGateway, "revoked", "the attempt was ended before its answer began")
 	}
@@ -380,7 +567,8 @@
 	return err
 }
 
-func (c *call) send(ctx context.Context, reservation Reservation) error {
+// workerHeader returns the headers of the request to the worker of a reservation, with the time that is left now.
+func (c *call) workerHeader(reservation Reservation) http.Header {
 	workspace := ""
 	priority := c.job.Route.Priority
 	if c.job.Workspace != nil {
@@ -389,16 +577,22 @@
 			priority = c.job.Workspace.Priority
 		}
 	}
-	remaining := time.Until(c.job.Deadline)
-	header := c.server.Headers.WorkerHeaders(c.r.Header, external.WorkerRequest{
-		Deadline: remaining, WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
+	return c.server.Headers.WorkerHeaders(c.r.Header, external.WorkerRequest{
+		Deadline: time.Until(c.job.Deadline), WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
 		Priority: priority, LastEventID: c.lastEventID,
 	})
-	options := upstream.Options{Deadline: c.attemptDeadline(), BeforeSend: func() error {
+}
+
+func (c *call) send(ctx context.Context, reservation Reservation) error {
+	header, built := c.workerHeader(reservation), time.Now()
+	options := upstream.Options{Deadline: c.job.Deadline, BeforeSend: func() error {
 		err := reservation.Confirm()
 		if err != nil {
 			c.outcome = Withheld
 		}
+		if time.Since(built) > maxHeaderAge {
+			maps.Copy(header, c.workerHeader(reservation))
+		}
 		return err
 	}}
 	if !c.job.Route.Retryable() {
@@ -424,16 +618,29 @@
 	return c.receive(resp)
 }
 
-// attemptDeadline returns when the current attempt ends. An attempt at an idempotent request leaves time for another
-// one if the route and the retry budget allow it, since the worker may hang.
-func (c *call) attemptDeadline() time.Time {
+// endIfSlow ends an attempt at an idempotent request whose worker does not respond, once another worker can take the
+// request and the retry budget allows that: the worker may hang, but it may also be slow and the only one.
+// The function that it returns stops the wait.
+func (c *call) endIfSlow(ctx context.Context, end context.CancelCauseFunc) (stop func() bool) {
 	r := c.job.Route
-	canRetry := r.Kind == routing.Idempotent && r.TargetLatency > 0 && len(c.job.Tried)+1 < r.MaxAttempts
 	early := time.Now().Add(attemptLatencyFactor * r.TargetLatency)
-	if canRetry && early.Before(c.job.Deadline) && c.server.Admission.RetryAvailable(c.job) {
-		return early
-	}
-	return c.job.Deadline
+	if r.Kind != routing.Idempotent || r.TargetLatency <= 0 || len(c.job.Tried)+1 >= r.MaxAttempts || !early.Before(c.job.Deadline) {
+		return func() bool { return false }
+	}
+	tried := append(slices.Clone(c.job.Tried), c.reservation.Worker.Key())
+	return time.AfterFunc(time.Until(early), func() {
+		for ctx.Err() == nil {
+			if c.server.Placement.HasOther(c.job.Service, tried) && c.server.Admission.TakeRetry(c.job) {
+				c.retryTaken.Store(true)
+				end(errSlow)
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(otherWorkerInterval):
+			}
+		}
+	}).Stop
 }
 
 // receive classifies a worker's response and forwards it to the caller.
@@ -450,7 +657,7 @@
 		// The headers show the rejection; its body does not matter.
 		resp.Discard()
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "worker_rejected", "the backend server did not take the request").WithRetryAfter(retryAfter)
-	case success && !info.Signed:
+	case !info.Signed && (success || isPromise(resp.StatusCode)):
 		c.outcome = Broken
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "unsigned_answer", "the answer is not the backend server's own")
 	case success && c.job.Route.Kind == routing.Stream && isEventStream(resp, !c.headerSent):
@@ -460,6 +667,15 @@
 	}
 }
 
+// isPromise reports whether a status tells the caller that its request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // forwardBuffered forwards a response after its last byte has been read, so that a truncated response never reaches
 // the caller.
 func (c *call) forwardBuffered(resp *upstream.Response, success bool) error {
@@ -487,6 +703,8 @@
 	if c.job.Route.Kind == routing.Stream {
 		c.reservation.Answering()
 	}
+	// The whole answer is there, so that it is sent even if the server has ended the call.
+	c.beginAnswer()
 	c.sendHeader(resp, len(body))
 	if _, err := c.w.Write(body); err != nil {
 		c.verdict = verdict.Ran
@@ -500,7 +718,7 @@
 	return c.retryable() && len(c.job.Tried)+1 < c.job.Route.MaxAttempts && time.Until(c.job.Deadline) > 0
 }
 
-// sendHeader sends the status and headers to the caller. A negative length stands for a stream.
+// sendHeader sends the status and headers to the caller, after beginAnswer. A negative length stands for a stream.
 func (c *call) sendHeader(resp *upstream.Response, length int) {
 	h := c.w.Header()
 	for k, v := range c.server.Headers.CallerHeaders(resp.Header) {
@@ -546,19 +764,54 @@
 		if v.Verdict == verdict.NotRun && c.job.ChargedUnits > 0 {
 			c.server.Admission.Refund(c.job)
 		}
-		if !c.headerSent {
-			c.sendError(v)
-		}
 	}
-	c.log(err, duration)
+	given := c.answer(err)
+	if err != nil && !c.headerSent {
+		c.sendError(verdict.FromError(err))
+	}
+	c.log(err, given, duration)
+	if given == brokenOff || given == noAnswer {
+		c.server.Metrics.Unfinished(c.headerSent, verdict.FromError(err).Code)
+	}
 	if c.job.Route != nil {
 		c.server.Metrics.Request(c.job.Route, c.status, c.verdict, duration)
 	}
+	if success := err == nil && c.status/100 == 2; success || c.outcome == Abandoned && !time.Now().Before(c.job.Deadline) {
+		c.server.recordDuration(c.job.Route.Name, duration)
+	}
 	if err != nil && c.headerSent {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// answer is what the caller got.
+type answer string
+
+const (
+	// complete is the whole answer of a worker.
+	complete answer = "complete"
+	// errorAnswer is an answer of the instance itself, also a refusal.
+	errorAnswer answer = "error"
+	// brokenOff is a part of a worker's answer: the instance closes the connection.
+	brokenOff answer = "broken_off"
+	// noAnswer is nothing, since the caller has left.
+	noAnswer answer = "none"
+)
+
+// answer returns what the caller gets if the request ends with an error, or nil.
+func (c *call) answer(err error) answer {
+	switch {
+	case err == nil:
+		return complete
+	case c.headerSent:
+		return brokenOff
+	case c.r.Context().Err() != nil:
+		return noAnswer
+	default:
+		return errorAnswer
+	}
+}
+
 func (c *call) sendError(v *verdict.Error) {
 	c.status = v.Status
 	h := c.w.Header()
@@ -579,7 +832,7 @@
 	}
 }
 
-func (c *call) log(err error, duration time.Duration) {
+func (c *call) log(err error, a answer, duration time.Duration) {
 	e := c.server.Log.Info()
 	if err != nil {
 		e = c.server.Log.Warn().Str("error", err.Error()).Str("code", verdict.FromError(err).Code)
@@ -588,7 +841,7 @@
 	if c.job.Config != nil {
 		configVersion = c.job.Config.Version
 	}
-	e = e.Str("request", c.job.ID).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
+	e = e.Str("request", c.job.ID).Str("answer", string(a)).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
 		Stringer("verdict", c.verdict).Int("attempts", c.attempts).Str("worker", c.lastWorker).
 		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).
 		Int64("ms", duration.Milliseconds()).Bool("caller_left", c.r.Context().Err() != nil)
--- a/internal/transport/keepalive/keepalive.go
+++ b/internal/transport/keepalive/keepalive.go
@@ -1,8 +1,8 @@
 // Package keepalive closes the idle connections of an HTTP server's clients without losing a request that has arrived: the
 // state that net/http reports is idle until the headers of the next request were read, and a request may lie unread in the
-// socket even longer. The goroutine that reads a connection therefore decides on the close itself, after a last look at the
-// socket. One case is not covered: the first bytes of a pipelined request that net/http has read ahead, while the rest has
-// not arrived.
+// socket even longer. The goroutine that reads a connection therefore decides on the close itself, after it has checked the
+// socket once more. The first bytes of a request may also have been read together with the previous one or while that was
+// served; the size of net/http's next read shows it.
 package keepalive
 
 import (
@@ -20,9 +20,33 @@
 	drainPollInterval = 20 * time.Millisecond
 )
 
+// Cause is why a connection was closed.
+type Cause string
+
+// The causes.
+const (
+	// IdleLimit: it was idle for longer than the limit.
+	IdleLimit Cause = "idle_limit"
+	// Stop: it was idle while the server stopped.
+	Stop Cause = "stop"
+	// ByCaller: the client closed it while it was idle, or it did not respond.
+	ByCaller Cause = "caller"
+	// AfterRequest: it was closed during a request or after its response.
+	AfterRequest Cause = "after_request"
+)
+
+// Close describes the end of a connection. Unread is true if bytes had arrived that the server did not read: the client gets a
+// reset.
+type Close struct {
+	Cause  Cause
+	Unread bool
+}
+
 // Connections tracks the open connections of a server's clients. It is safe for concurrent use.
 type Connections struct {
-	now func() time.Duration
+	// Closed is called for each connection that is closed, if it is set before the first connection is accepted.
+	Closed func(Close)
+	now    func() time.Duration
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
@@ -34,8 +58,8 @@
 }
 
 // Listener returns a listener whose connections are tracked until they are closed.
-func (c *Connections) Listener(l net.Listener) net.Listener {
-	return &listener{Listener: l, connections: c}
+func (c *Connections) Listener(l net.Listener) *Listener {
+	return &Listener{Listener: l, connections: c, ended: make(chan struct{})}
 }
 
 // ConnState is the ConnState hook of the server that serves the listener.
@@ -55,16 +79,28 @@
 
 // CloseIdle closes the connections on which no byte of a request has arrived for longer than the limit since they were
 // opened or their last response ended. It returns the number of connections that it has newly found idle.
-func (c *Connections) CloseIdle(limit time.Duration) int { return c.expire(limit, limit) }
+func (c *Connections) CloseIdle(limit time.Duration) int { return c.expire(limit, limit, IdleLimit) }
+
+// DrainTimes are how long connections stay open in a drain although no request is being read or served on them. A request that
+// a client sends while its connection is being closed gets no response, while one that arrives before that gets one that
+// announces the close.
+type DrainTimes struct {
+	// Hold is how long all connections stay open after the begin of the drain.
+	Hold time.Duration
+	// Idle is how long each one stays open after its last response.
+	Idle time.Duration
+}
 
-// Drain closes each connection once no request is being read or served on it, and returns when none is open or ctx has
-// ended. The server must not be shut down before Drain returns: it would drop requests that it has not read to the end
-// of their headers. Connections that are opened during the call are included.
-func (c *Connections) Drain(ctx context.Context) error {
+// Drain closes each connection once no request is being read or served on it and its time has passed, and returns when none is
+// open or ctx has ended. The server must not be shut down before Drain returns: it would drop requests that it has not read to
+// the end of their headers. Connections that are opened during the call are included; the listener must have been stopped.
+func (c *Connections) Drain(ctx context.Context, times DrainTimes) error {
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
-	for {
-		c.expire(0, newConnectionLimit)
+	for begin := c.now(); ; {
+		if c.now()-begin >= times.Hold {
+			c.expire(times.Idle, max(times.Idle, newConnectionLimit), Stop)
+		}
 		if c.count() == 0 {
 			return nil
 		}
@@ -76,12 +112,12 @@
 	}
 }
 
-func (c *Connections) expire(limit, newLimit time.Duration) int {
+func (c *Connections) expire(limit, newLimit time.Duration, cause Cause) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, n := c.now(), 0
 	for tracked := range c.open {
-		if tracked.expire(now, limit, newLimit) {
+		if tracked.expire(now, limit, newLimit, cause) {
 			n++
 		}
 	}
@@ -96,7 +132,10 @@
 
 func (c *Connections) add(nc net.Conn) *conn {
 	tracked := &conn{Conn: nc, idle: true, since: c.now()}
-	tracked.closed = func() {
+	tracked.closed = func(d Close) {
+		if c.Closed != nil {
+			c.Closed(d)
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.open, tracked)
@@ -106,17 +145,3 @@
 	c.open[tracked] = struct{}{}
 	return tracked
 }
-
-type listener struct {
-	net.Listener
-	connections *Connections
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.connections.add(nc), nil
-}
--- a/internal/transport/peer/recover_test.go
+++ b/internal/transport/peer/recover_test.go
@@ -1,12 +1,11 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"net"
+	"sync"
 	"testing"
 
-	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -32,8 +31,13 @@
 	Convey("Given an instance whose handlers panic", t, func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
-		var log bytes.Buffer
-		s := NewServer(nil, RecoverPanics(zerolog.New(&log))...)
+		var mu sync.Mutex
+		stacks := map[string]string{}
+		s := NewServer(nil, func(call string, _ any, stack []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			stacks[call] = string(stack)
+		})
 		peerpb.RegisterPeerServer(s, &Service{Shares: faultyPeer{}, State: faultyPeer{}})
 		go func() { _ = s.Serve(l) }()
 		defer s.Stop()
@@ -44,8 +48,10 @@
 			So(status.Code(err), ShouldEqual, codes.Internal)
 			_, err = c.FetchState(t.Context(), l.Addr().String())
 			So(err, ShouldNotBeNil)
-			So(log.String(), ShouldContainSubstring, "Transfer")
-			So(log.String(), ShouldContainSubstring, "ConfigState")
+			mu.Lock()
+			So(stacks[peerpb.Peer_Transfer_FullMethodName], ShouldContainSubstring, "faultyPeer.Transfer")
+			So(stacks[peerpb.Peer_FetchState_FullMethodName], ShouldContainSubstring, "faultyPeer.ConfigState")
+			mu.Unlock()
 			_, err = c.Heartbeat(t.Context(), l.Addr().String(), &peerpb.HeartbeatRequest{})
 			So(err, ShouldBeNil)
 		})
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -48,17 +48,18 @@
 }
 
 // NewServer returns a gRPC server without services. The configuration must require and verify client
-// certificates; nil means plain text, which the caller must permit only on loopback or by an explicit setting. The options
-// are added to those that all servers have.
-func NewServer(conf *tls.Config, options ...grpc.ServerOption) *grpc.Server {
-	return grpc.NewServer(append([]grpc.ServerOption{
+// certificates; nil means plain text, which the caller must permit only on loopback or by an explicit setting. A
+// panic in the handler of a call ends only that call, and is reported to onPanic unless that is nil.
+func NewServer(conf *tls.Config, onPanic PanicFunc) *grpc.Server {
+	return grpc.NewServer(
 		grpc.Creds(transportCredentials(conf)),
+		grpc.UnaryInterceptor(onPanic.unary), grpc.StreamInterceptor(onPanic.stream),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(connBufferBytes), grpc.WriteBufferSize(connBufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
-	}, options...)...)
+	)
 }
 
 func transportCredentials(conf *tls.Config) credentials.TransportCredentials {
