--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -74,7 +73,7 @@
 	refusing atomic.Bool
 	// connections are those of callers and operators, and listeners accept them.
 	connections *keepalive.Connections
-	listeners   []net.Listener
+	listeners   []*keepalive.Listener
 	servers     []*http.Server
 }
 
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -16,6 +16,8 @@
 	// balancerDelay is how long an instance continues to accept requests after it reports unready, so that
 	// the load balancer stops sending requests before they are refused.
 	balancerDelay = 2 * time.Second
+	// idleInDrain is how long a drain leaves a connection open after its last answer, which asks the caller to close it.
+	idleInDrain = 500 * time.Millisecond
 	// drainPollInterval is how often a drain checks whether its current step has finished.
 	drainPollInterval = 50 * time.Millisecond
 	// handOverTimeout bounds the transfer of the shares together with the leave record. Shares that are
@@ -25,8 +27,6 @@
 	// that it can answer them and hand over what it holds. In a short grace period it is exitMarginShare of it.
 	exitMargin      = 2 * time.Second
 	exitMarginShare = 0.25
-	// idleInDrain is how long a connection stays open after its last answer, so that a caller's next request is answered.
-	idleInDrain = 500 * time.Millisecond
 	// answerTimeout bounds the wait for the answers to these requests.
 	answerTimeout = time.Second
 )
@@ -79,7 +79,7 @@
 // ended, it ends the requests that are still served.
 func (d *Daemon) drainConnections(ctx, serving context.Context) {
 	for _, l := range d.listeners {
-		if err := l.Close(); err != nil {
+		if err := l.Stop(ctx); err != nil {
 			d.log.Warn().Err(err).Str("address", l.Addr().String()).Msg("listener not closed")
 		}
 	}
--- a/internal/transport/peer/panic_in_call_test.go
+++ b/internal/transport/peer/panic_in_call_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -30,8 +31,13 @@
 	Convey("Given an instance whose handlers panic", t, func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
-		calls := make(chan string, 2)
-		s := NewServer(nil, func(call string, _ any, stack []byte) { calls <- call + string(stack) })
+		var mu sync.Mutex
+		stacks := map[string]string{}
+		s := NewServer(nil, func(call string, _ any, stack []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			stacks[call] = string(stack)
+		})
 		peerpb.RegisterPeerServer(s, &Service{Shares: faultyPeer{}, State: faultyPeer{}})
 		go func() { _ = s.Serve(l) }()
 		defer s.Stop()
@@ -42,8 +48,10 @@
 			So(status.Code(err), ShouldEqual, codes.Internal)
 			_, err = c.FetchState(t.Context(), l.Addr().String())
 			So(err, ShouldNotBeNil)
-			So(<-calls, ShouldContainSubstring, "Transfer")
-			So(<-calls, ShouldContainSubstring, "ConfigState")
+			mu.Lock()
+			So(stacks[peerpb.Peer_Transfer_FullMethodName], ShouldContainSubstring, "faultyPeer.Transfer")
+			So(stacks[peerpb.Peer_FetchState_FullMethodName], ShouldContainSubstring, "faultyPeer.ConfigState")
+			mu.Unlock()
 			_, err = c.Heartbeat(t.Context(), l.Addr().String(), &peerpb.HeartbeatRequest{})
 			So(err, ShouldBeNil)
 		})
