forward, drain: what waits after a failed attempt, and idempotent requests, at a stop

(2) A few requests that hung until their deadline make a route's usual duration longer than the grace period, and all its requests were refused from the first moment of a stop; idempotent ones are taken early now, since their callers lose nothing by an error (TestUsualDuration, red without the change). (3) A panic in the timer for slow attempts is logged and ends nothing else.

--- a/internal/coordination/drain/drain.go
+++ b/internal/coordination/drain/drain.go
@@ -21,6 +21,8 @@
 	Usual time.Duration
 	// Stream is true if the answer may last until then although it began early.
 	Stream bool
+	// Repeatable is true if the caller may send it again even if it has run.
+	Repeatable bool
 }
 
 // Accepts reports whether a request is taken that arrives some time after the stop, or sent to a backend server that it did not
@@ -36,6 +38,7 @@
 	case late:
 		return !r.Stream && r.Usual > 0 && r.Usual <= left
 	default:
-		return r.Usual <= left
+		// The caller of an idempotent request gets an error in time and loses nothing.
+		return r.Usual <= left || r.Repeatable && !r.Stream
 	}
 }
--- a/internal/coordination/drain/drain_test.go
+++ b/internal/coordination/drain/drain_test.go
@@ -42,6 +42,13 @@
 	Convey("one that usually lasts longer is refused, however early", t, func() {
 		So(Accepts(request(left+1), 0, left), ShouldBeFalse)
 	})
+	Convey("an idempotent one is taken early although it may last longer", t, func() {
+		r := Request{Timeout: time.Minute, Usual: left + 1, Repeatable: true}
+		So(Accepts(r, left, left), ShouldBeTrue)
+		So(Accepts(r, 2*left, left), ShouldBeFalse)
+		r.Stream = true
+		So(Accepts(r, 0, left), ShouldBeFalse)
+	})
 	Convey("one that ends in any case before the exit is taken", t, func() {
 		So(Accepts(Request{Timeout: left, Usual: time.Minute}, time.Hour, left), ShouldBeTrue)
 		So(Accepts(Request{Timeout: left + 1, Usual: time.Minute}, 0, left), ShouldBeFalse)
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -241,7 +241,8 @@
 type timeLimit struct {
 	Route    string
 	Deadline time.Time
-	Stream   bool
+	// Stream and Repeatable are as in drain.Request.
+	Stream, Repeatable bool
 }
 
 // accepts reports whether a request is taken or sent, although the server may be draining. The lock is held.
@@ -250,7 +251,7 @@
 	if stop == nil {
 		return true
 	}
-	r := drain.Request{Timeout: time.Until(l.Deadline), Usual: s.durations.Usual(l.Route), Stream: l.Stream}
+	r := drain.Request{Timeout: time.Until(l.Deadline), Usual: s.durations.Usual(l.Route), Stream: l.Stream, Repeatable: l.Repeatable}
 	return drain.Accepts(r, time.Since(stop.began), time.Until(stop.ends))
 }
 
@@ -363,13 +364,17 @@
 func (c *call) serveOrRecover() (err error) {
 	defer func() {
 		if p := recover(); p != nil {
-			c.server.Log.Error().Str("request", c.job.ID).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("serving a request failed with a panic")
+			c.logPanic(p)
 			err = verdict.New(verdict.MayHaveRun, http.StatusInternalServerError, "panic", "the instance failed")
 		}
 	}()
 	return c.serve()
 }
 
+func (c *call) logPanic(p any) {
+	c.server.Log.Error().Str("request", c.job.ID).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("serving a request failed with a panic")
+}
+
 func (c *call) serve() error {
 	limits := c.server.Admission.Limits()
 	if limits.MaxHeaderBytes > 0 && headerBytes(c.r) > limits.MaxHeaderBytes {
@@ -403,7 +408,8 @@
 func (c *call) begin(end context.CancelCauseFunc) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.progress.limit = timeLimit{Route: c.job.Route.Name, Deadline: c.job.Deadline, Stream: c.job.Route.Kind == routing.Stream}
+	r := c.job.Route
+	c.progress.limit = timeLimit{Route: r.Name, Deadline: c.job.Deadline, Stream: r.Kind == routing.Stream, Repeatable: r.Retryable()}
 	c.progress.end = end
 	return c.server.accepts(c.progress.limit)
 }
@@ -419,6 +425,13 @@
 	return true
 }
 
+// waitAgain records that the attempts so far have not reached a worker.
+func (c *call) waitAgain() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.progress.sent = false
+}
+
 // maySendAgain reports whether a further attempt would be sent now.
 func (c *call) maySendAgain() bool {
 	c.server.mu.Lock()
@@ -488,6 +501,9 @@
 				return err
 			}
 		} else {
+			if ranAttempts == 0 {
+				c.waitAgain()
+			}
 			rejections++
 			if c.outcome == 0 || rejections > extraRejections {
 				return c.combineVerdicts(v, ranAttempts > 0)
@@ -642,6 +658,11 @@
 	}
 	tried := append(slices.Clone(c.job.Tried), c.reservation.Worker.Key())
 	return time.AfterFunc(time.Until(early), func() {
+		defer func() {
+			if p := recover(); p != nil {
+				c.logPanic(p)
+			}
+		}()
 		for ctx.Err() == nil {
 			if c.maySendAgain() && c.server.Placement.HasOther(c.job.Service, tried) && c.server.Admission.TakeRetry(c.job) {
 				c.retryTaken.Store(true)
