--- a/internal/transport/keepalive/conn.go
+++ b/internal/transport/keepalive/conn.go
@@ -51,7 +51,11 @@
 			c.begin()
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.resume() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if !c.resume() {
+			c.timeOut()
 			return n, err
 		}
 	}
@@ -185,6 +189,15 @@
 	return c.Conn.SetReadDeadline(deadline) == nil
 }
 
+// timeOut records that a deadline has ended the wait for a request: that of the server, unless the connection has expired.
+func (c *conn) timeOut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.expired {
+		c.expired, c.cause = true, IdleLimit
+	}
+}
+
 // bytesWaiting reports whether bytes have arrived on a connection and were not read. The deadline of the connection does
 // not matter. It reports false for connections without a socket.
 func bytesWaiting(nc net.Conn) bool {
--- a/internal/transport/keepalive/keepalive.go
+++ b/internal/transport/keepalive/keepalive.go
@@ -25,11 +25,11 @@
 
 // The causes.
 const (
-	// IdleLimit: it was idle for longer than the limit.
+	// IdleLimit: it was idle for longer than the limit, or than the server's own idle timeout.
 	IdleLimit Cause = "idle_limit"
 	// Stop: it was idle while the server stopped.
 	Stop Cause = "stop"
-	// ByCaller: the client closed it while it was idle, or it did not respond.
+	// ByCaller: the client closed it while it was idle, or it did not respond; also if the server was closed then.
 	ByCaller Cause = "caller"
 	// AfterRequest: it was closed during a request or after its response.
 	AfterRequest Cause = "after_request"
--- a/internal/transport/keepalive/keepalive_test.go
+++ b/internal/transport/keepalive/keepalive_test.go
@@ -242,6 +242,13 @@
 		s.expireOne()
 		So(<-closes, ShouldResemble, Close{Cause: IdleLimit})
 	})
+	Convey("the server's own idle timeout", t, func() {
+		s := newTestServer(t, time.Millisecond)
+		s.connections.Closed = func(c Close) { closes <- c }
+		_, err := s.dial().exchange(request)
+		So(err, ShouldBeNil)
+		So(<-closes, ShouldResemble, Close{Cause: IdleLimit})
+	})
 	Convey("a stop", t, func() {
 		s, _ := connect(t)
 		So(s.connections.Drain(t.Context(), DrainTimes{}), ShouldBeNil)
