forward, keepalive: usual names for canceled calls and closed connections

Names that a reader of the change stumbled over: end, ended, begin for a call that the server cancels, and one name for a type and a method.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,7 +193,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
-	g.connections.Closed = g.callerConnectionClosed
+	g.connections.OnClose = g.callerConnectionClosed
 	g.workers.Store(workers.NewRegistry().Snapshot())
 	g.peers = newPeers(g)
 	g.fleetRelay = &fleetRelay{g: g}
@@ -354,7 +354,7 @@
 }
 
 // callerConnectionClosed counts the end of a caller's connection.
-func (g *Gateway) callerConnectionClosed(c keepalive.Close) {
+func (g *Gateway) callerConnectionClosed(c keepalive.CloseInfo) {
 	g.metrics.callerCloses.WithLabelValues(string(c.Cause), strconv.FormatBool(c.Unread)).Inc()
 	if c.Unread {
 		g.log.Warn().Str("cause", string(c.Cause)).Bool("stopping", g.stopping.Load()).Msg("caller's connection closed with bytes unread")
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -211,26 +211,26 @@
 
 // RefuseWaiting ends the requests that were sent to no worker and would probably be cut off. They have not run.
 func (s *Server) RefuseWaiting() {
-	s.endCalls(func(p progress) bool {
-		return !p.sent && p.limit.Route != "" && !s.accepts(p.limit)
+	s.cancelCalls(func(p progress) bool {
+		return !p.sent && !s.accepts(p.limit)
 	})
 }
 
 // EndUnanswered ends all requests whose answers have not begun, so that their callers get a complete error before the server
 // is closed. It returns their number.
 func (s *Server) EndUnanswered() int {
-	return s.endCalls(func(progress) bool { return true })
+	return s.cancelCalls(func(progress) bool { return true })
 }
 
-// endCalls ends the calls that are chosen among those whose answers have not begun, and returns their number.
-func (s *Server) endCalls(choose func(p progress) bool) int {
+// cancelCalls cancels the calls that are chosen among those whose answers have not begun, and returns their number.
+func (s *Server) cancelCalls(choose func(p progress) bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
 	for c := range s.calls {
-		if p := &c.progress; !p.begun && !p.ended && p.end != nil && choose(*p) {
-			p.ended = true
-			p.end(errStopping)
+		if p := &c.progress; !p.begun && !p.canceled && p.cancel != nil && choose(*p) {
+			p.canceled = true
+			p.cancel(errStopping)
 			n++
 		}
 	}
@@ -354,9 +354,9 @@
 	worker string
 	// sent is set once the request was sent to a worker, and begun once the caller's answer has begun.
 	sent, begun bool
-	// end ends the call, nil before the request was taken, and ended is set once it was called.
-	end   context.CancelCauseFunc
-	ended bool
+	// cancel ends the call, nil before the request was taken, and canceled is set once the server has called it.
+	cancel   context.CancelCauseFunc
+	canceled bool
 }
 
 // serveOrRecover serves the request. A panic becomes an error, so that the caller gets an answer: net/http would close the
@@ -396,21 +396,21 @@
 	c.job.Deadline = c.job.Arrived.Add(timeout)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.job.Deadline)
 	defer cancel()
-	ctx, end := context.WithCancelCause(ctx)
-	defer end(nil)
-	if !c.begin(end) {
+	ctx, cancelCall := context.WithCancelCause(ctx)
+	defer cancelCall(nil)
+	if !c.register(cancelCall) {
 		return stoppingError()
 	}
 	return c.run(ctx)
 }
 
-// begin lets the server end the call from now on. It returns false if the server does not take the request.
-func (c *call) begin(end context.CancelCauseFunc) bool {
+// register lets the server cancel the call from now on. It returns false if the server does not take the request.
+func (c *call) register(cancel context.CancelCauseFunc) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	r := c.job.Route
 	c.progress.limit = timeLimit{Route: r.Name, Deadline: c.job.Deadline, Stream: r.Kind == routing.Stream, Repeatable: r.Retryable()}
-	c.progress.end = end
+	c.progress.cancel = cancel
 	return c.server.accepts(c.progress.limit)
 }
 
@@ -441,15 +441,15 @@
 
 // maySend reports whether the request may be sent to a worker. The server's lock is held.
 func (c *call) maySend() bool {
-	return !c.progress.ended && (c.progress.begun || c.server.accepts(c.progress.limit))
+	return !c.progress.canceled && (c.progress.begun || c.server.accepts(c.progress.limit))
 }
 
-// beginAnswer records that the caller's answer begins. It returns false if the server has ended the call.
+// beginAnswer records that the caller's answer begins. It returns false if the server has canceled the call.
 func (c *call) beginAnswer() bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	c.progress.begun = true
-	return !c.progress.ended
+	return !c.progress.canceled
 }
 
 // headerBytes returns the size of the request line and the headers.
@@ -737,7 +737,7 @@
 	if c.job.Route.Kind == routing.Stream {
 		c.reservation.Answering()
 	}
-	// The whole answer is there, so that it is sent even if the server has ended the call.
+	// The whole answer is there, so that it is sent even if the server has canceled the call.
 	c.beginAnswer()
 	c.sendHeader(resp, len(body))
 	if _, err := c.w.Write(body); err != nil {
@@ -799,12 +799,12 @@
 			c.server.Admission.Refund(c.job)
 		}
 	}
-	given := c.answer(err)
+	state := c.answerState(err)
 	if err != nil && !c.headerSent {
 		c.sendError(verdict.FromError(err))
 	}
-	c.log(err, given, duration)
-	if given == brokenOff || given == noAnswer {
+	c.log(err, state, duration)
+	if state == brokenOff || state == noAnswer {
 		c.server.Metrics.Unfinished(c.headerSent, verdict.FromError(err).Code)
 	}
 	if c.job.Route != nil {
@@ -818,22 +818,22 @@
 	}
 }
 
-// answer is what the caller got.
-type answer string
+// answerState is what the caller got.
+type answerState string
 
 const (
 	// complete is the whole answer of a worker.
-	complete answer = "complete"
+	complete answerState = "complete"
 	// errorAnswer is an answer of the instance itself, also a refusal.
-	errorAnswer answer = "error"
+	errorAnswer answerState = "error"
 	// brokenOff is a part of a worker's answer: the instance closes the connection.
-	brokenOff answer = "broken_off"
+	brokenOff answerState = "broken_off"
 	// noAnswer is nothing, since the caller has left.
-	noAnswer answer = "none"
+	noAnswer answerState = "none"
 )
 
-// answer returns what the caller gets if the request ends with an error, or nil.
-func (c *call) answer(err error) answer {
+// answerState returns what the caller gets if the request ends with an error, or nil.
+func (c *call) answerState(err error) answerState {
 	switch {
 	case err == nil:
 		return complete
@@ -866,7 +866,7 @@
 	}
 }
 
-func (c *call) log(err error, a answer, duration time.Duration) {
+func (c *call) log(err error, state answerState, duration time.Duration) {
 	e := c.server.Log.Info()
 	if err != nil {
 		e = c.server.Log.Warn().Str("error", err.Error()).Str("code", verdict.FromError(err).Code)
@@ -875,7 +875,7 @@
 	if c.job.Config != nil {
 		configVersion = c.job.Config.Version
 	}
-	e = e.Str("request", c.job.ID).Str("answer", string(a)).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
+	e = e.Str("request", c.job.ID).Str("answer", string(state)).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
 		Stringer("verdict", c.verdict).Int("attempts", c.attempts).Str("worker", c.lastWorker).
 		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).
 		Int64("ms", duration.Milliseconds()).Bool("caller_left", c.r.Context().Err() != nil)
--- a/internal/transport/keepalive/conn.go
+++ b/internal/transport/keepalive/conn.go
@@ -21,7 +21,7 @@
 type conn struct {
 	net.Conn
 	// closed is called once, when the connection has been closed.
-	closed    func(Close)
+	closed    func(CloseInfo)
 	closeOnce sync.Once
 
 	mu sync.Mutex
@@ -103,10 +103,10 @@
 }
 
 // describeClose returns why the connection is being closed.
-func (c *conn) describeClose() Close {
+func (c *conn) describeClose() CloseInfo {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := Close{Cause: AfterRequest, Unread: bytesWaiting(c.Conn)}
+	d := CloseInfo{Cause: AfterRequest, Unread: bytesWaiting(c.Conn)}
 	switch {
 	case c.expired:
 		d.Cause = c.cause
--- a/internal/transport/keepalive/keepalive.go
+++ b/internal/transport/keepalive/keepalive.go
@@ -35,18 +35,18 @@
 	AfterRequest Cause = "after_request"
 )
 
-// Close describes the end of a connection. Unread is true if bytes had arrived that the server did not read: the client gets a
+// CloseInfo describes the end of a connection. Unread is true if bytes had arrived that the server did not read: the client gets a
 // reset.
-type Close struct {
+type CloseInfo struct {
 	Cause  Cause
 	Unread bool
 }
 
 // Connections tracks the open connections of a server's clients. It is safe for concurrent use.
 type Connections struct {
-	// Closed is called for each connection that is closed, if it is set before the first connection is accepted.
-	Closed func(Close)
-	now    func() time.Duration
+	// OnClose is called for each connection that is closed, if it is set before the first connection is accepted.
+	OnClose func(CloseInfo)
+	now     func() time.Duration
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
@@ -132,9 +132,9 @@
 
 func (c *Connections) add(nc net.Conn) *conn {
 	tracked := &conn{Conn: nc, idle: true, since: c.now()}
-	tracked.closed = func(d Close) {
-		if c.Closed != nil {
-			c.Closed(d)
+	tracked.closed = func(d CloseInfo) {
+		if c.OnClose != nil {
+			c.OnClose(d)
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/transport/keepalive/keepalive_test.go
+++ b/internal/transport/keepalive/keepalive_test.go
@@ -228,10 +228,10 @@
 func TestCausesOfCloses(t *testing.T) {
 	// unreadBytes is more than net/http reads at once, and so few that the write ends before the server closes the connection.
 	const unreadBytes = 16 << 10
-	closes := make(chan Close, 1)
+	closes := make(chan CloseInfo, 1)
 	connect := func(t *testing.T) (*testServer, *client) {
 		s := newTestServer(t, 0)
-		s.connections.Closed = func(c Close) { closes <- c }
+		s.connections.OnClose = func(c CloseInfo) { closes <- c }
 		c := s.dial()
 		_, err := c.exchange(request)
 		So(err, ShouldBeNil)
@@ -240,30 +240,30 @@
 	Convey("the idle limit", t, func() {
 		s, _ := connect(t)
 		s.expireOne()
-		So(<-closes, ShouldResemble, Close{Cause: IdleLimit})
+		So(<-closes, ShouldResemble, CloseInfo{Cause: IdleLimit})
 	})
 	Convey("the server's own idle timeout", t, func() {
 		s := newTestServer(t, time.Millisecond)
-		s.connections.Closed = func(c Close) { closes <- c }
+		s.connections.OnClose = func(c CloseInfo) { closes <- c }
 		_, err := s.dial().exchange(request)
 		So(err, ShouldBeNil)
-		So(<-closes, ShouldResemble, Close{Cause: IdleLimit})
+		So(<-closes, ShouldResemble, CloseInfo{Cause: IdleLimit})
 	})
 	Convey("a stop", t, func() {
 		s, _ := connect(t)
 		So(s.connections.Drain(t.Context(), DrainTimes{}), ShouldBeNil)
-		So(<-closes, ShouldResemble, Close{Cause: Stop})
+		So(<-closes, ShouldResemble, CloseInfo{Cause: Stop})
 	})
 	Convey("the client", t, func() {
 		_, c := connect(t)
 		So(c.Close(), ShouldBeNil)
-		So(<-closes, ShouldResemble, Close{Cause: ByCaller})
+		So(<-closes, ShouldResemble, CloseInfo{Cause: ByCaller})
 	})
 	Convey("the end of a request, with further bytes unread", t, func() {
 		_, c := connect(t)
 		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n"+strings.Repeat("x", unreadBytes))
 		So(err, ShouldBeNil)
-		So(<-closes, ShouldResemble, Close{Cause: AfterRequest, Unread: true})
+		So(<-closes, ShouldResemble, CloseInfo{Cause: AfterRequest, Unread: true})
 	})
 }
 
