gateway: 'stopped' is logged after the servers are closed

Seen: in 2 of 64 runs of TestPlannedWork a process was still there 8 s after SIGTERM although it had logged 'stopped' after 7.3 s. What it did then is not known; the close of the servers came after that line. Now the line follows it, so that the next case tells whether the servers were waited for.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,7 +265,6 @@
 		g.cancel()
 		return err
 	}
-	defer servers.close()
 	g.log.Info().Str("incarnation", g.incarnation).Str("callers", g.settings.CallersAddress).
 		Str("log_service", g.settings.LogService).Bool("first_start", g.settings.FirstStart).Msg("started")
 	supervisor := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
@@ -289,6 +288,7 @@
 	g.starting.Unlock()
 	g.background.Wait()
 	g.pool.Retain(func(workers.Key) bool { return false })
+	servers.close()
 	g.log.Info().Msg("stopped")
 	return nil
 }
