--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -234,7 +234,8 @@
 		return nil, errBodyTooLarge
 	}
 	control := http.NewResponseController(w.ResponseWriter)
-	// A request that is cancelled does not wait for the rest of its body.
+	// A request that is cancelled does not wait for the rest of its body. An error of SetReadDeadline means that the connection is
+	// closed, which the read reports.
 	stop := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(aLongTimeAgo) })
 	limited := http.MaxBytesReader(w.ResponseWriter, r.Body, openai.MaxBodyBytes)
 	body, err := io.ReadAll(bytebudget.Reader{Reader: limited, Usage: r.memory})
