--- a/review/stage/engine.go
+++ b/review/stage/engine.go
@@ -38,8 +38,10 @@
 	Service string
 	Zone    string
 	Store   *Store
-	// Crashes reports whether a request crashes the process that begins to run it, right after its first event; nil if none does.
-	Crashes func(r *http.Request) bool
+	// Crashes reports whether a request crashes the process that begins to run it, right after its first event, or before it if
+	// CrashesAtOnce is set. It is nil if none does.
+	Crashes       func(r *http.Request) bool
+	CrashesAtOnce bool
 	// OnRecord is called for each record.
 	OnRecord func(EngineRecord)
 
@@ -366,6 +368,9 @@
 	}()
 	w.Header().Set("X-Server-Stamp", "stamp-"+attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if p.e.CrashesAtOnce && p.crashedBy(r) {
+		panic(http.ErrAbortHandler)
+	}
 	for n := 1; n <= p.e.Size.Events; n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n); err != nil {
 			return
@@ -378,18 +383,27 @@
 			panic(http.ErrAbortHandler)
 		case <-time.After(p.e.Size.EventGap):
 		}
-		if n == 1 && p.e.Crashes != nil && p.e.Crashes(r) {
-			p.mu.Lock()
-			others := -1
-			for _, n := range p.running {
-				others += n
-			}
-			p.mu.Unlock()
-			p.record("CRASH by %s after its first event; %d others were running", attempt, others)
-			p.end()
+		if n == 1 && !p.e.CrashesAtOnce {
+			p.crashedBy(r)
 		}
 		if p.isDead() {
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
+
+// crashedBy ends the process if a request that it runs crashes it, and reports whether it does.
+func (p *engineProcess) crashedBy(r *http.Request) bool {
+	if p.e.Crashes == nil || !p.e.Crashes(r) {
+		return false
+	}
+	p.mu.Lock()
+	others := -1
+	for _, n := range p.running {
+		others += n
+	}
+	p.mu.Unlock()
+	p.record("CRASH by %s; %d others were running", r.Header.Get("X-Attempt-Id"), others)
+	p.end()
+	return true
+}
--- a/review/stage/instance.go
+++ b/review/stage/instance.go
@@ -64,13 +64,14 @@
 	Name, Zone, Callers, Ready string
 	MemoryMB                   int
 	folder, settings           string
+	values                     map[string]any
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
 
-// NewInstance writes the settings of an instance with the bounds of the small deployment to a folder.
+// NewInstance returns an instance with the bounds of the small deployment, whose files are in a folder.
 func NewInstance(folder, name, zone, store string, memoryMB int) (*Instance, error) {
 	var addresses [4]string
 	for i := range addresses {
@@ -82,22 +83,32 @@
 	}
 	i := &Instance{Name: name, Zone: zone, Callers: addresses[0], Ready: addresses[1], MemoryMB: memoryMB, folder: folder}
 	i.settings = filepath.Join(folder, name+".json")
-	data, err := json.Marshal(map[string]any{
-		"instance": name, "data_centre": zone, "first_start": true, "callers_address": addresses[0], "readiness_address": addresses[1],
+	i.values = map[string]any{
+		"instance": name, "data_centre": zone, "callers_address": addresses[0], "readiness_address": addresses[1],
 		"peer_address": addresses[2], "metrics_address": addresses[3], "log_service": store, "peer_plain_text": true, "memory_mb": memoryMB,
 		"bounds": map[string]any{
 			"key_withdrawal_ms": 5000, "adapter_version_ms": 5000, "drain_ms": 2000, "quota_slack": 72000, "grace_s": 8,
 			"retry_ratio": 0.2, "retry_slack": 52, "retry_window_s": 10,
 		},
-	})
+	}
+	return i, nil
+}
+
+// writeSettings writes the settings file. FirstStart is true only when the whole system starts for the first time.
+func (i *Instance) writeSettings(firstStart bool) error {
+	i.values["first_start"] = firstStart
+	data, err := json.Marshal(i.values)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return i, os.WriteFile(i.settings, data, 0o600)
+	return os.WriteFile(i.settings, data, 0o600)
 }
 
 // Start starts the instance's process, whose output goes to a file in the folder.
 func (i *Instance) Start() error {
+	if err := i.writeSettings(i.ended == nil); err != nil {
+		return err
+	}
 	out, err := os.OpenFile(filepath.Join(i.folder, i.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
