--- a/review/stage/rausu.go
+++ b/review/stage/rausu.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// RausuEngine returns the sheet's engine of the Rausu Drying Racks, with shorter streams.
+// RausuEngine returns the sheet's engine of the Rausu Drying Racks. Its streams have 35 events, 20 ms apart.
 func RausuEngine() EngineSize {
 	return EngineSize{
 		Model: "base", ModelMB: 34300, WeightsMB: 35700, AdapterMB: 40, AdapterSlots: 18, Slots: 128, MemoryTokens: 152262,
