gateway: a request without a body is a suspect of crashes

Callers saw: a GET that crashes each worker which runs it was passed on as often as it came.

Cause: a request's fingerprint was its workspace, path and body, and requests without a body had none, since many callers send the same. The log shows 'attempt broke off' without any suspect for it.

Change: the fingerprint holds the method and the query as well. Without a body it is that of a key, or of a host on a public route, so that a refusal does not concern other callers, and is not ended by their answers. Clients that share a key are treated as requests that share parts of prompts are: answers are remembered before there is evidence, and broken attempts and answers are exchanged with all instances before a decision. The network of the tests gives the accepting end of a connection its real addresses.

--- a/internal/coordination/retry/fingerprint.go
+++ b/internal/coordination/retry/fingerprint.go
@@ -8,12 +8,12 @@
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 )
 
-// Fingerprint recognises a request that is sent again. It is a hash of workspace, adapter, path and body.
+// Fingerprint recognises a request that is sent again. It is a hash of caller, adapter, target and body.
 type Fingerprint [sha256.Size]byte
 
-// NewFingerprint hashes a request. Each field is prefixed with its length, so that bytes moved from one
-// field to the next give another hash.
-func NewFingerprint(workspace string, a adapter.Ref, path string, body []byte) Fingerprint {
+// NewFingerprint hashes a request. The caller is a workspace, or a caller in it; the target is the path, or what else says
+// what is asked for. Each field is prefixed with its length, so that bytes moved from one field to the next give another hash.
+func NewFingerprint(caller string, a adapter.Ref, target string, body []byte) Fingerprint {
 	h := sha256.New()
 	var length [8]byte
 	writeField := func(b []byte) {
@@ -22,10 +22,10 @@
 		_, _ = h.Write(length[:])
 		_, _ = h.Write(b)
 	}
-	writeField([]byte(workspace))
+	writeField([]byte(caller))
 	writeField([]byte(a.Name))
 	writeField([]byte(a.Version))
-	writeField([]byte(path))
+	writeField([]byte(target))
 	writeField(body)
 	return Fingerprint(h.Sum(nil))
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -30,20 +30,29 @@
 	maxCrashRefusals  = 50
 )
 
-// fingerprint identifies a request that a caller sends again. A request without a body has none, since unrelated
-// requests without a body cannot be told apart.
+// fingerprint identifies a request that a caller sends again.
 func fingerprint(j *forward.Job) string {
-	if len(j.Body) == 0 {
+	f := retry.NewFingerprint(callerIdentity(j), adapter.Ref{Name: j.Model + "/" + j.Adapter}, j.Method+" "+j.URI, j.Body)
+	return f.String()[:fingerprintDigits]
+}
+
+// callerIdentity returns whose request the job is in its fingerprint: a workspace's, whose requests differ in their bodies. Other
+// callers may send the same request if it has no body, so that such a request is that of a key, or on a public route of a host.
+func callerIdentity(j *forward.Job) string {
+	switch {
+	case j.Workspace == nil && hasBody(j):
 		return ""
+	case j.Workspace == nil:
+		return "host " + j.CallerHost
+	case hasBody(j):
+		return "workspace " + j.Workspace.Name
+	default:
+		return "key " + j.Key
 	}
-	workspace := ""
-	if j.Workspace != nil {
-		workspace = j.Workspace.Name
-	}
-	f := retry.NewFingerprint(workspace, adapter.Ref{Name: j.Model + "/" + j.Adapter}, j.Path, j.Body)
-	return f.String()[:fingerprintDigits]
 }
 
+func hasBody(j *forward.Job) bool { return len(j.Body) > 0 }
+
 // promptPartSuspects returns the parts of the job's prompt without the last, which no other request shares.
 func promptPartSuspects(j *forward.Job) []retry.Suspect {
 	var list []retry.Suspect
@@ -55,11 +64,16 @@
 
 // crashSuspects returns what may be the cause if the job crashes a worker, the most common suspect first.
 func crashSuspects(j *forward.Job) []retry.Suspect {
-	list := promptPartSuspects(j)
-	if f := fingerprint(j); f != "" {
-		list = append(list, retry.RequestSuspect(f))
+	return append(promptPartSuspects(j), retry.RequestSuspect(fingerprint(j)))
+}
+
+// commonSuspects returns the crash suspects of the job that other jobs are likely to have at the same time: the parts of its
+// prompt, and the request itself if it has no body, since clients that share a key send the same ones.
+func commonSuspects(j *forward.Job) []retry.Suspect {
+	if hasBody(j) {
+		return promptPartSuspects(j)
 	}
-	return list
+	return crashSuspects(j)
 }
 
 // crashRefusal returns an error if the job must not be sent to a worker because requests like it crash workers. The lock
@@ -77,10 +91,10 @@
 
 // answerBegan records that a worker began to answer the job, so that nothing in it crashes workers.
 func (g *Gateway) answerBegan(j *forward.Job) {
+	list := commonSuspects(j)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.unanswered, j)
-	list := promptPartSuspects(j)
 	if g.crashes.Tracks() {
 		list = crashSuspects(j)
 	}
@@ -166,16 +180,18 @@
 		return
 	}
 	first := !g.crashes.Known(b.Worker)
-	g.reportBrokenAttempt(b)
+	common := len(g.crashes.Unanswered(commonSuspects(j), now)) > 0
+	g.reportBrokenAttempt(b, common)
 	if !first && !g.crashes.Suspected(b.Suspects, b.Worker, now) || g.crashes.Confirmed(b.Worker) || g.crashChecks[b.Worker] {
 		return
 	}
 	g.crashChecks[b.Worker] = true
-	g.start("check after a broken attempt", func(ctx context.Context) { g.checkCrash(ctx, w, b) })
+	g.start("check after a broken attempt", func(ctx context.Context) { g.checkCrash(ctx, w, b, common) })
 }
 
-// checkCrash finds out whether the worker's process has ended since an attempt broke off there, and reports it.
-func (g *Gateway) checkCrash(ctx context.Context, w *workers.Worker, b retry.BrokenAttempt) {
+// checkCrash finds out whether the worker's process has ended since an attempt broke off there, and reports it. Common is as in
+// reportBrokenAttempt.
+func (g *Gateway) checkCrash(ctx context.Context, w *workers.Worker, b retry.BrokenAttempt, common bool) {
 	sleep(ctx, crashCheckDelay)
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
@@ -185,17 +201,17 @@
 	delete(g.crashChecks, b.Worker)
 	g.log.Info().Str("worker", w.ID).Bool("crashed", b.Crashed).Msg("worker checked after a broken attempt")
 	if b.Crashed {
-		g.reportBrokenAttempt(b)
+		g.reportBrokenAttempt(b, common)
 	}
 }
 
-// reportBrokenAttempt reports a broken attempt of this instance in the next heartbeat, and at once if a part of a prompt
-// may be the cause: requests with such a part come to all instances, faster than heartbeats are read. The lock is held.
-func (g *Gateway) reportBrokenAttempt(b retry.BrokenAttempt) {
+// reportBrokenAttempt reports a broken attempt of this instance in the next heartbeat, and at once if its suspects are common
+// ones: they come to all instances, faster than heartbeats are read. The lock is held.
+func (g *Gateway) reportBrokenAttempt(b retry.BrokenAttempt, common bool) {
 	if len(g.brokenAttempts) < maxBrokenAttempts {
 		g.brokenAttempts = append(g.brokenAttempts, brokenAttemptRecord(b))
 	}
-	if _, isPart := b.Suspects[0].PromptPart(); isPart {
+	if common {
 		g.shareCrashReport(crashReport{attempts: []retry.BrokenAttempt{b}})
 		return
 	}
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -154,7 +154,7 @@
 	clientEnd, serverEnd := net.Pipe()
 	silent := &atomic.Bool{}
 	client := h.net.track(&conn{Conn: clientEnd, net: h.net, from: h.name, to: address, toHost: l.host, silent: silent})
-	server := h.net.track(&conn{Conn: serverEnd, net: h.net, from: h.name, to: address, toHost: l.host, silent: silent})
+	server := h.net.track(&conn{Conn: serverEnd, net: h.net, from: h.name, to: address, toHost: l.host, accepted: true, silent: silent})
 	select {
 	case l.accept <- server:
 		return client, nil
@@ -180,6 +180,8 @@
 	from   string
 	to     string
 	toHost string
+	// accepted is set for the end of the listener.
+	accepted bool
 	// silent is true if writes are dropped. Both ends share it.
 	silent *atomic.Bool
 }
@@ -214,5 +216,18 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) LocalAddr() net.Addr  { return addr(c.from) }
-func (c *conn) RemoteAddr() net.Addr { return addr(c.to) }
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr {
+	if c.accepted {
+		return addr(c.to)
+	}
+	return addr(c.from)
+}
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr {
+	if c.accepted {
+		return addr(c.from)
+	}
+	return addr(c.to)
+}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -87,9 +88,10 @@
 	Deadline  time.Time
 	// Tried lists the workers of the attempts so far.
 	Tried []workers.Key
-	// Path and Body identify a request that crashes workers.
-	Path string
-	Body []byte
+	// Method, URI (the path and the query), Body and CallerHost identify a request that crashes workers. CallerHost is the
+	// host, without a port, from which the request came.
+	Method, URI, CallerHost string
+	Body                    []byte
 	// ChargedUnits is what was taken from the workspace's rate, and Cost what the request costs. ShareRate is this
 	// instance's share of the rate in units per second, and ShareTokens what was left of the share when the request
 	// arrived.
@@ -286,13 +288,23 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &Job{Request: s.Headers.ParseRequest(r.Header), Arrived: time.Now(), Path: r.URL.Path}
+	j := &Job{
+		Request: s.Headers.ParseRequest(r.Header), Arrived: time.Now(), Method: r.Method, URI: r.RequestURI, CallerHost: hostOf(r.RemoteAddr),
+	}
 	c := &call{server: s, job: j, w: w, r: r}
 	s.add(c)
 	defer s.remove(c)
 	c.finish(c.serveOrRecover())
 }
 
+// hostOf returns an address without its port.
+func hostOf(address string) string {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
 func (s *Server) add(c *call) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
