retry: hold suspects on probation while an attempt that broke off is looked into

Callers saw: after a refusal of a minute, a request that crashes workers crashed three more, with its own attempts and its client's retries, until the first crash was confirmed.

Cause: the evidence for the next refusal is a confirmed crash, which takes 0.2 s, and nothing held the request meanwhile.

Change: an attempt that breaks off refuses those of its suspects that were refused before for a second. Reports of other instances do the same.

--- a/internal/coordination/retry/workercrashes.go
+++ b/internal/coordination/retry/workercrashes.go
@@ -19,6 +19,8 @@
 	maxRefusal     = time.Hour
 	// probation is how long after a refusal a single crash suffices for the next one.
 	probation = time.Hour
+	// probationHold is how long a suspect on probation is refused while an attempt that was cut off is looked into.
+	probationHold = time.Second
 	// answerMemory is the shortest time for which an answer clears a suspect in advance. It is short because what
 	// requests ask for may begin to crash workers, for instance after the workers' software has changed.
 	answerMemory = 2 * time.Second
@@ -87,8 +89,10 @@
 }
 
 type refusalState struct {
-	until  time.Duration
-	number int
+	until time.Duration
+	// heldUntil is the end of a hold, which begins after the end of the refusal.
+	heldUntil time.Duration
+	number    int
 	// workers are the evidence that led to the refusal, and those of attempts that were sent before it. They are no
 	// evidence for the next refusal, but for a request they count in comparisons with other suspects.
 	workers map[string]bool
@@ -177,6 +181,7 @@
 	}
 	w.lastBroken = now
 	w.crashed = w.crashed || b.Crashed
+	c.Hold(b.Suspects, now)
 	for _, s := range b.Suspects {
 		if !c.inForce(s, now) {
 			continue
@@ -200,6 +205,17 @@
 	}
 }
 
+// Hold refuses the suspects on probation for probationHold: an attempt with them was cut off, and it is not known yet
+// whether its worker has crashed.
+func (c *WorkerCrashTracker) Hold(list []Suspect, now time.Duration) {
+	c.expire(now)
+	for _, s := range list {
+		if r := c.refusals[s]; r != nil && !c.inForce(s, now) {
+			r.heldUntil = now + probationHold
+		}
+	}
+}
+
 // addEvidence records a worker as evidence against the suspect with the given index in the attempt's list.
 func (c *WorkerCrashTracker) addEvidence(s Suspect, index int, b BrokenAttempt) {
 	e := c.suspects[s]
@@ -348,12 +364,15 @@
 	return r != nil && now < r.until
 }
 
-// Refused returns the refusal of one of the suspects, if there is any.
+// Refused returns the refusal or the hold of one of the suspects, if there is any.
 func (c *WorkerCrashTracker) Refused(list []Suspect, now time.Duration) (Refusal, bool) {
 	for _, s := range list {
-		if c.inForce(s, now) {
-			r := c.refusals[s]
-			return Refusal{Suspect: s, Remaining: r.until - now, Number: r.number}, true
+		r := c.refusals[s]
+		if r == nil {
+			continue
+		}
+		if end := max(r.until, r.heldUntil); now < end {
+			return Refusal{Suspect: s, Remaining: end - now, Number: r.number}, true
 		}
 	}
 	return Refusal{}, false
@@ -363,8 +382,9 @@
 func (c *WorkerCrashTracker) Refusals(now time.Duration) []Refusal {
 	var list []Refusal
 	for _, s := range slices.Sorted(maps.Keys(c.refusals)) {
-		if r, ok := c.Refused([]Suspect{s}, now); ok {
-			list = append(list, r)
+		if c.inForce(s, now) {
+			r := c.refusals[s]
+			list = append(list, Refusal{Suspect: s, Remaining: r.until - now, Number: r.number})
 		}
 	}
 	return list
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -179,6 +179,7 @@
 	if len(b.Suspects) == 0 {
 		return
 	}
+	g.crashes.Hold(b.Suspects, now)
 	first := !g.crashes.Known(b.Worker)
 	common := len(g.crashes.Unanswered(commonSuspects(j), now)) > 0
 	g.reportBrokenAttempt(b, common)
