forward, keepalive: the line of a request says who ended it

Operators saw: each request without an answer had the code caller_left or timed_out. A connection that this process had closed, a read that its own deadline had ended and a caller that closed its connection looked the same, and so did a caller that left before its deadline and one that left at it.

Change: a connection records whether the first error on it was the client's close, a client that did not respond, or an end by this process. The line has ended_by (caller, caller_lost, deadline, stop, instance), decided by what happened first, and deadline_ms, the time that the caller gave the request. A request whose connection this process closed has the code connection_closed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -428,7 +428,7 @@
 		return nil, trace.Wrap(err)
 	}
 	s.callersListener = g.connections.Listener(callers)
-	s.callers = g.serveHTTP(s.callersListener, g.server, g.connections.ConnState)
+	s.callers = g.serveHTTP(s.callersListener, &http.Server{Handler: g.server, ConnState: g.connections.ConnState, ConnContext: g.connections.ConnContext})
 	if s.readiness, err = g.listenHTTP(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -445,12 +445,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return g.serveHTTP(l, h, nil), nil
+	return g.serveHTTP(l, &http.Server{Handler: h}), nil
 }
 
-// serveHTTP starts a server for h on a listener. It goes on with the open connections if the listener is closed.
-func (g *Gateway) serveHTTP(l net.Listener, h http.Handler, connState func(net.Conn, http.ConnState)) *http.Server {
-	srv := &http.Server{Handler: h, ConnState: connState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+// serveHTTP starts a server with the limits of this instance on a listener. It goes on with the open connections if the
+// listener is closed.
+func (g *Gateway) serveHTTP(l net.Listener, srv *http.Server) *http.Server {
+	srv.ReadHeaderTimeout, srv.IdleTimeout, srv.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
 	go func() {
 		if err := srv.Serve(l); err != nil && err != http.ErrServerClosed && !errors.Is(err, net.ErrClosed) {
 			g.log.Error().Err(err).Str("address", l.Addr().String()).Msg("listener failed")
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -29,6 +29,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
+	"github.com/turmericworks/turmericworks/internal/transport/keepalive"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
 )
 
@@ -59,8 +60,12 @@
 	stopRetryAfter = 10 * time.Millisecond
 )
 
-// codeStopping is the code of errors that a stop of the instance causes.
-const codeStopping = "stopping"
+// codeStopping is the code of errors that a stop of the instance causes, and codeCallerLeft that of requests whose callers closed
+// their connections.
+const (
+	codeStopping   = "stopping"
+	codeCallerLeft = "caller_left"
+)
 
 // errStopping ends requests that the end of the process would otherwise cut off.
 var errStopping = errors.New("the instance stops")
@@ -343,6 +348,8 @@
 	// retryTaken is set when the current attempt was ended early and has taken the next one from the retry budget.
 	retryTaken atomic.Bool
 	verdict    verdict.Verdict
+	// endCause is set if the request ended before its answer was complete.
+	endCause endCause
 	// resumed is the number of attempts after which the stream was first resumed; 0 if it was not.
 	resumed     int
 	lastEventID string
@@ -548,22 +555,66 @@
 	return verdict.Wrap(v, verdict.MayHaveRun, http.StatusBadGateway, v.Code, v.Message)
 }
 
+// endCause is what ended a request before its answer was complete.
+type endCause string
+
+// The causes, besides keepalive.CallerLost.
+const (
+	// notEnded: the answer is complete, or an error that the request itself met.
+	notEnded endCause = ""
+	// byCaller: the caller closed its connection.
+	byCaller = endCause(keepalive.CallerClosed)
+	// byInstance: this process closed the caller's connection.
+	byInstance = endCause(keepalive.ClosedHere)
+	// byDeadline: the deadline of the caller or of the route passed.
+	byDeadline endCause = "deadline"
+	// byStop: the server drains, and ended the request.
+	byStop endCause = "stop"
+)
+
+// cause returns what has ended the request with the context of its attempts: the first that happened.
+func (c *call) cause(ctx context.Context) endCause {
+	switch {
+	case context.Cause(ctx) == errStopping:
+		return byStop
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return byDeadline
+	case c.r.Context().Err() != nil:
+		return c.connectionEnd()
+	case !time.Now().Before(c.job.Deadline):
+		return byDeadline
+	}
+	return notEnded
+}
+
+// connectionEnd returns who ended the caller's connection. It is the caller if the connection is not tracked.
+func (c *call) connectionEnd() endCause {
+	if end := keepalive.EndOf(c.r.Context()); end != keepalive.Open {
+		return endCause(end)
+	}
+	return byCaller
+}
+
 // endedEarly returns the error of a request whose caller disconnected, whose deadline passed, or that the server ended.
 func (c *call) endedEarly(ctx context.Context, v *verdict.Error, ran bool) error {
-	if c.r.Context().Err() != nil {
-		// No caller receives this response; the log must not report it as a timeout.
-		return verdict.Wrap(v, c.combineVerdicts(v, ran).Verdict, http.StatusGatewayTimeout, "caller_left", "the caller left before its answer")
-	}
-	if context.Cause(ctx) == errStopping {
+	c.endCause = c.cause(ctx)
+	switch c.endCause {
+	case byInstance:
+		return verdict.Wrap(v, c.combineVerdicts(v, ran).Verdict, http.StatusGatewayTimeout, "connection_closed", "the instance closed the caller's connection before its answer")
+	case byStop:
 		if v.Verdict == verdict.NotRun && !ran {
 			return stoppingError()
 		}
 		return verdict.Wrap(v, verdict.MayHaveRun, http.StatusBadGateway, codeStopping, "the instance stopped before an answer came")
+	case byDeadline:
+		if v.Verdict == verdict.NotRun && !ran {
+			return verdict.Wrap(v, verdict.NotRun, http.StatusServiceUnavailable, "timed_out_unsent", "no backend server took the request in time").WithRetryAfter(retryAfter)
+		}
+		return verdict.Wrap(v, verdict.MayHaveRun, http.StatusGatewayTimeout, "timed_out", "no complete answer came in time")
+	default:
+		// No caller receives this response; the log must not report it as a timeout.
+		return verdict.Wrap(v, c.combineVerdicts(v, ran).Verdict, http.StatusGatewayTimeout, codeCallerLeft, "the caller left before its answer")
 	}
-	if v.Verdict == verdict.NotRun && !ran {
-		return verdict.Wrap(v, verdict.NotRun, http.StatusServiceUnavailable, "timed_out_unsent", "no backend server took the request in time").WithRetryAfter(retryAfter)
-	}
-	return verdict.Wrap(v, verdict.MayHaveRun, http.StatusGatewayTimeout, "timed_out", "no complete answer came in time")
 }
 
 // attempt places the request and sends it once. It leaves outcome zero if no worker was found.
@@ -890,7 +941,8 @@
 	e = e.Str("request", c.job.ID).Str("answer", string(state)).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
 		Stringer("verdict", c.verdict).Int("attempts", c.attempts).Str("worker", c.lastWorker).
 		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).
-		Int64("ms", duration.Milliseconds()).Bool("caller_left", c.r.Context().Err() != nil)
+		Int64("ms", duration.Milliseconds()).Int64("deadline_ms", c.job.Request.Deadline.Milliseconds()).
+		Str("ended_by", string(c.endCause)).Bool("caller_left", c.r.Context().Err() != nil)
 	if c.job.Route != nil {
 		e = e.Str("route", c.job.Route.Name)
 	}
--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -179,11 +179,13 @@
 			c.lastEventID = id
 		}
 	}
-	if _, err := c.w.Write(events); err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "caller_left", "the caller left during the stream")
+	_, err := c.w.Write(events)
+	if err == nil {
+		err = http.NewResponseController(c.w).Flush()
 	}
-	if err := http.NewResponseController(c.w).Flush(); err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "caller_left", "the caller left during the stream")
+	if err != nil {
+		c.endCause = c.connectionEnd()
+		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, codeCallerLeft, "the caller left during the stream")
 	}
 	return nil
 }
--- a/internal/transport/keepalive/conn.go
+++ b/internal/transport/keepalive/conn.go
@@ -38,6 +38,8 @@
 	deadline time.Time
 	// readSize is the size of the first read, 0 before it: that of net/http's empty buffer.
 	readSize int
+	// end is who ended the connection, as the first read or write that failed or the close has shown.
+	end End
 	// awaited is set once net/http has set the deadline for the first bytes of the next request.
 	awaited bool
 }
@@ -52,6 +54,7 @@
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.recordEnd(endOf(err))
 			return n, err
 		}
 		if !c.resume() {
@@ -61,6 +64,24 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.recordEnd(endOf(err))
+	}
+	return n, err
+}
+
+// recordEnd records who ended the connection, unless that is known.
+func (c *conn) recordEnd(e End) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.end == Open {
+		c.end = e
+	}
+}
+
 // beginRead records a read of at most size bytes. net/http reads into the free part of its buffer while it waits for a
 // request: a smaller read than the first one means that the buffer holds bytes of that request, which arrived while the
 // previous one was read or served.
@@ -96,6 +117,7 @@
 	var err error
 	c.closeOnce.Do(func() {
 		d := c.describeClose()
+		c.recordEnd(ClosedHere)
 		err = c.Conn.Close()
 		c.closed(d)
 	})
