forward: an answer that has begun ends the wait for a slow worker

Callers got 502, or their request ran again, although its answer had begun to arrive: an attempt at an idempotent request was ended at twice its target latency whether or not the head of its answer was there.

Cause: the timer knew only whether the attempt had ended.

Change: the head of the answer stops it. Both ends of the race take the same flag.

--- a/internal/transport/forward/attempt_test.go
+++ b/internal/transport/forward/attempt_test.go
@@ -154,6 +154,28 @@
 	})
 }
 
+// TestSlowBodyIsNotCut guards against an attempt that is ended because its worker is slow although its answer has begun to
+// arrive: the caller gets that answer, and the request does not run again.
+func TestSlowBodyIsNotCut(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		g := &standinGateway{route: routing.Route{Kind: routing.Idempotent, MaxAttempts: 2, TargetLatency: 500 * time.Millisecond, Timeout: 5 * time.Second}}
+		g.retries.Store(10)
+		status, body, whole := serveThrough(t, g, func(_ int, c net.Conn, _ *http.Request) {
+			time.Sleep(900 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\no")
+			time.Sleep(600 * time.Millisecond)
+			_, _ = io.WriteString(c, "k")
+		})
+		Convey("the answer is forwarded", t, func() {
+			So(status, ShouldEqual, http.StatusOK)
+			So(body, ShouldEqual, "ok")
+			So(whole, ShouldBeTrue)
+			So(g.placed.Load(), ShouldEqual, 1)
+			So(g.retries.Load(), ShouldEqual, 10)
+		})
+	})
+}
+
 // TestSlowWorkerInStop guards against an attempt that is ended because its worker is slow although the server stops and would
 // send no further one: the caller gets the slow answer.
 func TestSlowWorkerInStop(t *testing.T) {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -344,6 +344,9 @@
 	answering   bool
 	// revoked reports whether the current attempt was revoked.
 	revoked func() bool
+	// awaiting is set until the answer of the current attempt begins to arrive, or the attempt is ended because its worker is
+	// slow; nil if the attempt is not ended for that.
+	awaiting *atomic.Bool
 	// retryTaken is set when the current attempt was ended early and has taken the next one from the retry budget.
 	retryTaken atomic.Bool
 	verdict    verdict.Verdict
@@ -646,27 +649,34 @@
 	return c.receive(resp)
 }
 
-// endIfSlow ends an attempt at an idempotent request whose worker does not respond, once another worker can take the
+// endIfSlow ends an attempt at an idempotent request whose worker has not begun to respond, once another worker can take the
 // request, and the retry budget and a stop of the server allow that: the worker may hang, but it may also be slow and the
 // only one.
 // The function that it returns stops the wait.
 func (c *call) endIfSlow(ctx context.Context, end context.CancelCauseFunc) (stop func() bool) {
 	r := c.job.Route
 	early := time.Now().Add(attemptLatencyFactor * r.TargetLatency)
+	c.awaiting = nil
 	if r.Kind != routing.Idempotent || r.TargetLatency <= 0 || len(c.job.Tried)+1 >= r.MaxAttempts || !early.Before(c.job.Deadline) {
 		return func() bool { return false }
 	}
 	tried := append(slices.Clone(c.job.Tried), c.reservation.Worker.Key())
+	awaiting := &atomic.Bool{}
+	awaiting.Store(true)
+	c.awaiting = awaiting
 	return time.AfterFunc(time.Until(early), func() {
 		defer func() {
 			if p := recover(); p != nil {
 				c.logPanic(p)
 			}
 		}()
-		for ctx.Err() == nil {
+		for ctx.Err() == nil && awaiting.Load() {
 			if c.maySendAgain() && c.server.Placement.HasOther(c.job.Service, tried) && c.server.Admission.TakeRetry(c.job) {
-				c.retryTaken.Store(true)
-				end(errSlow)
+				// The answer may have begun since the last check.
+				if awaiting.CompareAndSwap(true, false) {
+					c.retryTaken.Store(true)
+					end(errSlow)
+				}
 				return
 			}
 			select {
@@ -681,6 +691,9 @@
 func (c *call) receive(resp *upstream.Response) error {
 	info := c.server.Headers.ParseResponse(resp.StatusCode, resp.Header)
 	c.reservation.Answered(info)
+	if c.awaiting != nil {
+		c.awaiting.Store(false)
+	}
 	success := resp.StatusCode/100 == 2
 	switch {
 	case info.NotRun:
