--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -22,37 +22,23 @@
 	crashCheckDelay = 150 * time.Millisecond
 	// crashCheckTimeout bounds that check.
 	crashCheckTimeout = 300 * time.Millisecond
-	// fingerprintDigits is the number of hexadecimal digits of a fingerprint that are sent to other instances.
-	fingerprintDigits = 16
 	// maxBrokenAttempts bounds the broken attempts reported in one heartbeat or call, and maxCrashRefusals the refusals in
 	// one heartbeat.
 	maxBrokenAttempts = 50
 	maxCrashRefusals  = 50
 )
 
-// fingerprint identifies a request that a caller sends again.
-func fingerprint(j *forward.Job) string {
-	f := retry.NewFingerprint(callerIdentity(j), adapter.Ref{Name: j.Model + "/" + j.Adapter}, j.Method+" "+j.URI, j.Body)
-	return f.String()[:fingerprintDigits]
-}
-
-// callerIdentity returns whose request the job is in its fingerprint: a workspace's, whose requests differ in their bodies. Other
-// callers may send the same request if it has no body, so that such a request is that of a key, or on a public route of a host.
-func callerIdentity(j *forward.Job) string {
-	switch {
-	case j.Workspace == nil && hasBody(j):
-		return ""
-	case j.Workspace == nil:
-		return "host " + j.CallerHost
-	case hasBody(j):
-		return "workspace " + j.Workspace.Name
-	default:
-		return "key " + j.Key
+// repeatedRequest returns what identifies the job if its caller sends it again.
+func repeatedRequest(j *forward.Job) retry.RepeatedRequest {
+	r := retry.RepeatedRequest{
+		Host: j.CallerHost, Adapter: adapter.Ref{Name: j.Model + "/" + j.Adapter}, Method: j.Method, URI: j.URI, Body: j.Body,
 	}
+	if j.Workspace != nil {
+		r.Workspace, r.Key = j.Workspace.Name, j.Key
+	}
+	return r
 }
 
-func hasBody(j *forward.Job) bool { return len(j.Body) > 0 }
-
 // promptPartSuspects returns the parts of the job's prompt without the last, which no other request shares.
 func promptPartSuspects(j *forward.Job) []retry.Suspect {
 	var list []retry.Suspect
@@ -64,16 +50,15 @@
 
 // crashSuspects returns what may be the cause if the job crashes a worker, the most common suspect first.
 func crashSuspects(j *forward.Job) []retry.Suspect {
-	return append(promptPartSuspects(j), retry.RequestSuspect(fingerprint(j)))
+	return append(promptPartSuspects(j), repeatedRequest(j).Suspect())
 }
 
-// commonSuspects returns the crash suspects of the job that other jobs are likely to have at the same time: the parts of its
-// prompt, and the request itself if it has no body, since clients that share a key send the same ones.
+// commonSuspects returns the crash suspects of the job that other jobs are likely to have at the same time.
 func commonSuspects(j *forward.Job) []retry.Suspect {
-	if hasBody(j) {
-		return promptPartSuspects(j)
+	if repeatedRequest(j).Common() {
+		return crashSuspects(j)
 	}
-	return crashSuspects(j)
+	return promptPartSuspects(j)
 }
 
 // crashRefusal returns an error if the job must not be sent to a worker because requests like it crash workers. The lock
