owner: adapters in use are known from the places given, not by a call to each instance

Cause: before each eviction the owner asked all instances (Retire). Change: above nine instances, a question for a place names the adapter, and the owner records the adapters of its places. What has a place is not evicted; a question for an adapter that is not resident, or about to be unloaded, is answered as absent and the request goes elsewhere. Requests without a place are protected by the worker, which unloads after its running requests. New counter turmeric_peer_calls_total.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -139,6 +139,8 @@
 	blocked bool
 	slots   map[Adapter]*slot
 	wants   []*want
+	// placed are the requests that have a place at the worker, by place.
+	placed map[uint64]placedRequest
 	// unanswered is the order that is repeated because it got no answer, and retries its number of unanswered attempts.
 	unanswered *Action
 	retries    int
@@ -148,7 +150,7 @@
 // NewOwner returns the owner of a worker that serves one model and has slotCount adapter slots.
 func NewOwner(model string, slotCount int, now time.Duration) *Owner {
 	return &Owner{
-		model: model, slotCount: slotCount, slots: map[Adapter]*slot{}, loadTime: expectedLoadTime, nextReport: now,
+		model: model, slotCount: slotCount, slots: map[Adapter]*slot{}, placed: map[uint64]placedRequest{}, loadTime: expectedLoadTime, nextReport: now,
 	}
 }
 
@@ -382,13 +384,13 @@
 	return max(1, min(MaxConcurrentLoads, int(MaxConcurrentLoads*expectedLoadTime/o.loadTime)))
 }
 
-// victim returns the resident adapter to evict first. Adapters that are wanted, have running requests or were used
+// victim returns the resident adapter to evict first. Adapters that are wanted, have running or placed requests or were used
 // within evictionHold are not evicted.
 func (o *Owner) victim(now time.Duration) (Adapter, bool) {
 	var best Adapter
 	var bestSlot *slot
 	for a, s := range o.slots {
-		if s.state != Resident || now-s.lastUse < evictionHold || s.totalRunning() > 0 || o.wanted(a) {
+		if s.state != Resident || now-s.lastUse < evictionHold || s.totalRunning() > 0 || o.wanted(a) || o.Placed(a, now) > 0 {
 			continue
 		}
 		if bestSlot == nil || o.evictBefore(s, bestSlot, now) || !o.evictBefore(bestSlot, s, now) && a.Name < best.Name {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,7 @@
 	logServiceCalls *prometheus.CounterVec
 	orders          *prometheus.CounterVec
 	panics          *prometheus.CounterVec
+	peerCalls       *prometheus.CounterVec
 	logEra          prometheus.Gauge
 }
 
@@ -43,6 +44,7 @@
 		callerCloses:    counter("turmeric_caller_connections_closed_total", "Connections of callers that have ended, by cause and whether bytes had arrived that were not read.", "cause", "unread"),
 		logServiceCalls: counter("turmeric_log_service_calls_total", "Calls to the log service, by call and outcome.", "call", "outcome"),
 		orders:          counter("turmeric_orders_total", "Orders to workers and reports read, by kind and whether they were answered well.", "order", "ok"),
+		peerCalls:       counter("turmeric_peer_calls_total", "Calls to other instances, by method.", "method"),
 		panics:          counter("turmeric_panics_total", "Panics that ended only the call or background task in which they came, by its name.", "in"),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "turmeric_request_seconds", Help: "Time from a request to the end of its answer.",
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -145,6 +145,8 @@
 	// size is the size of the request, and left the time until its deadline. If left is 0, no place is needed.
 	size workerload.Request
 	left time.Duration
+	// recorded is true if the owner records for which adapters it gives places.
+	recorded bool
 }
 
 // loadedAdapter is the outcome of a request for an adapter.
@@ -162,6 +164,7 @@
 	if want.slack > 0 {
 		due = o.g.now() + want.slack
 	}
+	want.recorded = o.g.ownersKnowRequests()
 	if out = o.beginWait(want, due); !out.admitted {
 		return out
 	}
@@ -212,7 +215,7 @@
 	defer o.mu.Unlock()
 	o.state.RemoveWaiter(a, due)
 	if !out.resident {
-		o.load.End(out.place, false, o.g.now())
+		o.endPlaceLocked(out.place, false)
 	}
 }
 
@@ -225,23 +228,40 @@
 	ready := o.state.ReadyAt(want.adapter, want.version, now)
 	if want.slack <= 0 {
 		out.place = o.load.Add(want.size, ready, want.left, now)
-		return true
+	} else {
+		out.place, _ = o.load.Admit(want.size, ready, want.slack+responseReserve, want.left, now)
+	}
+	if want.recorded {
+		o.recordPlace(out.place, want.adapter, now+want.left, now)
 	}
-	out.place, _ = o.load.Admit(want.size, ready, want.slack+responseReserve, want.left, now)
 	return out.place != 0
 }
 
 // admit gives a request a place at the worker if its first event is expected within maxWait, or if it is sent in any case.
-// The place is 0 otherwise. Lifetime is how long the request lasts at most.
-func (o *owner) admit(r workerload.Request, maxWait, lifetime time.Duration, sent bool) (place uint64, wait time.Duration) {
+// The place is 0 otherwise, and absent is true if the worker does not hold the adapter that the request needs. Lifetime is how
+// long the request lasts at most.
+func (o *owner) admit(r workerload.Request, need adapterNeed, maxWait, lifetime time.Duration, sent bool) (place uint64, wait time.Duration, absent bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.g.now()
+	if o.state.Absent(need.adapter, need.version) {
+		return 0, 0, true
+	}
 	if sent {
 		wait = o.load.Wait(r, now, now)
-		return o.load.Add(r, now, lifetime, now), wait
+		place = o.load.Add(r, now, lifetime, now)
+	} else {
+		place, wait = o.load.Admit(r, now, maxWait, lifetime, now)
+	}
+	o.recordPlace(place, need.adapter, now+lifetime, now)
+	return place, wait, false
+}
+
+// recordPlace records that a request for an adapter has a place, if it is not 0. The lock is held.
+func (o *owner) recordPlace(place uint64, a residency.Adapter, expires, now time.Duration) {
+	if place != 0 && a.Name != "" {
+		o.state.PlaceGiven(place, a, expires, now)
 	}
-	return o.load.Admit(r, now, maxWait, lifetime, now)
 }
 
 // beginPlace records that the first event of a request with a place has arrived, which was sent some time after it had asked
@@ -256,7 +276,21 @@
 func (o *owner) endPlace(place uint64, complete bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.load.End(place, complete, o.g.now())
+	o.endPlaceLocked(place, complete)
+}
+
+// endPlaceLocked ends a place. The lock is held.
+func (o *owner) endPlaceLocked(place uint64, complete bool) {
+	now := o.g.now()
+	o.load.End(place, complete, now)
+	o.state.PlaceEnded(place, now)
+}
+
+// placed returns the number of requests for an adapter that have a place.
+func (o *owner) placed(a residency.Adapter) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Placed(a, o.g.now())
 }
 
 // run sends orders until the owner is stopped. Orders are sent only while the lease of the instance's last heartbeat
@@ -277,8 +311,7 @@
 		case residency.StepReport:
 			o.readReport(ctx)
 		case residency.StepRetire:
-			running := o.g.retire(ctx, o.worker, action.Adapter)
-			o.applyRetired(action.Adapter, running)
+			o.applyRetired(action.Adapter, o.retire(ctx, action.Adapter))
 		default:
 			o.sendOrder(ctx, action)
 		}
@@ -292,6 +325,14 @@
 	return o.state.Next(o.g.now())
 }
 
+// retire stops requests for an adapter before it is unloaded, and returns how many are known to be in flight.
+func (o *owner) retire(ctx context.Context, a residency.Adapter) int {
+	if !o.g.ownersKnowRequests() {
+		return o.g.retire(ctx, o.worker, a)
+	}
+	return o.g.markAbsent(o.worker, a) + o.placed(a)
+}
+
 // applyRetired applies how many requests for an adapter that is to be unloaded are in flight.
 func (o *owner) applyRetired(a residency.Adapter, running int) {
 	o.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,7 +30,9 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{g: g, clients: peer.NewClients(nil, g.network.Dial, func(string) {})}
+	clients := peer.NewClients(nil, g.network.Dial, func(string) {})
+	clients.OnCall = func(method string) { g.metrics.peerCalls.WithLabelValues(method).Inc() }
+	return &peers{g: g, clients: clients}
 }
 
 // serve starts the listener for peers; stop closes it and the clients.
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -333,6 +333,8 @@
 			switch {
 			case c.refusal != nil:
 				return forward.Reservation{}, c.refusal
+			case c.absent:
+				continue
 			case c.elsewhere:
 				target, elsewhere = o.further, true
 			case g.claimCapacity(ctx, j, c.reservation.Worker) && !g.reservedExpired(c.reservation, a):
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
@@ -38,9 +39,49 @@
 	return workerload.Request{Prompt: max(0, prompt), Output: max(0, output)}
 }
 
-// admit asks the owner of a worker for a place for the job. Sent means that the job is sent there in any case.
-func (g *Gateway) admit(ctx context.Context, j *forward.Job, w *workers.Worker, maxWait time.Duration, sent bool) (workerload.Answer, workerPlace) {
+// maxRetireCalls is the number of other instances up to which all of them are asked before an adapter is unloaded.
+const maxRetireCalls = 8
+
+// ownersKnowRequests reports whether the fleet is so large that owners do not ask all instances before they unload an adapter.
+// Instances then name the adapter when they ask for a place, and requests without a place are the worker's to protect: it
+// unloads an adapter only after its running requests have ended.
+func (g *Gateway) ownersKnowRequests() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleetSize > maxRetireCalls+1
+}
+
+// adapterNeed is the adapter that a request needs at a worker and the oldest version that it accepts. The adapter is empty if
+// the owner need not know it.
+type adapterNeed struct {
+	adapter residency.Adapter
+	version int64
+}
+
+// adapterNeed returns what an owner is told of the adapter of a request.
+func (g *Gateway) adapterNeed(a residency.Adapter) adapterNeed {
+	if a.Name == "" || !g.ownersKnowRequests() {
+		return adapterNeed{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, accepted := g.adapterVersions(a)
+	return adapterNeed{a, accepted}
+}
+
+// String returns the form used in messages between instances.
+func (n adapterNeed) String() string {
+	if n.adapter.Name == "" {
+		return ""
+	}
+	return adapterVersion(n.adapter, n.version)
+}
+
+// admit asks the owner of a worker for a place for the job. Sent means that the job is sent there in any case. Absent means that
+// the worker does not hold the adapter.
+func (g *Gateway) admit(ctx context.Context, j *forward.Job, w *workers.Worker, maxWait time.Duration, sent bool) (answer workerload.Answer, p workerPlace, absent bool) {
 	left := time.Until(j.Deadline)
+	need := g.adapterNeed(residency.Adapter{Model: j.Model, Name: j.Adapter})
 	g.mu.Lock()
 	own := g.owners[w.Key()]
 	claim := g.members.Owner(w.ID)
@@ -49,30 +90,30 @@
 	reachable := ok && claim.Incarnation != g.incarnation && now-member.LastHeard <= quota.TakeoverDelay(member.Lease()) &&
 		!g.recentlyUnreachable(roleAdmission, claim.Incarnation, now)
 	g.mu.Unlock()
-	p := workerPlace{worker: w, owner: peerInstance{claim.Instance, claim.Incarnation, member.Heartbeat.Address}, asked: now}
+	p = workerPlace{worker: w, owner: peerInstance{claim.Instance, claim.Incarnation, member.Heartbeat.Address}, asked: now}
 	if own != nil {
-		number, wait := own.admit(requestSize(j.PromptTokens, j.OutputTokens), maxWait, left, sent)
+		number, wait, absent := own.admit(requestSize(j.PromptTokens, j.OutputTokens), need, maxWait, left, sent)
 		p.number, p.owner = number, peerInstance{incarnation: g.incarnation}
-		return workerload.Answer{Known: true, Admitted: number != 0, Wait: wait}, p
+		return workerload.Answer{Known: true, Admitted: number != 0, Wait: wait}, p, absent
 	}
 	if !reachable {
-		return workerload.Answer{}, p
+		return workerload.Answer{}, p, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
 	r, err := g.peers.clients.AdmitRequest(ctx, p.owner.address, &peerpb.AdmitRequestRequest{
 		Engine: incarnationName(w), PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens,
-		MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: left.Milliseconds(), Sent: sent,
+		MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: left.Milliseconds(), Sent: sent, Adapter: need.String(),
 	})
 	if err != nil {
 		if j.Deadline.After(time.Now()) {
 			g.markUnreachable(roleAdmission, claim.Incarnation)
 			g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Msg("owner not reached for the load of its worker")
 		}
-		return workerload.Answer{}, p
+		return workerload.Answer{}, p, false
 	}
 	p.number = r.Place
-	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: time.Duration(r.WaitMs) * time.Millisecond}, p
+	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: time.Duration(r.WaitMs) * time.Millisecond}, p, r.Absent
 }
 
 // ownPlace returns this instance's owner of a place, nil if another instance gave it or the owner has ended.
@@ -144,7 +185,9 @@
 type residentChoice struct {
 	reservation forward.Reservation
 	elsewhere   bool
-	refusal     *verdict.Error
+	// absent is set if none of the workers holds the adapter any more.
+	absent  bool
+	refusal *verdict.Error
 }
 
 // chooseResident asks the owners of the workers at which the job's adapter is resident for a place, and reserves the worker that
@@ -164,12 +207,23 @@
 		c := workerload.Choose(answers, servers, canLoad, time.Until(j.Deadline))
 		switch c.Step {
 		case workerload.Ask:
-			answer, p := g.admit(ctx, j, ranked[c.Index], maxWait, false)
+			answer, p, absent := g.admit(ctx, j, ranked[c.Index], maxWait, false)
+			if absent {
+				g.markAbsent(ranked[c.Index], a)
+				if ranked = slices.Delete(ranked, c.Index, c.Index+1); len(ranked) == 0 {
+					return residentChoice{absent: true}
+				}
+				continue
+			}
 			answers, places = append(answers, answer), append(places, p)
 		case workerload.Send:
 			return residentChoice{reservation: g.reserveAtPlace(j, list, resident, a, places[c.Index])}
 		case workerload.SendLate:
-			_, p := g.admit(ctx, j, ranked[c.Index], maxWait, true)
+			_, p, absent := g.admit(ctx, j, ranked[c.Index], maxWait, true)
+			if absent {
+				g.markAbsent(ranked[c.Index], a)
+				return residentChoice{absent: true}
+			}
 			return residentChoice{reservation: g.reserveAtPlace(j, list, resident, a, p)}
 		case workerload.LoadElsewhere:
 			return residentChoice{elsewhere: true}
@@ -210,8 +264,15 @@
 	if o == nil || r.DeadlineMs <= 0 {
 		return &peerpb.AdmitRequestResponse{}, nil
 	}
-	number, wait := o.admit(requestSize(r.PromptTokens, r.OutputTokens), time.Duration(r.MaxWaitMs)*time.Millisecond, time.Duration(r.DeadlineMs)*time.Millisecond, r.Sent)
-	return &peerpb.AdmitRequestResponse{Owned: true, Place: number, WaitMs: wait.Milliseconds()}, nil
+	var need adapterNeed
+	if r.Adapter != "" {
+		var err error
+		if need.adapter, need.version, err = parseAdapterVersion(r.Adapter); err != nil {
+			return nil, err
+		}
+	}
+	number, wait, absent := o.admit(requestSize(r.PromptTokens, r.OutputTokens), need, time.Duration(r.MaxWaitMs)*time.Millisecond, time.Duration(r.DeadlineMs)*time.Millisecond, r.Sent)
+	return &peerpb.AdmitRequestResponse{Owned: true, Place: number, WaitMs: wait.Milliseconds(), Absent: absent}, nil
 }
 
 // EndRequest implements peerpb.PeerServer.
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"path"
 	"sync"
 	"syscall"
 	"time"
@@ -34,9 +35,11 @@
 	tlsConfig func() (*tls.Config, error)
 	dialer    func(ctx context.Context, addr string) (net.Conn, error)
 	onRefused func(addr string)
-	mu        sync.Mutex
-	conns     map[string]*grpc.ClientConn
-	closed    bool
+	// OnCall, if set before the first call, is called with the name of each method that is called at a peer.
+	OnCall func(method string)
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	closed bool
 }
 
 // NewClients returns clients without connections. tlsConfig returns the configuration of one connection, with this
@@ -146,6 +149,7 @@
 		grpc.WithTransportCredentials(clientCredentials(c.tlsConfig)),
 		grpc.WithContextDialer(c.dial),
 		grpc.WithConnectParams(connectParams),
+		grpc.WithUnaryInterceptor(c.reportCall),
 		grpc.WithReadBufferSize(connBufferBytes), grpc.WithWriteBufferSize(connBufferBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
@@ -157,6 +161,14 @@
 	return conn, nil
 }
 
+// reportCall reports the name of the method of each call.
+func (c *Clients) reportCall(ctx context.Context, method string, request, reply any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
+	if c.OnCall != nil {
+		c.OnCall(path.Base(method))
+	}
+	return invoke(ctx, method, request, reply, conn, options...)
+}
+
 func (c *Clients) dial(ctx context.Context, addr string) (net.Conn, error) {
 	conn, err := c.dialer(ctx, addr)
 	if errors.Is(err, syscall.ECONNREFUSED) {
