gateway: limit the requests to cold workers over all instances

A worker that has just started crashes at a rate that a warm one takes. The configuration now names the rate that a cold worker accepts from all instances (coldPerS), and registry entries say how long a worker stays cold. The limit is a second source of quota.WorkerLimits, kept more strictly than a named one: no burst, void reservations after a pause, turns by time of day without the holder, and a tenure that keeps two instances from metering at once. Without coldPerS there is no state and no call.

TestColdWindowBound failed while a new holder began before the reservations of the last one had ended (31 requests in a second, bound 30), and passes since the tenure covers them.

--- a/internal/coordination/quota/workerlimit.go
+++ b/internal/coordination/quota/workerlimit.go
@@ -54,6 +54,8 @@
 	freeAt time.Duration
 	// metered is this instance's bucket as the holder, and fallback that for its part of the limit without the holder.
 	metered, fallback *Bucket
+	// cold is nil for a worker of which no cold time is known.
+	cold *coldState
 }
 
 // WorkerLimits holds the limits that workers have named and meters the requests to workers of which this instance is the
@@ -76,7 +78,7 @@
 
 // Answered records whether a worker's answer to this instance named a limit, and reports whether that is a change.
 func (l *WorkerLimits) Answered(worker string, rate float64, limited bool, now time.Duration) bool {
-	previous, wasLimited := l.Rate(worker, now)
+	previous, wasLimited := l.named(worker, now)
 	if !limited && l.workers[worker] == nil {
 		return false
 	}
@@ -85,7 +87,7 @@
 	if !limited {
 		w.freeAt = 0
 	}
-	current, _ := l.Rate(worker, now)
+	current, _ := l.named(worker, now)
 	return limited != wasLimited || limited && current != previous
 }
 
@@ -97,8 +99,23 @@
 	}
 }
 
-// Rate returns the rate in requests per second to which a worker is limited, or false if it is not known to be limited.
+// Rate returns the rate in requests per second to which a worker is limited, or false if it is not known to be limited. The
+// limit of a cold worker that has also named one is the lower of the two.
 func (l *WorkerLimits) Rate(worker string, now time.Duration) (float64, bool) {
+	rate, limited := l.named(worker, now)
+	w := l.workers[worker]
+	switch {
+	case !w.isCold(now):
+		return rate, limited
+	case limited:
+		return min(rate, max(w.cold.rate, minWorkerRate)), true
+	default:
+		return max(w.cold.rate, minWorkerRate), true
+	}
+}
+
+// named returns the limit that a worker has named, or false if it is not known to have named one.
+func (l *WorkerLimits) named(worker string, now time.Duration) (float64, bool) {
 	w := l.workers[worker]
 	if w == nil || !w.limited {
 		return 0, false
@@ -112,7 +129,7 @@
 func (l *WorkerLimits) Own(now time.Duration) []NamedLimit {
 	var list []NamedLimit
 	for name, w := range l.workers {
-		if _, limited := l.Rate(name, now); limited && w.own {
+		if _, limited := l.named(name, now); limited && w.own {
 			list = append(list, NamedLimit{Worker: name, Rate: w.rate, Age: now - w.namedAt})
 		}
 	}
@@ -124,20 +141,21 @@
 // wait. If that is longer than maxWait, nothing is reserved and ok is false.
 func (l *WorkerLimits) Reserve(worker string, rate float64, maxWait, now time.Duration) (wait time.Duration, ok bool) {
 	w := l.worker(worker)
-	return reserve(&w.metered, max(rate, minWorkerRate), maxWait, now)
+	return reserve(&w.metered, max(rate, minWorkerRate), limitBurst, maxWait, now)
 }
 
 // ReserveWithoutHolder is Reserve for an instance that does not reach the holder, one of the given number.
 func (l *WorkerLimits) ReserveWithoutHolder(worker string, rate float64, instances int, maxWait, now time.Duration) (wait time.Duration, ok bool) {
 	w := l.worker(worker)
-	return reserve(&w.fallback, max(rate, minWorkerRate)*fallbackShare/float64(max(instances, 1)), maxWait, now)
+	return reserve(&w.fallback, max(rate, minWorkerRate)*fallbackShare/float64(max(instances, 1)), limitBurst, maxWait, now)
 }
 
-func reserve(b **Bucket, rate float64, maxWait, now time.Duration) (time.Duration, bool) {
+// reserve reserves one request. The burst is what accumulates in a time, at least one request.
+func reserve(b **Bucket, rate float64, burst, maxWait, now time.Duration) (time.Duration, bool) {
 	if *b == nil {
 		*b = NewBucket(rate, 0, false, now)
 	}
-	(*b).Set(rate, max(1, rate*limitBurst.Seconds()), now)
+	(*b).Set(rate, max(1, rate*burst.Seconds()), now)
 	return (*b).Reserve(1, maxWait, now)
 }
 
@@ -146,15 +164,24 @@
 
 // SetWait records how long a request to a worker would have to wait.
 func (l *WorkerLimits) SetWait(worker string, wait, now time.Duration) {
-	l.worker(worker).freeAt = now + wait
+	if w := l.worker(worker); w.isCold(now) {
+		w.cold.freeAt = now + wait
+	} else {
+		w.freeAt = now + wait
+	}
 }
 
 // Wait returns how long a request to a worker has to wait at least, as far as is known.
 func (l *WorkerLimits) Wait(worker string, now time.Duration) time.Duration {
-	if w := l.workers[worker]; w != nil {
+	w := l.workers[worker]
+	switch {
+	case w == nil:
+		return 0
+	case w.isCold(now):
+		return max(0, w.freeAt-now, w.cold.freeAt-now)
+	default:
 		return max(0, w.freeAt-now)
 	}
-	return 0
 }
 
 // Retain removes the limits of workers for which exists returns false.
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -163,6 +163,7 @@
 	g.setBuckets(t, old == nil || !g.peersAsked.Load(), now)
 	g.config = c
 	g.table.Store(t)
+	g.applyColdRates(now)
 	return true
 }
 
@@ -238,6 +239,7 @@
 			}
 		}
 		set, changed = g.publishWorkers(changed, wall)
+		g.reportColdEntries(entries, set, c.snapshot, now)
 		next, pending = g.workerRegistry.NextExpiry()
 		ignored = g.workerRegistry.TakeIgnored()
 	})
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -296,7 +296,7 @@
 		return g.readFleet(ctx)
 	}
 	g.applyFleet(a.batch.Records, a.batch.Next, true)
-	g.orderLease.Store(g.acknowledged.Load())
+	g.renewTenure()
 	return nil
 }
 
@@ -329,7 +329,7 @@
 		end := !b.More || len(b.Records) == 0
 		g.applyFleet(b.Records, b.Next, end)
 		if end {
-			g.orderLease.Store(g.acknowledged.Load())
+			g.renewTenure()
 			return nil
 		}
 	}
@@ -358,6 +358,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.members.Skip(first, now, unchallenged)
+	g.tenure.Break()
 }
 
 // applyFleet applies records of the fleet's stream, which end at the offset next. End is set if it is the stream's end.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,10 @@
 	inFlight map[workers.Key]int
 	// limits are the limits that workers name on the requests of all instances.
 	limits *quota.WorkerLimits
+	// tenure says whether this instance may meter requests to cold workers, and coldPermits holds the reservations of the jobs
+	// that are placed at cold workers.
+	tenure      quota.Tenure
+	coldPermits map[*forward.Job]coldPermit
 	// availability is what workers have said about taking further requests from this instance.
 	availability *retry.Availability
 	// relays are the instances that read the log service for the others, in the order in which this instance asks them,
@@ -179,7 +183,7 @@
 		pool: upstream.NewPool(n), metricsRegistry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		workerRegistry: workers.NewRegistry(), residency: residency.NewView(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]requiredVersion{},
-		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), availability: retry.NewAvailability(), rateHolders: map[string][]peerInstance{},
+		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), coldPermits: map[*forward.Job]coldPermit{}, availability: retry.NewAvailability(), rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), configLoaded: newSignal(), fleetKnown: newSignal(),
@@ -193,6 +197,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
+	g.metricsRegistry.MustRegister(newColdCollector(g))
 	g.connections.OnClose = g.callerConnectionClosed
 	g.workers.Store(workers.NewRegistry().Snapshot())
 	g.peers = newPeers(g)
@@ -327,6 +332,7 @@
 	}
 	listed := func(name string) bool { return names[name] }
 	g.limits.Retain(listed)
+	g.logColdChanges(g.now())
 	g.availability.Retain(listed, g.now())
 	for k := range g.unreachable {
 		if _, ok := g.members.Member(k.incarnation); !ok {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -41,13 +41,14 @@
 	}
 }
 
-// claimCapacity reserves the job's request to a worker that may be limited or back off, and waits until it may be sent. It reports
-// false if the worker has no capacity in time, or may not be used any more after that.
-func (g *Gateway) claimCapacity(ctx context.Context, j *forward.Job, w *workers.Worker) bool {
+// claimCapacity reserves the job's request to a worker that may be limited, be cold or back off, and waits until it may be sent,
+// but not for a cold worker if there is a warm one. It reports false if the worker has no capacity in time, or may not be used any
+// more after that.
+func (g *Gateway) claimCapacity(ctx context.Context, j *forward.Job, w *workers.Worker, warm bool) bool {
 	if !g.awaitBackoff(ctx, j, w) {
 		return false
 	}
-	wait, ok := g.reserveRequest(j, w)
+	wait, ok := g.reserveRequest(j, w, warm)
 	if !ok {
 		return false
 	}
@@ -57,7 +58,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.now()-due <= maxReservationDelay && g.stillUsable(j, w) != nil
+	return g.now()-due <= maxReservationDelay && g.coldPermitted(j, w, g.now()) && g.stillUsable(j, w) != nil
 }
 
 // limitError returns the error of a job without a worker: if workers would have taken it but for their limits or because they
@@ -106,42 +107,72 @@
 	return max(0, min(max(slack, maxLimitWait), time.Until(j.Deadline)))
 }
 
+// reservation is the outcome of an attempt to reserve a request to a limited worker.
+type reservation struct {
+	// wait is how long the request must wait, or after which another attempt may succeed, and maxWait how long it may wait.
+	wait, maxWait time.Duration
+	ok            bool
+	// reached is false if the instance that meters the limit did not answer, or does not meter.
+	reached bool
+}
+
 // reserveRequest reserves the job's request at the instance that meters the worker's limit, and returns how long the
 // request must wait. ok is false if the worker has no capacity in time; requests that may not wait longer then leave it out.
-func (g *Gateway) reserveRequest(j *forward.Job, w *workers.Worker) (wait time.Duration, ok bool) {
+// A request does not wait for a cold worker if there is a warm one.
+func (g *Gateway) reserveRequest(j *forward.Job, w *workers.Worker, warm bool) (wait time.Duration, ok bool) {
 	name := incarnationName(w)
-	maxWait := limitWait(j)
+	var r reservation
 	var rate float64
 	var holder peerInstance
-	limited, known := false, false
+	limited, cold, known := false, false, false
+	start := g.now()
 	g.locked(func() {
 		now := g.now()
 		if rate, limited = g.limits.Rate(name, now); !limited {
 			return
 		}
+		r.maxWait = limitWait(j)
+		if cold = g.limits.Cold(name, now); cold {
+			r.maxWait = coldWait(r.maxWait, warm)
+		}
 		if holder, known = g.limitHolder(name, now); known && holder.incarnation == g.incarnation {
-			wait, ok = g.limits.Reserve(name, rate, maxWait, now)
+			r.wait, r.ok, r.reached = g.reserveHere(name, rate, cold, r.maxWait, now)
 		}
 	})
 	if !limited {
 		return 0, true
 	}
-	reached := known && holder.incarnation == g.incarnation
-	if known && !reached {
-		wait, ok, reached = g.reserveAt(holder, name, rate, maxWait)
+	if known && holder.incarnation != g.incarnation {
+		r = g.reserveAt(holder, name, rate, cold, r.maxWait)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if !reached {
-		wait, ok = g.limits.ReserveWithoutHolder(name, rate, g.fleetSize, maxWait, now)
-	}
-	if !ok {
-		g.limits.SetWait(name, max(wait, maxWait+limitRetryDelay), now)
-		g.log.Info().Str("request", j.ID).Str("worker", w.ID).Float64("requests_per_s", rate).Int64("wait_ms", wait.Milliseconds()).
-			Str("holder", holder.instance).Bool("reached", reached).Msg("worker's limit reached")
+	if !r.reached && cold {
+		start = now
+		r.wait, r.ok = g.reserveColdUnmetered(name, rate, r.maxWait, now)
+	} else if !r.reached {
+		r.wait, r.ok = g.limits.ReserveWithoutHolder(name, rate, g.fleetSize, r.maxWait, now)
+	}
+	if cold {
+		g.coldReserved(j, name, rate, r, start)
+	} else if !r.ok {
+		g.limits.SetWait(name, max(r.wait, r.maxWait+limitRetryDelay), now)
+	}
+	if !r.ok {
+		g.log.Info().Str("request", j.ID).Str("worker", w.ID).Float64("requests_per_s", rate).Bool("cold", cold).Int64("wait_ms", r.wait.Milliseconds()).
+			Str("holder", holder.instance).Bool("reached", r.reached).Msg("worker's limit reached")
+	}
+	return r.wait, r.ok
+}
+
+// reserveHere reserves a request at this instance, which is the holder of the worker's limit. The lock is held.
+func (g *Gateway) reserveHere(worker string, rate float64, cold bool, maxWait, now time.Duration) (wait time.Duration, ok, reached bool) {
+	if cold {
+		return g.meterCold(worker, rate, maxWait, now)
 	}
-	return wait, ok
+	wait, ok = g.limits.Reserve(worker, rate, maxWait, now)
+	return wait, ok, true
 }
 
 // limitHolder returns the instance that meters a worker's limit, or false if none is known that is reachable. The lock
@@ -162,29 +193,29 @@
 
 // reserveAt reserves a request at the instance that meters the worker's limit. reached is false if it did not respond. If
 // only its response is lost, the worker gets less than its limit, never more.
-func (g *Gateway) reserveAt(h peerInstance, worker string, rate float64, maxWait time.Duration) (wait time.Duration, ok, reached bool) {
+func (g *Gateway) reserveAt(h peerInstance, worker string, rate float64, cold bool, maxWait time.Duration) reservation {
 	ctx, cancel := context.WithTimeout(g.lifetime, spendTimeout)
 	defer cancel()
 	start := g.now()
-	r, err := g.peers.clients.ReserveRequest(ctx, h.address, &peerpb.ReserveRequestRequest{Server: worker, Limit: rate, MaxWaitMs: maxWait.Milliseconds()})
+	r, err := g.peers.clients.ReserveRequest(ctx, h.address, &peerpb.ReserveRequestRequest{Server: worker, Limit: rate, MaxWaitMs: maxWait.Milliseconds(), Cold: cold})
 	if err != nil {
 		g.markUnreachable(roleHolder, h.incarnation)
 		g.log.Info().Err(err).Str("worker", worker).Str("holder", h.instance).Msg("holder of a worker's limit not reached")
-		return 0, false, false
+		return reservation{maxWait: maxWait}
 	}
-	wait = time.Duration(r.WaitMs) * time.Millisecond
-	if r.Reserved {
+	wait := time.Duration(r.WaitMs) * time.Millisecond
+	if r.Reserved && !cold {
 		wait -= g.now() - start
 	}
-	return wait, r.Reserved, true
+	return reservation{wait: wait, maxWait: maxWait, ok: r.Reserved, reached: !r.NotMetering}
 }
 
 // ReserveRequest implements peerpb.PeerServer.
 func (p *peers) ReserveRequest(_ context.Context, r *peerpb.ReserveRequestRequest) (*peerpb.ReserveRequestResponse, error) {
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
-	wait, ok := p.g.limits.Reserve(r.Server, r.Limit, time.Duration(r.MaxWaitMs)*time.Millisecond, p.g.now())
-	return &peerpb.ReserveRequestResponse{WaitMs: wait.Milliseconds(), Reserved: ok}, nil
+	wait, ok, reached := p.g.reserveHere(r.Server, r.Limit, r.Cold, time.Duration(r.MaxWaitMs)*time.Millisecond, p.g.now())
+	return &peerpb.ReserveRequestResponse{WaitMs: wait.Milliseconds(), Reserved: ok, NotMetering: !reached}, nil
 }
 
 // workerLimitRecords returns the limits that workers have named to this instance, for a heartbeat. The lock is held.
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -188,20 +188,24 @@
 
 // placeByLoad places a job that needs no model or adapter at the least loaded worker.
 func (g *Gateway) placeByLoad(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
+	warm, coldFull := false, false
 	for range maxLimitedWorkers {
 		var w *workers.Worker
 		var reservation forward.Reservation
 		g.locked(func() {
-			if w = g.leastLoaded(g.candidates(j)); w != nil {
+			var list []*workers.Worker
+			list, warm = g.preferWarm(g.candidates(j), coldFull)
+			if w = g.leastLoaded(list); w != nil {
 				reservation = g.reserve(j, w, residency.Adapter{}, 0)
 			}
 		})
 		if w == nil {
 			break
 		}
-		if g.claimCapacity(ctx, j, w) {
+		if g.claimCapacity(ctx, j, w, warm) {
 			return reservation, nil
 		}
+		coldFull = coldFull || g.isCold(w)
 		reservation.Done(forward.Withheld)
 		if ctx.Err() != nil {
 			break
@@ -276,6 +280,7 @@
 	k := w.Key()
 	sent := g.unanswered[j]
 	delete(g.unanswered, j)
+	delete(g.coldPermits, j)
 	if o == forward.Broken || o == forward.Interrupted {
 		g.recordBrokenAttempt(j, w, sent.process, o)
 	}
@@ -311,7 +316,7 @@
 func (g *Gateway) placeEngine(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
 	a := residency.Adapter{Model: j.Model, Name: j.Adapter}
 	var failed []*workers.Worker
-	late, elsewhere := false, false
+	late, elsewhere, coldFull := false, false, false
 	for range 2*loadAttempts + maxLimitedWorkers {
 		slack := j.Route.TargetLatency - time.Since(j.Arrived) - responseReserve
 		if !late && (slack < time.Millisecond || len(failed) == loadAttempts) {
@@ -323,7 +328,7 @@
 		if late && len(failed) == loadAttempts {
 			break
 		}
-		o := g.engineOptions(j, a, failed, late || elsewhere)
+		o := g.engineOptions(j, a, failed, late || elsewhere, coldFull)
 		if o.refusal != nil {
 			return forward.Reservation{}, o.refusal
 		}
@@ -335,11 +340,12 @@
 				return forward.Reservation{}, c.refusal
 			case c.elsewhere:
 				target, elsewhere = o.further, true
-			case g.claimCapacity(ctx, j, c.reservation.Worker) && !g.reservedExpired(c.reservation, a):
+			case g.claimCapacity(ctx, j, c.reservation.Worker, o.warm) && !g.reservedExpired(c.reservation, a):
 				g.recordSent(c.reservation.Worker, a)
 				return c.reservation, nil
 			default:
 				c.reservation.Done(forward.Withheld)
+				coldFull = coldFull || g.isCold(c.reservation.Worker)
 				if ctx.Err() != nil {
 					return forward.Reservation{}, adapterAbsentError()
 				}
@@ -353,8 +359,7 @@
 		if target == nil {
 			return forward.Reservation{}, noWorkerError()
 		}
-		// A limited worker loads the adapter only if it also takes the request.
-		wait, ok := g.reserveRequest(j, target)
+		wait, ok := g.reserveBeforeLoad(j, target)
 		if !ok {
 			continue
 		}
@@ -382,6 +387,8 @@
 type engineOptions struct {
 	// list holds the candidates, and resident those that hold the adapter.
 	list, resident []*workers.Worker
+	// warm is set if one of those that hold the adapter is warm.
+	warm bool
 	// target is the worker that should load the adapter, nil if the job should go to a resident one, and further the one that
 	// loads it if no resident worker admits the job.
 	target, further *workers.Worker
@@ -391,14 +398,15 @@
 	refusal *verdict.Error
 }
 
-// engineOptions returns the workers at which a job may be placed. If noFurther is set, no further load may be started for it.
-func (g *Gateway) engineOptions(j *forward.Job, a residency.Adapter, failed []*workers.Worker, noFurther bool) (o engineOptions) {
+// engineOptions returns the workers at which a job may be placed. If noFurther is set, no further load may be started for it, and
+// if noCold is set, it goes to no cold worker that holds the adapter while there is a warm one.
+func (g *Gateway) engineOptions(j *forward.Job, a residency.Adapter, failed []*workers.Worker, noFurther, noCold bool) (o engineOptions) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var accepted int64
 	o.list = g.candidates(j)
 	o.version, accepted = g.adapterVersions(a)
-	o.resident = g.residentWorkers(o.list, a, accepted)
+	o.resident, o.warm = g.preferWarm(g.residentWorkers(o.list, a, accepted), noCold)
 	if o.refusal = g.crashRefusal(j); o.refusal != nil {
 		return o
 	}
@@ -411,13 +419,14 @@
 // request from sendAt on.
 func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, sendAt time.Time) (forward.Reservation, bool) {
 	place, loaded := g.ensureResident(ctx, w, want)
-	if loaded && sleep(ctx, time.Until(sendAt)) && g.awaitBackoff(ctx, j, w) {
+	if loaded && sleep(ctx, time.Until(sendAt)) && g.awaitBackoff(ctx, j, w) && g.claimIfCold(ctx, j, w) {
 		if reservation, ok := g.reserveLoaded(j, w, want.adapter, want.version); ok {
 			g.recordSent(w, want.adapter)
 			return g.withPlace(reservation, place), true
 		}
 	}
 	g.endPlace(place, false)
+	g.dropColdPermit(j)
 	return forward.Reservation{}, false
 }
 
@@ -452,7 +461,7 @@
 	if g.versionExpired(a, version) {
 		return refuse(http.StatusServiceUnavailable, "version_withdrawn", "a newer version of the adapter must be used", notReadyRetryAfter)
 	}
-	return nil
+	return g.confirmCold(j, w)
 }
 
 // versionExpired reports whether a request may no longer begin on a version of an adapter, which is 0 for any. Attempts that
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -83,6 +83,10 @@
 	Name string
 	// MaxConnections is the number of connections that one worker accepts from all callers together.
 	MaxConnections int
+	// ColdStart is how long a worker is cold after its start, and ColdRate the requests per second that a cold worker accepts
+	// from all instances together. A ColdRate of 0 means no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/state/workers/workers.go
+++ b/internal/state/workers/workers.go
@@ -36,6 +36,10 @@
 	// Seq is the number of orders that the worker has accepted.
 	Seq    int64
 	Models []LoadedModel
+	// ColdRemaining is how much longer the worker stays cold, as the entry says it: it may be negative, or longer than any
+	// worker of the service is cold. ColdUnreadable is set if the entry has a cold time that is not a number.
+	ColdRemaining  time.Duration
+	ColdUnreadable bool
 }
 
 // Key identifies an incarnation of a worker.
