--- a/internal/coordination/quota/cold.go
+++ b/internal/coordination/quota/cold.go
@@ -185,13 +185,14 @@
 
 // ReserveColdWithoutHolder is ReserveCold for an instance that does not reach the holder. The instances take turns, at the
 // rate that they may use together: which one's turn it is follows from the time of day and the instance's place in the fleet.
-// Tokens that each instance collects for itself would not do, since all of them could spend one in the same second.
+// Tokens that each instance collects for itself would not do, since all of them could spend one in the same second. A turn may be
+// used a little late: the wait is negative then, and the request must be sent within ColdDelay of its turn all the same.
 func (l *WorkerLimits) ReserveColdWithoutHolder(worker string, rate float64, p Place, maxWait, wall, now time.Duration) (wait time.Duration, ok bool) {
 	c := l.coldWorker(worker)
 	turn := time.Duration(float64(time.Second) / (max(rate, minWorkerRate) * fallbackShare))
 	round := turn * time.Duration(max(1, p.Count))
 	// The turn after a request is not used if the time of day was set back meanwhile.
-	earliest := max(0, c.fallbackDue+round/2-now)
+	earliest := max(-ColdDelay(rate)/2, c.fallbackDue+round/2-now)
 	wait = (turn*time.Duration(p.Rank) - (wall + earliest)) % round
 	if wait < 0 {
 		wait += round
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -158,9 +158,7 @@
 		g.coldReserved(j, name, rate, r, start)
 	} else if !r.ok {
 		g.limits.SetWait(name, max(r.wait, r.maxWait+limitRetryDelay), now)
-	}
-	if !r.ok {
-		g.log.Info().Str("request", j.ID).Str("worker", w.ID).Float64("requests_per_s", rate).Bool("cold", cold).Int64("wait_ms", r.wait.Milliseconds()).
+		g.log.Info().Str("request", j.ID).Str("worker", w.ID).Float64("requests_per_s", rate).Int64("wait_ms", r.wait.Milliseconds()).
 			Str("holder", holder.instance).Bool("reached", r.reached).Msg("worker's limit reached")
 	}
 	return r.wait, r.ok
