--- a/internal/coordination/quota/cold_test.go
+++ b/internal/coordination/quota/cold_test.go
@@ -59,6 +59,10 @@
 			if now >= changeAt {
 				holder = instances - 1
 			}
+			if r.Float64() < 0.005 {
+				// While there are no requests, no capacity is saved up.
+				now += time.Duration(r.Int64N(int64(2 * time.Second)))
+			}
 			asker, wait, ok := list[r.IntN(instances)], time.Duration(0), false
 			limit, limited := asker.Rate("w", now)
 			if !limited {
@@ -165,6 +169,9 @@
 		rate, _ = l.Rate("w", start)
 		So(rate, ShouldEqual, 2)
 		So(l.Own(start)[0].Rate, ShouldEqual, 5)
+		// An instance that does not know the lower limit yet asks for more.
+		wait, _ := l.ReserveCold("w", 17, 0, start)
+		So(wait, ShouldEqual, 500*time.Millisecond)
 		l.SetWait("w", time.Minute, start)
 		l.Answered("w", 0, false, start)
 		So(l.Wait("w", start), ShouldEqual, time.Minute)
