gateway: evacuation of a data centre

Cause: operators can request that nothing more is sent to the workers of a data centre, and the gateway ignored such records.

Change: records evacuate/ZONE of the operators' topic are decoded with their offsets, and internal/state/evacuation decides by era and offset which data centres are evacuated. Their workers are no candidates, also for probes of ejected workers, retries and loads of adapters; the check immediately before sending covers requests that were placed earlier. Owners of such workers send no orders, and requests that wait for one of their loads go elsewhere at once. Requests whose service has only such workers are refused with data_centre_evacuated. Instances share what they know in GetConfiguration, so that one that starts after a restore learns what the log service has lost.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -256,6 +256,12 @@
 	o.nextReport = now + maxReportLag
 }
 
+// Resync makes the owner read the worker's report before its next order. It is called after a time without orders, in which the
+// worker may have completed loads, so that they do not count as slow ones.
+func (o *Owner) Resync(now time.Duration) {
+	o.desync(now)
+}
+
 // Next returns what to do now.
 func (o *Owner) Next(now time.Duration) Action {
 	if !o.synced {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -28,8 +28,8 @@
 // change says how the value of a feed was read.
 type change struct {
 	snapshot bool
-	// era is the era of the log service in which the value was read.
-	era int64
+	// era is the era of the log service in which the value was read, and next the offset after its records.
+	era, next int64
 	// sent is when the read that confirmed the value was sent.
 	sent time.Duration
 	// afterFailure is true if a read failed since the previous value.
@@ -88,7 +88,7 @@
 			continue
 		}
 		at, loaded, wait = got.next, true, f.wait
-		f.apply(v, change{snapshot: snapshot, era: at.Era, sent: got.sent, afterFailure: failed})
+		f.apply(v, change{snapshot: snapshot, era: at.Era, next: at.Offset, sent: got.sent, afterFailure: failed})
 		failed = false
 		if !got.relayed {
 			sleep(ctx, f.pause)
@@ -127,6 +127,8 @@
 		name: "config", topic: g.platform.Config.Topic(), wait: configWait,
 		load: g.platform.Config.Load, decode: g.platform.Config.Decode,
 		apply: func(u external.Update, c change) {
+			// Evacuations apply first: a request that is sent from now on must not miss what was read.
+			g.applyEvacuations(u.Evacuations, c)
 			g.applyUpdate(u)
 			g.configRead.Store(int64(c.sent))
 			g.configLoaded.set()
@@ -248,6 +250,9 @@
 		// Expiry must not depend on the next read of the registry, which may be late or fail.
 		time.AfterFunc(next.Sub(wall), func() { g.guard("expiry of workers", g.expireWorkers) })
 	}
+	if c.snapshot {
+		g.reportUnknownDataCentres()
+	}
 	if changed {
 		g.log.Info().Int("workers", len(set.All())).Bool("after_outage", !recovered.IsZero()).Msg("workers changed")
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -513,7 +513,9 @@
 		if !ok || s.Engine == nil || len(s.Engine.Models) == 0 {
 			continue
 		}
-		g.owners[w.Key()] = g.newOwner(w, s.Engine, fence)
+		o := g.newOwner(w, s.Engine, fence)
+		o.setPaused(g.evacuated(w))
+		g.owners[w.Key()] = o
 		g.log.Info().Str("worker", id).Int64("born", w.StartedMilli).Int64("fence", fence).Msg("worker owned")
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
+	"github.com/turmericworks/turmericworks/internal/state/evacuation"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
@@ -135,6 +136,9 @@
 	limits *quota.WorkerLimits
 	// availability is what workers have said about taking further requests from this instance.
 	availability *retry.Availability
+	// evacuations are the evacuations of data centres, and unknownDataCentres the evacuated ones that were logged as unknown.
+	evacuations        *evacuation.State
+	unknownDataCentres map[string]bool
 	// relays are the instances that read the log service for the others, in the order in which this instance asks them,
 	// and topics the records that this instance has read.
 	relays []peerInstance
@@ -179,7 +183,7 @@
 		pool: upstream.NewPool(n), metricsRegistry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		workerRegistry: workers.NewRegistry(), residency: residency.NewView(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]requiredVersion{},
-		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), availability: retry.NewAvailability(), rateHolders: map[string][]peerInstance{},
+		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), availability: retry.NewAvailability(), evacuations: evacuation.New(), unknownDataCentres: map[string]bool{}, rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), configLoaded: newSignal(), fleetKnown: newSignal(),
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -60,7 +60,7 @@
 	return g.now()-due <= maxReservationDelay && g.stillUsable(j, w) != nil
 }
 
-// limitError returns the error of a job without a worker: if workers would have taken it but for their limits or because they
+// limitError returns the error of a job without a worker: if all are in evacuated data centres, that; if workers would have taken it but for their limits or because they
 // back off, when the first of them takes requests again.
 func (g *Gateway) limitError(j *forward.Job, err error) error {
 	if err == nil {
@@ -72,10 +72,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if refusal := g.evacuationRefusal(j); refusal != nil {
+		return refusal
+	}
 	now := g.now()
 	shortest, backsOff := time.Duration(0), false
 	for _, w := range g.workers.Load().Ready(j.Service) {
-		if wait := g.knownWait(w, now); wait > 0 && !g.leaving(w) && (shortest == 0 || wait < shortest) {
+		if wait := g.knownWait(w, now); wait > 0 && !g.leaving(w) && !g.evacuated(w) && (shortest == 0 || wait < shortest) {
 			shortest, backsOff = wait, g.backoff(w, now) == wait
 		}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,9 @@
 	orders          *prometheus.CounterVec
 	panics          *prometheus.CounterVec
 	logEra          prometheus.Gauge
+	// evacuated and evacuatedSince have a series for each evacuated data centre.
+	evacuated, evacuatedSince *prometheus.GaugeVec
+	evacuationRequests        *prometheus.CounterVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -37,20 +40,23 @@
 		return c
 	}
 	m := &metrics{
-		requests:        counter("turmeric_requests_total", "Requests of callers, by kind of route, status and verdict.", "kind", "status", "verdict"),
-		attempts:        counter("turmeric_attempts_total", "Attempts at backend servers, by outcome.", "outcome"),
-		unfinished:      counter("turmeric_unfinished_answers_total", "Requests whose callers got no complete answer, by whether it had begun and by cause.", "begun", "cause"),
-		callerCloses:    counter("turmeric_caller_connections_closed_total", "Connections of callers that have ended, by cause and whether bytes had arrived that were not read.", "cause", "unread"),
-		logServiceCalls: counter("turmeric_log_service_calls_total", "Calls to the log service, by call and outcome.", "call", "outcome"),
-		orders:          counter("turmeric_orders_total", "Orders to workers and reports read, by kind and whether they were answered well.", "order", "ok"),
-		panics:          counter("turmeric_panics_total", "Panics that ended only the call or background task in which they came, by its name.", "in"),
+		requests:           counter("turmeric_requests_total", "Requests of callers, by kind of route, status and verdict.", "kind", "status", "verdict"),
+		attempts:           counter("turmeric_attempts_total", "Attempts at backend servers, by outcome.", "outcome"),
+		unfinished:         counter("turmeric_unfinished_answers_total", "Requests whose callers got no complete answer, by whether it had begun and by cause.", "begun", "cause"),
+		callerCloses:       counter("turmeric_caller_connections_closed_total", "Connections of callers that have ended, by cause and whether bytes had arrived that were not read.", "cause", "unread"),
+		logServiceCalls:    counter("turmeric_log_service_calls_total", "Calls to the log service, by call and outcome.", "call", "outcome"),
+		orders:             counter("turmeric_orders_total", "Orders to workers and reports read, by kind and whether they were answered well.", "order", "ok"),
+		evacuationRequests: counter("turmeric_evacuation_requests_total", "Requests that an evacuation affected, by data centre and outcome: moved after they were placed there, or refused since no other worker is left.", "data_centre", "outcome"),
+		panics:             counter("turmeric_panics_total", "Panics that ended only the call or background task in which they came, by its name.", "in"),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "turmeric_request_seconds", Help: "Time from a request to the end of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"kind"}),
 	}
 	m.logEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "turmeric_log_service_era", Help: "Latest era of the log service that was observed; it rises by one with each restore from a copy."})
-	r.MustRegister(m.latency, m.logEra)
+	m.evacuated = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_evacuated_data_centres", Help: "1 for each evacuated data centre, with the position of the record that decides."}, []string{"data_centre", "era", "offset"})
+	m.evacuatedSince = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_evacuation_start_seconds", Help: "Unix time since which a data centre is evacuated, as far as this instance knows."}, []string{"data_centre"})
+	r.MustRegister(m.latency, m.logEra, m.evacuated, m.evacuatedSince)
 	return m
 }
 
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -35,6 +35,8 @@
 	// changed is closed and replaced at each change of the state.
 	changed chan struct{}
 	stopped bool
+	// paused means that the worker's data centre is evacuated: it gets no orders, and no request waits for it.
+	paused bool
 }
 
 // newOwner starts an owner of a worker whose claim has the given fence.
@@ -69,6 +71,31 @@
 	o.mu.Unlock()
 }
 
+// setPaused records whether the worker's data centre is evacuated. Waiting requests are woken, so that they go elsewhere. After an
+// evacuation the worker's state is read anew.
+func (o *owner) setPaused(paused bool) {
+	o.mu.Lock()
+	changed := paused != o.paused
+	if changed {
+		o.paused = paused
+		if !paused {
+			o.state.Resync(o.g.now())
+		}
+		o.broadcast()
+	}
+	o.mu.Unlock()
+	if changed {
+		o.wakeUp()
+	}
+}
+
+// isPaused reports whether the worker's data centre is evacuated.
+func (o *owner) isPaused() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.paused
+}
+
 // isStopped reports whether the owner sends no more orders.
 func (o *owner) isStopped() bool {
 	o.mu.Lock()
@@ -186,7 +213,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.g.now()
-	if o.stopped || !o.g.maySendOrders() || !o.state.Admits(want.adapter, want.version, due, now) || !o.placeWaiter(want, now, &out) {
+	if o.stopped || o.paused || !o.g.maySendOrders() || !o.state.Admits(want.adapter, want.version, due, now) || !o.placeWaiter(want, now, &out) {
 		return out
 	}
 	out.admitted = true
@@ -199,7 +226,7 @@
 func (o *owner) checkWait(a residency.Adapter, version int64) (resident bool, changed <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if _, ok := o.state.Holds(a, version); ok || o.stopped {
+	if _, ok := o.state.Holds(a, version); ok || o.stopped || o.paused {
 		return ok, nil
 	}
 	o.state.Want(a, version, o.g.now())
@@ -270,6 +297,10 @@
 		if o.g.resigned.Load() {
 			return
 		}
+		if o.isPaused() {
+			o.wait(ctx, 0)
+			continue
+		}
 		action := o.next()
 		switch action.Step {
 		case residency.StepNone:
@@ -361,11 +392,17 @@
 
 var errLeaseEnded = trace.CompareFailed("the lease for orders to the worker has ended")
 
-// confirmOrder returns an error if the lease has ended since the order was chosen: the process may have been paused.
+var errEvacuated = trace.CompareFailed("the worker's data centre is evacuated")
+
+// confirmOrder returns an error if the lease has ended since the order was chosen, since the process may have been paused, or if the
+// worker's data centre has been evacuated.
 func (o *owner) confirmOrder() error {
 	if !o.g.maySendOrders() {
 		return errLeaseEnded
 	}
+	if o.isPaused() {
+		return errEvacuated
+	}
 	return nil
 }
 
--- a/internal/gateway/peerconfig.go
+++ b/internal/gateway/peerconfig.go
@@ -33,6 +33,8 @@
 type inForce struct {
 	Config   *routing.Config
 	Versions []routing.AdapterVersion
+	// Evacuations are sent for withdrawn evacuations too, so that what was withdrawn is not put into force again.
+	Evacuations []evacuationInForce
 }
 
 // followPeerConfig asks other instances for the configuration that they have in force, once the instance has read the
@@ -145,6 +147,7 @@
 	if u.Config != nil && u.Config.Version > version {
 		g.log.Info().Str("peer", p.instance).Int64("config", u.Config.Version).Int64("before", version).Msg("configuration of a peer is newer")
 	}
+	g.mergeEvacuations(u.Evacuations, p.instance)
 	g.applyUpdate(external.Update{Config: u.Config, Versions: u.Versions})
 	return true
 }
@@ -157,7 +160,7 @@
 	return 0
 }
 
-// GetConfiguration implements peerpb.PeerServer: it returns the configuration and the adapter versions in force.
+// GetConfiguration implements peerpb.PeerServer: it returns the configuration, the adapter versions and the evacuations in force.
 func (p *peers) GetConfiguration(_ context.Context, r *peerpb.GetConfigurationRequest) (*peerpb.GetConfigurationResponse, error) {
 	u, version := p.g.updateInForce(r.Version)
 	data, err := json.Marshal(u)
@@ -167,8 +170,8 @@
 	return &peerpb.GetConfigurationResponse{Version: version, Update: data}, nil
 }
 
-// updateInForce returns the version of the configuration in force, the configuration itself if it is newer than known, and
-// the newest versions of adapters.
+// updateInForce returns the version of the configuration in force, the configuration itself if it is newer than known, the
+// newest versions of adapters and the evacuations.
 func (g *Gateway) updateInForce(known int64) (u inForce, version int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -181,5 +184,6 @@
 	for a, v := range g.versions {
 		u.Versions = append(u.Versions, routing.AdapterVersion{Model: a.Model, Adapter: a.Name, Version: v.version})
 	}
+	u.Evacuations = g.evacuationsInForce()
 	return u, version
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,9 +72,9 @@
 		return &peerpb.WantAdapterResponse{}, nil
 	}
 	p.g.mu.Lock()
-	o, leaving := p.g.owners[w.Key()], p.g.leaving(w)
+	o, unusable := p.g.owners[w.Key()], p.g.leaving(w) || p.g.evacuated(w)
 	p.g.mu.Unlock()
-	if o == nil || leaving {
+	if o == nil || unusable {
 		return &peerpb.WantAdapterResponse{}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerLoadWait)
@@ -204,7 +204,7 @@
 	own := g.owners[w.Key()]
 	claim := g.members.Owner(w.ID)
 	member, alive := g.members.Member(claim.Incarnation)
-	leaving := g.leaving(w)
+	unusable := g.leaving(w) || g.evacuated(w)
 	g.mu.Unlock()
 	var l loadedAdapter
 	start := g.now()
@@ -216,7 +216,7 @@
 		}
 	}()
 	switch {
-	case leaving:
+	case unusable:
 		return p, false
 	case own != nil:
 		l = own.ensureResident(ctx, want)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -68,7 +68,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	return slices.ContainsFunc(g.workers.Load().Ready(service), func(w *workers.Worker) bool {
-		return !slices.Contains(tried, w.Key()) && !g.leaving(w) && g.knownWait(w, now) == 0
+		return !slices.Contains(tried, w.Key()) && !g.leaving(w) && !g.evacuated(w) && g.knownWait(w, now) == 0
 	})
 }
 
@@ -109,15 +109,15 @@
 	}
 }
 
-// candidates returns the ready workers that the job was not sent to yet, that do not leave, and that take it in time as far as
-// their limits and back-offs are known, without ejected ones unless all are ejected.
+// candidates returns the ready workers that the job was not sent to yet, that do not leave, whose data centre is not evacuated, and
+// that take it in time as far as their limits and back-offs are known, without ejected ones unless all are ejected.
 // For an idempotent request, an ejected worker that is due for a probe is the only candidate. The lock is held.
 func (g *Gateway) candidates(j *forward.Job) []*workers.Worker {
 	ready := g.workers.Load().Ready(j.Service)
 	untried := make([]*workers.Worker, 0, len(ready))
 	now, maxWait := g.now(), limitWait(j)
 	for _, w := range ready {
-		if !g.leaving(w) && g.knownWait(w, now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
+		if !g.leaving(w) && !g.evacuated(w) && g.knownWait(w, now) <= maxWait && !slices.Contains(j.Tried, w.Key()) {
 			untried = append(untried, w)
 		}
 	}
@@ -418,6 +418,9 @@
 		}
 	}
 	g.endPlace(place, false)
+	if !loaded {
+		g.locked(func() { g.movedByEvacuation(w) })
+	}
 	return forward.Reservation{}, false
 }
 
@@ -433,10 +436,10 @@
 }
 
 // stillUsable returns the current entry of a worker that was chosen before a wait, or nil if it was removed or replaced or
-// began to drain, to leave or to back off, or if requests like the job were found to crash workers. The lock is held.
+// began to drain, to leave or to back off, if its data centre is evacuated, or if requests like the job were found to crash workers. The lock is held.
 func (g *Gateway) stillUsable(j *forward.Job, w *workers.Worker) *workers.Worker {
 	current, ok := g.workers.Load().Get(w.ID)
-	if !ok || current.Key() != w.Key() || current.Draining || g.leaving(w) || g.backoff(w, g.now()) > 0 || g.crashRefusal(j) != nil {
+	if !ok || current.Key() != w.Key() || g.movedByEvacuation(current) || current.Draining || g.leaving(w) || g.backoff(w, g.now()) > 0 || g.crashRefusal(j) != nil {
 		return nil
 	}
 	return current
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/state/evacuation"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 )
@@ -75,6 +76,8 @@
 type Update struct {
 	Config   *routing.Config
 	Versions []routing.AdapterVersion
+	// Evacuations are the records on evacuations of data centres. In a snapshot they are all that are in force.
+	Evacuations []evacuation.Record
 	// Unreadable lists the records that were skipped; all others are in force.
 	Unreadable []Unreadable
 }
