gateway: keepers of plain workers place requests over all instances

Cause: with more instances than places, an instance's own requests say nothing of the load of a plain worker. The preference for the own data centre then overloads the worker of the data centre with most callers.

Change: for each plain worker, one instance (its keeper, chosen as the holder of a worker's limit) counts the places of all instances, learns the time of a request and answers AdmitRequest with the expected wait, the room and that time. Instances ask one worker drawn by its room, own data centre first while it has some, and further ones only if that one declines. Without a keeper an instance uses its own view. Requests that no worker completes on time wait for room that those on time leave, and are refused with a spread Retry-After if none begins them before their deadline. Services with at least as many places as instances are placed as before. Messages: AdmitRequest has within_ms, room and request_ms, EndRequest has unsent and rejected.

--- a/internal/coordination/workerload/choice.go
+++ b/internal/coordination/workerload/choice.go
@@ -32,6 +32,8 @@
 	LoadElsewhere
 	// Refuse refuses the request, since no server is expected to begin its answer before its deadline.
 	Refuse
+	// Hold keeps the request for some time, after which it is decided anew.
+	Hold
 )
 
 // Choice is a step, the index of the server that it concerns, and for Refuse the time until one is expected to
--- /dev/null
+++ b/internal/coordination/workerload/plain_test.go
@@ -0,0 +1,191 @@
+package workerload
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	plainWork   = 20 * time.Millisecond
+	plainExpiry = time.Second
+)
+
+var anyTime = Bounds{MaxWait: time.Hour}
+
+// learnedPlain returns the load of a worker with testSlots slots that has completed some requests, and the time.
+func learnedPlain() (*Plain, time.Duration) {
+	l, now := NewPlain(testSlots, 0), time.Duration(0)
+	for range 60 {
+		place, _ := l.Admit(anyTime, plainExpiry, now)
+		now += plainWork
+		l.End(place, Completed, now)
+	}
+	return l, now
+}
+
+// fillPlain gives places to a number of requests at the same time.
+func fillPlain(l *Plain, n int, now time.Duration) []uint64 {
+	var places []uint64
+	for range n {
+		place, _ := l.Admit(anyTime, plainExpiry, now)
+		places = append(places, place)
+	}
+	return places
+}
+
+// TestPlain checks what a keeper expects of its worker, in particular that lost reports, failures and rejections make it neither
+// close the worker for good nor send it the requests of all.
+func TestPlain(t *testing.T) {
+	Convey("a worker with room lets no request wait, and a full one until a place is free", t, func() {
+		l, now := learnedPlain()
+		So(l.Time(), ShouldEqual, plainWork)
+		So(l.Room(now), ShouldEqual, testSlots/plainWork.Seconds())
+		fillPlain(l, testSlots, now)
+		So(l.Room(now), ShouldEqual, 0)
+		So(l.Wait(now+plainWork/4), ShouldEqual, plainWork*3/4)
+		fillPlain(l, testSlots, now)
+		So(l.Wait(now), ShouldEqual, 2*plainWork)
+	})
+	Convey("a worker that stands still is expected to stand still on", t, func() {
+		l, now := learnedPlain()
+		fillPlain(l, testSlots, now)
+		So(l.Wait(now+10*plainWork), ShouldEqual, 9*plainWork)
+	})
+	Convey("a place that is never returned is released at the request's deadline", t, func() {
+		l, now := learnedPlain()
+		fillPlain(l, testSlots, now)
+		So(l.Running(now+plainExpiry-1), ShouldEqual, testSlots)
+		So(l.Running(now+plainExpiry), ShouldEqual, 0)
+	})
+	Convey("a report to an earlier keeper ends no place of a later one", t, func() {
+		first, second := NewPlain(testSlots, 1000), NewPlain(testSlots, 2000)
+		old := fillPlain(first, 1, 0)[0]
+		fillPlain(second, 1, 0)
+		second.End(old, Completed, plainWork)
+		So(second.Running(plainWork), ShouldEqual, 1)
+	})
+	Convey("a waiting request's time is counted from when it began", t, func() {
+		l, now := learnedPlain()
+		places := fillPlain(l, 2*testSlots, now)
+		for i, p := range places {
+			l.End(p, Completed, now+time.Duration(1+i/testSlots)*plainWork)
+		}
+		So(l.Time(), ShouldEqual, plainWork)
+	})
+	Convey("a worker that fails requests at once has less and less room, and is open again after its first answer", t, func() {
+		l, now := learnedPlain()
+		failed := 0
+		for end := now + 50*plainWork; now < end; now += time.Millisecond {
+			if place, _ := l.Admit(Bounds{}, plainExpiry, now); place != 0 {
+				l.End(place, Failed, now)
+				failed++
+			}
+		}
+		So(failed, ShouldBeLessThan, 5*testSlots)
+		now += plainExpiry
+		l.End(fillPlain(l, 1, now)[0], Completed, now+plainWork)
+		So(l.Room(now+plainWork), ShouldBeGreaterThan, 0)
+		l.End(fillPlain(l, 1, now+plainWork)[0], Failed, now+plainWork)
+		So(l.Running(now+2*plainWork), ShouldEqual, 0)
+	})
+	Convey("a worker that rejects waiting requests is sent no more of them, until it completes those that it takes", t, func() {
+		l, now := learnedPlain()
+		places := fillPlain(l, testSlots+2, now)
+		l.End(places[testSlots], Rejected, now)
+		l.End(places[testSlots+1], Unsent, now)
+		So(fillPlain(l, 1, now)[0], ShouldEqual, 0)
+		l.End(places[0], Completed, now+plainWork)
+		l.End(places[1], Completed, now+plainWork)
+		So(fillPlain(l, testSlots+1, now+plainWork)[testSlots], ShouldNotEqual, 0)
+	})
+	Convey("a worker that is too slow is declined, but for a probe", t, func() {
+		l, now := learnedPlain()
+		quick := Bounds{MaxWait: plainWork, Within: plainWork / 2}
+		place, o := l.Admit(quick, plainExpiry, now)
+		So(place, ShouldEqual, 0)
+		So(o.Time, ShouldEqual, plainWork)
+		place, _ = l.Admit(quick, plainExpiry, now+probeInterval)
+		So(place, ShouldNotEqual, 0)
+	})
+}
+
+// TestOrder checks that the own data centre is preferred only while it has room, and that no worker gets the requests of all.
+func TestOrder(t *testing.T) {
+	roomy, full := Outlook{Room: 100, Time: plainWork}, Outlook{Wait: 40 * time.Millisecond, Time: plainWork}
+	const remote = 2 * time.Millisecond
+	times := Times{Target: second, Slack: second, Left: 5 * second}
+	first := func(list []Candidate) []int {
+		counts := make([]int, len(list))
+		for x := 0.0; x < 1; x += 0.01 {
+			counts[Order(list, times, func() float64 { return x })[0]]++
+		}
+		return counts
+	}
+	Convey("a worker of the own data centre that has room is asked most often, but not by all", t, func() {
+		counts := first([]Candidate{{Outlook: roomy, Path: remote}, {Outlook: roomy}, {Outlook: roomy, Path: remote}})
+		So(counts[1], ShouldBeBetween, 60, 95)
+	})
+	Convey("one that has none is hardly asked while another one has room", t, func() {
+		So(first([]Candidate{{Outlook: full}, {Outlook: roomy, Path: remote}})[1], ShouldBeGreaterThan, 95)
+	})
+	Convey("a slow one is hardly asked", t, func() {
+		slow := Outlook{Room: 100, Time: second}
+		So(first([]Candidate{{Outlook: slow}, {Outlook: roomy, Path: remote}})[1], ShouldBeGreaterThan, 85)
+	})
+	Convey("one that backs off comes last", t, func() {
+		So(first([]Candidate{{Outlook: roomy, Backoff: second}, {Outlook: full, Path: remote}})[1], ShouldEqual, 100)
+	})
+	Convey("keepers place requests only where instances have too few to know the load", t, func() {
+		So(NeedsKeepers([]int{6, 6, 6, 6}, 85), ShouldBeTrue)
+		So(NeedsKeepers([]int{6, 6, 6, 6}, 24), ShouldBeFalse)
+		So(NeedsKeepers([]int{6, 6}, 6), ShouldBeFalse)
+		So(NeedsKeepers([]int{6, 0}, 85), ShouldBeFalse)
+		So(NeedsKeepers(nil, 85), ShouldBeFalse)
+	})
+}
+
+// TestChoosePlain checks each step, in particular that a late request takes no room from those that are on time, and that one for
+// which there is no time is refused at once.
+func TestChoosePlain(t *testing.T) {
+	const ms = time.Millisecond
+	list := []Candidate{{Outlook: Outlook{Room: 1, Time: 30 * ms}}, {Outlook: Outlook{Room: 1, Time: 30 * ms}}}
+	onTime, late := Times{150 * ms, 150 * ms, 1500 * ms}, Times{150 * ms, -ms, 1350 * ms}
+	declined := func(index int, wait time.Duration) PlainAnswer {
+		return PlainAnswer{Answer{Known: true, Wait: wait}, index, 30 * ms}
+	}
+	admitted, unknown := PlainAnswer{Answer{Known: true, Admitted: true}, 0, 30 * ms}, PlainAnswer{}
+	for name, c := range map[string]struct {
+		times   Times
+		answers []PlainAnswer
+		step    Step
+		index   int
+	}{
+		"asks the first":                          {onTime, nil, Ask, 0},
+		"sends where it has a place":              {onTime, []PlainAnswer{admitted}, Send, 0},
+		"sends if nothing is known":               {onTime, []PlainAnswer{unknown}, Send, 0},
+		"asks the next":                           {onTime, []PlainAnswer{declined(0, 80*ms)}, Ask, 1},
+		"asks again where it waits least":         {onTime, []PlainAnswer{declined(0, 60*ms), declined(1, 80*ms)}, Ask, 0},
+		"does not go where nothing is known":      {onTime, []PlainAnswer{declined(0, 300*ms), {Index: 1}}, Hold, 0},
+		"is held if it would be late":             {onTime, []PlainAnswer{declined(0, 300*ms), declined(1, 300*ms)}, Hold, 0},
+		"is held if it is late and none has room": {late, []PlainAnswer{declined(0, 40*ms), declined(1, 60*ms)}, Hold, 0},
+		"is refused if there is no time":          {late, []PlainAnswer{declined(0, 1400*ms), declined(1, 1500*ms)}, Refuse, 0},
+	} {
+		Convey(name, t, func() {
+			got := ChoosePlain(list, c.answers, c.times, 0.5)
+			So(got.Step, ShouldEqual, c.step)
+			So(got.Index, ShouldEqual, c.index)
+		})
+	}
+	Convey("a late request asks for less than one that is on time", t, func() {
+		So(ChoosePlain(list[:1], nil, late, 0).Bounds.MaxWait, ShouldBeLessThan, ChoosePlain(list[:1], nil, onTime, 0).Bounds.MaxWait/5)
+	})
+	Convey("refused callers return at different times, within the time for which they wait", t, func() {
+		for _, left := range []time.Duration{600 * ms, 3 * second, time.Hour} {
+			earliest, latest := SpreadRetry(500*ms, left, 0), SpreadRetry(500*ms, left, 0.999)
+			So(latest-earliest, ShouldBeGreaterThanOrEqualTo, 90*ms)
+			So(latest, ShouldBeLessThanOrEqualTo, min(left/3, second))
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
@@ -133,6 +134,9 @@
 	inFlight map[workers.Key]int
 	// limits are the limits that workers name on the requests of all instances.
 	limits *quota.WorkerLimits
+	// keepers is what this instance knows of the keepers of plain workers, and kept the workers of which it is one itself.
+	keepers *keepers
+	kept    *keptWorkers
 	// availability is what workers have said about taking further requests from this instance.
 	availability *retry.Availability
 	// relays are the instances that read the log service for the others, in the order in which this instance asks them,
@@ -179,7 +183,7 @@
 		pool: upstream.NewPool(n), metricsRegistry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		workerRegistry: workers.NewRegistry(), residency: residency.NewView(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]requiredVersion{},
-		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), availability: retry.NewAvailability(), rateHolders: map[string][]peerInstance{},
+		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), keepers: newKeepers(), kept: &keptWorkers{loads: map[string]*workerload.Plain{}}, availability: retry.NewAvailability(), rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), configLoaded: newSignal(), fleetKnown: newSignal(),
@@ -328,6 +332,8 @@
 	listed := func(name string) bool { return names[name] }
 	g.limits.Retain(listed)
 	g.availability.Retain(listed, g.now())
+	g.keepers.outlooks.Retain(listed)
+	g.kept.retain(listed, g.metrics, g.now())
 	for k := range g.unreachable {
 		if _, ok := g.members.Member(k.incarnation); !ok {
 			delete(g.unreachable, k)
--- /dev/null
+++ b/internal/gateway/keeper.go
@@ -0,0 +1,413 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/quota"
+	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
+	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/forward"
+)
+
+const (
+	// keeperRefresh is how long the choice of keepers is used before the live instances are looked up again. To hash all of
+	// them for each request would cost as much as the call.
+	keeperRefresh = 250 * time.Millisecond
+	// remotePath is the time that a request to another data centre and its answer take longer.
+	remotePath = 2 * time.Millisecond
+)
+
+// How a worker of a plain service was chosen, in metrics and in the log.
+const (
+	placedFirst   = "first"
+	placedOther   = "other"
+	placedHeld    = "held"
+	placedUnknown = "keeper_unknown"
+	placedRefused = "refused"
+)
+
+// keepers are the keepers of plain workers, as this instance knows them. The gateway's lock guards it.
+type keepers struct {
+	known    map[string]peerInstance
+	live     []rendezvous.Member
+	byName   map[string]peerInstance
+	read     bool
+	readAt   time.Duration
+	outlooks *workerload.Outlooks
+	// services says of each service whether keepers place its requests.
+	services map[string]bool
+}
+
+func newKeepers() *keepers {
+	return &keepers{known: map[string]peerInstance{}, outlooks: workerload.NewOutlooks(), services: map[string]bool{}}
+}
+
+// keptWorkers are the loads of the plain workers of which this instance is the keeper. Its lock may be taken while the
+// gateway's is held.
+type keptWorkers struct {
+	mu    sync.Mutex
+	loads map[string]*workerload.Plain
+}
+
+// admit gives a request a place at a worker if it is expected to be served within the bounds.
+func (k *keptWorkers) admit(w *workers.Worker, b workerload.Bounds, lifetime, now time.Duration) (uint64, workerload.Outlook) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	name := incarnationName(w)
+	l := k.loads[name]
+	if l == nil {
+		l = workerload.NewPlain(w.Slots, rand.Uint64())
+		k.loads[name] = l
+	}
+	return l.Admit(b, lifetime, now)
+}
+
+// end returns a place.
+func (k *keptWorkers) end(worker string, place uint64, how workerload.Ending, now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l := k.loads[worker]; l != nil {
+		l.End(place, how, now)
+	}
+}
+
+// retain removes the workers that are not listed, and shows the others in the metrics.
+func (k *keptWorkers) retain(listed func(worker string) bool, m *metrics, now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m.keptPlaces.Reset()
+	m.keptSeconds.Reset()
+	for name, l := range k.loads {
+		if !listed(name) {
+			delete(k.loads, name)
+			continue
+		}
+		m.keptPlaces.WithLabelValues(name).Set(float64(l.Running(now)))
+		m.keptSeconds.WithLabelValues(name).Set(l.Time().Seconds())
+	}
+}
+
+// readKeepers looks up the live instances, if that was not done recently. The lock is held.
+func (g *Gateway) readKeepers(now time.Duration) {
+	k := g.keepers
+	if k.read && now-k.readAt < keeperRefresh {
+		return
+	}
+	k.live, k.byName, k.read, k.readAt = nil, map[string]peerInstance{}, true, now
+	clear(k.known)
+	if !g.fleetRead.Load() {
+		return
+	}
+	for _, m := range g.members.Live(now, quota.TakeoverDelay) {
+		if !m.Heartbeat.Resigned {
+			k.byName[m.Instance] = peerInstance{m.Instance, m.Incarnation, m.Heartbeat.Address}
+			k.live = append(k.live, rendezvous.Member{Name: m.Instance, Size: m.Heartbeat.MemoryMB})
+		}
+	}
+}
+
+// keeperOf returns the keeper of a worker, or false if none is known that was reachable recently. The lock is held.
+func (g *Gateway) keeperOf(worker string, now time.Duration) (peerInstance, bool) {
+	g.readKeepers(now)
+	k, ok := g.keepers.known[worker]
+	if !ok {
+		name, found := quota.LimitHolder(worker, g.keepers.live)
+		if !found {
+			return peerInstance{}, false
+		}
+		k = g.keepers.byName[name]
+		g.keepers.known[worker] = k
+	}
+	return k, k.incarnation == g.incarnation || !g.recentlyUnreachable(roleKeeper, k.incarnation, now)
+}
+
+// placedByKeepers reports whether keepers place the requests of a service: one whose workers together have fewer places than there
+// are live instances. Elsewhere each instance has requests enough to know the load itself. The lock is held.
+func (g *Gateway) placedByKeepers(j *forward.Job) bool {
+	s, ok := j.Config.Service(j.Service)
+	if !ok || s.Engine != nil {
+		return false
+	}
+	g.readKeepers(g.now())
+	slots := make([]int, 0, len(g.keepers.live))
+	for _, w := range g.workers.Load().Ready(j.Service) {
+		slots = append(slots, w.Slots)
+	}
+	kept := workerload.NeedsKeepers(slots, len(g.keepers.live))
+	if kept != g.keepers.services[j.Service] {
+		g.keepers.services[j.Service] = kept
+		g.log.Info().Str("service", j.Service).Bool("by_keepers", kept).Ints("slots", slots).Int("live", len(g.keepers.live)).Msg("placement of a plain service changed")
+	}
+	return kept
+}
+
+// keeperRound is one round of questions to keepers for a job.
+type keeperRound struct {
+	workers    []*workers.Worker
+	candidates []workerload.Candidate
+	answers    []workerload.PlainAnswer
+	// places are the latest places given, by candidate.
+	places map[int]workerPlace
+	// reachable is false if no candidate has a keeper that can be asked.
+	reachable bool
+}
+
+// newKeeperRound ranks the candidates for a job.
+func (g *Gateway) newKeeperRound(j *forward.Job) *keeperRound {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	list := g.candidates(j)
+	r := &keeperRound{places: map[int]workerPlace{}}
+	unordered := make([]workerload.Candidate, len(list))
+	for i, w := range list {
+		name := incarnationName(w)
+		c := workerload.Candidate{Outlook: g.keepers.outlooks.Of(name, now), Backoff: g.backoff(w, now)}
+		if _, ok := g.keeperOf(name, now); ok {
+			r.reachable = true
+		} else {
+			c.Outlook = workerload.OwnView(w.Slots, g.inFlight[w.Key()], c.Time)
+		}
+		if w.DataCentre != g.settings.DataCentre {
+			c.Path = remotePath
+		}
+		unordered[i] = c
+	}
+	for _, i := range workerload.Order(unordered, g.plainTimes(j), rand.Float64) {
+		r.workers, r.candidates = append(r.workers, list[i]), append(r.candidates, unordered[i])
+	}
+	return r
+}
+
+// plainTimes returns the time limits of a job. Without a target latency, it is on time until its deadline.
+func (g *Gateway) plainTimes(j *forward.Job) workerload.Times {
+	passed, left := time.Since(j.Arrived), time.Until(j.Deadline)
+	target := j.Route.TargetLatency
+	if target <= 0 {
+		target = passed + left
+	}
+	return workerload.Times{Target: target, Slack: target - passed, Left: left}
+}
+
+// placeByKeepers places a job for a plain service where the keepers of its workers know of room.
+func (g *Gateway) placeByKeepers(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
+	began, withheld, questions, probed := g.now(), 0, 0, false
+	var held time.Duration
+	for ctx.Err() == nil && withheld < maxLimitedWorkers {
+		r := g.newKeeperRound(j)
+		if len(r.workers) == 0 {
+			break
+		}
+		if !r.reachable {
+			g.recordPlaced(j, forward.Placed{How: placedUnknown, Questions: questions, Held: held})
+			return g.placeByOwnRequests(ctx, j)
+		}
+		c := g.askKeepers(j, r)
+		questions += len(r.answers)
+		if len(r.workers) == 1 && c.Step != workerload.Send && !probed {
+			// An ejected worker that is due for a probe is the only candidate of one round.
+			probed = true
+			continue
+		}
+		placed := forward.Placed{Questions: questions, Wait: c.Wait, Held: held}
+		switch c.Step {
+		case workerload.Send:
+			placed.How = howPlaced(r, c, held)
+			g.recordPlaced(j, placed)
+			if reservation, ok := g.reserveKept(ctx, j, r.workers[c.Index], r.places[c.Index]); ok {
+				return reservation, nil
+			}
+			withheld++
+		case workerload.Hold:
+			if !sleep(ctx, c.After) {
+				return forward.Reservation{}, noWorkerError()
+			}
+			held = g.now() - began
+		default:
+			placed.How = placedRefused
+			g.recordPlaced(j, placed)
+			return forward.Reservation{}, refuse(http.StatusServiceUnavailable, "workers_full", "no backend server can answer before the deadline", c.After)
+		}
+	}
+	return forward.Reservation{}, noWorkerError()
+}
+
+// howPlaced returns how the worker of a choice was found.
+func howPlaced(r *keeperRound, c workerload.PlainChoice, held time.Duration) string {
+	switch {
+	case r.places[c.Index].number == 0:
+		return placedUnknown
+	case held > 0:
+		return placedHeld
+	case len(r.answers) > 1:
+		return placedOther
+	default:
+		return placedFirst
+	}
+}
+
+// recordPlaced records how a worker was chosen for a job.
+func (g *Gateway) recordPlaced(j *forward.Job, p forward.Placed) {
+	j.Placed = p
+	g.metrics.plainPlacements.WithLabelValues(p.How).Inc()
+}
+
+// askKeepers asks the keepers of a round's workers until it is known what to do with a job.
+func (g *Gateway) askKeepers(j *forward.Job, r *keeperRound) workerload.PlainChoice {
+	start := g.now()
+	for {
+		list := r.candidates
+		if len(r.answers) > 0 && g.now()-start >= admitTimeout {
+			list = list[:min(len(list), len(r.answers))]
+		}
+		c := workerload.ChoosePlain(list, r.answers, g.plainTimes(j), rand.Float64())
+		if c.Step != workerload.Ask {
+			return c
+		}
+		answer, place := g.askKeeper(j, r.workers[c.Index], c.Bounds)
+		answer.Index = c.Index
+		r.answers = append(r.answers, answer)
+		r.places[c.Index] = place
+	}
+}
+
+// askKeeper asks the keeper of a worker for a place for a job.
+func (g *Gateway) askKeeper(j *forward.Job, w *workers.Worker, b workerload.Bounds) (workerload.PlainAnswer, workerPlace) {
+	name, left := incarnationName(w), time.Until(j.Deadline)
+	g.mu.Lock()
+	now := g.now()
+	keeper, ok := g.keeperOf(name, now)
+	g.mu.Unlock()
+	p := workerPlace{worker: w, owner: keeper, asked: now}
+	if !ok || left <= 0 {
+		return workerload.PlainAnswer{}, p
+	}
+	var o workerload.Outlook
+	if keeper.incarnation == g.incarnation {
+		p.number, o = g.kept.admit(w, b, left, now)
+		g.metrics.countKept(p.number != 0)
+	} else {
+		// The answer is awaited even if the caller leaves: a place in an answer that is not read would be kept until the deadline.
+		ctx, cancel := context.WithTimeout(g.lifetime, admitTimeout)
+		defer cancel()
+		r, err := g.peers.clients.AdmitRequest(ctx, keeper.address, &peerpb.AdmitRequestRequest{
+			Engine: name, MaxWaitMs: b.MaxWait.Milliseconds(), WithinMs: b.Within.Milliseconds(), DeadlineMs: left.Milliseconds(),
+		})
+		if err != nil {
+			g.markUnreachable(roleKeeper, keeper.incarnation)
+			g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Msg("keeper of a worker not reached")
+			return workerload.PlainAnswer{}, p
+		}
+		if !r.Owned {
+			return workerload.PlainAnswer{}, p
+		}
+		p.number = r.Place
+		o = workerload.Outlook{Wait: time.Duration(r.WaitMs) * time.Millisecond, Room: r.Room, Time: time.Duration(r.RequestMs) * time.Millisecond}
+	}
+	g.locked(func() { g.keepers.outlooks.Answered(name, o, g.now()) })
+	return workerload.PlainAnswer{Answer: workerload.Answer{Known: true, Admitted: p.number != 0, Wait: o.Wait}, Time: o.Time}, p
+}
+
+// reserveKept reserves a worker at which a job has a place, if its keeper gave one, and waits until the request may be sent.
+// It reports false if the worker has no capacity in time; the place is then returned.
+func (g *Gateway) reserveKept(ctx context.Context, j *forward.Job, w *workers.Worker, p workerPlace) (forward.Reservation, bool) {
+	var r forward.Reservation
+	g.locked(func() { r = g.withKeptPlace(g.reserve(j, w, residency.Adapter{}, 0), p) })
+	if g.claimCapacity(ctx, j, w) {
+		return r, true
+	}
+	r.Done(forward.Withheld)
+	return forward.Reservation{}, false
+}
+
+// withKeptPlace lets a reservation return its place to the worker's keeper when the attempt ends.
+func (g *Gateway) withKeptPlace(r forward.Reservation, p workerPlace) forward.Reservation {
+	sent := false
+	confirm, done := r.Confirm, r.Done
+	r.Confirm = func() error {
+		err := confirm()
+		sent = err == nil
+		return err
+	}
+	r.Done = func(o forward.Outcome) {
+		g.returnPlace(p, endingOf(o, sent))
+		done(o)
+	}
+	return r
+}
+
+// endingOf returns how a request ended for its place, given the outcome of the attempt and whether it was sent.
+func endingOf(o forward.Outcome, sent bool) workerload.Ending {
+	switch o {
+	case forward.Succeeded, forward.Failed:
+		return workerload.Completed
+	case forward.Rejected:
+		return workerload.Rejected
+	case forward.Withheld, forward.Misdirected:
+		return workerload.Unsent
+	case forward.Abandoned:
+		if !sent {
+			return workerload.Unsent
+		}
+	}
+	return workerload.Failed
+}
+
+// returnPlace returns a place to the keeper that gave it. Nothing waits for the report.
+func (g *Gateway) returnPlace(p workerPlace, how workerload.Ending) {
+	switch {
+	case p.number == 0:
+	case p.owner.incarnation == g.incarnation:
+		g.kept.end(incarnationName(p.worker), p.number, how, g.now())
+	default:
+		g.reportPlace(p, &peerpb.EndRequestRequest{Complete: how == workerload.Completed, Unsent: how == workerload.Unsent, Rejected: how == workerload.Rejected})
+	}
+}
+
+// plainWorker returns the worker incarnation of a plain service with a name, nil if there is none. Any instance that is asked acts
+// as the keeper: instances may see different members for a moment.
+func (g *Gateway) plainWorker(incarnation string) *workers.Worker {
+	i := strings.LastIndexByte(incarnation, '@')
+	if i < 0 {
+		return nil
+	}
+	w, ok := g.workers.Load().Get(incarnation[:i])
+	t := g.table.Load()
+	if !ok || t == nil || incarnationName(w) != incarnation {
+		return nil
+	}
+	if s, ok := t.Service(w.Service); !ok || s.Engine != nil {
+		return nil
+	}
+	return w
+}
+
+// admitKept answers another instance's question for a place at a plain worker.
+func (g *Gateway) admitKept(w *workers.Worker, r *peerpb.AdmitRequestRequest) *peerpb.AdmitRequestResponse {
+	b := workerload.Bounds{MaxWait: time.Duration(r.MaxWaitMs) * time.Millisecond, Within: time.Duration(r.WithinMs) * time.Millisecond}
+	place, o := g.kept.admit(w, b, time.Duration(r.DeadlineMs)*time.Millisecond, g.now())
+	g.metrics.countKept(place != 0)
+	return &peerpb.AdmitRequestResponse{Owned: true, Place: place, WaitMs: o.Wait.Milliseconds(), Room: o.Room, RequestMs: o.Time.Milliseconds()}
+}
+
+// endKept applies another instance's report of a place at a plain worker.
+func (g *Gateway) endKept(r *peerpb.EndRequestRequest) {
+	how := workerload.Failed
+	switch {
+	case r.Complete:
+		how = workerload.Completed
+	case r.Unsent:
+		how = workerload.Unsent
+	case r.Rejected:
+		how = workerload.Rejected
+	}
+	g.kept.end(r.Engine, r.Place, how, g.now())
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,9 @@
 	orders          *prometheus.CounterVec
 	panics          *prometheus.CounterVec
 	logEra          prometheus.Gauge
+	// plainPlacements counts by how a worker of a plain service was chosen, and keptAnswers what this instance answered as a keeper.
+	plainPlacements, keptAnswers *prometheus.CounterVec
+	keptPlaces, keptSeconds      *prometheus.GaugeVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -50,7 +53,11 @@
 		}, []string{"kind"}),
 	}
 	m.logEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "turmeric_log_service_era", Help: "Latest era of the log service that was observed; it rises by one with each restore from a copy."})
-	r.MustRegister(m.latency, m.logEra)
+	m.plainPlacements = counter("turmeric_plain_placements_total", "Requests to plain services that keepers place, by how the worker was found.", "how")
+	m.keptAnswers = counter("turmeric_kept_answers_total", "Answers of this instance as the keeper of a plain worker, by whether they gave a place.", "admitted")
+	m.keptPlaces = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_kept_places", Help: "Requests of all instances at a plain worker of which this instance is the keeper."}, []string{"worker"})
+	m.keptSeconds = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_kept_request_seconds", Help: "Learned time of one request at a plain worker of which this instance is the keeper."}, []string{"worker"})
+	r.MustRegister(m.latency, m.logEra, m.keptPlaces, m.keptSeconds)
 	return m
 }
 
@@ -77,6 +84,11 @@
 	m.logServiceCalls.WithLabelValues(call, outcome).Inc()
 }
 
+// countKept counts an answer as the keeper of a plain worker.
+func (m *metrics) countKept(admitted bool) {
+	m.keptAnswers.WithLabelValues(strconv.FormatBool(admitted)).Inc()
+}
+
 // countOrder counts an order to a worker or a read of its report.
 func (m *metrics) countOrder(order string, ok bool) {
 	m.orders.WithLabelValues(order, strconv.FormatBool(ok)).Inc()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -162,6 +162,8 @@
 	roleRelay
 	// roleAdmission is that of an owner which is asked for the load of its worker.
 	roleAdmission
+	// roleKeeper is that of the keeper of a plain service's worker.
+	roleKeeper
 )
 
 // peerCall identifies an instance by its incarnation, and the role in which it is called.
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -186,8 +186,19 @@
 	return refuse(http.StatusServiceUnavailable, "adapter_absent", "the adapter could not be loaded in time", notReadyRetryAfter)
 }
 
-// placeByLoad places a job that needs no model or adapter at the least loaded worker.
+// placeByLoad places a job that needs no model or adapter: by the keepers of the workers, or at the worker that is least loaded by
+// this instance's own requests.
 func (g *Gateway) placeByLoad(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
+	kept := false
+	g.locked(func() { kept = g.placedByKeepers(j) })
+	if kept {
+		return g.placeByKeepers(ctx, j)
+	}
+	return g.placeByOwnRequests(ctx, j)
+}
+
+// placeByOwnRequests places a job at the worker that is least loaded by this instance's own requests.
+func (g *Gateway) placeByOwnRequests(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
 	for range maxLimitedWorkers {
 		var w *workers.Worker
 		var reservation forward.Reservation
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -206,6 +206,9 @@
 
 // AdmitRequest implements peerpb.PeerServer.
 func (p *peers) AdmitRequest(_ context.Context, r *peerpb.AdmitRequestRequest) (*peerpb.AdmitRequestResponse, error) {
+	if w := p.g.plainWorker(r.Engine); w != nil && r.DeadlineMs > 0 {
+		return p.g.admitKept(w, r), nil
+	}
 	o := p.g.findOwner(r.Engine)
 	if o == nil || r.DeadlineMs <= 0 {
 		return &peerpb.AdmitRequestResponse{}, nil
@@ -216,6 +219,10 @@
 
 // EndRequest implements peerpb.PeerServer.
 func (p *peers) EndRequest(_ context.Context, r *peerpb.EndRequestRequest) (*peerpb.EndRequestResponse, error) {
+	if p.g.plainWorker(r.Engine) != nil {
+		p.g.endKept(r)
+		return &peerpb.EndRequestResponse{}, nil
+	}
 	switch o := p.g.findOwner(r.Engine); {
 	case o == nil:
 	case r.Running:
--- a/internal/transport/forward/ending.go
+++ b/internal/transport/forward/ending.go
@@ -124,6 +124,9 @@
 	if c.job.Adapter != "" {
 		e = e.Str("adapter", c.job.Adapter)
 	}
+	if p := c.job.Placed; p.How != "" {
+		e = e.Str("placed_how", p.How).Int("questions", p.Questions).Int64("expected_wait_ms", p.Wait.Milliseconds()).Int64("held_ms", p.Held.Milliseconds())
+	}
 	if c.outcome != 0 {
 		e = e.Stringer("outcome", c.outcome)
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -92,6 +92,8 @@
 	Deadline  time.Time
 	// Tried lists the workers of the attempts so far.
 	Tried []workers.Key
+	// Placed is how the job's latest worker was chosen, empty if that is not recorded.
+	Placed Placed
 	// Method, URI (the path and the query), Body and CallerHost identify a request that crashes workers. CallerHost is the
 	// host, without a port, from which the request came.
 	Method, URI, CallerHost string
@@ -104,6 +106,16 @@
 	ChargedTo string
 }
 
+// Placed is how a worker was chosen for a job, or why none was.
+type Placed struct {
+	// How is a short name of the reason.
+	How string
+	// Questions is how many questions were asked for the attempt.
+	Questions int
+	// Wait is the expected wait at the worker, and Held how long the job was held before.
+	Wait, Held time.Duration
+}
+
 // Reservation is capacity reserved on a worker for one attempt.
 type Reservation struct {
 	Worker *workers.Worker
