--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/state/evacuation"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
@@ -138,6 +139,9 @@
 	// that are placed at cold workers.
 	tenure      quota.Tenure
 	coldPermits map[*forward.Job]coldPermit
+	// keepers is what this instance knows of the keepers of plain workers, and kept the workers of which it is one itself.
+	keepers *keepers
+	kept    *keptWorkers
 	// availability is what workers have said about taking further requests from this instance.
 	availability *retry.Availability
 	// evacuations are the evacuations of data centres, and unknownDataCentres the evacuated ones that were logged as unknown.
@@ -187,7 +191,7 @@
 		pool: upstream.NewPool(n), metricsRegistry: prometheus.NewRegistry(), incarnation: uuid.NewString(),
 		workerRegistry: workers.NewRegistry(), residency: residency.NewView(),
 		popularity: residency.NewPopularity(), versions: map[residency.Adapter]requiredVersion{},
-		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), coldPermits: map[*forward.Job]coldPermit{}, availability: retry.NewAvailability(), evacuations: evacuation.New(), unknownDataCentres: map[string]bool{}, rateHolders: map[string][]peerInstance{},
+		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), coldPermits: map[*forward.Job]coldPermit{}, keepers: newKeepers(), kept: &keptWorkers{loads: map[string]*workerload.Plain{}}, availability: retry.NewAvailability(), evacuations: evacuation.New(), unknownDataCentres: map[string]bool{}, rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), configLoaded: newSignal(), fleetKnown: newSignal(),
@@ -338,6 +342,8 @@
 	g.limits.Retain(listed)
 	g.logColdChanges(g.now())
 	g.availability.Retain(listed, g.now())
+	g.keepers.outlooks.Retain(listed)
+	g.kept.retain(listed, g.metrics, g.now())
 	for k := range g.unreachable {
 		if _, ok := g.members.Member(k.incarnation); !ok {
 			delete(g.unreachable, k)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,9 @@
 	// evacuated and evacuatedSince have a series for each evacuated data centre.
 	evacuated, evacuatedSince *prometheus.GaugeVec
 	evacuationRequests        *prometheus.CounterVec
+	// plainPlacements counts by how a worker of a plain service was chosen, and keptAnswers what this instance answered as a keeper.
+	plainPlacements, keptAnswers *prometheus.CounterVec
+	keptPlaces, keptSeconds      *prometheus.GaugeVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -58,7 +61,11 @@
 	m.logEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "turmeric_log_service_era", Help: "Latest era of the log service that was observed; it rises by one with each restore from a copy."})
 	m.evacuated = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_evacuated_data_centres", Help: "1 for each evacuated data centre, with the position of the record that decides."}, []string{"data_centre", "era", "offset"})
 	m.evacuatedSince = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_evacuation_start_seconds", Help: "Unix time since which a data centre is evacuated, as far as this instance knows."}, []string{"data_centre"})
-	r.MustRegister(m.latency, m.logEra, m.evacuated, m.evacuatedSince)
+	m.plainPlacements = counter("turmeric_plain_placements_total", "Requests to plain services that keepers place, by how the worker was found.", "how")
+	m.keptAnswers = counter("turmeric_kept_answers_total", "Answers of this instance as the keeper of a plain worker, by whether they gave a place.", "admitted")
+	m.keptPlaces = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_kept_places", Help: "Requests of all instances at a plain worker of which this instance is the keeper."}, []string{"worker"})
+	m.keptSeconds = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_kept_request_seconds", Help: "Learned time of one request at a plain worker of which this instance is the keeper."}, []string{"worker"})
+	r.MustRegister(m.latency, m.logEra, m.evacuated, m.evacuatedSince, m.keptPlaces, m.keptSeconds)
 	return m
 }
 
@@ -85,6 +92,11 @@
 	m.logServiceCalls.WithLabelValues(call, outcome).Inc()
 }
 
+// countKept counts an answer as the keeper of a plain worker.
+func (m *metrics) countKept(admitted bool) {
+	m.keptAnswers.WithLabelValues(strconv.FormatBool(admitted)).Inc()
+}
+
 // countOrder counts an order to a worker or a read of its report.
 func (m *metrics) countOrder(order string, ok bool) {
 	m.orders.WithLabelValues(order, strconv.FormatBool(ok)).Inc()
