placement: loads within short targets, several further loads, and adapters evicted soon after their last use

Change: the reserve leaves room for one load where the target is short; up to three further workers are asked, as long as they begin the request sooner than the best worker that has the adapter; owners that know all places evict 50 ms after the last use. Result: TestLoadWithinShortTarget fails with the former reserve; TestFurtherSlack and TestPlacedRequests cover the others.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -21,6 +21,9 @@
 	// are still on their way. A worker that unloads an adapter with running requests takes no other order until
 	// they end.
 	evictionHold = 400 * time.Millisecond
+	// placedHold takes the place of evictionHold if the owner knows the requests that are on their way by their places. It covers
+	// those that a report of their end overtakes.
+	placedHold = 50 * time.Millisecond
 	// idleAfter is the time without use after which an adapter counts as idle. Of the idle adapters the least used
 	// is evicted first; if none is idle, the least recently used is.
 	idleAfter = 2500 * time.Millisecond
@@ -141,6 +144,8 @@
 	wants   []*want
 	// placed are the requests that have a place at the worker, by place.
 	placed map[uint64]placedRequest
+	// placesKnown is set if all requests but few have places that name their adapter.
+	placesKnown bool
 	// unanswered is the order that is repeated because it got no answer, and retries its number of unanswered attempts.
 	unanswered *Action
 	retries    int
@@ -391,12 +396,12 @@
 }
 
 // victim returns the resident adapter to evict first. Adapters that are wanted, have running or placed requests or were used
-// within evictionHold are not evicted.
+// within the hold time are not evicted.
 func (o *Owner) victim(now time.Duration) (Adapter, bool) {
 	var best Adapter
 	var bestSlot *slot
 	for a, s := range o.slots {
-		if s.state != Resident || now-s.lastUse < evictionHold || s.totalRunning() > 0 || o.wanted(a) || o.Placed(a, now) > 0 {
+		if s.state != Resident || now-s.lastUse < o.hold() || s.totalRunning() > 0 || o.wanted(a) || o.Placed(a, now) > 0 {
 			continue
 		}
 		if bestSlot == nil || o.evictBefore(s, bestSlot, now) || !o.evictBefore(bestSlot, s, now) && a.Name < best.Name {
--- a/internal/coordination/residency/placed.go
+++ b/internal/coordination/residency/placed.go
@@ -57,3 +57,15 @@
 		s.lastUse = max(s.lastUse, now)
 	}
 }
+
+// SetPlacesKnown sets whether all requests for adapters but few have places that name the adapter. An adapter can then be evicted
+// soon after its last use: with as many adapters in use as there are slots, each moment of waiting is missing for a load.
+func (o *Owner) SetPlacesKnown(known bool) { o.placesKnown = known }
+
+// hold returns for how long after its last use an adapter is not evicted.
+func (o *Owner) hold() time.Duration {
+	if o.placesKnown {
+		return placedHold
+	}
+	return evictionHold
+}
--- a/internal/coordination/residency/placed_test.go
+++ b/internal/coordination/residency/placed_test.go
@@ -41,4 +41,27 @@
 		So(full().Absent(Adapter{Model: testModel}, 0), ShouldBeFalse)
 		So(full().Absent(adapterN(1), 2), ShouldBeTrue)
 	})
+	Convey("with all places known, it is evicted soon after the request has ended", t, func() {
+		o := full()
+		o.SetPlacesKnown(true)
+		o.PlaceEnded(place, now)
+		o.Want(adapterN(2), 0, now)
+		So(o.Next(now).Step, ShouldEqual, StepNone)
+		So(nextUnload(o, now+placedHold).Step, ShouldEqual, StepUnload)
+	})
+}
+
+// TestLoadWithinShortTarget guards against owners that decline every load for requests with a short target latency: one load at
+// the usual speed of the weight store is on time.
+func TestLoadWithinShortTarget(t *testing.T) {
+	const arrival = time.Second
+	for _, target := range []time.Duration{500 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
+		o := syncedOwner(2)
+		if deadline := arrival + target - ResponseReserve(target); !o.Admits(adapterN(1), 0, deadline, arrival) {
+			t.Errorf("a load for a request with the target %v is declined", target)
+		}
+	}
+	if ResponseReserve(800*time.Millisecond) != MaxResponseReserve {
+		t.Errorf("the reserve of a longer target has changed")
+	}
 }
--- a/internal/coordination/residency/wants.go
+++ b/internal/coordination/residency/wants.go
@@ -17,6 +17,24 @@
 	maxQueueTime = 800 * time.Millisecond
 )
 
+const (
+	// MaxResponseReserve is the part of a request's target latency that is reserved for its response once its adapter is
+	// resident: the time to the first event of most prompts on a worker under load.
+	MaxResponseReserve = 250 * time.Millisecond
+	// minResponseReserve is that part of a target latency so short that a load would not fit beside MaxResponseReserve.
+	minResponseReserve = 100 * time.Millisecond
+	// loadAllowance is how long a load may take at the weight store's usual speed, with a margin for its polls.
+	loadAllowance = 350 * time.Millisecond
+)
+
+// ResponseReserve returns the part of a target latency that is reserved for the response once the adapter is resident.
+//
+// It answers demand for rare adapters with a target of half a second: with the whole reserve no load would ever be on time, so
+// that each request would be declined by several owners before one loads its adapter.
+func ResponseReserve(target time.Duration) time.Duration {
+	return min(MaxResponseReserve, max(minResponseReserve, target-loadAllowance))
+}
+
 // want is an adapter that is to be made resident.
 type want struct {
 	adapter          Adapter
--- a/internal/coordination/workerload/workerload_test.go
+++ b/internal/coordination/workerload/workerload_test.go
@@ -42,6 +42,24 @@
 	}
 }
 
+// TestFurtherSlack guards against a popular adapter that stays at overloaded servers, since a load elsewhere would be late as
+// well although it begins the request much sooner, and against loads that begin it no sooner.
+func TestFurtherSlack(t *testing.T) {
+	const reserve = second / 10
+	declined := func(wait time.Duration) Answer { return Answer{Known: true, Wait: wait} }
+	for name, c := range map[string]struct {
+		answers     []Answer
+		slack, want time.Duration
+	}{
+		"as long as the request is on time":          {[]Answer{declined(second / 4)}, second / 2, second / 2},
+		"as long as it begins sooner than elsewhere": {[]Answer{declined(3 * second), declined(2 * second)}, second / 5, 2*second - reserve},
+		"unknown servers do not count":               {[]Answer{{}, declined(2 * second)}, 0, 2*second - reserve},
+		"nothing is known":                           {[]Answer{{}}, second / 5, second / 5},
+	} {
+		Convey(name, t, func() { So(FurtherSlack(c.answers, c.slack, reserve), ShouldEqual, c.want) })
+	}
+}
+
 // fill gives places to a number of requests at the same time.
 func fill(l *Load, n int, now time.Duration) []uint64 {
 	var places []uint64
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
@@ -106,7 +107,7 @@
 // limitWait returns how long the job may wait for capacity at a limited worker, or for one that backs off: until it can no longer meet its target
 // latency, or for maxLimitWait.
 func limitWait(j *forward.Job) time.Duration {
-	slack := j.Route.TargetLatency - time.Since(j.Arrived) - responseReserve
+	slack := j.Route.TargetLatency - time.Since(j.Arrived) - residency.ResponseReserve(j.Route.TargetLatency)
 	return max(0, min(max(slack, maxLimitWait), time.Until(j.Deadline)))
 }
 
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -216,6 +216,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.g.now()
+	o.state.SetPlacesKnown(want.recorded)
 	if o.stopped || o.paused || !o.g.maySendOrders() || !o.state.Admits(want.adapter, want.version, due, now) || !o.placeWaiter(want, now, &out) {
 		return out
 	}
@@ -256,7 +257,7 @@
 	if want.slack <= 0 {
 		out.place = o.load.Add(want.size, ready, want.left, now)
 	} else {
-		out.place, _ = o.load.Admit(want.size, ready, want.slack+responseReserve, want.left, now)
+		out.place, _ = o.load.Admit(want.size, ready, want.slack+residency.MaxResponseReserve, want.left, now)
 	}
 	if want.recorded {
 		o.recordPlace(out.place, want.adapter, now+want.left, now)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -24,9 +24,6 @@
 	// loadAttempts is how many workers are asked to load an adapter for one request while the request can meet its
 	// target latency, and how many more once it cannot.
 	loadAttempts = 3
-	// responseReserve is the part of a request's target latency that is reserved for its response once its adapter is
-	// resident: the time to the first event of most prompts on a worker under load.
-	responseReserve = 250 * time.Millisecond
 )
 
 // placement implements forward.Placement.
@@ -329,7 +326,7 @@
 	var failed []*workers.Worker
 	late, elsewhere, coldFull := false, false, false
 	for range 2*loadAttempts + maxLimitedWorkers {
-		slack := j.Route.TargetLatency - time.Since(j.Arrived) - responseReserve
+		slack := j.Route.TargetLatency - time.Since(j.Arrived) - residency.ResponseReserve(j.Route.TargetLatency)
 		if !late && (slack < time.Millisecond || len(failed) == loadAttempts) {
 			late, failed = true, nil
 		}
@@ -346,7 +343,12 @@
 		target := o.target
 		if target == nil && len(o.resident) > 0 {
 			c := g.chooseResident(ctx, j, o.list, o.resident, a, o.further != nil)
+			if c.elsewhere && g.ownersKnowRequests() {
+				c = g.loadFurther(ctx, j, a, o, c, slack, failed)
+			}
 			switch {
+			case c.loaded:
+				return c.reservation, nil
 			case c.refusal != nil:
 				return forward.Reservation{}, c.refusal
 			case c.absent:
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -185,6 +185,11 @@
 type residentChoice struct {
 	reservation forward.Reservation
 	elsewhere   bool
+	// loaded is set if the reservation is that of a worker that has just loaded the adapter.
+	loaded bool
+	// ranked are the workers that were asked, and answers their owners' answers, if the adapter is to be loaded elsewhere.
+	ranked  []*workers.Worker
+	answers []workerload.Answer
 	// absent is set if none of the workers holds the adapter any more.
 	absent  bool
 	refusal *verdict.Error
@@ -219,20 +224,52 @@
 		case workerload.Send:
 			return residentChoice{reservation: g.reserveAtPlace(j, list, resident, a, places[c.Index])}
 		case workerload.SendLate:
-			_, p, absent := g.admit(ctx, j, ranked[c.Index], maxWait, true)
-			if absent {
-				g.markAbsent(ranked[c.Index], a)
-				return residentChoice{absent: true}
-			}
-			return residentChoice{reservation: g.reserveAtPlace(j, list, resident, a, p)}
+			return g.sendLate(ctx, j, list, resident, a, ranked[c.Index])
 		case workerload.LoadElsewhere:
-			return residentChoice{elsewhere: true}
+			return residentChoice{elsewhere: true, ranked: ranked, answers: answers}
 		default:
-			return residentChoice{refusal: refuse(http.StatusServiceUnavailable, "workers_full", "no backend server can answer before the deadline", max(c.RetryAfter, notReadyRetryAfter))}
+			return residentChoice{refusal: workersFullError(c.RetryAfter)}
 		}
 	}
 }
 
+func workersFullError(retryAfter time.Duration) *verdict.Error {
+	return refuse(http.StatusServiceUnavailable, "workers_full", "no backend server can answer before the deadline", max(retryAfter, notReadyRetryAfter))
+}
+
+// sendLate reserves a worker for a job that is expected to miss its target latency there.
+func (g *Gateway) sendLate(ctx context.Context, j *forward.Job, list, resident []*workers.Worker, a residency.Adapter, w *workers.Worker) residentChoice {
+	_, p, absent := g.admit(ctx, j, w, 0, true)
+	if absent {
+		g.markAbsent(w, a)
+		return residentChoice{absent: true}
+	}
+	return residentChoice{reservation: g.reserveAtPlace(j, list, resident, a, p)}
+}
+
+// loadFurther lets further workers load the adapter of a job that no worker with the adapter admits: several, one after the other,
+// if the job begins there sooner than at the best of those that have it. Otherwise the job goes to that one, or is refused.
+func (g *Gateway) loadFurther(ctx context.Context, j *forward.Job, a residency.Adapter, o engineOptions, c residentChoice, slack time.Duration, failed []*workers.Worker) residentChoice {
+	slack = workerload.FurtherSlack(c.answers, slack, residency.ResponseReserve(j.Route.TargetLatency))
+	tried := slices.Clone(failed)
+	for target := o.further; target != nil && len(tried) < len(failed)+loadAttempts && ctx.Err() == nil; {
+		if wait, ok := g.reserveBeforeLoad(j, target); ok {
+			want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
+			if r, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
+				return residentChoice{reservation: r, loaded: true}
+			}
+		}
+		tried = append(tried, target)
+		g.locked(func() { target = g.furtherWorker(o.list, o.resident, tried, a, false) })
+	}
+	switch late := workerload.Choose(c.answers, len(c.answers), false, time.Until(j.Deadline)); late.Step {
+	case workerload.SendLate:
+		return g.sendLate(ctx, j, o.list, o.resident, a, c.ranked[late.Index])
+	default:
+		return residentChoice{refusal: workersFullError(late.RetryAfter)}
+	}
+}
+
 // reserveAtPlace reserves the worker of a place for a job whose adapter is resident there.
 func (g *Gateway) reserveAtPlace(j *forward.Job, list, resident []*workers.Worker, a residency.Adapter, p workerPlace) forward.Reservation {
 	g.mu.Lock()
