--- a/internal/state/evacuation/evacuation.go
+++ b/internal/state/evacuation/evacuation.go
@@ -171,7 +171,7 @@
 		present[record.DataCentre] = true
 	}
 	for _, e := range s.Entries() {
-		if e.Evacuated && e.Era == r.Era && e.Offset < r.Next && !present[e.DataCentre] {
+		if e.Evacuated && e.Era == r.Era && !present[e.DataCentre] {
 			changes = s.put(changes, Entry{DataCentre: e.DataCentre, Era: r.Era, Offset: r.Next - 1, Since: now})
 		}
 	}
