gateway: adapters of an evacuated data centre are loaded elsewhere

Cause: adapters that were resident only at workers of an evacuated data centre were loaded elsewhere only when a request missed them.

Names of data centres that are not UTF-8 no longer end in a panic of the metrics; records with such names were skipped before, those of other instances were not.

TestOddState panicked on the name before the mend and passes now.

--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/state/evacuation"
@@ -41,8 +42,10 @@
 	if len(changes) == 0 {
 		return
 	}
+	began := false
 	for _, c := range changes {
 		message := "evacuation in force"
+		began = began || c.Evacuated && !c.Before.Evacuated
 		switch {
 		case !c.Evacuated:
 			message = "evacuation withdrawn"
@@ -62,6 +65,9 @@
 	}
 	g.metrics.setEvacuations(g.evacuations.Entries(), now)
 	g.warnUnknownDataCentres()
+	if began {
+		g.startRelocation()
+	}
 }
 
 // reportUnknownDataCentres is warnUnknownDataCentres for callers that do not hold the lock.
@@ -93,7 +99,7 @@
 		return false
 	}
 	g.evacuations.CountMoved(w.DataCentre)
-	g.metrics.evacuationRequests.WithLabelValues(w.DataCentre, "moved").Inc()
+	g.metrics.countEvacuated(w.DataCentre, "moved")
 	return true
 }
 
@@ -117,7 +123,7 @@
 		return nil
 	}
 	g.evacuations.CountRefused(dataCentre)
-	g.metrics.evacuationRequests.WithLabelValues(dataCentre, "refused").Inc()
+	g.metrics.countEvacuated(dataCentre, "refused")
 	retryAfter := evacuatedRetryAfter + time.Duration(rand.Int64N(int64(evacuatedRetryAfter)))
 	return refuse(http.StatusServiceUnavailable, "data_centre_evacuated", "the backend servers are in evacuated data centres", retryAfter)
 }
@@ -158,6 +164,14 @@
 // maxEvacuationAge bounds the age that another instance names, so that it does not overflow.
 const maxEvacuationAge = 10 * 365 * 24 * time.Hour
 
+// labelValue returns the name of a data centre as the value of a metric's label, which must be valid UTF-8.
+func labelValue(dataCentre string) string { return strings.ToValidUTF8(dataCentre, "?") }
+
+// countEvacuated counts a request that an evacuation affected.
+func (m *metrics) countEvacuated(dataCentre, outcome string) {
+	m.evacuationRequests.WithLabelValues(labelValue(dataCentre), outcome).Inc()
+}
+
 // setEvacuations sets the metrics of the evacuated data centres.
 func (m *metrics) setEvacuations(entries []evacuation.Entry, now time.Duration) {
 	m.evacuated.Reset()
@@ -166,7 +180,7 @@
 		if !e.Evacuated {
 			continue
 		}
-		m.evacuated.WithLabelValues(e.DataCentre, strconv.FormatInt(e.Era, 10), strconv.FormatInt(e.Offset, 10)).Set(1)
-		m.evacuatedSince.WithLabelValues(e.DataCentre).Set(float64(time.Now().Add(e.Since-now).UnixMilli()) / 1000)
+		m.evacuated.WithLabelValues(labelValue(e.DataCentre), strconv.FormatInt(e.Era, 10), strconv.FormatInt(e.Offset, 10)).Set(1)
+		m.evacuatedSince.WithLabelValues(labelValue(e.DataCentre)).Set(float64(time.Now().Add(e.Since-now).UnixMilli()) / 1000)
 	}
 }
--- a/internal/gateway/odd_state_test.go
+++ b/internal/gateway/odd_state_test.go
@@ -15,6 +15,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/evacuation"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
@@ -246,6 +247,13 @@
 					return routing.AdapterVersion{Model: oddName.Draw(t, "model"), Adapter: oddName.Draw(t, "adapter"), Version: oddInt64.Draw(t, "version")}
 				})})
 			},
+			"evacuations": func(t *rapid.T) {
+				name := oddName.Draw(t, "data centre")
+				g.applyEvacuations(drawList(t, 3, func() evacuation.Record {
+					return evacuation.Record{DataCentre: name, Offset: oddInt64.Draw(t, "offset"), Kind: evacuation.Kind(oddInt.Draw(t, "kind"))}
+				}), change{snapshot: rapid.Bool().Draw(t, "snapshot"), era: oddInt64.Draw(t, "era"), next: oddInt64.Draw(t, "next")})
+				g.mergeEvacuations([]evacuationInForce{{name, oddInt64.Draw(t, "era"), oddInt64.Draw(t, "offset"), true, oddInt64.Draw(t, "age")}}, name)
+			},
 			"worker entries": s.readWorkers,
 			"fleet":          s.readFleet,
 			"restore":        s.restore,
