--- a/internal/coordination/workerload/plain.go
+++ b/internal/coordination/workerload/plain.go
@@ -41,6 +41,8 @@
 	Unsent
 	// Rejected: the worker did not take it.
 	Rejected
+	// Abandoned: the instance gave the request up, since its caller had left or its time was over.
+	Abandoned
 	// Failed: the worker may have run it, but its answer did not arrive.
 	Failed
 )
@@ -182,6 +184,11 @@
 		if l.depth < math.MaxInt && p.ahead+1 >= l.depth {
 			l.depth++
 		}
+	case Abandoned:
+		// It would have taken longer still.
+		if p.begun && now-p.start > l.time.Duration {
+			l.time.learn(now - p.start)
+		}
 	case Rejected:
 		l.depth = max(1, min(l.depth, p.ahead))
 	case Failed:
--- a/internal/coordination/workerload/plain_test.go
+++ b/internal/coordination/workerload/plain_test.go
@@ -90,6 +90,14 @@
 		l.End(fillPlain(l, 1, now+plainWork)[0], Failed, now+plainWork)
 		So(l.Running(now+2*plainWork), ShouldEqual, 0)
 	})
+	Convey("requests that are given up show that a worker is slow, and close no worker that is not", t, func() {
+		l, now := learnedPlain()
+		l.End(fillPlain(l, 1, now)[0], Abandoned, now)
+		So(l.Running(now), ShouldEqual, 0)
+		So(l.Time(), ShouldEqual, plainWork)
+		l.End(fillPlain(l, 1, now)[0], Abandoned, now+plainExpiry/2)
+		So(l.Time(), ShouldBeGreaterThan, plainWork)
+	})
 	Convey("a worker that rejects waiting requests is sent no more of them, until it completes those that it takes", t, func() {
 		l, now := learnedPlain()
 		places := fillPlain(l, testSlots+2, now)
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -64,7 +64,7 @@
 	name := incarnationName(w)
 	l := k.loads[name]
 	if l == nil {
-		l = workerload.NewPlain(w.Slots, rand.Uint64())
+		l = workerload.NewPlain(w.Slots, rand.Uint64()>>1)
 		k.loads[name] = l
 	}
 	return l.Admit(b, lifetime, now)
@@ -296,14 +296,16 @@
 		g.metrics.countKept(p.number != 0)
 	} else {
 		// The answer is awaited even if the caller leaves: a place in an answer that is not read would be kept until the deadline.
-		ctx, cancel := context.WithTimeout(g.lifetime, admitTimeout)
+		ctx, cancel := context.WithTimeout(g.lifetime, min(admitTimeout, left))
 		defer cancel()
 		r, err := g.peers.clients.AdmitRequest(ctx, keeper.address, &peerpb.AdmitRequestRequest{
 			Engine: name, MaxWaitMs: b.MaxWait.Milliseconds(), WithinMs: b.Within.Milliseconds(), DeadlineMs: left.Milliseconds(),
 		})
 		if err != nil {
-			g.markUnreachable(roleKeeper, keeper.incarnation)
-			g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Msg("keeper of a worker not reached")
+			if left > admitTimeout {
+				g.markUnreachable(roleKeeper, keeper.incarnation)
+				g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Msg("keeper of a worker not reached")
+			}
 			return workerload.PlainAnswer{}, p
 		}
 		if !r.Owned {
@@ -357,6 +359,7 @@
 		if !sent {
 			return workerload.Unsent
 		}
+		return workerload.Abandoned
 	}
 	return workerload.Failed
 }
@@ -368,7 +371,9 @@
 	case p.owner.incarnation == g.incarnation:
 		g.kept.end(incarnationName(p.worker), p.number, how, g.now())
 	default:
-		g.reportPlace(p, &peerpb.EndRequestRequest{Complete: how == workerload.Completed, Unsent: how == workerload.Unsent, Rejected: how == workerload.Rejected})
+		g.reportPlace(p, &peerpb.EndRequestRequest{
+			Complete: how == workerload.Completed, Unsent: how == workerload.Unsent, Rejected: how == workerload.Rejected, Abandoned: how == workerload.Abandoned,
+		})
 	}
 }
 
@@ -408,6 +413,8 @@
 		how = workerload.Unsent
 	case r.Rejected:
 		how = workerload.Rejected
+	case r.Abandoned:
+		how = workerload.Abandoned
 	}
 	g.kept.end(r.Engine, r.Place, how, g.now())
 }
--- a/internal/gateway/odd_state_test.go
+++ b/internal/gateway/odd_state_test.go
@@ -219,6 +219,10 @@
 	_, _ = p.Spend(ctx, &peerpb.SpendRequest{Workspace: name, Microtokens: number})
 	_, _ = p.ReserveRequest(ctx, &peerpb.ReserveRequestRequest{Server: name, Limit: oddFloat.Draw(t, "limit"), MaxWaitMs: number})
 	_, _ = p.AdmitRequest(ctx, &peerpb.AdmitRequestRequest{Engine: name, PromptTokens: number, OutputTokens: number, MaxWaitMs: number, DeadlineMs: number})
+	for _, w := range s.g.workers.Load().All() {
+		_, _ = p.AdmitRequest(ctx, &peerpb.AdmitRequestRequest{Engine: incarnationName(w), MaxWaitMs: number, WithinMs: number, DeadlineMs: number})
+		_, _ = p.EndRequest(ctx, &peerpb.EndRequestRequest{Engine: incarnationName(w), Place: uint64(number), Rejected: true})
+	}
 	_, _ = p.EndRequest(ctx, &peerpb.EndRequestRequest{Engine: name, Place: uint64(number), DelayMs: number, Running: rapid.Bool().Draw(t, "running")})
 	_, _ = p.ReportCrashes(ctx, &peerpb.ReportCrashesRequest{
 		Attempts: []*peerpb.BrokenAttempt{{Engine: name, Suspects: drawList(t, 2, func() string { return oddName.Draw(t, "suspect") })}},
