workerload: a fleet that loses workers is not placed in another way

Cause: the number of a service's places was that of the workers that are ready at the moment. A fleet of seven instances that lost two of three workers would have gone over to keepers for that time.

Change: the places of workers that were there within the last minute count as well.

--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -35,6 +35,8 @@
 	patienceShare = 0.1
 	// minHoldShare and maxHoldShare of the target latency bound the time between two questions for a request without a place.
 	minHoldShare, maxHoldShare = 1, 3
+	// extentMemory is how long the places of workers that are gone still count.
+	extentMemory = time.Minute
 	// minRetryAfter is the shortest time that a refusal names.
 	minRetryAfter = 50 * time.Millisecond
 	// callersPatience is the part of its remaining time for which a caller waits after a refusal. A later time would let all
@@ -88,9 +90,16 @@
 	}
 }
 
+// Extent is how many places the workers of a plain service have together.
+type Extent struct {
+	places int
+	seen   time.Duration
+}
+
 // NeedsKeepers reports whether the requests of a plain service with workers of the given numbers of slots are placed by keepers:
-// if an instance has on average less than one request there, its own requests say nothing of the load.
-func NeedsKeepers(slots []int, instances int) bool {
+// if an instance has on average less than one request there, its own requests say nothing of the load. Workers that were there
+// within extentMemory count, so that a small fleet that loses some of its workers is not placed in another way during that.
+func (e *Extent) NeedsKeepers(slots []int, instances int, now time.Duration) bool {
 	total := 0
 	for _, n := range slots {
 		if n <= 0 || n >= instances {
@@ -98,7 +107,10 @@
 		}
 		total += n
 	}
-	return total > 0 && total < instances
+	if total >= e.places || now-e.seen > extentMemory {
+		e.places, e.seen = total, now
+	}
+	return total > 0 && e.places < instances
 }
 
 // OwnView returns what an instance expects of a worker by its own requests there alone.
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -42,12 +42,18 @@
 	read     bool
 	readAt   time.Duration
 	outlooks *workerload.Outlooks
-	// services says of each service whether keepers place its requests.
-	services map[string]bool
+	// services is how the requests of each service are placed.
+	services map[string]*servicePlacement
+}
+
+// servicePlacement is how the requests of a plain service are placed.
+type servicePlacement struct {
+	extent workerload.Extent
+	kept   bool
 }
 
 func newKeepers() *keepers {
-	return &keepers{known: map[string]peerInstance{}, outlooks: workerload.NewOutlooks(), services: map[string]bool{}}
+	return &keepers{known: map[string]peerInstance{}, outlooks: workerload.NewOutlooks(), services: map[string]*servicePlacement{}}
 }
 
 // keptWorkers are the loads of the plain workers of which this instance is the keeper. Its lock may be taken while the
@@ -136,14 +142,20 @@
 	if !ok || s.Engine != nil {
 		return false
 	}
-	g.readKeepers(g.now())
-	slots := make([]int, 0, len(g.keepers.live))
+	now := g.now()
+	g.readKeepers(now)
+	p := g.keepers.services[j.Service]
+	if p == nil {
+		p = &servicePlacement{}
+		g.keepers.services[j.Service] = p
+	}
+	var slots []int
 	for _, w := range g.workers.Load().Ready(j.Service) {
 		slots = append(slots, w.Slots)
 	}
-	kept := workerload.NeedsKeepers(slots, len(g.keepers.live))
-	if kept != g.keepers.services[j.Service] {
-		g.keepers.services[j.Service] = kept
+	kept := p.extent.NeedsKeepers(slots, len(g.keepers.live), now)
+	if kept != p.kept {
+		p.kept = kept
 		g.log.Info().Str("service", j.Service).Bool("by_keepers", kept).Ints("slots", slots).Int("live", len(g.keepers.live)).Msg("placement of a plain service changed")
 	}
 	return kept
