workerload: after the first worker, ask only those that may give a place

Cause: under overload a request asked up to three keepers although what was known of the later ones said that they would complete it too late.

Change: a worker is asked after the first only if it is expected to serve the request within its bounds.

--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -129,6 +129,11 @@
 
 func (c Candidate) cost() time.Duration { return c.Wait + c.Time + c.Path }
 
+// expectedWithin reports whether the worker is expected to serve a request within its bounds.
+func (c Candidate) expectedWithin(b Bounds) bool {
+	return c.Wait <= b.MaxWait && (b.Within <= 0 || c.Wait+c.Time <= b.Within)
+}
+
 // Order returns the indices of the candidates in the order in which they are to be asked: one drawn by its room, then the
 // others by their expected times. All instances know about the same; if all asked the best worker first, it
 // would be full before they know. Random returns a number in [0, 1).
@@ -253,7 +258,7 @@
 	bounds := t.bounds()
 	limit := min(len(list), maxPlainAsked)
 	for i := 1; i < limit; i++ {
-		if list[i].Wait > bounds.MaxWait || list[i].Backoff > list[0].Backoff {
+		if !list[i].expectedWithin(bounds) || list[i].Backoff > list[0].Backoff {
 			limit = i
 		}
 	}
