--- a/internal/coordination/workerload/plain_replay_test.go
+++ b/internal/coordination/workerload/plain_replay_test.go
@@ -106,13 +106,11 @@
 	r.arrive(time.Second, time.Second+plainBurst, (factor-1)*perSecond, firstCentre)
 }
 
-// slowDown makes a third of the workers four times slower after a second.
+// slowDown makes a third of the workers four times slower.
 func (r *plainReplay) slowDown() {
-	r.after(time.Second, func() {
-		for i := 0; i < len(r.servers); i += 3 {
-			r.servers[i].slow = 4
-		}
-	})
+	for i := 0; i < len(r.servers); i += 3 {
+		r.servers[i].slow = 4
+	}
 }
 
 // hop is the time of a message between an instance and a worker or keeper.
@@ -157,15 +155,15 @@
 }
 
 func (r *plainReplay) step(q *plainRequest) {
-	left := r.times(q).Left
-	c := ChoosePlain(q.list, q.answers, r.times(q), r.random.Float64())
+	t := r.times(q)
+	c := ChoosePlain(q.list, q.answers, t, r.random.Float64())
 	n := q.order[c.Index]
 	s := r.servers[n]
 	switch c.Step {
 	case Ask:
 		q.calls++
 		r.after(r.hop(), func() {
-			place, o := s.load.Admit(c.Bounds, left, r.now)
+			place, o := s.load.Admit(c.Bounds, t.Left, r.now)
 			r.after(r.hop(), func() {
 				r.outlooks[q.instance].Answered(string(rune(n)), o, r.now)
 				q.place = place
@@ -180,7 +178,7 @@
 	default:
 		r.refused++
 		// The caller returns once, if it still has time.
-		if !q.returned && c.After < left {
+		if !q.returned && c.After < t.Left {
 			q.returned = true
 			r.returns = append(r.returns, r.now+c.After)
 			r.after(c.After, func() { byKeepers(r, q) })
@@ -266,8 +264,8 @@
 		{"burst of 1.7", plainSmall, false, func(r *plainReplay) { r.burst(1.7, r.rate, even) }},
 		{"burst of 2.4", plainSmall, false, func(r *plainReplay) { r.burst(2.4, r.rate, even) }},
 		{"uneven burst of 2.4", plainLarge, false, func(r *plainReplay) { r.burst(2.4, 1.4*r.rate, uneven) }},
-		{"a third slow, small", plainSmall, false, func(r *plainReplay) { r.arrive(0, plainLength, 0.6*r.rate, even); r.slowDown() }},
-		{"a third slow, large", plainLarge, false, func(r *plainReplay) { r.arrive(0, plainLength, r.rate, even); r.slowDown() }},
+		{"a third slow, small", plainSmall, false, func(r *plainReplay) { r.arrive(0, plainLength, 0.6*r.rate, even); r.after(time.Second, r.slowDown) }},
+		{"a third slow, large", plainLarge, false, func(r *plainReplay) { r.arrive(0, plainLength, r.rate, even); r.after(time.Second, r.slowDown) }},
 		{"all instances restarted at once", plainLarge, true, func(r *plainReplay) {
 			r.arrive(0, plainLength, 1.8*r.rate, even)
 			r.after(2*time.Second, r.restart)
--- a/internal/coordination/workerload/plain_test.go
+++ b/internal/coordination/workerload/plain_test.go
@@ -12,24 +12,11 @@
 	plainExpiry = time.Second
 )
 
-var anyTime = Bounds{MaxWait: time.Hour}
-
-// learnedPlain returns the load of a worker with testSlots slots that has completed some requests, and the time.
-func learnedPlain() (*Plain, time.Duration) {
-	l, now := NewPlain(testSlots, 0), time.Duration(0)
-	for range 60 {
-		place, _ := l.Admit(anyTime, plainExpiry, now)
-		now += plainWork
-		l.End(place, Completed, now)
-	}
-	return l, now
-}
-
 // fillPlain gives places to a number of requests at the same time.
 func fillPlain(l *Plain, n int, now time.Duration) []uint64 {
 	var places []uint64
 	for range n {
-		place, _ := l.Admit(anyTime, plainExpiry, now)
+		place, _ := l.Admit(Bounds{MaxWait: time.Hour}, plainExpiry, now)
 		places = append(places, place)
 	}
 	return places
@@ -38,84 +25,80 @@
 // TestPlain checks what a keeper expects of its worker, in particular that lost reports, failures and rejections make it neither
 // close the worker for good nor send it the requests of all.
 func TestPlain(t *testing.T) {
-	Convey("a worker with room lets no request wait, and a full one until a place is free", t, func() {
-		l, now := learnedPlain()
-		So(l.Time(), ShouldEqual, plainWork)
-		So(l.Room(now), ShouldEqual, testSlots/plainWork.Seconds())
-		fillPlain(l, testSlots, now)
-		So(l.Room(now), ShouldEqual, 0)
-		So(l.Wait(now+plainWork/4), ShouldEqual, plainWork*3/4)
-		fillPlain(l, testSlots, now)
-		So(l.Wait(now), ShouldEqual, 2*plainWork)
-	})
-	Convey("a worker that stands still is expected to stand still on", t, func() {
-		l, now := learnedPlain()
-		fillPlain(l, testSlots, now)
-		So(l.Wait(now+10*plainWork), ShouldEqual, 9*plainWork)
-	})
-	Convey("a place that is never returned is released at the request's deadline", t, func() {
-		l, now := learnedPlain()
-		fillPlain(l, testSlots, now)
-		So(l.Running(now+plainExpiry-1), ShouldEqual, testSlots)
-		So(l.Running(now+plainExpiry), ShouldEqual, 0)
-	})
-	Convey("a report to an earlier keeper ends no place of a later one", t, func() {
-		first, second := NewPlain(testSlots, 1000), NewPlain(testSlots, 2000)
-		old := fillPlain(first, 1, 0)[0]
-		fillPlain(second, 1, 0)
-		second.End(old, Completed, plainWork)
-		So(second.Running(plainWork), ShouldEqual, 1)
-	})
-	Convey("a waiting request's time is counted from when it began", t, func() {
-		l, now := learnedPlain()
-		places := fillPlain(l, 2*testSlots, now)
-		for i, p := range places {
-			l.End(p, Completed, now+time.Duration(1+i/testSlots)*plainWork)
-		}
-		So(l.Time(), ShouldEqual, plainWork)
-	})
-	Convey("a worker that fails requests at once has less and less room, and is open again after its first answer", t, func() {
-		l, now := learnedPlain()
-		failed := 0
-		for end := now + 50*plainWork; now < end; now += time.Millisecond {
-			if place, _ := l.Admit(Bounds{}, plainExpiry, now); place != 0 {
-				l.End(place, Failed, now)
-				failed++
+	// Each case begins with a worker that has learned its time, at the time now.
+	for name, check := range map[string]func(l *Plain, now time.Duration){
+		"a worker with room lets no request wait, and a full one until a place is free": func(l *Plain, now time.Duration) {
+			So(l.Room(now), ShouldEqual, testSlots/plainWork.Seconds())
+			fillPlain(l, testSlots, now)
+			So(l.Room(now), ShouldEqual, 0)
+			So(l.Wait(now+plainWork/4), ShouldEqual, plainWork*3/4)
+			fillPlain(l, testSlots, now)
+			So(l.Wait(now), ShouldEqual, 2*plainWork)
+		},
+		"one that stands still is expected to stand still on, until the requests' deadlines": func(l *Plain, now time.Duration) {
+			fillPlain(l, testSlots, now)
+			So(l.Wait(now+10*plainWork), ShouldEqual, 9*plainWork)
+			So(l.Running(now+plainExpiry-1), ShouldEqual, testSlots)
+			So(l.Running(now+plainExpiry), ShouldEqual, 0)
+		},
+		"a report to an earlier keeper ends no place of a later one": func(l *Plain, now time.Duration) {
+			later := NewPlain(testSlots, 2000)
+			fillPlain(later, 1, now)
+			later.End(fillPlain(l, 1, now)[0], Completed, now)
+			So(later.Running(now), ShouldEqual, 1)
+		},
+		"a waiting request's time is counted from when it began": func(l *Plain, now time.Duration) {
+			for i, p := range fillPlain(l, 2*testSlots, now) {
+				l.End(p, Completed, now+time.Duration(1+i/testSlots)*plainWork)
+			}
+			So(l.Time(), ShouldEqual, plainWork)
+		},
+		"one that fails requests at once has less and less room, until its first answer": func(l *Plain, now time.Duration) {
+			failed := 0
+			for end := now + 50*plainWork; now < end; now += time.Millisecond {
+				if place, _ := l.Admit(Bounds{}, plainExpiry, now); place != 0 {
+					l.End(place, Failed, now)
+					failed++
+				}
 			}
+			So(failed, ShouldBeLessThan, 5*testSlots)
+			now += plainExpiry
+			l.End(fillPlain(l, 1, now)[0], Completed, now+plainWork)
+			l.End(fillPlain(l, 1, now+plainWork)[0], Failed, now+plainWork)
+			So(l.Running(now+2*plainWork), ShouldEqual, 0)
+		},
+		"requests that are given up show that it is slow, and do not close it if it is not": func(l *Plain, now time.Duration) {
+			l.End(fillPlain(l, 1, now)[0], Abandoned, now)
+			So(l.Running(now), ShouldEqual, 0)
+			So(l.Time(), ShouldEqual, plainWork)
+			l.End(fillPlain(l, 1, now)[0], Abandoned, now+plainExpiry/2)
+			So(l.Time(), ShouldBeGreaterThan, plainWork)
+		},
+		"one that rejects waiting requests is sent no more of them, until it completes those that it takes": func(l *Plain, now time.Duration) {
+			places := fillPlain(l, testSlots+2, now)
+			l.End(places[testSlots], Rejected, now)
+			l.End(places[testSlots+1], Unsent, now)
+			So(fillPlain(l, 1, now)[0], ShouldEqual, 0)
+			l.End(places[0], Completed, now+plainWork)
+			l.End(places[1], Completed, now+plainWork)
+			So(fillPlain(l, testSlots+1, now+plainWork)[testSlots], ShouldNotEqual, 0)
+		},
+		"one that is too slow is declined, but for a probe": func(l *Plain, now time.Duration) {
+			quick := Bounds{MaxWait: plainWork, Within: plainWork / 2}
+			declined, o := l.Admit(quick, plainExpiry, now)
+			probe, _ := l.Admit(quick, plainExpiry, now+probeInterval)
+			So(declined, ShouldEqual, 0)
+			So(o.Time, ShouldEqual, plainWork)
+			So(probe, ShouldNotEqual, 0)
+		},
+	} {
+		l, now := NewPlain(testSlots, 0), time.Duration(0)
+		for range 60 {
+			l.End(fillPlain(l, 1, now)[0], Completed, now+plainWork)
+			now += plainWork
 		}
-		So(failed, ShouldBeLessThan, 5*testSlots)
-		now += plainExpiry
-		l.End(fillPlain(l, 1, now)[0], Completed, now+plainWork)
-		l.End(fillPlain(l, 1, now+plainWork)[0], Failed, now+plainWork)
-		So(l.Running(now+2*plainWork), ShouldEqual, 0)
-	})
-	Convey("requests that are given up show that a worker is slow, and close no worker that is not", t, func() {
-		l, now := learnedPlain()
-		l.End(fillPlain(l, 1, now)[0], Abandoned, now)
-		So(l.Running(now), ShouldEqual, 0)
-		So(l.Time(), ShouldEqual, plainWork)
-		l.End(fillPlain(l, 1, now)[0], Abandoned, now+plainExpiry/2)
-		So(l.Time(), ShouldBeGreaterThan, plainWork)
-	})
-	Convey("a worker that rejects waiting requests is sent no more of them, until it completes those that it takes", t, func() {
-		l, now := learnedPlain()
-		places := fillPlain(l, testSlots+2, now)
-		l.End(places[testSlots], Rejected, now)
-		l.End(places[testSlots+1], Unsent, now)
-		So(fillPlain(l, 1, now)[0], ShouldEqual, 0)
-		l.End(places[0], Completed, now+plainWork)
-		l.End(places[1], Completed, now+plainWork)
-		So(fillPlain(l, testSlots+1, now+plainWork)[testSlots], ShouldNotEqual, 0)
-	})
-	Convey("a worker that is too slow is declined, but for a probe", t, func() {
-		l, now := learnedPlain()
-		quick := Bounds{MaxWait: plainWork, Within: plainWork / 2}
-		place, o := l.Admit(quick, plainExpiry, now)
-		So(place, ShouldEqual, 0)
-		So(o.Time, ShouldEqual, plainWork)
-		place, _ = l.Admit(quick, plainExpiry, now+probeInterval)
-		So(place, ShouldNotEqual, 0)
-	})
+		Convey(name, t, func() { check(l, now) })
+	}
 }
 
 // TestOrder checks that the own data centre is preferred only while it has room, and that no worker gets the requests of all.
