workerload: the test of reports to an earlier keeper fails without its guard

The two keepers in TestPlain numbered their places differently even with equal first numbers. Both now begin anew; with equal first numbers the case fails.

--- a/internal/coordination/workerload/plain_test.go
+++ b/internal/coordination/workerload/plain_test.go
@@ -41,10 +41,10 @@
 			So(l.Running(now+plainExpiry-1), ShouldEqual, testSlots)
 			So(l.Running(now+plainExpiry), ShouldEqual, 0)
 		},
-		"a report to an earlier keeper ends no place of a later one": func(l *Plain, now time.Duration) {
-			later := NewPlain(testSlots, 2000)
+		"a report to an earlier keeper ends no place of a later one": func(_ *Plain, now time.Duration) {
+			earlier, later := NewPlain(testSlots, 1000), NewPlain(testSlots, 2000)
 			fillPlain(later, 1, now)
-			later.End(fillPlain(l, 1, now)[0], Completed, now)
+			later.End(fillPlain(earlier, 1, now)[0], Completed, now)
 			So(later.Running(now), ShouldEqual, 1)
 		},
 		"a waiting request's time is counted from when it began": func(l *Plain, now time.Duration) {
