--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -42,12 +42,18 @@
 	read     bool
 	readAt   time.Duration
 	outlooks *workerload.Outlooks
-	// services says of each service whether keepers place its requests.
-	services map[string]bool
+	// services is how the requests of each service are placed.
+	services map[string]*servicePlacement
+}
+
+// servicePlacement is how the requests of a plain service are placed.
+type servicePlacement struct {
+	extent workerload.Extent
+	kept   bool
 }
 
 func newKeepers() *keepers {
-	return &keepers{known: map[string]peerInstance{}, outlooks: workerload.NewOutlooks(), services: map[string]bool{}}
+	return &keepers{known: map[string]peerInstance{}, outlooks: workerload.NewOutlooks(), services: map[string]*servicePlacement{}}
 }
 
 // keptWorkers are the loads of the plain workers of which this instance is the keeper. Its lock may be taken while the
@@ -64,7 +70,7 @@
 	name := incarnationName(w)
 	l := k.loads[name]
 	if l == nil {
-		l = workerload.NewPlain(w.Slots, rand.Uint64())
+		l = workerload.NewPlain(w.Slots, rand.Uint64()>>1)
 		k.loads[name] = l
 	}
 	return l.Admit(b, lifetime, now)
@@ -136,14 +142,20 @@
 	if !ok || s.Engine != nil {
 		return false
 	}
-	g.readKeepers(g.now())
-	slots := make([]int, 0, len(g.keepers.live))
+	now := g.now()
+	g.readKeepers(now)
+	p := g.keepers.services[j.Service]
+	if p == nil {
+		p = &servicePlacement{}
+		g.keepers.services[j.Service] = p
+	}
+	var slots []int
 	for _, w := range g.workers.Load().Ready(j.Service) {
 		slots = append(slots, w.Slots)
 	}
-	kept := workerload.NeedsKeepers(slots, len(g.keepers.live))
-	if kept != g.keepers.services[j.Service] {
-		g.keepers.services[j.Service] = kept
+	kept := p.extent.NeedsKeepers(slots, len(g.keepers.live), now)
+	if kept != p.kept {
+		p.kept = kept
 		g.log.Info().Str("service", j.Service).Bool("by_keepers", kept).Ints("slots", slots).Int("live", len(g.keepers.live)).Msg("placement of a plain service changed")
 	}
 	return kept
@@ -298,14 +310,16 @@
 		g.metrics.countKept(p.number != 0)
 	} else {
 		// The answer is awaited even if the caller leaves: a place in an answer that is not read would be kept until the deadline.
-		ctx, cancel := context.WithTimeout(g.lifetime, admitTimeout)
+		ctx, cancel := context.WithTimeout(g.lifetime, min(admitTimeout, left))
 		defer cancel()
 		r, err := g.peers.clients.AdmitRequest(ctx, keeper.address, &peerpb.AdmitRequestRequest{
 			Engine: name, MaxWaitMs: b.MaxWait.Milliseconds(), WithinMs: b.Within.Milliseconds(), DeadlineMs: left.Milliseconds(),
 		})
 		if err != nil {
-			g.markUnreachable(roleKeeper, keeper.incarnation)
-			g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Msg("keeper of a worker not reached")
+			if left > admitTimeout {
+				g.markUnreachable(roleKeeper, keeper.incarnation)
+				g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Msg("keeper of a worker not reached")
+			}
 			return workerload.PlainAnswer{}, p
 		}
 		if !r.Owned {
@@ -359,6 +373,7 @@
 		if !sent {
 			return workerload.Unsent
 		}
+		return workerload.Abandoned
 	}
 	return workerload.Failed
 }
@@ -370,7 +385,9 @@
 	case p.owner.incarnation == g.incarnation:
 		g.kept.end(incarnationName(p.worker), p.number, how, g.now())
 	default:
-		g.reportPlace(p, &peerpb.EndRequestRequest{Complete: how == workerload.Completed, Unsent: how == workerload.Unsent, Rejected: how == workerload.Rejected})
+		g.reportPlace(p, &peerpb.EndRequestRequest{
+			Complete: how == workerload.Completed, Unsent: how == workerload.Unsent, Rejected: how == workerload.Rejected, Abandoned: how == workerload.Abandoned,
+		})
 	}
 }
 
@@ -410,6 +427,8 @@
 		how = workerload.Unsent
 	case r.Rejected:
 		how = workerload.Rejected
+	case r.Abandoned:
+		how = workerload.Abandoned
 	}
 	g.kept.end(r.Engine, r.Place, how, g.now())
 }
