keeper: names of workers in metrics are valid UTF-8

Cause: TestOddState on the merged code: a worker entry whose name is not valid UTF-8 made the label of the gauge panic. Change: the names are converted as those of data centres are. Result: TestOddState failed in its first check, passes now.

--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -164,8 +164,8 @@
 // maxEvacuationAge bounds the age that another instance names, so that it does not overflow.
 const maxEvacuationAge = 10 * 365 * 24 * time.Hour
 
-// labelValue returns the name of a data centre as the value of a metric's label, which must be valid UTF-8.
-func labelValue(dataCentre string) string { return strings.ToValidUTF8(dataCentre, "?") }
+// labelValue returns a name as the value of a metric's label, which must be valid UTF-8.
+func labelValue(s string) string { return strings.ToValidUTF8(s, "?") }
 
 // countEvacuated counts a request that an evacuation affected.
 func (m *metrics) countEvacuated(dataCentre, outcome string) {
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -96,8 +96,8 @@
 			delete(k.loads, name)
 			continue
 		}
-		m.keptPlaces.WithLabelValues(name).Set(float64(l.Running(now)))
-		m.keptSeconds.WithLabelValues(name).Set(l.Time().Seconds())
+		m.keptPlaces.WithLabelValues(labelValue(name)).Set(float64(l.Running(now)))
+		m.keptSeconds.WithLabelValues(labelValue(name)).Set(l.Time().Seconds())
 	}
 }
 
