gateway: tests of metering and of workers that count as cold, and a fault with huge limits

Cause: a huge coldPerS made the length of a turn 0, which ended the request with a division by zero; and no test failed when an instance metered without a tenure, or used assumeCold. Change: a turn lasts a nanosecond at least; TestMeteringOfColdWorkers, TestAssumedCold; TestOddState draws cold times and limits.

--- a/internal/coordination/quota/cold.go
+++ b/internal/coordination/quota/cold.go
@@ -189,7 +189,7 @@
 // used a little late: the wait is negative then, and the request must be sent within ColdDelay of its turn all the same.
 func (l *WorkerLimits) ReserveColdWithoutHolder(worker string, rate float64, p Place, maxWait, wall, now time.Duration) (wait time.Duration, ok bool) {
 	c := l.coldWorker(worker)
-	turn := time.Duration(float64(time.Second) / (max(rate, minWorkerRate) * fallbackShare))
+	turn := max(1, time.Duration(float64(time.Second)/(max(rate, minWorkerRate)*fallbackShare)))
 	round := turn * time.Duration(max(1, p.Count))
 	// The turn after a request is not used if the time of day was set back meanwhile.
 	earliest := max(-ColdDelay(rate)/2, c.fallbackDue+round/2-now)
--- a/internal/coordination/quota/cold_test.go
+++ b/internal/coordination/quota/cold_test.go
@@ -177,6 +177,12 @@
 		So(l.Wait("w", start), ShouldEqual, time.Minute)
 		So(l.Wait("w", start+time.Second), ShouldEqual, 0)
 	})
+	Convey("a limit without bounds permits what is asked", t, func() {
+		l := NewWorkerLimits()
+		l.AssumeCold("w", 1e300)
+		_, ok := l.ReserveColdWithoutHolder("w", 1e300, Place{2, 5}, time.Second, start, start)
+		So(ok, ShouldBeTrue)
+	})
 	Convey("each change between cold and warm is returned once", t, func() {
 		l := NewWorkerLimits()
 		report(l, time.Second, false, start)
--- /dev/null
+++ b/internal/gateway/cold_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+)
+
+// newColdGateway returns an instance with one worker in data centre z1, whose service limits cold workers, and its clock.
+func newColdGateway() (g *Gateway, w *workers.Worker, now *time.Duration) {
+	now = new(time.Duration)
+	*now = time.Hour
+	g = New(Settings{Instance: "a", DataCentre: "z1"}, Dependencies{}, noNetwork{}, func() time.Duration { return *now }, zerolog.Nop())
+	w = &workers.Worker{ID: "w", Service: "app", Address: "w:80", DataCentre: "z1", StartedMilli: 1}
+	g.applyEntries([]workers.Entry{{ID: "w", Worker: w}}, change{snapshot: true}, time.Time{})
+	g.applyConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "app", ColdStart: time.Minute, ColdRate: 17}}}, *now)
+	return g, w, now
+}
+
+// TestAssumedCold guards against workers that get requests without limit after their data centre's evacuation was withdrawn,
+// before the registry has said that they are warm.
+func TestAssumedCold(t *testing.T) {
+	Convey("all workers of the data centre count as cold until a later entry", t, func() {
+		g, w, now := newColdGateway()
+		defer g.cancel()
+		g.locked(func() { g.assumeCold("z2", *now) })
+		So(g.isCold(w), ShouldBeFalse)
+		g.locked(func() { g.assumeCold("z1", *now) })
+		*now += time.Hour
+		So(g.isCold(w), ShouldBeTrue)
+		g.applyEntries([]workers.Entry{{ID: "w", Worker: w}}, change{snapshot: true}, time.Time{})
+		So(g.isCold(w), ShouldBeTrue)
+		g.applyEntries([]workers.Entry{{ID: "w", Worker: w}}, change{}, time.Time{})
+		So(g.isCold(w), ShouldBeFalse)
+	})
+}
+
+// TestMeteringOfColdWorkers guards against an instance that meters the requests to a cold worker although another one may still
+// do so, or it has resigned.
+func TestMeteringOfColdWorkers(t *testing.T) {
+	Convey("it meters once the leases of others have ended, and until its own has", t, func() {
+		g, w, now := newColdGateway()
+		defer g.cancel()
+		g.fleetRead.Store(true)
+		metering := func() (ok bool) {
+			g.locked(func() { _, _, ok = g.meterCold(incarnationName(w), 17, 0, *now) })
+			return ok
+		}
+		beat := func(number int64) {
+			g.locked(func() {
+				r := fleetlog.Record{Instance: "a", Incarnation: g.incarnation, Heartbeat: &fleetlog.Heartbeat{Number: number, Address: "a:82", LeaseMS: 2000, MemoryMB: 100}}
+				g.members.Apply(number, r, *now)
+			})
+			g.acknowledge(sentHeartbeat{sent: *now, lease: 2 * time.Second, spend: 4 * time.Second})
+			g.renewTenure()
+		}
+		So(metering(), ShouldBeFalse)
+		for i := range int64(5) {
+			beat(i + 1)
+			So(metering(), ShouldEqual, i == 4)
+			*now += time.Second
+		}
+		*now += time.Second
+		So(metering(), ShouldBeTrue)
+		*now++
+		So(metering(), ShouldBeFalse)
+		*now -= time.Second
+		So(metering(), ShouldBeTrue)
+		g.resigned.Store(true)
+		So(metering(), ShouldBeFalse)
+	})
+}
--- a/internal/gateway/odd_state_test.go
+++ b/internal/gateway/odd_state_test.go
@@ -61,7 +61,7 @@
 		}
 	})
 	c.Services = drawList(t, 3, func() routing.Service {
-		s := routing.Service{Name: oddName.Draw(t, "service")}
+		s := routing.Service{Name: oddName.Draw(t, "service"), ColdStart: time.Duration(oddInt64.Draw(t, "cold start")), ColdRate: rapid.Float64().Draw(t, "cold rate")}
 		if rapid.Bool().Draw(t, "engine") {
 			s.Engine = &routing.Engine{
 				Slots: oddInt.Draw(t, "slots"), MemoryTokens: oddInt64.Draw(t, "memory"), AdapterSlots: oddInt.Draw(t, "adapter slots"),
@@ -83,6 +83,7 @@
 	return &workers.Worker{
 		ID: oddName.Draw(t, "worker"), Service: oddName.Draw(t, "service"), Address: "127.0.0.1:1", DataCentre: oddName.Draw(t, "data centre"),
 		StartedMilli: oddInt64.Draw(t, "born"), Slots: oddInt.Draw(t, "slots"), Draining: rapid.Bool().Draw(t, "draining"), Seq: oddInt64.Draw(t, "seq"),
+		ColdRemaining: time.Duration(oddInt64.Draw(t, "cold time")), ColdUnreadable: rapid.Bool().Draw(t, "cold time unreadable"),
 		Models: drawList(t, 2, func() workers.LoadedModel {
 			return workers.LoadedModel{Name: oddName.Draw(t, "model"), Adapters: drawList(t, 2, func() workers.LoadedAdapter {
 				return workers.LoadedAdapter{Name: oddName.Draw(t, "adapter"), Version: oddInt64.Draw(t, "version")}
@@ -217,7 +218,7 @@
 	_, _ = p.WantAdapter(ctx, &peerpb.WantAdapterRequest{Engine: name, Adapter: "a/b@1", SlackMs: number, PromptTokens: number, OutputTokens: number, DeadlineMs: number})
 	_, _ = p.Retire(ctx, &peerpb.RetireRequest{Engine: name, Adapter: name})
 	_, _ = p.Spend(ctx, &peerpb.SpendRequest{Workspace: name, Microtokens: number})
-	_, _ = p.ReserveRequest(ctx, &peerpb.ReserveRequestRequest{Server: name, Limit: oddFloat.Draw(t, "limit"), MaxWaitMs: number})
+	_, _ = p.ReserveRequest(ctx, &peerpb.ReserveRequestRequest{Server: name, Limit: oddFloat.Draw(t, "limit"), MaxWaitMs: number, Cold: rapid.Bool().Draw(t, "cold")})
 	_, _ = p.AdmitRequest(ctx, &peerpb.AdmitRequestRequest{Engine: name, PromptTokens: number, OutputTokens: number, MaxWaitMs: number, DeadlineMs: number})
 	_, _ = p.EndRequest(ctx, &peerpb.EndRequestRequest{Engine: name, Place: uint64(number), DelayMs: number, Running: rapid.Bool().Draw(t, "running")})
 	_, _ = p.ReportCrashes(ctx, &peerpb.ReportCrashesRequest{
