--- a/internal/coordination/quota/cold_test.go
+++ b/internal/coordination/quota/cold_test.go
@@ -49,7 +49,7 @@
 		if rapid.Bool().Draw(t, "change") {
 			changeAt = start + time.Duration(r.Int64N(int64(until-start)))
 		}
-		reached := rapid.Float64Range(0, 1).Draw(t, "reached")
+		reached := rapid.SampledFrom([]float64{0, 0.5, 0.8, 1}).Draw(t, "reached")
 		maxWait := time.Duration(rapid.SampledFrom([]int64{0, 300, 1000}).Draw(t, "max wait")) * time.Millisecond
 		delay := rapid.SampledFrom([]float64{0, 1}).Draw(t, "delayed")
 		var sent []time.Duration
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -23,6 +24,24 @@
 	return g, w, now
 }
 
+// exportedColdTimes returns the metric of the remaining cold times by worker.
+func exportedColdTimes(t *testing.T, g *Gateway) map[string]float64 {
+	t.Helper()
+	families, err := g.metricsRegistry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]float64{}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "turmeric_cold_worker_remaining_seconds" {
+				out[m.GetLabel()[0].GetValue()] = m.GetGauge().GetValue()
+			}
+		}
+	}
+	return out
+}
+
 // TestAssumedCold guards against workers that get requests without limit after their data centre's evacuation was withdrawn,
 // before the registry has said that they are warm.
 func TestAssumedCold(t *testing.T) {
@@ -34,10 +53,12 @@
 		g.locked(func() { g.assumeCold("z1", *now) })
 		*now += time.Hour
 		So(g.isCold(w), ShouldBeTrue)
+		So(exportedColdTimes(t, g), ShouldResemble, map[string]float64{"w@1": math.Inf(1)})
 		g.applyEntries([]workers.Entry{{ID: "w", Worker: w}}, change{snapshot: true}, time.Time{})
 		So(g.isCold(w), ShouldBeTrue)
 		g.applyEntries([]workers.Entry{{ID: "w", Worker: w}}, change{}, time.Time{})
 		So(g.isCold(w), ShouldBeFalse)
+		So(exportedColdTimes(t, g), ShouldResemble, map[string]float64{"w@1": 0})
 	})
 }
 
