residency: relocations that would begin late are left to requests

Cause: the list of relocations grew with the adapters of the data centre, and its last loads would have begun minutes after the evacuation, when other adapters are requested.

Change: loads that would begin later than 30 s after the evacuation are left out.

Result: TestRelocations fails without the bound, and found an overflow of the time at a very low rate of loads, which is mended.

--- a/internal/coordination/residency/relocate.go
+++ b/internal/coordination/residency/relocate.go
@@ -12,6 +12,10 @@
 // that requests wait for, of which an evacuation causes many.
 const relocationShare = 0.5
 
+// maxRelocationWait bounds the time over which loads are spread. What is requested later differs from what was requested at the
+// evacuation, and what is requested often enough has been loaded for a request by then.
+const maxRelocationWait = 30 * time.Second
+
 // Relocation is an adapter that is to be loaded at a worker because it was resident only in evacuated data centres.
 type Relocation struct {
 	Adapter Adapter
@@ -72,15 +76,18 @@
 	}
 	var list []Relocation
 	for _, a := range v.requestedOnlyAt(in.Evacuated, resident, p, now) {
+		seconds := 0.0
+		if in.LoadsPerSecond > 0 {
+			seconds = float64(len(list)) / (in.LoadsPerSecond * relocationShare)
+		}
+		if seconds > maxRelocationWait.Seconds() {
+			break
+		}
 		for _, w := range RankWorkers(a, in.Remaining) {
 			if !v.Holds(w.Key(), Adapter{Model: a.Model}, 0) || !rooms[w.Key()].take(p.Rate(a, now)) {
 				continue
 			}
-			r := Relocation{Adapter: a, Worker: w}
-			if in.LoadsPerSecond > 0 {
-				r.Wait = time.Duration(float64(len(list)) / (in.LoadsPerSecond * relocationShare) * float64(time.Second))
-			}
-			list = append(list, r)
+			list = append(list, Relocation{Adapter: a, Worker: w, Wait: time.Duration(seconds * float64(time.Second))})
 			break
 		}
 	}
--- a/internal/coordination/residency/relocate_test.go
+++ b/internal/coordination/residency/relocate_test.go
@@ -53,6 +53,11 @@
 		}
 		So(v.Relocations(RelocationInput{Evacuated: w[:2], Remaining: w[2:], Slots: 4}, p, 0)[2].Wait, ShouldEqual, time.Duration(0))
 	})
+	Convey("loads that would begin too late are left out", t, func() {
+		v, p, w := relocationView([]int{1, 2, 3, 4}, nil)
+		So(v.Relocations(RelocationInput{Evacuated: w[:1], Remaining: w[1:], Slots: 8, LoadsPerSecond: 0.1}, p, 0), ShouldHaveLength, 2)
+		So(v.Relocations(RelocationInput{Evacuated: w[:1], Remaining: w[1:], Slots: 8, LoadsPerSecond: 1e-300}, p, 0), ShouldHaveLength, 1)
+	})
 	Convey("a full worker takes only adapters that are requested more than one that it holds", t, func() {
 		v, p, w := relocationView([]int{89, 88, 87, 30}, []int{70, 60})
 		in := RelocationInput{Evacuated: w[:1], Remaining: w[1:], Slots: 2}
