evacuation, cold: workers of a data centre count as cold after a withdrawal

Cause: workers may become cold during an evacuation; entries that were written before its withdrawal and read after it would end the assumption early. Change: a withdrawal lets the workers count as cold until an entry that is read 2.5 s later or more says otherwise.

--- a/internal/coordination/quota/cold.go
+++ b/internal/coordination/quota/cold.go
@@ -35,8 +35,10 @@
 type coldState struct {
 	rate  float64
 	until time.Duration
-	// assumed is set while the worker counts as cold until the registry says otherwise.
-	assumed bool
+	// assumed is set while the worker counts as cold until the registry says otherwise, by an entry that is read no sooner than
+	// assumedUntil.
+	assumed      bool
+	assumedUntil time.Duration
 	// announced says whether ColdChanges has returned the worker as cold.
 	announced bool
 	// sent counts this instance's requests to the cold worker, and reported the faults that were reported.
@@ -114,7 +116,7 @@
 	if until := now + remaining; !r.Old || until > c.until {
 		c.until = until
 	}
-	c.assumed = c.assumed && r.Old
+	c.assumed = c.assumed && (r.Old || now < c.assumedUntil)
 	if fault == ColdTimeValid || c.reported[fault] {
 		return ColdTimeValid
 	}
@@ -125,11 +127,14 @@
 	return fault
 }
 
-// AssumeCold lets a worker count as cold until ReportCold applies an entry that is not old.
-func (l *WorkerLimits) AssumeCold(worker string, rate float64) {
+// maxEntryDelay is how long after it was written an entry of the registry may be read.
+const maxEntryDelay = 2500 * time.Millisecond
+
+// AssumeCold lets a worker count as cold until ReportCold applies an entry that is not old and was written after now.
+func (l *WorkerLimits) AssumeCold(worker string, rate float64, now time.Duration) {
 	if rate > 0 {
 		c := l.coldWorker(worker)
-		c.rate, c.assumed = rate, true
+		c.rate, c.assumed, c.assumedUntil = rate, true, now+maxEntryDelay
 	}
 }
 
--- a/internal/coordination/quota/cold_test.go
+++ b/internal/coordination/quota/cold_test.go
@@ -94,7 +94,7 @@
 	var sent []time.Duration
 	for i := range instances {
 		l := NewWorkerLimits()
-		l.AssumeCold("w", rate)
+		l.AssumeCold("w", rate, 0)
 		for now := time.Hour; now < time.Hour+10*time.Minute; now += 10 * time.Millisecond {
 			// After five idle minutes, all have a request at once.
 			if now < time.Hour+5*time.Minute {
@@ -132,9 +132,11 @@
 		report(l, 2*time.Second, false, start)
 		report(l, 0, true, start+time.Second)
 		So(l.Cold("w", start+2*time.Second-1), ShouldBeTrue)
-		l.AssumeCold("w", 17)
+		l.AssumeCold("w", 17, start)
 		report(l, 0, true, start+time.Hour)
 		So(l.Cold("w", start+2*time.Hour), ShouldBeTrue)
+		report(l, 0, false, start+maxEntryDelay-1)
+		So(l.Cold("w", start+2*time.Hour), ShouldBeTrue)
 		report(l, 0, false, start+2*time.Hour)
 		So(l.Cold("w", start+2*time.Hour), ShouldBeFalse)
 	})
@@ -152,7 +154,7 @@
 	Convey("without a limit there is no state, and a limit that is removed ends it", t, func() {
 		l := NewWorkerLimits()
 		l.ReportCold(ColdReport{Worker: "w", Longest: longest, Remaining: time.Hour}, start)
-		l.AssumeCold("w", 0)
+		l.AssumeCold("w", 0, start)
 		report(l, 0, false, start)
 		So(l.Empty(), ShouldBeTrue)
 		report(l, time.Second, false, start)
@@ -179,7 +181,7 @@
 	})
 	Convey("a limit without bounds permits what is asked", t, func() {
 		l := NewWorkerLimits()
-		l.AssumeCold("w", 1e300)
+		l.AssumeCold("w", 1e300, start)
 		_, ok := l.ReserveColdWithoutHolder("w", 1e300, Place{2, 5}, time.Second, start, start)
 		So(ok, ShouldBeTrue)
 	})
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -75,7 +75,7 @@
 func (g *Gateway) assumeCold(dataCentre string, now time.Duration) {
 	for _, w := range g.workers.Load().All() {
 		if s, ok := g.coldService(w); ok && w.DataCentre == dataCentre {
-			g.limits.AssumeCold(incarnationName(w), s.ColdRate)
+			g.limits.AssumeCold(incarnationName(w), s.ColdRate, now)
 		}
 	}
 	g.logColdChanges(now)
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -50,6 +50,8 @@
 		case !c.Evacuated:
 			message = "evacuation withdrawn"
 			delete(g.unknownDataCentres, c.DataCentre)
+			// Its workers may have become cold while nothing was sent to them.
+			g.assumeCold(c.DataCentre, now)
 		case c.Before.Evacuated:
 			message = "evacuation restated"
 		}
