gateway: metrics of kept workers take names that are not UTF-8

Cause: a worker's ID from the registry is a label of the metrics of its keeper, and a label that is not valid UTF-8 panics in the removal of unused state.

Change: such bytes are replaced in the label.

--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -96,8 +96,10 @@
 			delete(k.loads, name)
 			continue
 		}
-		m.keptPlaces.WithLabelValues(name).Set(float64(l.Running(now)))
-		m.keptSeconds.WithLabelValues(name).Set(l.Time().Seconds())
+		// A label that is not valid UTF-8 panics.
+		label := strings.ToValidUTF8(name, "?")
+		m.keptPlaces.WithLabelValues(label).Set(float64(l.Running(now)))
+		m.keptSeconds.WithLabelValues(label).Set(l.Time().Seconds())
 	}
 }
 
