gateway: keepers place requests during an outage of the log service

Cause: the live instances are those whose heartbeats were read. In an outage of the log service all become silent after some seconds, and the requests of plain services were placed by own requests again.

Change: while an instance counts as silent itself, the last live instances that it knows stay its keepers.

--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/forward"
 )
@@ -103,18 +105,24 @@
 	}
 }
 
-// readKeepers looks up the live instances, if that was not done recently. The lock is held.
+// readKeepers looks up the live instances, if that was not done recently. While this instance itself counts as silent, because the
+// log service is down or cut off, the last ones known are used: the others can be called nevertheless. The lock is held.
 func (g *Gateway) readKeepers(now time.Duration) {
 	k := g.keepers
 	if k.read && now-k.readAt < keeperRefresh {
 		return
 	}
-	k.live, k.byName, k.read, k.readAt = nil, map[string]peerInstance{}, true, now
-	clear(k.known)
+	k.read, k.readAt = true, now
 	if !g.fleetRead.Load() {
 		return
 	}
-	for _, m := range g.members.Live(now, quota.TakeoverDelay) {
+	members := g.members.Live(now, quota.TakeoverDelay)
+	if !slices.ContainsFunc(members, func(m fleetlog.Member) bool { return m.Incarnation == g.incarnation }) {
+		return
+	}
+	k.live, k.byName = nil, map[string]peerInstance{}
+	clear(k.known)
+	for _, m := range members {
 		if !m.Heartbeat.Resigned {
 			k.byName[m.Instance] = peerInstance{m.Instance, m.Incarnation, m.Heartbeat.Address}
 			k.live = append(k.live, rendezvous.Member{Name: m.Instance, Size: m.Heartbeat.MemoryMB})
