workerload: the patience at a worker ignores times that are not known

Cause: the wait for which no further worker is asked contained the difference of the times per request. A worker that an instance had not asked before counted with the initial time, so that a request waited 150 ms there although the next worker had room.

--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -266,7 +266,7 @@
 	switch {
 	case asked < limit:
 		if asked+1 < limit {
-			patience := max(t.share(patienceShare), list[asked+1].cost()+callTime-list[asked].Time)
+			patience := max(t.share(patienceShare), list[asked+1].Wait+list[asked+1].Path+callTime)
 			bounds.MaxWait = min(bounds.MaxWait, patience)
 		}
 		return PlainChoice{Step: Ask, Index: asked, Bounds: bounds}
