--- a/internal/transport/keepalive/conn.go
+++ b/internal/transport/keepalive/conn.go
@@ -154,6 +154,9 @@
 	return errors.ErrUnsupported
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // waitForRequest records that no request is being read or served.
 func (c *conn) waitForRequest(now time.Duration) {
 	c.mu.Lock()
