Bound the memory and connections of callers in both programs

Bodies were read without a bound on all of them together (turmeric-gateway) or beside a bound that did not follow from the memory (turmericd), heads and connections were not counted, and the accept loops of both ran into EMFILE. The listeners for callers, readiness checks, metrics and operators now have guards. Memory follows from memory_mb, also in turmericd, and descriptors from RLIMIT_NOFILE unless set. The limit listener of turmericd is replaced by the guard, and its budget for bodies by the account.

TestPanicInHandler loses the option that the account replaces.

--- a/cmd/turmeric-gateway/main.go
+++ b/cmd/turmeric-gateway/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/gateway"
 	"github.com/turmericworks/turmericworks/internal/logsink"
+	"github.com/turmericworks/turmericworks/internal/machine"
 	"github.com/turmericworks/turmericworks/internal/program"
 	"github.com/turmericworks/turmericworks/internal/signals"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
@@ -22,10 +23,6 @@
 	Check    bool   `long:"check" description:"check the settings, print every fault and exit"`
 }
 
-// memoryLimitShare is the share of Settings.MemoryMB that is set as the Go runtime's soft memory limit. Near the limit,
-// the garbage collector runs more often to stay below it.
-const memoryLimitShare = 0.6
-
 func main() { program.Main(run) }
 
 // load reads and checks the settings file.
@@ -46,7 +43,7 @@
 	if err != nil {
 		return trace.BadParameter("settings: log_level: %v", err)
 	}
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitShare * (1 << 20)))
+	debug.SetMemoryLimit(machine.RuntimeLimit(int64(s.MemoryMB) << 20))
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
--- a/cmd/turmericd/main.go
+++ b/cmd/turmericd/main.go
@@ -74,6 +74,7 @@
 		return trace.Wrap(err)
 	}
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	s.Limits.ApplyMemoryLimit()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	drain := make(chan struct{})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/keepalive"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/internal/transport/peer"
@@ -75,6 +76,8 @@
 	connections *keepalive.Connections
 	listeners   []*keepalive.Listener
 	servers     []*http.Server
+	// guardMetrics are those of the listeners' guards.
+	guardMetrics *guard.Metrics
 }
 
 // New assembles an instance. Run starts it.
@@ -122,9 +125,9 @@
 	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.control, d.events.record), daemon: d}
 	d.entry = entry.New(entry.Options{
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, AdmitRun: d.admitRun, Ready: d.ready, Draining: d.draining, Log: d.log, Record: d.events.record, Registry: d.registry,
-		MaxBodyMemory: int64(d.settings.Limits.MaxBodyMemoryBytes),
 	})
 	d.registry.MustRegister(newCollector(d))
+	d.guardMetrics = guard.NewMetrics(d.registry)
 	return d, nil
 }
 
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
-	"sync"
-	"syscall"
-	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 )
 
 // listen opens a listener and returns a service that serves it. At most limit connections are accepted at
@@ -22,13 +19,16 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", address)
 	}
-	tracked := d.connections.Listener(newLimitListener(inner, limit))
+	limits := d.settings.Limits.callers()
+	limits.Connections = min(limits.Connections, limit)
+	g := guard.New(d.listenerName(address), limits, d.guardMetrics, d.log)
+	tracked := d.connections.Listener(g.Listener(inner, conf != nil))
 	var l net.Listener = tracked
 	if conf != nil {
 		l = tls.NewListener(tracked, conf)
 	}
 	s := &http.Server{
-		Handler: d.announceClose(h), ConnState: d.connectionState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: guard.Handler(d.announceClose(h)), ConnContext: guard.ConnContext, ConnState: d.connectionState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes,
 		// "OPTIONS *" goes to the handler, so that it gets an answer with a verdict like every other
 		// request.
@@ -40,11 +40,20 @@
 	s.Protocols.SetHTTP1(true)
 	d.servers, d.listeners = append(d.servers, s), append(d.listeners, tracked)
 	// Close returns the errors of closing the listeners, which do not matter after the stop.
-	return &listenerService{serve: func() error { return s.Serve(l) }, stop: func() { _ = s.Close() }}, nil
+	return &listenerService{run: g.Run, serve: func() error { return s.Serve(l) }, stop: func() { _ = s.Close() }}, nil
+}
+
+// listenerName returns the name of a listener in metrics and the log.
+func (d *Daemon) listenerName(address string) string {
+	if address == d.settings.Listen.Admin {
+		return "admin"
+	}
+	return "callers"
 }
 
 // connectionState passes the state of a connection to d.connections, which track what is below TLS.
 func (d *Daemon) connectionState(c net.Conn, s http.ConnState) {
+	guard.ConnState(c, s)
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
@@ -64,6 +73,8 @@
 
 // listenerService runs one listener under the supervisor.
 type listenerService struct {
+	// run is run beside serve, if it is not nil.
+	run   func(ctx context.Context)
 	serve func() error
 	stop  func()
 }
@@ -72,6 +83,11 @@
 func (s *listenerService) Serve(ctx context.Context) error {
 	done := make(chan error, 1)
 	go func() { done <- s.serve() }()
+	if s.run != nil {
+		ctx, stop := context.WithCancel(ctx)
+		defer stop()
+		go s.run(ctx)
+	}
 	select {
 	case <-done:
 		return suture.ErrDoNotRestart
@@ -80,72 +96,3 @@
 		return ctx.Err()
 	}
 }
-
-// limitListener accepts a limited number of connections at a time. Unlike netutil.LimitListener, it and its connections
-// give access to their sockets, which package keepalive needs to find connections and bytes that wait.
-type limitListener struct {
-	net.Listener
-	// places holds one element for each connection that is open or being accepted.
-	places    chan struct{}
-	closed    chan struct{}
-	closeOnce sync.Once
-}
-
-func newLimitListener(l net.Listener, limit int) *limitListener {
-	return &limitListener{Listener: l, places: make(chan struct{}, limit), closed: make(chan struct{})}
-}
-
-// Accept implements net.Listener.
-func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.places <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	release := sync.OnceFunc(func() { <-l.places })
-	c, err := l.Listener.Accept()
-	if err != nil {
-		release()
-		return nil, err
-	}
-	return &limitedConn{Conn: c, release: release}, nil
-}
-
-// Close implements net.Listener.
-func (l *limitListener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-// SetDeadline bounds the calls of Accept that take a connection from the socket's queue.
-func (l *limitListener) SetDeadline(t time.Time) error {
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
-		return d.SetDeadline(t)
-	}
-	return errors.ErrUnsupported
-}
-
-// SyscallConn implements syscall.Conn.
-func (l *limitListener) SyscallConn() (syscall.RawConn, error) { return socketOf(l.Listener) }
-
-// socketOf returns the socket of a listener or a connection.
-func socketOf(v any) (syscall.RawConn, error) {
-	if s, ok := v.(syscall.Conn); ok {
-		return s.SyscallConn()
-	}
-	return nil, errors.ErrUnsupported
-}
-
-type limitedConn struct {
-	net.Conn
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	defer c.release()
-	return c.Conn.Close()
-}
-
-// SyscallConn implements syscall.Conn.
-func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return socketOf(c.Conn) }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -118,6 +118,21 @@
 	// arrive; a request that exceeds it is refused with 503 and not-run. Parsing makes further copies,
 	// which are not counted. Default: 268435456. Unit: bytes.
 	MaxBodyMemoryBytes int `json:"max_body_memory_bytes,omitempty"`
+	// MemoryMB is the memory that the process may use. Callers' heads with connections take at most an eighth of it, bodies
+	// a quarter, even where max_connections and max_body_memory_bytes allow more; the Go runtime's limit is 0.6 of it. Default: 0,
+	// which stands for 1/0.6 of GOMEMLIMIT, and for 1024 without that. Unit: MiB.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// Descriptors is the number of open descriptors that the process may have. Callers' connections take at most two fifths of
+	// it. Default: 0, which stands for the process's own limit (RLIMIT_NOFILE).
+	Descriptors int `json:"descriptors,omitempty"`
+	// MaxFields is the maximum number of header fields of a request. Default: 256.
+	MaxFields int `json:"max_fields,omitempty"`
+	// MinBytesPerSecond is the rate below which a caller that has to send or to read counts as stalled. Default: 128.
+	MinBytesPerSecond int `json:"min_bytes_per_second,omitempty"`
+	// ReadWindowSeconds is how long a caller may be stalled in a request before its connection is closed. Default: 15. Unit: seconds.
+	ReadWindowSeconds int `json:"read_window_seconds,omitempty"`
+	// WriteWindowSeconds is how long a caller may be stalled in a response. Default: 30. Unit: seconds.
+	WriteWindowSeconds int `json:"write_window_seconds,omitempty"`
 	// QueuedRequests is the maximum number of requests that wait for an engine. Default: 10000.
 	QueuedRequests int `json:"queued_requests,omitempty"`
 	// DrainSeconds is how long a planned stop takes at most. Requests in flight are waited for until 2 s, or a quarter of
@@ -137,7 +152,7 @@
 		Platform: PlatformSettings{
 			LogURL: "http://127.0.0.1:8090", ListURL: "http://127.0.0.1:8091", RetentionSeconds: 7 * 24 * 3600,
 		},
-		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, MaxBodyMemoryBytes: 256 << 20, QueuedRequests: 10_000, DrainSeconds: 330},
+		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, MaxBodyMemoryBytes: 256 << 20, QueuedRequests: 10_000, DrainSeconds: 330, MaxFields: 256, MinBytesPerSecond: 128, ReadWindowSeconds: 15, WriteWindowSeconds: 30},
 		LogLevel: "info",
 	}
 }
--- /dev/null
+++ b/internal/gateway/callerlimits.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/callerlimits"
+	"github.com/turmericworks/turmericworks/internal/machine"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
+)
+
+// CallerLimits bound what connections of callers hold. A field that is 0 has its default.
+type CallerLimits struct {
+	// Descriptors is the number of open descriptors that the process may have. Callers take at most two fifths of it. Default: the
+	// process's own limit (RLIMIT_NOFILE).
+	Descriptors int `json:"descriptors"`
+	// MaxConnections is the number of open connections of callers. Default: what memory_mb and descriptors allow.
+	MaxConnections int `json:"max_connections"`
+	// MaxFields is the number of header fields of a request.
+	MaxFields int `json:"max_fields"`
+	// MinBytesPerSecond is the rate below which a caller that has to send or to read counts as stalled, and ReadWindowS and
+	// WriteWindowS are the times in seconds after which a stalled one is disconnected.
+	MinBytesPerSecond int `json:"min_bytes_per_second"`
+	ReadWindowS       int `json:"read_window_s"`
+	WriteWindowS      int `json:"write_window_s"`
+}
+
+// derivedLimits returns the limits that follow from the machine.
+func (s Settings) derivedLimits() callerlimits.Limits {
+	descriptors := s.CallerLimits.Descriptors
+	if descriptors == 0 {
+		descriptors = machine.Descriptors()
+	}
+	return callerlimits.Derive(int64(max(s.MemoryMB, minMemoryMB))<<20, descriptors)
+}
+
+// callerLimits returns the limits on callers' connections.
+func (s Settings) callerLimits() callerlimits.Limits {
+	out, set := s.derivedLimits(), s.CallerLimits
+	if set.MaxConnections > 0 {
+		out.Connections = min(out.Connections, set.MaxConnections)
+	}
+	if set.MaxFields > 0 {
+		out.Fields = set.MaxFields
+	}
+	if set.MinBytesPerSecond > 0 {
+		out.MinRate = int64(set.MinBytesPerSecond)
+	}
+	if set.ReadWindowS > 0 {
+		out.ReadWindow = time.Duration(set.ReadWindowS) * time.Second
+	}
+	if set.WriteWindowS > 0 {
+		out.WriteWindow = time.Duration(set.WriteWindowS) * time.Second
+	}
+	return out
+}
+
+// checkCallerLimits checks the limits, and names those that contradict each other.
+func (s Settings) checkCallerLimits(check func(ok bool, path, what string)) {
+	l := s.CallerLimits
+	const (
+		minDescriptors, minFields = 64, 32
+		// maxIdleS is the longest time for which callers pause before they go on.
+		maxIdleS = 12
+	)
+	check(l.Descriptors == 0 || l.Descriptors >= minDescriptors, "caller_limits.descriptors", "must be at least 64")
+	check(l.Descriptors <= machine.Descriptors(), "caller_limits.descriptors", "exceeds the process's limit (RLIMIT_NOFILE)")
+	check(l.MaxConnections >= 0, "caller_limits.max_connections", "must not be negative")
+	check(l.MaxConnections <= s.derivedLimits().Connections, "caller_limits.max_connections",
+		fmt.Sprintf("contradicts memory_mb and caller_limits.descriptors, which allow %d connections", s.derivedLimits().Connections))
+	check(l.MaxFields == 0 || l.MaxFields >= minFields, "caller_limits.max_fields", "must be at least 32")
+	check(l.MinBytesPerSecond >= 0, "caller_limits.min_bytes_per_second", "must not be negative")
+	check(l.ReadWindowS == 0 || l.ReadWindowS > maxIdleS, "caller_limits.read_window_s", "must exceed 12: callers pause for up to 12 s")
+	check(l.WriteWindowS == 0 || l.WriteWindowS > maxIdleS, "caller_limits.write_window_s", "must exceed 12: callers pause for up to 12 s")
+}
+
+// newGuard returns the guard of a listener, which runs until the end of Serve.
+func (g *Gateway) newGuard(name string, l callerlimits.Limits) *guard.Guard {
+	out := guard.New(name, l, g.guardMetrics, g.log)
+	g.start("guard of "+name, out.Run)
+	return out
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 	"github.com/turmericworks/turmericworks/internal/transport/forward"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/keepalive"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
@@ -62,9 +63,6 @@
 }
 
 const (
-	// responseMemoryDivisor is the part of the instance's memory that responses may take until they are complete. Their
-	// buffers grow in steps and may be twice as large.
-	responseMemoryDivisor = 8
 	// minMemoryMB is assumed if the settings do not name the instance's memory.
 	minMemoryMB = 64
 )
@@ -84,6 +82,7 @@
 	peers           *peers
 	fleetRelay      *fleetRelay
 	connections     *keepalive.Connections
+	guardMetrics    *guard.Metrics
 
 	// lifetime is cancelled at the end of Serve; background counts the goroutines that run until then.
 	lifetime   context.Context
@@ -193,6 +192,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
+	g.guardMetrics = guard.NewMetrics(g.metricsRegistry)
 	g.connections.OnClose = g.callerConnectionClosed
 	g.workers.Store(workers.NewRegistry().Snapshot())
 	g.peers = newPeers(g)
@@ -200,7 +200,7 @@
 	g.server = &forward.Server{
 		Headers: platform.Headers, Admission: (*admission)(g), Placement: (*placement)(g), Pool: g.pool,
 		Metrics: g.metrics, Log: g.log,
-		ResponseMemory: bytebudget.New(int64(max(s.MemoryMB, minMemoryMB)) << 20 / responseMemoryDivisor),
+		ResponseMemory: bytebudget.New(s.callerLimits().ResponseBytes),
 	}
 	return g
 }
@@ -427,25 +427,36 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s.callersListener = g.connections.Listener(callers)
-	s.callers = g.serveHTTP(s.callersListener, &http.Server{Handler: g.server, ConnState: g.connections.ConnState, ConnContext: g.connections.ConnContext})
-	if s.readiness, err = g.listenHTTP(g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
+	callersGuard := g.newGuard("callers", g.settings.callerLimits())
+	s.callersListener = g.connections.Listener(callersGuard.Listener(callers, false))
+	s.callers = g.serveHTTP(s.callersListener, &http.Server{
+		Handler: guard.Handler(g.server),
+		ConnState: func(nc net.Conn, state http.ConnState) {
+			guard.ConnState(nc, state)
+			g.connections.ConnState(nc, state)
+		},
+		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
+			return guard.ConnContext(g.connections.ConnContext(ctx, nc), nc)
+		},
+	})
+	if s.readiness, err = g.listenHTTP("readiness", g.settings.ReadinessAddress, http.HandlerFunc(g.serveReady)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if s.metrics, err = g.listenHTTP(g.settings.MetricsAddress, g.metrics.handler(g.metricsRegistry)); err != nil {
+	if s.metrics, err = g.listenHTTP("metrics", g.settings.MetricsAddress, g.metrics.handler(g.metricsRegistry)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	s.stopPeers, err = g.peers.serve(g.settings.PeerAddress)
 	return s, trace.Wrap(err)
 }
 
-// listenHTTP starts a server for h at an address.
-func (g *Gateway) listenHTTP(address string, h http.Handler) (*http.Server, error) {
+// listenHTTP starts a server for h at an address, with limits of its own that callers do not use up.
+func (g *Gateway) listenHTTP(name, address string, h http.Handler) (*http.Server, error) {
 	l, err := g.network.Listen(address)
 	if err != nil {
 		return nil, err
 	}
-	return g.serveHTTP(l, &http.Server{Handler: h}), nil
+	own := g.newGuard(name, g.settings.callerLimits().Reserved())
+	return g.serveHTTP(own.Listener(l, false), &http.Server{Handler: guard.Handler(h), ConnState: guard.ConnState, ConnContext: guard.ConnContext}), nil
 }
 
 // serveHTTP starts a server with the limits of this instance on a listener. It goes on with the open connections if the
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -36,6 +36,8 @@
 	// LogLevel is one of debug, info, warn and error. Default info.
 	LogLevel string `json:"log_level"`
 	Bounds   Bounds `json:"bounds"`
+	// CallerLimits bound what connections of callers hold.
+	CallerLimits CallerLimits `json:"caller_limits"`
 }
 
 // Bounds are the operators' limits on delays, on the overdraft of rates and on retries.
@@ -89,6 +91,7 @@
 	check(s.Bounds.RetryWindowS > 0, "bounds.retry_window_s", "must be positive")
 	check(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "must not be negative")
 	check(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "must not be negative")
+	s.checkCallerLimits(check)
 	if len(problems) > 0 {
 		return Settings{}, trace.BadParameter("settings: %s", strings.Join(problems, "; "))
 	}
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -17,8 +17,12 @@
 const AdapterHeader = "Turmeric-Adapter"
 
 // completions serves /v1/chat/completions and /v1/completions.
+// parseCopies is how often the bytes of a completion's body are held besides the body: in its fields, in the parts of its
+// prompt, and in the body with the model's name replaced.
+const parseCopies = 4
+
 func (s *Server) completions(w *recorder, r *request) error {
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, parseCopies)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -14,7 +14,6 @@
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/event"
-	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 )
 
 // Call is one admitted completion request.
@@ -80,8 +79,6 @@
 	Log zerolog.Logger
 	// Registry collects the server's metrics.
 	Registry *prometheus.Registry
-	// MaxBodyMemory is the largest number of bytes that all request bodies together may take in memory.
-	MaxBodyMemory int64
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -89,12 +86,11 @@
 	opts     Options
 	inFlight *inFlight
 	metrics  *metrics
-	bodies   *bytebudget.Budget
 }
 
 // New returns a server.
 func New(o Options) *Server {
-	return &Server{opts: o, inFlight: newInFlight(), metrics: newMetrics(o.Registry), bodies: bytebudget.New(o.MaxBodyMemory)}
+	return &Server{opts: o, inFlight: newInFlight(), metrics: newMetrics(o.Registry)}
 }
 
 // ConfigChanged cancels the requests in flight whose keys are no longer in the configuration.
--- a/internal/transport/entry/panic_test.go
+++ b/internal/transport/entry/panic_test.go
@@ -22,7 +22,7 @@
 	s := New(Options{
 		Config: config.NewView, Admit: func() error { return nil },
 		Draining: func() bool { return false }, Record: func(event.Event) {}, Registry: prometheus.NewRegistry(),
-		MaxBodyMemory: 1 << 20, Log: zerolog.New(&log),
+		Log: zerolog.New(&log),
 	})
 	serve := func(h handler) (*http.Response, []byte, error) {
 		server := httptest.NewServer(s.wrap("test", h))
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -15,7 +14,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/event"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
-	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 )
 
 // bodyTimeout is how long a caller may take to send its body.
@@ -39,8 +38,6 @@
 	view   *config.View
 	// admitted is the event of the request's admission, or a zero event before it.
 	admitted event.Event
-	// memory is what the body takes of the server's memory for bodies.
-	memory *bytebudget.Usage
 }
 
 // handler serves one request. An error that it returns is written as the response, unless a response
@@ -93,9 +90,8 @@
 func (s *Server) wrap(kind string, h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, hr *http.Request) {
 		rec := &recorder{ResponseWriter: w, draining: s.opts.Draining}
-		r := &request{Request: hr, id: uuid.NewString(), start: time.Now(), memory: s.bodies.NewUsage(0)}
+		r := &request{Request: hr, id: uuid.NewString(), start: time.Now()}
 		rec.Header().Set("X-Request-Id", r.id)
-		defer r.memory.Release()
 		panicked, err := s.serveOrRecover(rec, r, h)
 		begun := rec.status != 0
 		if err != nil {
@@ -229,7 +225,8 @@
 	"the body is larger than "+strconv.Itoa(openai.MaxBodyBytes)+" bytes")
 
 // readBody reads a body of at most openai.MaxBodyBytes bytes within bodyTimeout.
-func (s *Server) readBody(w *recorder, r *request) ([]byte, error) {
+// The memory for it, and for further copies that parsing makes, is counted until the request ends.
+func (s *Server) readBody(w *recorder, r *request, copies int) ([]byte, error) {
 	if r.ContentLength > openai.MaxBodyBytes {
 		return nil, errBodyTooLarge
 	}
@@ -238,7 +235,7 @@
 	// closed, which the read reports.
 	stop := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(aLongTimeAgo) })
 	limited := http.MaxBytesReader(w.ResponseWriter, r.Body, openai.MaxBodyBytes)
-	body, err := io.ReadAll(bytebudget.Reader{Reader: limited, Usage: r.memory})
+	body, err := guard.ReadBody(r.Context(), limited, r.ContentLength, r.caller.keyID, copies)
 	if stop() && err == nil {
 		// If the deadline stayed set, it would cancel the request's context when it passes.
 		_ = control.SetReadDeadline(time.Time{})
@@ -246,7 +243,7 @@
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
-	case errors.Is(err, bytebudget.ErrExhausted):
+	case errors.Is(err, guard.ErrBodyMemory):
 		return nil, errBodyMemoryFull
 	case err == nil && r.caller.keyInBody(body):
 		return nil, errKeyInRequest
--- a/internal/transport/entry/services.go
+++ b/internal/transport/entry/services.go
@@ -30,7 +30,7 @@
 		return verdict.New(verdict.NotRun, http.StatusBadRequest, "duplicate_idempotency_key",
 			"the request has more than one Idempotency-Key or Idempotency-Key-Created header")
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -10,7 +10,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -29,6 +28,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
 )
 
@@ -492,11 +492,24 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	tooLongErr := verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_long", "the body is longer than allowed")
+	if c.r.ContentLength > limit {
+		c.w.Header().Set("Connection", "close")
+		return tooLongErr
+	}
+	key := ""
+	if c.job.Workspace != nil {
+		key = c.job.Workspace.Name
+	}
+	body, err := guard.ReadBody(c.r.Context(), http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, key, 0)
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
-		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_long", "the body is longer than allowed")
+		return tooLongErr
+	case errors.Is(err, guard.ErrBodyMemory):
+		// The rest of the body is not read.
+		c.w.Header().Set("Connection", "close")
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "body_memory_full", "the instance holds as many bytes of bodies as it may").WithRetryAfter(time.Second)
 	case err != nil:
 		return verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "body_incomplete", "the body did not arrive whole")
 	}
