Name contradicting limits on callers, and share the descriptors

A limit that the memory or the descriptors do not allow was lowered without a word; it is now a fault with its path, in both programs. Callers had half of the descriptors, and requests in flight as many connections to workers, which left none to other instances: callers have a third now, and idle connections to workers at most a tenth. turmericd sets the runtime's memory limit also without memory_mb.

--- a/internal/coordination/callerlimits/callerlimits.go
+++ b/internal/coordination/callerlimits/callerlimits.go
@@ -35,7 +35,10 @@
 	// callersDescriptors of descriptorParts is the part of the descriptors for connections of callers. Each request in flight has
 	// one connection to a worker, so that these take as much at most. The rest is for idle connections to
 	// workers, for other instances, the log service and the other listeners.
-	callersDescriptors, descriptorParts = 2, 5
+	callersDescriptors, descriptorParts = 1, 3
+	// idleDivisor is the part of the descriptors for idle connections to workers, less than half of what is left to others: the
+	// largest fleet has 195 instances, with two connections between each two.
+	idleDivisor = 10
 	// ownerShare of ownerParts is the largest part of the memory for bodies that one address, or one key, may hold.
 	ownerShare, ownerParts = 3, 4
 )
@@ -70,6 +73,8 @@
 	OwnerBytes int64
 	// ResponseBytes are those of responses until they are complete, which have an account of their own.
 	ResponseBytes int64
+	// IdleWorkers is the number of idle connections to workers that are kept.
+	IdleWorkers int
 	// Fields is the number of header fields of one request.
 	Fields int
 	// MinRate is in bytes per second. A connection on which less is transferred throughout a window is closed, if the caller
@@ -86,6 +91,7 @@
 		Bytes:         [classes]int64{Heads: heads, Bodies: memory / bodyDivisor},
 		OwnerBytes:    memory / bodyDivisor / ownerParts * ownerShare,
 		ResponseBytes: memory / responseDivisor,
+		IdleWorkers:   max(1, descriptors/idleDivisor),
 		Fields:        DefaultFields,
 		MinRate:       DefaultMinRate, ReadWindow: DefaultReadWindow, WriteWindow: DefaultWriteWindow,
 	}
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"fmt"
 	"runtime/debug"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/callerlimits"
 	"github.com/turmericworks/turmericworks/internal/machine"
+	"github.com/turmericworks/turmericworks/internal/state/config"
 )
 
 // defaultMemoryMB is assumed if neither the settings nor GOMEMLIMIT name the memory.
@@ -35,9 +37,24 @@
 	return out
 }
 
-// ApplyMemoryLimit sets the Go runtime's memory limit if the settings name the memory.
-func (l Limits) ApplyMemoryLimit() {
-	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(machine.RuntimeLimit(l.memory()))
+// check names the limits that contradict the memory or the descriptors. The defaults contradict nothing: less is used where they
+// exceed what the machine allows.
+func (l Limits) check() config.Problems {
+	var p config.Problems
+	if l.Descriptors > machine.Descriptors() {
+		p = append(p, config.Problem{Path: "/limits/descriptors", Message: "exceeds the process's limit (RLIMIT_NOFILE)"})
+	}
+	allowed, defaults := l.callers(), DefaultSettings().Limits
+	if l.MaxConnections != defaults.MaxConnections && l.MaxConnections > allowed.Connections {
+		p = append(p, config.Problem{Path: "/limits/max_connections", Message: fmt.Sprintf(
+			"contradicts /limits/memory_mb and /limits/descriptors, which allow %d connections", allowed.Connections)})
 	}
+	if bodies := allowed.Bytes[callerlimits.Bodies]; l.MaxBodyMemoryBytes != defaults.MaxBodyMemoryBytes && int64(l.MaxBodyMemoryBytes) > bodies {
+		p = append(p, config.Problem{Path: "/limits/max_body_memory_bytes", Message: fmt.Sprintf(
+			"contradicts /limits/memory_mb, which allows %d bytes of bodies", bodies)})
+	}
+	return p
 }
+
+// ApplyMemoryLimit sets the Go runtime's memory limit.
+func (l Limits) ApplyMemoryLimit() { debug.SetMemoryLimit(machine.RuntimeLimit(l.memory())) }
--- /dev/null
+++ b/internal/daemon/limits_test.go
@@ -0,0 +1,24 @@
+package daemon
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestContradictingLimits guards against limits that the memory or the descriptors do not allow and that are lowered without a
+// word.
+func TestContradictingLimits(t *testing.T) {
+	parse := func(limits string) error {
+		_, err := ParseSettings([]byte(`{"instance":"a","data_centre":"b","platform":{"log_url":"http://127.0.0.1:1","list_url":"http://127.0.0.1:2"},"limits":` + limits + `}`))
+		return err
+	}
+	Convey("Contradicting limits are named, defaults contradict nothing", t, func() {
+		So(parse(`{"memory_mb":136,"descriptors":128}`), ShouldBeNil)
+		So(parse(`{"memory_mb":136,"max_connections":100,"max_body_memory_bytes":8388608}`), ShouldBeNil)
+		err := parse(`{"memory_mb":136,"descriptors":128,"max_connections":100,"max_body_memory_bytes":100000000}`)
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "/limits/max_connections")
+		So(err.Error(), ShouldContainSubstring, "/limits/max_body_memory_bytes")
+	})
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -122,7 +122,7 @@
 	// a quarter, even where max_connections and max_body_memory_bytes allow more; the Go runtime's limit is 0.6 of it. Default: 0,
 	// which stands for 1/0.6 of GOMEMLIMIT, and for 1024 without that. Unit: MiB.
 	MemoryMB int `json:"memory_mb,omitempty"`
-	// Descriptors is the number of open descriptors that the process may have. Callers' connections take at most two fifths of
+	// Descriptors is the number of open descriptors that the process may have. Callers' connections take at most a third of
 	// it. Default: 0, which stands for the process's own limit (RLIMIT_NOFILE).
 	Descriptors int `json:"descriptors,omitempty"`
 	// MaxFields is the maximum number of header fields of a request. Default: 256.
@@ -199,6 +199,7 @@
 	if s.TLS.Peers != (KeyPair{}) && s.TLS.PeerCAFile == "" {
 		p = append(p, config.Problem{Path: "/tls/peer_ca_file", Message: "is missing: instances check each other's certificates"})
 	}
+	p = append(p, s.Limits.check()...)
 	if len(p) > 0 {
 		return p
 	}
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -11,7 +11,7 @@
 
 // CallerLimits bound what connections of callers hold. A field that is 0 has its default.
 type CallerLimits struct {
-	// Descriptors is the number of open descriptors that the process may have. Callers take at most two fifths of it. Default: the
+	// Descriptors is the number of open descriptors that the process may have. Callers take at most a third of it. Default: the
 	// process's own limit (RLIMIT_NOFILE).
 	Descriptors int `json:"descriptors"`
 	// MaxConnections is the number of open connections of callers. Default: what memory_mb and descriptors allow.
--- /dev/null
+++ b/internal/gateway/callerlimits_test.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestContradictingCallerLimits guards against limits on callers that the machine does not allow, or that well-behaved callers
+// reach.
+func TestContradictingCallerLimits(t *testing.T) {
+	faults := func(l CallerLimits) []string {
+		var out []string
+		Settings{MemoryMB: 136, CallerLimits: l}.checkCallerLimits(func(ok bool, path, _ string) {
+			if !ok {
+				out = append(out, path)
+			}
+		})
+		return out
+	}
+	Convey("Contradicting limits are named", t, func() {
+		So(faults(CallerLimits{}), ShouldBeEmpty)
+		So(faults(CallerLimits{Descriptors: 128, MaxConnections: 42}), ShouldBeEmpty)
+		So(faults(CallerLimits{Descriptors: 128, MaxConnections: 43}), ShouldResemble, []string{"caller_limits.max_connections"})
+		So(faults(CallerLimits{Descriptors: 1 << 21}), ShouldResemble, []string{"caller_limits.descriptors"})
+		So(faults(CallerLimits{ReadWindowS: 12, WriteWindowS: 12}), ShouldResemble, []string{"caller_limits.read_window_s", "caller_limits.write_window_s"})
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,6 +188,7 @@
 		missingSince: map[string]time.Duration{},
 	}
 	g.created = g.now()
+	g.pool.MaxIdle = s.callerLimits().IdleWorkers
 	g.members = fleetlog.NewFollower(g.incarnation, quota.MaxTakeoverDelay)
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -23,8 +23,11 @@
 // RuntimeLimit returns the runtime's memory limit for a process that may use so many bytes.
 func RuntimeLimit(memory int64) int64 { return memory / percent * limitPercent }
 
-// MemoryOf returns the bytes that a process with a runtime's memory limit may use.
-func MemoryOf(limit int64) int64 { return limit / limitPercent * percent }
+// MemoryOf returns the bytes, in whole MiB, that a process with a runtime's memory limit may use.
+func MemoryOf(limit int64) int64 {
+	const mib = 1 << 20
+	return (limit/limitPercent*percent + mib - 1) / mib * mib
+}
 
 // Descriptors returns the process's limit on open descriptors.
 func Descriptors() int {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -87,9 +87,13 @@
 
 // Pool keeps idle connections to workers for reuse. It is safe for concurrent use.
 type Pool struct {
+	// MaxIdle bounds the idle connections to all workers; 0 stands for no bound. It is set before the first use.
+	MaxIdle int
 	network network.Network
 	mu      sync.Mutex
 	idle    map[workers.Key][]*Conn
+	// idleCount is the number of connections in idle.
+	idleCount int
 }
 
 // NewPool returns an empty pool.
@@ -132,6 +136,7 @@
 	}
 	c := list[len(list)-1]
 	p.idle[k] = list[:len(list)-1]
+	p.idleCount--
 	return c
 }
 
@@ -177,8 +182,9 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	list := p.idle[c.worker]
-	full := len(list) >= maxIdlePerWorker
+	full := len(list) >= maxIdlePerWorker || p.MaxIdle > 0 && p.idleCount >= p.MaxIdle
 	if !full {
+		p.idleCount++
 		p.idle[c.worker] = append(list, c)
 	}
 	p.mu.Unlock()
@@ -201,6 +207,7 @@
 				dropped = append(dropped, c)
 			}
 		}
+		p.idleCount -= len(list) - len(kept)
 		p.idle[k] = kept
 		if len(kept) == 0 {
 			delete(p.idle, k)
