--- a/internal/coordination/callerlimits/callerlimits.go
+++ b/internal/coordination/callerlimits/callerlimits.go
@@ -54,13 +54,11 @@
 	DefaultReadWindow = 15 * time.Second
 	// DefaultWriteWindow is longer, since a receiver reports what it has read in steps of up to 64 KiB.
 	DefaultWriteWindow = 30 * time.Second
-	// interval is the time over which a rate is measured, and after which a connection without progress may be closed if
-	// memory or connections are short.
-	interval = 3 * time.Second
+	// defaultInterval is long enough for callers that send slowly at times. reservedInterval is that of other listeners, whose
+	// clients send a short request at once.
+	defaultInterval, reservedInterval = 3 * time.Second, 250 * time.Millisecond
 	// reservedConnections is the number of connections of a listener that is not for callers.
 	reservedConnections = 32
-	// minIdle is how long a connection has to be idle before it may be closed for another one.
-	minIdle = interval
 )
 
 // Limits are the bounds on callers' connections.
@@ -79,7 +77,10 @@
 	Fields int
 	// MinRate is in bytes per second. A connection on which less is transferred throughout a window is closed, if the caller
 	// has to send or to read.
-	MinRate                 int64
+	MinRate int64
+	// Interval is the time over which a rate is measured, and after which a connection without progress, or without a request,
+	// may be closed if memory or connections are short.
+	Interval                time.Duration
 	ReadWindow, WriteWindow time.Duration
 }
 
@@ -93,14 +94,14 @@
 		ResponseBytes: memory / responseDivisor,
 		IdleWorkers:   max(1, descriptors/idleDivisor),
 		Fields:        DefaultFields,
-		MinRate:       DefaultMinRate, ReadWindow: DefaultReadWindow, WriteWindow: DefaultWriteWindow,
+		MinRate:       DefaultMinRate, Interval: defaultInterval, ReadWindow: DefaultReadWindow, WriteWindow: DefaultWriteWindow,
 	}
 }
 
 // Reserved returns the limits of a listener that is not for callers, such as that of readiness checks. They do not depend on what
 // callers hold.
 func (l Limits) Reserved() Limits {
-	l.Connections = min(l.Connections, reservedConnections)
+	l.Connections, l.Interval = min(l.Connections, reservedConnections), reservedInterval
 	l.Bytes = [classes]int64{Heads: reservedConnections * 2 * ConnectionBytes}
 	return l
 }
@@ -301,16 +302,16 @@
 // Moved counts bytes that were transferred on a connection.
 func (a *Account) Moved(now time.Duration, c *Conn, n int) {
 	c.moved += int64(n)
-	c.observe(now, a.limits.MinRate)
+	a.observe(now, c)
 }
 
 // observe ends the measurement of the rate if its time has passed.
-func (c *Conn) observe(now time.Duration, minRate int64) {
+func (a *Account) observe(now time.Duration, c *Conn) {
 	elapsed := now - c.since
-	if elapsed < interval || !c.expected() {
+	if elapsed < a.limits.Interval || !c.expected() {
 		return
 	}
-	tooLow := float64(c.moved) < float64(minRate)*elapsed.Seconds()
+	tooLow := float64(c.moved) < float64(a.limits.MinRate)*elapsed.Seconds()
 	if tooLow && !c.slow {
 		c.slowSince = c.since
 	}
@@ -324,7 +325,7 @@
 func (a *Account) Overdue(now time.Duration) []*Conn {
 	var out []*Conn
 	for c := range a.conns {
-		c.observe(now, a.limits.MinRate)
+		a.observe(now, c)
 		window := a.limits.ReadWindow
 		if c.writing {
 			window = a.limits.WriteWindow
@@ -346,13 +347,13 @@
 	var best *Conn
 	var bestCost float64
 	for c := range a.conns {
-		c.observe(now, a.limits.MinRate)
+		a.observe(now, c)
 		var cost float64
 		switch {
 		case c.slow && c.expected():
 			cost = float64(frees(c)) * (now - c.slowSince).Seconds()
-		case idle && c.phase == Idle && !c.writing && now-c.since >= minIdle:
-			// An idle connection ranks below all that hold a request: those cost at least ConnectionBytes times interval.
+		case idle && c.phase == Idle && !c.writing && now-c.since >= a.limits.Interval:
+			// An idle connection ranks below all that hold a request: those cost at least ConnectionBytes times the interval.
 			cost = (now - c.since).Seconds()
 		}
 		if cost > bestCost {
--- a/internal/coordination/callerlimits/callerlimits_test.go
+++ b/internal/coordination/callerlimits/callerlimits_test.go
@@ -142,6 +142,23 @@
 	}
 }
 
+// TestReserved guards against readiness checks that wait while stalled connections use up their listener.
+func TestReserved(t *testing.T) {
+	Convey("A stalled connection is closed within half a second", t, func() {
+		a := New(limits().Reserved())
+		for {
+			if _, ok := a.Room(0); !ok {
+				break
+			}
+			a.SetPhase(0, a.Open(0, "a"), Receiving)
+		}
+		victim, _ := a.Room(500 * time.Millisecond)
+		So(victim, ShouldNotBeNil)
+		_, ok := a.Room(500 * time.Millisecond)
+		So(ok, ShouldBeTrue)
+	})
+}
+
 // TestRoom guards against a limit on connections that stalled or idle ones use up, and against closing one that is being served.
 func TestRoom(t *testing.T) {
 	Convey("The stalled one is closed first, then the one idle for the longest, and none that is served", t, func() {
