workerload: places for mixtures of long and short prompts

Cause: prompts of a service with routes of very different sizes pass one admission test, which neither knows cached parts nor bounds what is queued ahead of short prompts, and late requests join the batches of those on time.

Change: Mix learns the sizes of the routes' prompts and which requests are served less than others. Where reading a long prompt takes a fifth of the short ones' target, Load.Admit predicts from what is not cached, bounds the queue by what a short request can wait, keeps long prompts apart while they have time, and takes late work only where slots are free. Choose lets other requests wait. Elsewhere decisions are the same (TestWithoutMixture; it fails with the threshold at 0).

--- a/internal/coordination/workerload/choice.go
+++ b/internal/coordination/workerload/choice.go
@@ -13,6 +13,10 @@
 	Admitted bool
 	// Wait is the expected time until the first event, if the owner was reached.
 	Wait time.Duration
+	// Defers means that the server takes requests of a mixture of prompts only as Load.Admit decides: none is sent there in any case.
+	Defers bool
+	// InTime means that the first event is expected in time, although the request has no place.
+	InTime bool
 }
 
 // Step is what to do next with a request whose adapter is resident at several servers.
@@ -32,9 +36,11 @@
 	LoadElsewhere
 	// Refuse refuses the request, since no server is expected to begin its answer before its deadline.
 	Refuse
+	// Hold lets the request wait at its instance, and then begins anew.
+	Hold
 )
 
-// Choice is a step, the index of the server that it concerns, and for Refuse the time until one is expected to
+// Choice is a step, the index of the server that it concerns, and for Refuse and Hold the time until one is expected to
 // begin such a request.
 type Choice struct {
 	Step       Step
@@ -58,12 +64,17 @@
 	switch {
 	case len(answers) < min(servers, maxAsked):
 		return Choice{Step: Ask, Index: len(answers)}
+	case best >= 0 && answers[best].Defers && answers[best].InTime && answers[best].Wait < left:
+		// It only waits for prompts that are read soon, which takes less than a load.
+		return Choice{Step: Hold, Index: best, RetryAfter: answers[best].Wait}
 	case canLoad:
 		return Choice{Step: LoadElsewhere}
 	case best < 0:
 		return Choice{Step: Refuse}
 	case answers[best].Wait >= left:
 		return Choice{Step: Refuse, RetryAfter: answers[best].Wait}
+	case answers[best].Defers:
+		return Choice{Step: Hold, Index: best, RetryAfter: answers[best].Wait}
 	default:
 		return Choice{Step: SendLate, Index: best}
 	}
--- a/internal/coordination/workerload/replay_test.go
+++ b/internal/coordination/workerload/replay_test.go
@@ -31,6 +31,9 @@
 	at       time.Duration
 	instance int
 	adapter  int
+	// size, target and deadline are those of its route.
+	size             Request
+	target, deadline time.Duration
 	// first is when its first event arrived, 0 if never.
 	first time.Duration
 	// given is when it got its place, sent when it was sent, and place the number that the server's Load has given it.
@@ -49,6 +52,9 @@
 	load       *Load
 	// inFlight counts the requests of each instance.
 	inFlight map[int]int
+	// slots is the size of its batch, and cache what it holds of prompts, if that matters.
+	slots int
+	cache *simCache
 }
 
 type event struct {
@@ -84,7 +90,7 @@
 func newReplay(seed uint64, place func(r *replay, q *simRequest)) *replay {
 	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), holders: map[int][]*simServer{}, loading: map[[2]int]time.Duration{}, place: place}
 	for i := range replayServers {
-		r.servers = append(r.servers, &simServer{centre: i % replayCentres, slow: 1, load: New(replaySlots, 60000), inFlight: map[int]int{}})
+		r.servers = append(r.servers, &simServer{centre: i % replayCentres, slow: 1, load: New(replaySlots, 60000), inFlight: map[int]int{}, slots: replaySlots})
 	}
 	return r
 }
@@ -109,7 +115,7 @@
 		for x -= weights[0]; x > 0 && adapter < len(weights)-1; x -= weights[adapter] {
 			adapter++
 		}
-		q := &simRequest{at: at, instance: r.random.IntN(replayInstances), adapter: adapter}
+		q := &simRequest{at: at, instance: r.random.IntN(replayInstances), adapter: adapter, size: replaySize, target: replayTarget, deadline: replayDeadline}
 		r.requests = append(r.requests, q)
 		heap.Push(&r.events, event{at, func() { r.place(r, q) }})
 	}
@@ -137,15 +143,19 @@
 
 // begin starts the requests for which a server has a slot.
 func (r *replay) begin(s *simServer) {
-	for s.running < replaySlots && len(s.queue) > 0 {
+	for s.running < s.slots && len(s.queue) > 0 {
 		q := s.queue[0]
 		s.queue = s.queue[1:]
 		s.running++
 		scale := func(n int64, d time.Duration) time.Duration { return time.Duration(float64(n) * float64(d) * s.slow) }
-		q.first = max(r.now, s.promptFree) + scale(replaySize.Prompt, replayPromptTime)
+		prompt, output := scale(q.size.Prompt, replayPromptTime), scale(q.size.Output, replayOutputTime)
+		if s.cache != nil {
+			prompt, output = s.cache.times(s, q)
+		}
+		q.first = max(r.now, s.promptFree) + prompt
 		s.promptFree = q.first
 		r.after(q.first-r.now, func() { s.load.Begin(q.place, q.sent-q.given, r.now) })
-		r.after(q.first-r.now+scale(replaySize.Output, replayOutputTime), func() {
+		r.after(q.first-r.now+output, func() {
 			s.running--
 			s.inFlight[q.instance]--
 			s.load.End(q.place, true, r.now)
@@ -180,21 +190,21 @@
 
 func (r *replay) placeByOwners(q *simRequest, canLoad bool) {
 	servers := r.ranked(q)
-	maxWait := MaxWait(q.at + replayTarget - r.now)
-	left := q.at + replayDeadline - r.now
+	maxWait := MaxWait(q.at + q.target - r.now)
+	left := q.at + q.deadline - r.now
 	var answers []Answer
 	var places []uint64
 	for {
 		c := Choose(answers, len(servers), canLoad, left)
 		switch c.Step {
 		case Ask:
-			place, wait := servers[c.Index].load.Admit(replaySize, 0, maxWait, left, r.now)
+			place, wait := servers[c.Index].load.Admit(q.size, 0, maxWait, left, r.now)
 			answers, places = append(answers, Answer{Known: true, Admitted: place != 0, Wait: wait}), append(places, place)
 			continue
 		case Send:
 			r.send(q, servers[c.Index], places[c.Index])
 		case SendLate:
-			r.send(q, servers[c.Index], servers[c.Index].load.Add(replaySize, 0, left, r.now))
+			r.send(q, servers[c.Index], servers[c.Index].load.Add(q.size, 0, left, r.now))
 		case LoadElsewhere:
 			r.loadElsewhere(q)
 		default:
@@ -207,7 +217,7 @@
 // loadElsewhere asks the owners of further servers to load the adapter for the request.
 func (r *replay) loadElsewhere(q *simRequest) {
 	const asked = 3
-	left, slack := q.at+replayDeadline-r.now, q.at+replayTarget-r.now
+	left, slack := q.at+q.deadline-r.now, q.at+q.target-r.now
 	n := 0
 	for _, i := range r.ranking(q.adapter) {
 		s := r.servers[i]
@@ -222,7 +232,7 @@
 		if !loading {
 			ready = r.now + replayLoadTime
 		}
-		place, _ := s.load.Admit(replaySize, ready, MaxWait(slack), left, r.now)
+		place, _ := s.load.Admit(q.size, ready, MaxWait(slack), left, r.now)
 		if place == 0 {
 			continue
 		}
@@ -258,7 +268,7 @@
 func (r *replay) onTime() float64 {
 	n := 0
 	for _, q := range r.requests {
-		if q.first > 0 && q.first-q.at <= replayTarget {
+		if q.first > 0 && q.first-q.at <= q.target {
 			n++
 		}
 	}
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -32,6 +32,14 @@
 // Request is the size of a request in tokens.
 type Request struct {
 	Prompt, Output int64
+	// Mixture is that of the request's service; the fields below it matter only if it is not zero.
+	Mixture Mixture
+	// Parts are the leading parts of the prompt that it has in common with others.
+	Parts []Part
+	// Priority is the request's priority; 0 is the most urgent.
+	Priority int
+	// Late means that the request cannot be on time any more, and Owed that requests like it were served less than others.
+	Late, Owed bool
 }
 
 func (r Request) tokens() int64 { return r.Prompt + r.Output }
@@ -39,6 +47,8 @@
 // place is an admitted request.
 type place struct {
 	request Request
+	// uncached is the number of tokens of its prompt that the server was expected to read.
+	uncached int64
 	// given is when the request got its place, and ready when it is expected to be sent: at once, or when its adapter is loaded.
 	given, ready time.Duration
 	// first is when the first event of the answer is expected, and end when its last one is.
@@ -63,6 +73,8 @@
 	lastBegin time.Duration
 	// promptTime and outputTime are the learned times of one token.
 	promptTime, outputTime learnedTime
+	// reading is what is known of prompts of mixtures.
+	reading reading
 }
 
 // New returns the load of a server that runs a number of requests at once, which hold a number of tokens at most. 0 means
@@ -71,6 +83,7 @@
 	return &Load{
 		slots: slots, memory: memoryTokens, places: map[uint64]*place{},
 		promptTime: learnedTime{Duration: initialPromptTime}, outputTime: learnedTime{Duration: initialOutputTime},
+		reading: newReading(),
 	}
 }
 
@@ -99,6 +112,10 @@
 // the time ready or now.
 func (l *Load) Wait(r Request, ready, now time.Duration) time.Duration {
 	l.expire(now)
+	if r = l.inMixture(r, now); l.mixed(r) {
+		queued, read := l.mixedWait(r, now)
+		return max(ready, now) - now + queued + read
+	}
 	return max(ready, l.roomAt(r, now), l.promptsRead(now)) + l.promptTime.of(r.Prompt) - now
 }
 
@@ -146,7 +163,13 @@
 // Admit gives a request a place if its first event is expected within maxWait; otherwise the place is 0. The server has the
 // request's adapter at the time ready. Lifetime is how long the request lasts at most.
 func (l *Load) Admit(r Request, ready, maxWait, lifetime, now time.Duration) (place uint64, wait time.Duration) {
-	if wait = l.Wait(r, ready, now); wait > maxWait {
+	r = l.inMixture(r, now)
+	wait = l.Wait(r, ready, now)
+	admitted := wait <= maxWait
+	if l.mixed(r) {
+		admitted = l.fits(r, ready, maxWait, now)
+	}
+	if !admitted {
 		return 0, wait
 	}
 	return l.Add(r, ready, lifetime, now), wait
@@ -154,13 +177,17 @@
 
 // Add gives a place to a request that is sent in any case.
 func (l *Load) Add(r Request, ready, lifetime, now time.Duration) uint64 {
+	r = l.inMixture(r, now)
 	wait := l.Wait(r, ready, now)
 	running := l.outputTime.of(r.Output)
 	first := now + wait
 	l.last++
 	l.places[l.last] = &place{
 		request: r, given: now, ready: max(ready, now), first: first, end: first + running, overdue: first + time.Duration((1+overdueShare)*float64(running)),
-		unqueued: l.roomAt(r, now) <= now, expires: now + lifetime,
+		unqueued: l.roomAt(r, now) <= now, expires: now + lifetime, uncached: l.reading.uncached(r),
+	}
+	if r.Mixture.Long > 0 {
+		l.reading.hold(r, l.memory, now)
 	}
 	return l.last
 }
@@ -172,11 +199,15 @@
 		return
 	}
 	p.begun, p.ready = true, min(p.given+max(0, delay), now)
+	l.reading.drift = now - p.first
 	p.end += now - p.first
 	p.overdue += now - p.first
 	p.first = now
 	if reading := now - max(p.ready, l.lastBegin); p.unqueued && p.request.Prompt > 0 {
 		l.promptTime.learn(max(0, reading) / time.Duration(p.request.Prompt))
+		if p.request.Mixture.Long > 0 {
+			l.reading.learn(p.request, p.uncached, max(0, reading))
+		}
 	}
 	l.lastBegin = now
 }
