gateway: mixtures of long and short prompts in the placement at engines

Cause: the instance told the owner of a worker nothing but a request's size and wait, and sent a request that no worker takes in time where it waits least, into the batches of requests that are on time.

Change: AdmitRequest and WantAdapter carry the mixture, priority, lateness and the shared parts of the prompt; the answer says whether others wait. A request without a place waits at its instance and asks again. Metrics turmeric_holds_total and turmeric_mixed_prompt_tokens, held_ms in the request's line, one line when a mixture begins or ends.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
@@ -163,6 +164,11 @@
 	g.setBuckets(t, old == nil || !g.peersAsked.Load(), now)
 	g.config = c
 	g.table.Store(t)
+	for _, m := range g.mixes {
+		m.Retain(func(route string) bool {
+			return slices.ContainsFunc(c.Routes, func(r routing.Route) bool { return r.Name == route })
+		})
+	}
 	return true
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/retry"
+	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
@@ -149,6 +150,8 @@
 	budgets    map[string]*retry.WindowBudget
 	ejectors   map[string]*retry.Ejector
 	owners     map[workers.Key]*owner
+	// mixes is what is known of the prompts that the routes of a service bring, by service.
+	mixes map[string]*workerload.Mix
 	// replicaLoads are the additional replicas of adapters that are being loaded.
 	replicaLoads map[workerAdapter]bool
 	// unreachable is the time of the last failed call to an instance.
@@ -183,7 +186,7 @@
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
 		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), configLoaded: newSignal(), fleetKnown: newSignal(),
-		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
+		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{}, mixes: map[string]*workerload.Mix{},
 		connections: keepalive.New(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
 		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]sentAttempt{}, fleetSize: 1,
 		missingSince: map[string]time.Duration{},
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,8 @@
 	orders          *prometheus.CounterVec
 	panics          *prometheus.CounterVec
 	logEra          prometheus.Gauge
+	holds           prometheus.Counter
+	mixedServices   *prometheus.GaugeVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -50,7 +52,9 @@
 		}, []string{"kind"}),
 	}
 	m.logEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "turmeric_log_service_era", Help: "Latest era of the log service that was observed; it rises by one with each restore from a copy."})
-	r.MustRegister(m.latency, m.logEra)
+	m.holds = prometheus.NewCounter(prometheus.CounterOpts{Name: "turmeric_holds_total", Help: "Waits of requests for room at workers that take a mixture of long and short prompts."})
+	m.mixedServices = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_mixed_prompt_tokens", Help: "Usual tokens of a long prompt at services whose routes bring prompts of very different sizes, else 0."}, []string{"service"})
+	r.MustRegister(m.latency, m.logEra, m.holds, m.mixedServices)
 	return m
 }
 
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -223,25 +223,31 @@
 		return true
 	}
 	ready := o.state.ReadyAt(want.adapter, want.version, now)
-	if want.slack <= 0 {
+	if want.slack <= 0 && !o.load.Defers(want.size, now) {
 		out.place = o.load.Add(want.size, ready, want.left, now)
 		return true
 	}
-	out.place, _ = o.load.Admit(want.size, ready, want.slack+responseReserve, want.left, now)
+	maxWait := max(0, want.slack) + responseReserve
+	if o.load.Defers(want.size, now) {
+		maxWait = workerload.MaxWait(maxWait)
+	}
+	out.place, _ = o.load.Admit(want.size, ready, maxWait, want.left, now)
 	return out.place != 0
 }
 
 // admit gives a request a place at the worker if its first event is expected within maxWait, or if it is sent in any case.
-// The place is 0 otherwise. Lifetime is how long the request lasts at most.
-func (o *owner) admit(r workerload.Request, maxWait, lifetime time.Duration, sent bool) (place uint64, wait time.Duration) {
+// The place is 0 otherwise. Lifetime is how long the request lasts at most. Defers says whether a request without a place waits.
+func (o *owner) admit(r workerload.Request, maxWait, lifetime time.Duration, sent bool) (place uint64, wait time.Duration, defers bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.g.now()
 	if sent {
 		wait = o.load.Wait(r, now, now)
-		return o.load.Add(r, now, lifetime, now), wait
+		return o.load.Add(r, now, lifetime, now), wait, false
 	}
-	return o.load.Admit(r, now, maxWait, lifetime, now)
+	defers = o.load.Defers(r, now)
+	place, wait = o.load.Admit(r, now, maxWait, lifetime, now)
+	return place, wait, defers
 }
 
 // beginPlace records that the first event of a request with a place has arrived, which was sent some time after it had asked
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -81,7 +81,7 @@
 	defer cancel()
 	l := o.ensureResident(ctx, wantedAdapter{
 		adapter: a, version: version, slack: time.Duration(r.SlackMs) * time.Millisecond,
-		size: requestSize(r.PromptTokens, r.OutputTokens), left: time.Duration(r.DeadlineMs) * time.Millisecond,
+		size: requestOfMix(r.PromptTokens, r.OutputTokens, r.Mix), left: time.Duration(r.DeadlineMs) * time.Millisecond,
 	})
 	out := &peerpb.WantAdapterResponse{Accepted: l.admitted, Ended: l.resident, Resident: l.resident}
 	if l.resident {
@@ -226,7 +226,7 @@
 	default:
 		r, err := g.peers.clients.WantAdapter(ctx, member.Heartbeat.Address, &peerpb.WantAdapterRequest{
 			Engine: w.ID, Adapter: adapterVersion(want.adapter, want.version), FromIncarnation: g.incarnation, Waiting: 1,
-			SlackMs: want.slack.Milliseconds(), PromptTokens: want.size.Prompt, OutputTokens: want.size.Output, DeadlineMs: want.left.Milliseconds(),
+			SlackMs: want.slack.Milliseconds(), PromptTokens: want.size.Prompt, OutputTokens: want.size.Output, DeadlineMs: want.left.Milliseconds(), Mix: requestMix(want.size),
 		})
 		if err != nil {
 			// The call may have failed because the caller left or its deadline passed. The owner counts as unreachable
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -56,7 +56,7 @@
 	if s.Engine == nil || j.Model == "" {
 		reservation, err = g.placeByLoad(ctx, j)
 	} else {
-		reservation, err = g.placeEngine(ctx, j)
+		reservation, err = g.placeInMixture(ctx, j, firstAttempt)
 	}
 	return reservation, g.limitError(j, err)
 }
@@ -307,11 +307,12 @@
 }
 
 // placeEngine places a job at a worker that holds its adapter, or else asks owners to load the adapter. A job that can
-// no longer meet its target latency is late: its loads are requested without a slack.
-func (g *Gateway) placeEngine(ctx context.Context, j *forward.Job) (forward.Reservation, error) {
+// no longer meet its target latency is late: its loads are requested without a slack. The error is a heldJob if the job is to
+// wait until workers are asked again. If elsewhere is set, no load is started beside workers that hold the adapter.
+func (g *Gateway) placeEngine(ctx context.Context, j *forward.Job, elsewhere bool) (forward.Reservation, error) {
 	a := residency.Adapter{Model: j.Model, Name: j.Adapter}
 	var failed []*workers.Worker
-	late, elsewhere := false, false
+	late := false
 	for range 2*loadAttempts + maxLimitedWorkers {
 		slack := j.Route.TargetLatency - time.Since(j.Arrived) - responseReserve
 		if !late && (slack < time.Millisecond || len(failed) == loadAttempts) {
@@ -333,6 +334,8 @@
 			switch {
 			case c.refusal != nil:
 				return forward.Reservation{}, c.refusal
+			case c.held:
+				return forward.Reservation{}, heldJob{c.wait, elsewhere}
 			case c.elsewhere:
 				target, elsewhere = o.further, true
 			case g.claimCapacity(ctx, j, c.reservation.Worker) && !g.reservedExpired(c.reservation, a):
@@ -358,7 +361,7 @@
 		if !ok {
 			continue
 		}
-		want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
+		want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: g.jobSize(j), left: time.Until(j.Deadline)}
 		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
 			return reservation, nil
 		}
@@ -367,6 +370,9 @@
 		}
 		failed = append(failed, target)
 	}
+	if late && g.holdsForLoad(ctx, j) {
+		return forward.Reservation{}, heldJob{0, elsewhere}
+	}
 	return forward.Reservation{}, adapterAbsentError()
 }
 
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -40,7 +40,7 @@
 
 // admit asks the owner of a worker for a place for the job. Sent means that the job is sent there in any case.
 func (g *Gateway) admit(ctx context.Context, j *forward.Job, w *workers.Worker, maxWait time.Duration, sent bool) (workerload.Answer, workerPlace) {
-	left := time.Until(j.Deadline)
+	left, size := time.Until(j.Deadline), g.jobSize(j)
 	g.mu.Lock()
 	own := g.owners[w.Key()]
 	claim := g.members.Owner(w.ID)
@@ -51,9 +51,9 @@
 	g.mu.Unlock()
 	p := workerPlace{worker: w, owner: peerInstance{claim.Instance, claim.Incarnation, member.Heartbeat.Address}, asked: now}
 	if own != nil {
-		number, wait := own.admit(requestSize(j.PromptTokens, j.OutputTokens), maxWait, left, sent)
+		number, wait, defers := own.admit(size, maxWait, left, sent)
 		p.number, p.owner = number, peerInstance{incarnation: g.incarnation}
-		return workerload.Answer{Known: true, Admitted: number != 0, Wait: wait}, p
+		return workerload.Answer{Known: true, Admitted: number != 0, Wait: wait, Defers: defers, InTime: wait <= maxWait}, p
 	}
 	if !reachable {
 		return workerload.Answer{}, p
@@ -62,7 +62,7 @@
 	defer cancel()
 	r, err := g.peers.clients.AdmitRequest(ctx, p.owner.address, &peerpb.AdmitRequestRequest{
 		Engine: incarnationName(w), PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens,
-		MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: left.Milliseconds(), Sent: sent,
+		MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: left.Milliseconds(), Sent: sent, Mix: requestMix(size),
 	})
 	if err != nil {
 		if j.Deadline.After(time.Now()) {
@@ -72,7 +72,8 @@
 		return workerload.Answer{}, p
 	}
 	p.number = r.Place
-	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: time.Duration(r.WaitMs) * time.Millisecond}, p
+	wait := time.Duration(r.WaitMs) * time.Millisecond
+	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: wait, Defers: r.Defers, InTime: wait <= maxWait}, p
 }
 
 // ownPlace returns this instance's owner of a place, nil if another instance gave it or the owner has ended.
@@ -140,11 +141,14 @@
 	return r
 }
 
-// residentChoice is the outcome of chooseResident: a worker with a reservation, or a further load, or a refusal.
+// residentChoice is the outcome of chooseResident: a worker with a reservation, a further load, a wait or a refusal.
 type residentChoice struct {
 	reservation forward.Reservation
 	elsewhere   bool
-	refusal     *verdict.Error
+	// held is set if the job waits, and wait when a worker is expected to begin it.
+	held    bool
+	wait    time.Duration
+	refusal *verdict.Error
 }
 
 // chooseResident asks the owners of the workers at which the job's adapter is resident for a place, and reserves the worker that
@@ -173,12 +177,18 @@
 			return residentChoice{reservation: g.reserveAtPlace(j, list, resident, a, p)}
 		case workerload.LoadElsewhere:
 			return residentChoice{elsewhere: true}
+		case workerload.Hold:
+			return residentChoice{held: true, wait: c.RetryAfter}
 		default:
-			return residentChoice{refusal: refuse(http.StatusServiceUnavailable, "workers_full", "no backend server can answer before the deadline", max(c.RetryAfter, notReadyRetryAfter))}
+			return residentChoice{refusal: workersFullError(c.RetryAfter)}
 		}
 	}
 }
 
+func workersFullError(wait time.Duration) *verdict.Error {
+	return refuse(http.StatusServiceUnavailable, "workers_full", "no backend server can answer before the deadline", max(wait, notReadyRetryAfter))
+}
+
 // reserveAtPlace reserves the worker of a place for a job whose adapter is resident there.
 func (g *Gateway) reserveAtPlace(j *forward.Job, list, resident []*workers.Worker, a residency.Adapter, p workerPlace) forward.Reservation {
 	g.mu.Lock()
@@ -210,8 +220,8 @@
 	if o == nil || r.DeadlineMs <= 0 {
 		return &peerpb.AdmitRequestResponse{}, nil
 	}
-	number, wait := o.admit(requestSize(r.PromptTokens, r.OutputTokens), time.Duration(r.MaxWaitMs)*time.Millisecond, time.Duration(r.DeadlineMs)*time.Millisecond, r.Sent)
-	return &peerpb.AdmitRequestResponse{Owned: true, Place: number, WaitMs: wait.Milliseconds()}, nil
+	number, wait, defers := o.admit(requestOfMix(r.PromptTokens, r.OutputTokens, r.Mix), time.Duration(r.MaxWaitMs)*time.Millisecond, time.Duration(r.DeadlineMs)*time.Millisecond, r.Sent)
+	return &peerpb.AdmitRequestResponse{Owned: true, Place: number, WaitMs: wait.Milliseconds(), Defers: defers}, nil
 }
 
 // EndRequest implements peerpb.PeerServer.
--- a/internal/transport/forward/ending.go
+++ b/internal/transport/forward/ending.go
@@ -112,7 +112,7 @@
 	}
 	e = e.Str("request", c.job.ID).Str("answer", string(state)).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
 		Stringer("verdict", c.verdict).Int("attempts", c.attempts).Str("worker", c.lastWorker).
-		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).
+		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("held_ms", c.job.Held.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).
 		Int64("ms", duration.Milliseconds()).Int64("deadline_ms", c.job.Request.Deadline.Milliseconds()).
 		Str("ended_by", string(c.endCause)).Bool("caller_left", c.r.Context().Err() != nil)
 	if c.job.Route != nil {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -102,6 +102,16 @@
 	ChargedUnits, Cost, ShareRate, ShareTokens float64
 	// ChargedTo is the address of the instance whose share was charged; empty for this instance.
 	ChargedTo string
+	// Held is how long the job has waited for room at workers.
+	Held time.Duration
+}
+
+// Priority returns the priority of the job: its workspace's, if that has one, else its route's.
+func (j *Job) Priority() int {
+	if j.Workspace != nil && j.Workspace.Priority >= 0 {
+		return j.Workspace.Priority
+	}
+	return j.Route.Priority
 }
 
 // Reservation is capacity reserved on a worker for one attempt.
@@ -601,16 +611,12 @@
 // workerHeader returns the headers of the request to the worker of a reservation, with the time that is left now.
 func (c *call) workerHeader(reservation Reservation) http.Header {
 	workspace := ""
-	priority := c.job.Route.Priority
 	if c.job.Workspace != nil {
 		workspace = c.job.Workspace.Name
-		if c.job.Workspace.Priority >= 0 {
-			priority = c.job.Workspace.Priority
-		}
 	}
 	return c.server.Headers.WorkerHeaders(c.r.Header, external.WorkerRequest{
 		Deadline: time.Until(c.job.Deadline), WorkerID: reservation.Worker.ID, Workspace: workspace, Version: reservation.AdapterVersion,
-		Priority: priority, LastEventID: c.lastEventID,
+		Priority: c.job.Priority(), LastEventID: c.lastEventID,
 	})
 }
 
