--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -254,10 +254,15 @@
 		return true
 	}
 	ready := o.state.ReadyAt(want.adapter, want.version, now)
-	if want.slack <= 0 {
+	defers := o.load.Defers(want.size, now)
+	if want.slack <= 0 && !defers {
 		out.place = o.load.Add(want.size, ready, want.left, now)
 	} else {
-		out.place, _ = o.load.Admit(want.size, ready, want.slack+residency.MaxResponseReserve, want.left, now)
+		maxWait := max(0, want.slack) + residency.MaxResponseReserve
+		if defers {
+			maxWait = workerload.MaxWait(maxWait)
+		}
+		out.place, _ = o.load.Admit(want.size, ready, maxWait, want.left, now)
 	}
 	if want.recorded {
 		o.recordPlace(out.place, want.adapter, now+want.left, now)
@@ -265,24 +270,33 @@
 	return out.place != 0
 }
 
+// placeAnswer is an owner's answer to a question for a place.
+type placeAnswer struct {
+	place uint64
+	// wait is the expected time until the first event.
+	wait time.Duration
+	// defers says that a request without a place waits, and absent that the worker does not hold the adapter that it needs.
+	defers, absent bool
+}
+
 // admit gives a request a place at the worker if its first event is expected within maxWait, or if it is sent in any case.
-// The place is 0 otherwise, and absent is true if the worker does not hold the adapter that the request needs. Lifetime is how
-// long the request lasts at most.
-func (o *owner) admit(r workerload.Request, need adapterNeed, maxWait, lifetime time.Duration, sent bool) (place uint64, wait time.Duration, absent bool) {
+// The place is 0 otherwise. Lifetime is how long the request lasts at most.
+func (o *owner) admit(r workerload.Request, need adapterNeed, maxWait, lifetime time.Duration, sent bool) (out placeAnswer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.g.now()
 	if o.state.Absent(need.adapter, need.version) {
-		return 0, 0, true
+		return placeAnswer{absent: true}
 	}
 	if sent {
-		wait = o.load.Wait(r, now, now)
-		place = o.load.Add(r, now, lifetime, now)
+		out.wait = o.load.Wait(r, now, now)
+		out.place = o.load.Add(r, now, lifetime, now)
 	} else {
-		place, wait = o.load.Admit(r, now, maxWait, lifetime, now)
+		out.defers = o.load.Defers(r, now)
+		out.place, out.wait = o.load.Admit(r, now, maxWait, lifetime, now)
 	}
-	o.recordPlace(place, need.adapter, now+lifetime, now)
-	return place, wait, false
+	o.recordPlace(out.place, need.adapter, now+lifetime, now)
+	return out
 }
 
 // recordPlace records that a request for an adapter has a place, if it is not 0. The lock is held.
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -80,7 +80,7 @@
 // admit asks the owner of a worker for a place for the job. Sent means that the job is sent there in any case. Absent means that
 // the worker does not hold the adapter.
 func (g *Gateway) admit(ctx context.Context, j *forward.Job, w *workers.Worker, maxWait time.Duration, sent bool) (answer workerload.Answer, p workerPlace, absent bool) {
-	left := time.Until(j.Deadline)
+	left, size := time.Until(j.Deadline), g.jobSize(j)
 	need := g.adapterNeed(residency.Adapter{Model: j.Model, Name: j.Adapter})
 	g.mu.Lock()
 	own := g.owners[w.Key()]
@@ -92,9 +92,9 @@
 	g.mu.Unlock()
 	p = workerPlace{worker: w, owner: peerInstance{claim.Instance, claim.Incarnation, member.Heartbeat.Address}, asked: now}
 	if own != nil {
-		number, wait, absent := own.admit(requestSize(j.PromptTokens, j.OutputTokens), need, maxWait, left, sent)
-		p.number, p.owner = number, peerInstance{incarnation: g.incarnation}
-		return workerload.Answer{Known: true, Admitted: number != 0, Wait: wait}, p, absent
+		got := own.admit(size, need, maxWait, left, sent)
+		p.number, p.owner = got.place, peerInstance{incarnation: g.incarnation}
+		return workerload.Answer{Known: true, Admitted: got.place != 0, Wait: got.wait, Defers: got.defers, InTime: got.wait <= maxWait}, p, got.absent
 	}
 	if !reachable {
 		return workerload.Answer{}, p, false
@@ -103,7 +103,7 @@
 	defer cancel()
 	r, err := g.peers.clients.AdmitRequest(ctx, p.owner.address, &peerpb.AdmitRequestRequest{
 		Engine: incarnationName(w), PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens,
-		MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: left.Milliseconds(), Sent: sent, Adapter: need.String(),
+		MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: left.Milliseconds(), Sent: sent, Adapter: need.String(), Mix: requestMix(size),
 	})
 	if err != nil {
 		if j.Deadline.After(time.Now()) {
@@ -113,7 +113,8 @@
 		return workerload.Answer{}, p, false
 	}
 	p.number = r.Place
-	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: time.Duration(r.WaitMs) * time.Millisecond}, p, r.Absent
+	wait := time.Duration(r.WaitMs) * time.Millisecond
+	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: wait, Defers: r.Defers, InTime: wait <= maxWait}, p, r.Absent
 }
 
 // ownPlace returns this instance's owner of a place, nil if another instance gave it or the owner has ended.
@@ -181,7 +182,7 @@
 	return r
 }
 
-// residentChoice is the outcome of chooseResident: a worker with a reservation, or a further load, or a refusal.
+// residentChoice is the outcome of chooseResident: a worker with a reservation, a further load, a wait or a refusal.
 type residentChoice struct {
 	reservation forward.Reservation
 	elsewhere   bool
@@ -191,7 +192,10 @@
 	ranked  []*workers.Worker
 	answers []workerload.Answer
 	// absent is set if none of the workers holds the adapter any more.
-	absent  bool
+	absent bool
+	// held is set if the job waits, and wait when a worker is expected to begin it.
+	held    bool
+	wait    time.Duration
 	refusal *verdict.Error
 }
 
@@ -227,6 +231,8 @@
 			return g.sendLate(ctx, j, list, resident, a, ranked[c.Index])
 		case workerload.LoadElsewhere:
 			return residentChoice{elsewhere: true, ranked: ranked, answers: answers}
+		case workerload.Hold:
+			return residentChoice{held: true, wait: c.RetryAfter}
 		default:
 			return residentChoice{refusal: workersFullError(c.RetryAfter)}
 		}
@@ -254,7 +260,7 @@
 	tried := slices.Clone(failed)
 	for target := o.further; target != nil && len(tried) < len(failed)+loadAttempts && ctx.Err() == nil; {
 		if wait, ok := g.reserveBeforeLoad(j, target); ok {
-			want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
+			want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: g.jobSize(j), left: time.Until(j.Deadline)}
 			if r, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
 				return residentChoice{reservation: r, loaded: true}
 			}
@@ -265,6 +271,8 @@
 	switch late := workerload.Choose(c.answers, len(c.answers), false, time.Until(j.Deadline)); late.Step {
 	case workerload.SendLate:
 		return g.sendLate(ctx, j, o.list, o.resident, a, c.ranked[late.Index])
+	case workerload.Hold:
+		return residentChoice{held: true, wait: late.RetryAfter}
 	default:
 		return residentChoice{refusal: workersFullError(late.RetryAfter)}
 	}
@@ -311,8 +319,8 @@
 			return nil, err
 		}
 	}
-	number, wait, absent := o.admit(requestSize(r.PromptTokens, r.OutputTokens), need, time.Duration(r.MaxWaitMs)*time.Millisecond, time.Duration(r.DeadlineMs)*time.Millisecond, r.Sent)
-	return &peerpb.AdmitRequestResponse{Owned: true, Place: number, WaitMs: wait.Milliseconds(), Absent: absent}, nil
+	got := o.admit(requestOfMix(r.PromptTokens, r.OutputTokens, r.Mix), need, time.Duration(r.MaxWaitMs)*time.Millisecond, time.Duration(r.DeadlineMs)*time.Millisecond, r.Sent)
+	return &peerpb.AdmitRequestResponse{Owned: true, Place: got.place, WaitMs: got.wait.Milliseconds(), Absent: got.absent, Defers: got.defers}, nil
 }
 
 // EndRequest implements peerpb.PeerServer.
