workerload: a mixture is known from two requests of each route

Cause: with four long prompts seen, the instances in front of few workers learned of a mixture only after seconds of overload; TestMixedReplay did not see it, since its bound under overload was that of today's policy alone.

Change: two requests of each route suffice. The replay's bound under overload is 0.95 of the oracle's share as well. Groups are forgotten, not ignored, once there are too many. Tests for the bound of the queue, what is owed a place and the wait for an adapter.

--- a/internal/coordination/workerload/mixed_replay_test.go
+++ b/internal/coordination/workerload/mixed_replay_test.go
@@ -377,7 +377,8 @@
 }
 
 // check replays a case under each policy. Where the load allows 95 of 100 requests of a kind to be on time, as many are, or as many as
-// without the rules for mixtures; otherwise more are than without them. No kind is served less than a quarter as often as all,
+// without the rules for mixtures; otherwise more are than without them, and
+// 0.95 of what the oracle reaches, which refuses nothing. No kind is served less than a quarter as often as all,
 // nor its largest tenth less than half as often as the kind.
 func (c mixedCase) check(t *testing.T, servers int) {
 	const bound, noise = 0.95, 0.02
@@ -399,8 +400,9 @@
 			So(got.served, ShouldBeGreaterThanOrEqualTo, all.served/4)
 			So(m.largestTenth(k.name).served, ShouldBeGreaterThanOrEqualTo, got.served/2)
 		}
-		if results["oracle"].result(everything).onTime < bound {
+		if oracle := results["oracle"].result(everything).onTime; oracle < bound {
 			So(all.onTime, ShouldBeGreaterThan, today.result(everything).onTime)
+			So(all.onTime, ShouldBeGreaterThanOrEqualTo, bound*oracle)
 		}
 	})
 }
--- a/internal/coordination/workerload/mixture.go
+++ b/internal/coordination/workerload/mixture.go
@@ -24,7 +24,7 @@
 	// mixtureFactor is how many times longer the usual prompt of one route must be than that of another.
 	mixtureFactor = 4
 	// mixtureSeen is the number of requests of a route from which its usual prompt is known.
-	mixtureSeen = 4
+	mixtureSeen = 2
 	// sizeWeight is the weight of one request in the usual size of a route's prompts.
 	sizeWeight = 0.02
 	// outcomeWeight is the weight of one request in the share of a group that was served: the latest fifty or so count.
@@ -129,10 +129,11 @@
 	m.all.record(ok)
 	for _, k := range g.keys() {
 		s := m.groups[k]
-		if s == nil && len(m.groups) >= maxGroups {
-			continue
-		}
 		if s == nil {
+			if len(m.groups) >= maxGroups {
+				// Groups that still send requests are known again after a few.
+				clear(m.groups)
+			}
 			s = &served{}
 			m.groups[k] = s
 		}
--- a/internal/coordination/workerload/mixture_test.go
+++ b/internal/coordination/workerload/mixture_test.go
@@ -112,6 +112,27 @@
 		l.Begin(l.Add(r, 0, time.Hour, 0), 0, before)
 		So(l.Wait(r, before, before), ShouldBeLessThan, before/3)
 	})
+	// full returns a server whose two slots are taken for about a time.
+	full := func(d time.Duration) *Load {
+		l := New(2, 0)
+		r := shortSize
+		r.Prompt, r.Output = 0, int64(d/initialOutputTime)
+		l.Add(r, 0, time.Hour, 0)
+		l.Add(r, 0, time.Hour, 0)
+		return l
+	}
+	Convey("no request makes the queue longer than a short one can wait, unless it is owed a place", t, func() {
+		So(admits(full(400*time.Millisecond), shortSize, long, 0), ShouldBeFalse)
+		owed := shortSize
+		owed.Owed = true
+		So(admits(full(400*time.Millisecond), owed, long, 0), ShouldBeTrue)
+	})
+	Convey("a request that waits for its adapter is expected to find the queue of now", t, func() {
+		l := full(260 * time.Millisecond)
+		place, _ := l.Admit(shortSize, 250*time.Millisecond, short, time.Hour, 0)
+		So(place, ShouldEqual, 0)
+		So(admits(l, shortSize, short, 0), ShouldBeTrue)
+	})
 	Convey("late work leaves slots to work that is on time", t, func() {
 		l := New(10, 0)
 		late := shortSize
