--- a/internal/coordination/workerload/mixture_test.go
+++ b/internal/coordination/workerload/mixture_test.go
@@ -127,6 +127,26 @@
 		owed.Owed = true
 		So(admits(full(400*time.Millisecond), owed, long, 0), ShouldBeTrue)
 	})
+	Convey("work of low priority leaves a shorter queue, until it would be late", t, func() {
+		background := shortSize
+		background.Priority = 4
+		So(admits(full(260*time.Millisecond), background, long, 0), ShouldBeFalse)
+		So(admits(full(260*time.Millisecond), background, short, 0), ShouldBeTrue)
+	})
+	Convey("what cannot be expected in time anywhere is taken where it waits for nothing", t, func() {
+		So(admits(New(16, 0), longSize, 200*time.Millisecond, 0), ShouldBeTrue)
+		So(admits(full(260*time.Millisecond), longSize, 200*time.Millisecond, 0), ShouldBeFalse)
+	})
+	Convey("a late prompt that takes longer than a short request can wait needs half of the slots free", t, func() {
+		l := New(10, 0)
+		late := longSize
+		late.Prompt, late.Late = 20000, true
+		for range 5 {
+			So(l.fits(late, 0, lateWait, 0), ShouldBeTrue)
+			l.Begin(l.Add(shortSize, 0, time.Hour, 0), 0, 0)
+		}
+		So(l.fits(late, 0, lateWait, 0), ShouldBeFalse)
+	})
 	Convey("a request that waits for its adapter is expected to find the queue of now", t, func() {
 		l := full(260 * time.Millisecond)
 		place, _ := l.Admit(shortSize, 250*time.Millisecond, short, time.Hour, 0)
