--- a/internal/coordination/workerload/mixture_test.go
+++ b/internal/coordination/workerload/mixture_test.go
@@ -112,6 +112,47 @@
 		l.Begin(l.Add(r, 0, time.Hour, 0), 0, before)
 		So(l.Wait(r, before, before), ShouldBeLessThan, before/3)
 	})
+	// full returns a server whose two slots are taken for about a time.
+	full := func(d time.Duration) *Load {
+		l := New(2, 0)
+		r := shortSize
+		r.Prompt, r.Output = 0, int64(d/initialOutputTime)
+		l.Add(r, 0, time.Hour, 0)
+		l.Add(r, 0, time.Hour, 0)
+		return l
+	}
+	Convey("no request makes the queue longer than a short one can wait, unless it is owed a place", t, func() {
+		So(admits(full(400*time.Millisecond), shortSize, long, 0), ShouldBeFalse)
+		owed := shortSize
+		owed.Owed = true
+		So(admits(full(400*time.Millisecond), owed, long, 0), ShouldBeTrue)
+	})
+	Convey("work of low priority leaves a shorter queue, until it would be late", t, func() {
+		background := shortSize
+		background.Priority = 4
+		So(admits(full(260*time.Millisecond), background, long, 0), ShouldBeFalse)
+		So(admits(full(260*time.Millisecond), background, short, 0), ShouldBeTrue)
+	})
+	Convey("what cannot be expected in time anywhere is taken where it waits for nothing", t, func() {
+		So(admits(New(16, 0), longSize, 200*time.Millisecond, 0), ShouldBeTrue)
+		So(admits(full(260*time.Millisecond), longSize, 200*time.Millisecond, 0), ShouldBeFalse)
+	})
+	Convey("a late prompt that takes longer than a short request can wait needs half of the slots free", t, func() {
+		l := New(10, 0)
+		late := longSize
+		late.Prompt, late.Late = 20000, true
+		for range 5 {
+			So(l.fits(late, 0, lateWait, 0), ShouldBeTrue)
+			l.Begin(l.Add(shortSize, 0, time.Hour, 0), 0, 0)
+		}
+		So(l.fits(late, 0, lateWait, 0), ShouldBeFalse)
+	})
+	Convey("a request that waits for its adapter is expected to find the queue of now", t, func() {
+		l := full(260 * time.Millisecond)
+		place, _ := l.Admit(shortSize, 250*time.Millisecond, short, time.Hour, 0)
+		So(place, ShouldEqual, 0)
+		So(admits(l, shortSize, short, 0), ShouldBeTrue)
+	})
 	Convey("late work leaves slots to work that is on time", t, func() {
 		l := New(10, 0)
 		late := shortSize
