--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -22,7 +22,7 @@
 	// they end.
 	evictionHold = 400 * time.Millisecond
 	// placedHold takes the place of evictionHold if the owner knows the requests that are on their way by their places. It covers
-	// those that a report of their end overtakes.
+	// requests that are sent again after a place has ended.
 	placedHold = 50 * time.Millisecond
 	// idleAfter is the time without use after which an adapter counts as idle. Of the idle adapters the least used
 	// is evicted first; if none is idle, the least recently used is.
@@ -144,7 +144,9 @@
 	wants   []*want
 	// placed are the requests that have a place at the worker, by place.
 	placed map[uint64]placedRequest
-	// placesKnown is set if all requests but few have places that name their adapter.
+	// placedChecked is when expired places were last dropped.
+	placedChecked time.Duration
+	// placesKnown is set if nearly all requests have places.
 	placesKnown bool
 	// unanswered is the order that is repeated because it got no answer, and retries its number of unanswered attempts.
 	unanswered *Action
@@ -382,7 +384,7 @@
 	s := o.slots[a]
 	switch {
 	case s == nil:
-	case running > 0:
+	case running > 0 || o.Placed(a, now) > 0:
 		s.lastUse = now
 	case !o.wanted(a):
 		s.retired = true
--- a/internal/coordination/residency/placed_test.go
+++ b/internal/coordination/residency/placed_test.go
@@ -65,3 +65,34 @@
 		t.Errorf("the reserve of a longer target has changed")
 	}
 }
+
+// TestPlaceGivenWhileRetired guards against an adapter that counts as absent although a request for it was placed while the
+// owner asked whether it is in use.
+func TestPlaceGivenWhileRetired(t *testing.T) {
+	o := syncedOwner(1)
+	o.ApplyReport(Report{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1}}, 0)
+	now := time.Second
+	o.Want(adapterN(2), 0, now)
+	if a := o.Next(now); a.Step != StepRetire {
+		t.Fatal(a.Step)
+	}
+	o.PlaceGiven(7, adapterN(1), 20*time.Second, now)
+	o.ApplyRetired(adapterN(1), 0, now)
+	if o.Absent(adapterN(1), 0) {
+		t.Fatal("adapter in use counts as absent")
+	}
+}
+
+// TestExpiredPlacesAreReleased guards against records of places whose ends were never reported, at a worker with free slots.
+func TestExpiredPlacesAreReleased(t *testing.T) {
+	o := syncedOwner(8)
+	o.ApplyReport(Report{Models: []string{testModel}, Resident: map[Adapter]int64{adapterN(1): 1}}, 0)
+	for i := range 1000 {
+		now := time.Duration(i) * time.Second
+		o.PlaceGiven(uint64(i+1), adapterN(1), now+time.Second, now)
+		o.Next(now)
+	}
+	if len(o.placed) > 100 {
+		t.Fatalf("%d places are kept", len(o.placed))
+	}
+}
--- a/internal/coordination/residency/wants.go
+++ b/internal/coordination/residency/wants.go
@@ -29,7 +29,7 @@
 
 // ResponseReserve returns the part of a target latency that is reserved for the response once the adapter is resident.
 //
-// It answers demand for rare adapters with a target of half a second: with the whole reserve no load would ever be on time, so
+// It handles demand for rare adapters with a target of half a second: with the whole reserve no load would ever be on time, so
 // that each request would be declined by several owners before one loads its adapter.
 func ResponseReserve(target time.Duration) time.Duration {
 	return min(MaxResponseReserve, max(minResponseReserve, target-loadAllowance))
--- a/internal/coordination/workerload/choice.go
+++ b/internal/coordination/workerload/choice.go
@@ -97,14 +97,14 @@
 
 // FurtherSlack returns within which time a further server must have loaded the adapter of a request that no server with the
 // adapter admits: until the request would be late, whose slack is given, or else until the reserve before the best of those
-// servers is expected to begin it. Without that, a popular adapter stays at a few overloaded servers as soon as a load takes
-// longer than the slack.
-func FurtherSlack(answers []Answer, slack, reserve time.Duration) time.Duration {
+// servers is expected to begin it, but in time for its deadline, which is in the time left. Without that, a popular adapter stays at
+// a few overloaded servers as soon as a load takes longer than the slack.
+func FurtherSlack(answers []Answer, slack, reserve, left time.Duration) time.Duration {
 	best, known := time.Duration(0), false
 	for _, a := range answers {
 		if a.Known && (!known || a.Wait < best) {
 			best, known = a.Wait, true
 		}
 	}
-	return max(slack, best-reserve)
+	return min(max(slack, best-reserve), left-reserve)
 }
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// StartPlaces sets the number after which places are numbered.
+func (l *Load) StartPlaces(number uint64) { l.last = number }
+
 // Running returns the number of requests that have a place.
 func (l *Load) Running(now time.Duration) int {
 	l.expire(now)
--- a/internal/coordination/workerload/workerload_test.go
+++ b/internal/coordination/workerload/workerload_test.go
@@ -55,8 +55,9 @@
 		"as long as it begins sooner than elsewhere": {[]Answer{declined(3 * second), declined(2 * second)}, second / 5, 2*second - reserve},
 		"unknown servers do not count":               {[]Answer{{}, declined(2 * second)}, 0, 2*second - reserve},
 		"nothing is known":                           {[]Answer{{}}, second / 5, second / 5},
+		"not beyond the deadline":                    {[]Answer{declined(10 * second)}, 0, 5*second - reserve},
 	} {
-		Convey(name, t, func() { So(FurtherSlack(c.answers, c.slack, reserve), ShouldEqual, c.want) })
+		Convey(name, t, func() { So(FurtherSlack(c.answers, c.slack, reserve, 5*second), ShouldEqual, c.want) })
 	}
 }
 
--- a/internal/gateway/mixture.go
+++ b/internal/gateway/mixture.go
@@ -39,6 +39,9 @@
 // different sizes.
 func (g *Gateway) jobSize(j *forward.Job) workerload.Request {
 	r := requestSize(j.PromptTokens, j.OutputTokens)
+	if !g.settings.MixedPrompts {
+		return r
+	}
 	r.Priority = j.Priority()
 	r.Late = time.Since(j.Arrived) >= j.Route.TargetLatency
 	for i, part := range j.Prefix {
@@ -57,8 +60,11 @@
 	return r
 }
 
-// requestMix returns the message that tells an owner what requestOfMix reads.
+// requestMix returns the message that tells an owner what requestOfMix reads, nil if that is nothing.
 func requestMix(r workerload.Request) *peerpb.RequestMix {
+	if r.Mixture.Long == 0 && len(r.Parts) == 0 {
+		return nil
+	}
 	out := &peerpb.RequestMix{
 		ShortTargetMs: r.Mixture.ShortTarget.Milliseconds(), ShortTokens: r.Mixture.Short, LongTokens: r.Mixture.Long,
 		Priority: int64(r.Priority), Late: r.Late, Owed: r.Owed,
@@ -120,7 +126,7 @@
 func (g *Gateway) holdsForLoad(ctx context.Context, j *forward.Job) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.mixOf(j.Service).Mixture().Long > 0 && ctx.Err() == nil && time.Until(j.Deadline) > residency.ResponseReserve(j.Route.TargetLatency)
+	return g.settings.MixedPrompts && g.mixOf(j.Service).Mixture().Long > 0 && ctx.Err() == nil && time.Until(j.Deadline) > residency.ResponseReserve(j.Route.TargetLatency)
 }
 
 // hold lets a job for which no worker has a place wait until workers are asked again. It reports false if the job's context
@@ -134,6 +140,9 @@
 
 // jobPlaced records for the mix of a job's service whether the job got a worker.
 func (g *Gateway) jobPlaced(j *forward.Job, ok bool) {
+	if !g.settings.MixedPrompts {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.mixOf(j.Service).Ended(mixGroup(j), ok)
@@ -141,6 +150,9 @@
 
 // jobArrived records the size of a job in the mix of its service, and logs when a mixture begins or ends.
 func (g *Gateway) jobArrived(j *forward.Job) {
+	if !g.settings.MixedPrompts {
+		return
+	}
 	g.mu.Lock()
 	m := g.mixOf(j.Service)
 	before := m.Mixture()
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,6 +19,10 @@
 // reportTimeout bounds the wait for a worker's status report.
 const reportTimeout = 500 * time.Millisecond
 
+// unknownPlacesTime is how long an owner does not know the requests that were placed before it began: until heartbeats of all
+// instances have told what runs.
+const unknownPlacesTime = 3 * time.Second
+
 // leaseCheckInterval is the time between two checks whether the instance may send orders again.
 const leaseCheckInterval = 100 * time.Millisecond
 
@@ -32,6 +38,8 @@
 	mu    sync.Mutex
 	state *residency.Owner
 	load  *workerload.Load
+	// created is when the owner was started.
+	created time.Duration
 	// changed is closed and replaced at each change of the state.
 	changed chan struct{}
 	stopped bool
@@ -46,8 +54,10 @@
 		g: g, worker: w, fence: fence, cancel: cancel, wake: make(chan struct{}, 1),
 		state:   residency.NewOwner(e.Models[0].Name, e.AdapterSlots, g.now()),
 		load:    workerload.New(e.Slots, e.MemoryTokens),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), created: g.now(),
 	}
+	// A late report on a place that an earlier owner in this process gave must not end one of this owner.
+	o.load.StartPlaces(rand.Uint64() >> 1)
 	g.start("owner of a worker", func(context.Context) {
 		failed := true
 		defer func() {
@@ -169,6 +179,8 @@
 	// slack, if positive, is the time within which the adapter must be resident for the request to meet its target; the
 	// request is not admitted if the load would take longer. A slack of 0 means that the request is already late.
 	slack time.Duration
+	// reserve is the time between then and the target latency.
+	reserve time.Duration
 	// size is the size of the request, and left the time until its deadline. If left is 0, no place is needed.
 	size workerload.Request
 	left time.Duration
@@ -216,7 +228,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.g.now()
-	o.state.SetPlacesKnown(want.recorded)
+	o.state.SetPlacesKnown(want.recorded && now-o.created >= unknownPlacesTime)
 	if o.stopped || o.paused || !o.g.maySendOrders() || !o.state.Admits(want.adapter, want.version, due, now) || !o.placeWaiter(want, now, &out) {
 		return out
 	}
@@ -258,7 +270,7 @@
 	if want.slack <= 0 && !defers {
 		out.place = o.load.Add(want.size, ready, want.left, now)
 	} else {
-		maxWait := max(0, want.slack) + residency.MaxResponseReserve
+		maxWait := max(0, want.slack) + cmp.Or(want.reserve, residency.MaxResponseReserve)
 		if defers {
 			maxWait = workerload.MaxWait(maxWait)
 		}
@@ -282,6 +294,9 @@
 // admit gives a request a place at the worker if its first event is expected within maxWait, or if it is sent in any case.
 // The place is 0 otherwise. Lifetime is how long the request lasts at most.
 func (o *owner) admit(r workerload.Request, need adapterNeed, maxWait, lifetime time.Duration, sent bool) (out placeAnswer) {
+	if !o.g.ownersKnowRequests() {
+		need = adapterNeed{}
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.g.now()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -381,7 +381,7 @@
 		if !ok {
 			continue
 		}
-		want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: g.jobSize(j), left: time.Until(j.Deadline)}
+		want := wantedAdapter{adapter: a, version: o.version, slack: slack, reserve: residency.ResponseReserve(j.Route.TargetLatency), size: g.jobSize(j), left: time.Until(j.Deadline)}
 		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
 			return reservation, nil
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -35,7 +35,10 @@
 	MemoryMB int `json:"memory_mb"`
 	// LogLevel is one of debug, info, warn and error. Default info.
 	LogLevel string `json:"log_level"`
-	Bounds   Bounds `json:"bounds"`
+	// MixedPrompts lets owners bound what long prompts delay for short ones, where the routes of a service bring both, and lets
+	// work that is late wait for room. Default false.
+	MixedPrompts bool   `json:"mixed_prompts"`
+	Bounds       Bounds `json:"bounds"`
 	// CallerLimits bound what connections of callers hold.
 	CallerLimits CallerLimits `json:"caller_limits"`
 }
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -42,9 +42,9 @@
 // maxRetireCalls is the number of other instances up to which all of them are asked before an adapter is unloaded.
 const maxRetireCalls = 8
 
-// ownersKnowRequests reports whether the fleet is so large that owners do not ask all instances before they unload an adapter.
-// Instances then name the adapter when they ask for a place, and requests without a place are the worker's to protect: it
-// unloads an adapter only after its running requests have ended.
+// ownersKnowRequests reports whether the fleet is so large that owners do not ask all instances before they unload an adapter, but
+// go by the places that they have given. Requests without a place are the worker's to protect: it unloads an adapter only after
+// its running requests have ended.
 func (g *Gateway) ownersKnowRequests() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -52,7 +52,7 @@
 }
 
 // adapterNeed is the adapter that a request needs at a worker and the oldest version that it accepts. The adapter is empty if
-// the owner need not know it.
+// it needs none.
 type adapterNeed struct {
 	adapter residency.Adapter
 	version int64
@@ -60,7 +60,7 @@
 
 // adapterNeed returns what an owner is told of the adapter of a request.
 func (g *Gateway) adapterNeed(a residency.Adapter) adapterNeed {
-	if a.Name == "" || !g.ownersKnowRequests() {
+	if a.Name == "" {
 		return adapterNeed{}
 	}
 	g.mu.Lock()
@@ -79,7 +79,7 @@
 
 // admit asks the owner of a worker for a place for the job. Sent means that the job is sent there in any case. Absent means that
 // the worker does not hold the adapter.
-func (g *Gateway) admit(ctx context.Context, j *forward.Job, w *workers.Worker, maxWait time.Duration, sent bool) (answer workerload.Answer, p workerPlace, absent bool) {
+func (g *Gateway) admit(j *forward.Job, w *workers.Worker, maxWait time.Duration, sent bool) (answer workerload.Answer, p workerPlace, absent bool) {
 	left, size := time.Until(j.Deadline), g.jobSize(j)
 	need := g.adapterNeed(residency.Adapter{Model: j.Model, Name: j.Adapter})
 	g.mu.Lock()
@@ -99,7 +99,9 @@
 	if !reachable {
 		return workerload.Answer{}, p, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	// The answer is awaited even if the caller leaves: a place in an answer that is not read would keep its adapter from being
+	// evicted until the deadline.
+	ctx, cancel := context.WithTimeout(g.lifetime, admitTimeout)
 	defer cancel()
 	r, err := g.peers.clients.AdmitRequest(ctx, p.owner.address, &peerpb.AdmitRequestRequest{
 		Engine: incarnationName(w), PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens,
@@ -216,7 +218,7 @@
 		c := workerload.Choose(answers, servers, canLoad, time.Until(j.Deadline))
 		switch c.Step {
 		case workerload.Ask:
-			answer, p, absent := g.admit(ctx, j, ranked[c.Index], maxWait, false)
+			answer, p, absent := g.admit(j, ranked[c.Index], maxWait, false)
 			if absent {
 				g.markAbsent(ranked[c.Index], a)
 				if ranked = slices.Delete(ranked, c.Index, c.Index+1); len(ranked) == 0 {
@@ -245,7 +247,7 @@
 
 // sendLate reserves a worker for a job that is expected to miss its target latency there.
 func (g *Gateway) sendLate(ctx context.Context, j *forward.Job, list, resident []*workers.Worker, a residency.Adapter, w *workers.Worker) residentChoice {
-	_, p, absent := g.admit(ctx, j, w, 0, true)
+	_, p, absent := g.admit(j, w, 0, true)
 	if absent {
 		g.markAbsent(w, a)
 		return residentChoice{absent: true}
@@ -256,11 +258,12 @@
 // loadFurther lets further workers load the adapter of a job that no worker with the adapter admits: several, one after the other,
 // if the job begins there sooner than at the best of those that have it. Otherwise the job goes to that one, or is refused.
 func (g *Gateway) loadFurther(ctx context.Context, j *forward.Job, a residency.Adapter, o engineOptions, c residentChoice, slack time.Duration, failed []*workers.Worker) residentChoice {
-	slack = workerload.FurtherSlack(c.answers, slack, residency.ResponseReserve(j.Route.TargetLatency))
+	reserve := residency.ResponseReserve(j.Route.TargetLatency)
+	slack = workerload.FurtherSlack(c.answers, slack, reserve, time.Until(j.Deadline))
 	tried := slices.Clone(failed)
 	for target := o.further; target != nil && len(tried) < len(failed)+loadAttempts && ctx.Err() == nil; {
 		if wait, ok := g.reserveBeforeLoad(j, target); ok {
-			want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: g.jobSize(j), left: time.Until(j.Deadline)}
+			want := wantedAdapter{adapter: a, version: o.version, slack: slack, reserve: reserve, size: g.jobSize(j), left: time.Until(j.Deadline)}
 			if r, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
 				return residentChoice{reservation: r, loaded: true}
 			}
@@ -304,12 +307,12 @@
 }
 
 // AdmitRequest implements peerpb.PeerServer.
-func (p *peers) AdmitRequest(_ context.Context, r *peerpb.AdmitRequestRequest) (*peerpb.AdmitRequestResponse, error) {
+func (p *peers) AdmitRequest(ctx context.Context, r *peerpb.AdmitRequestRequest) (*peerpb.AdmitRequestResponse, error) {
 	if w := p.g.plainWorker(r.Engine); w != nil && r.DeadlineMs > 0 {
 		return p.g.admitKept(w, r), nil
 	}
 	o := p.g.findOwner(r.Engine)
-	if o == nil || r.DeadlineMs <= 0 {
+	if o == nil || r.DeadlineMs <= 0 || ctx.Err() != nil {
 		return &peerpb.AdmitRequestResponse{}, nil
 	}
 	var need adapterNeed
