turmericctl: check of a document before it is published

Cause: a document that instances accept can hold entries that never match and limits that contradict each other, and nobody sees offline what its publication takes away. Change: turmericctl check reads the document, and with --in-force the one in force, and reports errors and warnings with line and path and the differences in words, what is taken away first. Findings, differences and lines are pure code in internal/state/config.

--- a/cmd/turmericctl/app.go
+++ b/cmd/turmericctl/app.go
@@ -54,6 +54,7 @@
 	}{
 		{"keygen", "make a key and print its secret once", &keygen{app: a}},
 		{"validate", "check a document", &validate{app: a}},
+		{"check", "check a document before it is published, without an instance", &check{app: a}},
 		{"diff", "compare a document with the configuration in force", &diff{app: a}},
 		{"publish", "put a document in force", &publish{app: a}},
 		{"get", "print the configuration in force", &get{app: a}},
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -184,12 +184,15 @@
 	slices.SortFunc(p, func(a, b Problem) int {
 		return strings.Compare(a.Path+"\x00"+a.Message, b.Path+"\x00"+b.Message)
 	})
-	p = slices.Compact(p)
-	if len(p) > maxProblems {
-		dropped := len(p) - maxProblems
-		p = append(p[:maxProblems], Problem{Message: fmt.Sprintf("and %d more", dropped)})
+	return truncated(slices.Compact(p))
+}
+
+// truncated returns the first maxProblems problems and how many more there are.
+func truncated(p Problems) Problems {
+	if len(p) <= maxProblems {
+		return p
 	}
-	return p
+	return append(p[:maxProblems:maxProblems], Problem{Message: fmt.Sprintf("and %d more", len(p)-maxProblems)})
 }
 
 // checkOperation checks an operation against the schema of its kind and reports whether it is well formed.
@@ -444,6 +447,9 @@
 	// numberOutOfRange means that a number is out of range. The schema check must not get such a number:
 	// it computes with exact fractions, whose size grows with the exponent.
 	numberOutOfRange bool
+	// visit, unless nil, gets the path of each field and array element and the offset in the data behind its name or, in an
+	// array, before it. The path is valid during the call only.
+	visit func(path []string, offset int64)
 }
 
 // scanTokens finds numbers out of range, and fields that occur twice in an object. Of such fields, the schema
@@ -460,7 +466,13 @@
 	return result, err
 }
 
+// maxDepth is the deepest nesting that encoding/json accepts. A scan of text that isn't valid must not recurse further.
+const maxDepth = 10_000
+
 func (s *scanResult) scanValue(d *json.Decoder, path []string) error {
+	if len(path) > maxDepth {
+		return trace.LimitExceeded("values are nested too deeply")
+	}
 	token, err := d.Token()
 	if err != nil {
 		return err
@@ -487,6 +499,9 @@
 			}
 			seen[name] = true
 		}
+		if s.visit != nil {
+			s.visit(append(path, name), d.InputOffset())
+		}
 		if err := s.scanValue(d, append(path, name)); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/state/config/findings.go
@@ -0,0 +1,230 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Severity tells how serious a finding is.
+type Severity string
+
+// The severities. An entry with an error is refused by the instances or has all its requests refused.
+const (
+	SeverityError   Severity = "error"
+	SeverityWarning Severity = "warning"
+)
+
+// Finding is one result of the check of a document.
+type Finding struct {
+	Severity Severity `json:"severity"`
+	// Line is the line of the file, from 1, on which the value or the closest enclosing value starts; 0 means that the
+	// value isn't in a file.
+	Line int `json:"line,omitempty"`
+	// Path is the JSON pointer (RFC 6901) of the value.
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+const (
+	// largestRate is the largest rate and burst of a workspace in tokens; the bucket of the package shares cuts larger ones.
+	largestRate = 10_000_000
+	// smallestCompletion is the fewest tokens that a completion reserves: one of the prompt and one of the output.
+	smallestCompletion = 2
+	// plainCompletion is the fewest tokens that a completion without max_tokens reserves: one and the default output of
+	// the package openai.
+	plainCompletion = 513
+)
+
+// Findings returns what is wrong with a configuration beyond the errors for which instances refuse it: entries that can
+// never match, and limits that contradict each other. They are ordered by path.
+func (v *View) Findings() []Finding {
+	c := newUsage(v)
+	c.checkWorkspaces()
+	c.checkKeys()
+	c.checkAdapters()
+	c.checkRoutes()
+	c.checkServers()
+	slices.SortFunc(c.found, compareFindings)
+	return c.found
+}
+
+// WarningsOf returns the findings that operations, applied to v, add. Operations that can't be applied add none: they
+// are refused elsewhere.
+func (v *View) WarningsOf(ops []Operation) Problems {
+	after := v.mutableCopy()
+	for _, o := range ops {
+		if after.apply(o) != nil {
+			return nil
+		}
+	}
+	found := after.Findings()
+	if len(found) == 0 {
+		return nil
+	}
+	known := map[Finding]bool{}
+	for _, f := range v.Findings() {
+		known[f] = true
+	}
+	var added Problems
+	for _, f := range found {
+		if !known[f] {
+			added = append(added, Problem{f.Path, f.Message})
+		}
+	}
+	return truncated(added)
+}
+
+func compareFindings(a, b Finding) int {
+	return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Message, b.Message))
+}
+
+// usage counts who refers to whom in a view and collects findings.
+type usage struct {
+	view *View
+	// owned is the number of adapters and routes of each workspace, adapters that of its adapters alone, and keys that of
+	// its keys.
+	owned, adapters, keys map[string]int
+	// models and services map each base model and service to whether a server that isn't leaving offers it.
+	models, services map[string]bool
+	// usedModels and usedServices hold what adapters and routes need.
+	usedModels, usedServices map[string]bool
+	found                    []Finding
+}
+
+func newUsage(v *View) *usage {
+	c := &usage{
+		view: v, owned: map[string]int{}, adapters: map[string]int{}, keys: map[string]int{}, models: map[string]bool{},
+		services: map[string]bool{}, usedModels: map[string]bool{}, usedServices: map[string]bool{},
+	}
+	for _, a := range v.Adapters() {
+		c.owned[a.Workspace]++
+		c.adapters[a.Workspace]++
+		c.usedModels[a.BaseModel] = true
+	}
+	for _, r := range v.Routes() {
+		c.owned[r.Workspace]++
+		c.usedServices[r.Service] = true
+	}
+	for _, k := range v.keys.all() {
+		c.keys[k.Workspace]++
+	}
+	for _, s := range v.BackendServers() {
+		if s.Kind == KindEngine {
+			c.models[s.BaseModel] = c.models[s.BaseModel] || !s.Leaving
+		} else {
+			c.services[s.Service] = c.services[s.Service] || !s.Leaving
+		}
+	}
+	return c
+}
+
+func (c *usage) add(s Severity, path, format string, args ...any) {
+	c.found = append(c.found, Finding{Severity: s, Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *usage) checkWorkspaces() {
+	for id, w := range c.view.Workspaces() {
+		path := jsonPointer("workspaces", id)
+		if c.owned[id] == 0 && c.keys[id] == 0 {
+			c.add(SeverityWarning, path, "owns no adapter, route or key")
+		}
+		if w.Weight > 0 && w.Weight < 1 {
+			c.add(SeverityWarning, path+"/weight", "counts as 1, since it is less than 1")
+		}
+		for _, limit := range []struct {
+			field string
+			value float64
+		}{{"tokens_per_second", w.TokensPerSecond}, {"burst_tokens", w.BurstTokens}} {
+			if limit.value > largestRate {
+				c.add(SeverityWarning, path+"/"+limit.field, "counts as %d, the largest possible value", largestRate)
+			}
+		}
+		switch {
+		case c.adapters[id] == 0:
+		case w.BurstTokens < smallestCompletion:
+			c.add(SeverityError, path+"/burst_tokens", "holds no completion: each reserves at least %d tokens", smallestCompletion)
+		case w.BurstTokens < plainCompletion:
+			c.add(SeverityWarning, path+"/burst_tokens", "holds no completion without max_tokens: each reserves at least %d tokens",
+				plainCompletion)
+		}
+	}
+}
+
+func (c *usage) checkKeys() {
+	byHash := map[string]string{}
+	for id, k := range c.view.keys.all() {
+		path := jsonPointer("keys", id)
+		if _, ok := c.view.Workspace(k.Workspace); ok && c.owned[k.Workspace] == 0 {
+			c.add(SeverityWarning, path+"/workspace", "workspace %q owns no adapter or route, so the key opens nothing that isn't open to all", k.Workspace)
+		}
+		if other, used := byHash[k.Hash]; used {
+			c.add(SeverityWarning, path+"/hash", "is also the hash of the key %q; a secret belongs to one key, so one of them can't match", other)
+		} else {
+			byHash[k.Hash] = id
+		}
+	}
+}
+
+// unreachable reports whether no caller may use an object of the workspace. A document without any keys leaves the keys
+// in force as they are, so it tells nothing about this.
+func (c *usage) unreachable(workspace string, open bool) bool {
+	_, exists := c.view.Workspace(workspace)
+	return exists && !open && len(c.keys) > 0 && c.keys[workspace] == 0
+}
+
+func (c *usage) checkAdapters() {
+	for name, a := range c.view.Adapters() {
+		offered, known := c.models[a.BaseModel]
+		fits := offered && known
+		reached := !c.unreachable(a.Workspace, a.Open)
+		if fits && reached {
+			continue
+		}
+		path := jsonPointer("adapters", name)
+		switch {
+		case !known:
+			c.add(SeverityError, path+"/base_model", "no engine runs the base model %q", a.BaseModel)
+		case !offered:
+			c.add(SeverityError, path+"/base_model", "all engines that run the base model %q are leaving", a.BaseModel)
+		}
+		if !reached {
+			c.add(SeverityWarning, path, "no caller reaches it: it is not open and workspace %q has no key", a.Workspace)
+		}
+	}
+}
+
+func (c *usage) checkRoutes() {
+	for id, r := range c.view.Routes() {
+		path := jsonPointer("routes", id)
+		if offered, known := c.services[r.Service]; known && !offered {
+			c.add(SeverityError, path+"/service", "all backend servers that offer the service %q are leaving", r.Service)
+		}
+		if c.unreachable(r.Workspace, r.Open) {
+			c.add(SeverityWarning, path, "no caller reaches it: it is not open and workspace %q has no key", r.Workspace)
+		}
+		w, ok := c.view.Workspace(r.Workspace)
+		if ok && float64(r.Tokens) > min(w.BurstTokens, largestRate) {
+			c.add(SeverityError, path+"/tokens", "one call takes %d tokens, but the burst of workspace %q holds %g", r.Tokens,
+				r.Workspace, min(w.BurstTokens, largestRate))
+		}
+	}
+}
+
+func (c *usage) checkServers() {
+	byURL := map[string]string{}
+	for id, s := range c.view.BackendServers() {
+		path := jsonPointer("backend_servers", id)
+		switch {
+		case s.Kind == KindEngine && s.BaseModel != "" && !c.usedModels[s.BaseModel]:
+			c.add(SeverityWarning, path+"/base_model", "no adapter uses the base model %q", s.BaseModel)
+		case s.Kind == KindService && s.Service != "" && !c.usedServices[s.Service]:
+			c.add(SeverityWarning, path+"/service", "no route leads to the service %q", s.Service)
+		}
+		if other, used := byURL[s.URL]; used {
+			c.add(SeverityWarning, path+"/url", "is also the URL of the backend server %q, whose room then counts twice", other)
+		} else {
+			byURL[s.URL] = id
+		}
+	}
+}
