admin, docs: an accepted change reports the findings that it adds

Cause: the findings of turmericctl check were known to those only who ran it. Change: the instance that accepts a change determines with the same code which findings the change adds, after the publication, and puts them into the response; turmericctl prints them. What an instance accepts stays the same. Findings are streamed and compared by hashes, so that 93,000 of them don't fill a small instance.

--- a/cmd/turmericctl/app.go
+++ b/cmd/turmericctl/app.go
@@ -184,6 +184,9 @@
 	if asJSON {
 		return a.printJSON(response)
 	}
+	for _, w := range response.Warnings {
+		a.printf(a.stderr, "warning: %s: %s\n", w.Path, w.Message)
+	}
 	a.printf(a.stdout, "version %d, in force at %d instances\n", response.Version, len(response.ConfirmedBy))
 	if len(response.Unconfirmed) > 0 {
 		a.printf(a.stdout, "not confirmed by: %s\n", strings.Join(response.Unconfirmed, " "))
--- a/cmd/turmericctl/main.go
+++ b/cmd/turmericctl/main.go
@@ -1,4 +1,4 @@
-// Command turmericctl is the command-line tool for operators: it validates, compares and publishes configurations,
+// Command turmericctl is the command-line tool for operators: it validates, checks, compares and publishes configurations,
 // changes single objects, manages keys and shows the state of the instances.
 //
 // Exit codes: 0 success, 1 failure, 2 invalid usage, 3 change refused because another change was accepted first.
--- a/cmd/turmericctl/main_test.go
+++ b/cmd/turmericctl/main_test.go
@@ -126,3 +126,50 @@
 		t.Errorf("publish --json: exit code %d: %s", code, report)
 	}
 }
+
+// Guards against a check that needs an instance, a wrong exit code, a report that lacks the line and path of a fault, and
+// warnings of an instance that publish doesn't print.
+func TestCheck(t *testing.T) {
+	_, ctl := newCLI(t)
+	_, _, warnings := ctl(document, "publish", "-f", "-")
+	if !strings.Contains(warnings, "warning: /adapters/a/base_model: ") {
+		t.Errorf("publish prints no warning: %s", warnings)
+	}
+	const good = `{"workspaces":{"w":{"tokens_per_second":1,"burst_tokens":600}},
+ "keys":{"0123456789abcdef":{"workspace":"w","hash":"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"}},
+ "adapters":{"a":{"workspace":"w","base_model":"m","versions":["1"],"default":"1"}},
+ "fleet":{"weight_store":{"loads_per_second":1,"full_speed":1,"max_in_flight":1}},
+ "backend_servers":{"e":{"kind":"engine","url":"http://127.0.0.1:1","data_centre":"d","base_model":"m","slots":1}}}`
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	inForce, printed, bad := write("old", good), write("get", `{"version":1,`+"\n"+`"document":`+good+`}`), write("bad", "{\n}}")
+	smaller := strings.Replace(good, `"burst_tokens":600`, `"burst_tokens":550`, 1)
+	for _, c := range []struct {
+		code       int
+		stdin      string
+		args       string
+		out, error string
+	}{
+		{exitOK, good, "check -f -", "valid\n", ""},
+		{exitOK, good, "check -f - --in-force " + inForce, "no difference from", ""},
+		{exitOK, smaller, "check -f - --in-force " + inForce, "reduce  workspace w: burst_tokens falls from 600 to 550\n", ""},
+		{exitOK, smaller, "check --json -f - --in-force " + printed, `"action": "reduce"`, ""},
+		{exitFailed, document, "check -f -", "-:2: error: /adapters/a/base_model: no engine", "has errors"},
+		{exitFailed, document, "check --json -f -", `"line": 2,`, "has errors"},
+		{exitFailed, "{\n]", "check -f - --in-force " + inForce, "-:2: error: /: not valid JSON", "has errors"},
+		{exitFailed, good, "check -f - --in-force " + bad, "", bad + ":2: error: /: not valid JSON"},
+		{exitFailed, "", "check -f /nonexistent", "", "nonexistent"},
+		{exitUsage, good, "check -f - --in-force -", "", "standard input"}, {exitUsage, "", "check", "", "required"},
+	} {
+		code, out, errs := ctl(c.stdin, append([]string{"--server", "http://127.0.0.1:1"}, strings.Fields(c.args)...)...)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.error) {
+			t.Errorf("%s: exit code %d, want %d: %s%s", c.args, code, c.code, out, errs)
+		}
+	}
+}
--- a/internal/state/config/bench_test.go
+++ b/internal/state/config/bench_test.go
@@ -99,3 +99,21 @@
 		})
 	}
 }
+
+// BenchmarkWarningsOf guards against warnings that occupy an instance for a noticeable time after each change.
+func BenchmarkWarningsOf(b *testing.B) {
+	for _, n := range adapterCounts {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := foldWithAdapters(n).View().Document()
+			d.BackendServers = map[string]BackendServer{"e": {Kind: KindEngine, BaseModel: "kelp-base-8b", Slots: 1}}
+			v := ViewOf(1, d)
+			put, _ := NewPut(KindWorkspace, "crew-1", Workspace{TokensPerSecond: 1, BurstTokens: 1})
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(v.WarningsOf([]Operation{put})) == 0 {
+					b.Fatal("no warning")
+				}
+			}
+		})
+	}
+}
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -184,15 +184,12 @@
 	slices.SortFunc(p, func(a, b Problem) int {
 		return strings.Compare(a.Path+"\x00"+a.Message, b.Path+"\x00"+b.Message)
 	})
-	return truncated(slices.Compact(p))
-}
-
-// truncated returns the first maxProblems problems and how many more there are.
-func truncated(p Problems) Problems {
-	if len(p) <= maxProblems {
-		return p
+	p = slices.Compact(p)
+	if len(p) > maxProblems {
+		dropped := len(p) - maxProblems
+		p = append(p[:maxProblems], Problem{Message: fmt.Sprintf("and %d more", dropped)})
 	}
-	return append(p[:maxProblems:maxProblems], Problem{Message: fmt.Sprintf("and %d more", len(p)-maxProblems)})
+	return p
 }
 
 // checkOperation checks an operation against the schema of its kind and reports whether it is well formed.
--- a/internal/state/config/findings.go
+++ b/internal/state/config/findings.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/maphash"
 	"slices"
 )
 
@@ -39,14 +40,10 @@
 // Findings returns what is wrong with a configuration beyond the errors for which instances refuse it: entries that can
 // never match, and limits that contradict each other. They are ordered by path.
 func (v *View) Findings() []Finding {
-	c := newUsage(v)
-	c.checkWorkspaces()
-	c.checkKeys()
-	c.checkAdapters()
-	c.checkRoutes()
-	c.checkServers()
-	slices.SortFunc(c.found, compareFindings)
-	return c.found
+	var found []Finding
+	v.eachFinding(func(f Finding) { found = append(found, f) })
+	slices.SortFunc(found, compareFindings)
+	return found
 }
 
 // WarningsOf returns the findings that operations, applied to v, add. Operations that can't be applied add none: they
@@ -58,56 +55,83 @@
 			return nil
 		}
 	}
-	found := after.Findings()
-	if len(found) == 0 {
-		return nil
+	// Hashes instead of findings: those of 93,000 adapters without an engine take 42 MB, and an instance may have 136 MB.
+	seed := maphash.MakeSeed()
+	fresh := map[uint64]struct{}{}
+	after.eachFinding(func(f Finding) { fresh[maphash.Comparable(seed, f)] = struct{}{} })
+	if len(fresh) > 0 {
+		v.eachFinding(func(f Finding) { delete(fresh, maphash.Comparable(seed, f)) })
 	}
-	known := map[Finding]bool{}
-	for _, f := range v.Findings() {
-		known[f] = true
+	if len(fresh) == 0 {
+		return nil
 	}
 	var added Problems
-	for _, f := range found {
-		if !known[f] {
+	after.eachFinding(func(f Finding) {
+		if _, ok := fresh[maphash.Comparable(seed, f)]; ok && len(added) < maxProblems {
 			added = append(added, Problem{f.Path, f.Message})
 		}
+	})
+	slices.SortFunc(added, compareProblems)
+	if more := len(fresh) - len(added); more > 0 {
+		added = append(added, Problem{Message: fmt.Sprintf("and %d more", more)})
 	}
-	return truncated(added)
+	return added
+}
+
+// eachFinding calls add for each finding, in no fixed order.
+func (v *View) eachFinding(add func(Finding)) {
+	c := newUsage(v)
+	c.add = func(s Severity, path, format string, args ...any) {
+		add(Finding{Severity: s, Path: path, Message: fmt.Sprintf(format, args...)})
+	}
+	c.checkWorkspaces()
+	c.checkKeys()
+	c.checkAdapters()
+	c.checkRoutes()
+	c.checkServers()
+}
+
+func compareProblems(a, b Problem) int {
+	return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Message, b.Message))
 }
 
 func compareFindings(a, b Finding) int {
 	return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Message, b.Message))
 }
 
-// usage counts who refers to whom in a view and collects findings.
+// owned counts what a workspace owns.
+type owned struct{ adapters, routes, keys int }
+
+// usage holds who refers to whom in a view.
 type usage struct {
 	view *View
-	// owned is the number of adapters and routes of each workspace, adapters that of its adapters alone, and keys that of
-	// its keys.
-	owned, adapters, keys map[string]int
+	// owners holds the workspaces to which an adapter, route or key refers.
+	owners  map[string]*owned
+	hasKeys bool
 	// models and services map each base model and service to whether a server that isn't leaving offers it.
 	models, services map[string]bool
 	// usedModels and usedServices hold what adapters and routes need.
 	usedModels, usedServices map[string]bool
-	found                    []Finding
+	// add takes a finding.
+	add func(s Severity, path, format string, args ...any)
 }
 
 func newUsage(v *View) *usage {
 	c := &usage{
-		view: v, owned: map[string]int{}, adapters: map[string]int{}, keys: map[string]int{}, models: map[string]bool{},
-		services: map[string]bool{}, usedModels: map[string]bool{}, usedServices: map[string]bool{},
+		view: v, owners: map[string]*owned{}, models: map[string]bool{}, services: map[string]bool{},
+		usedModels: map[string]bool{}, usedServices: map[string]bool{},
 	}
 	for _, a := range v.Adapters() {
-		c.owned[a.Workspace]++
-		c.adapters[a.Workspace]++
+		c.owner(a.Workspace).adapters++
 		c.usedModels[a.BaseModel] = true
 	}
 	for _, r := range v.Routes() {
-		c.owned[r.Workspace]++
+		c.owner(r.Workspace).routes++
 		c.usedServices[r.Service] = true
 	}
 	for _, k := range v.keys.all() {
-		c.keys[k.Workspace]++
+		c.owner(k.Workspace).keys++
+		c.hasKeys = true
 	}
 	for _, s := range v.BackendServers() {
 		if s.Kind == KindEngine {
@@ -119,14 +143,21 @@
 	return c
 }
 
-func (c *usage) add(s Severity, path, format string, args ...any) {
-	c.found = append(c.found, Finding{Severity: s, Path: path, Message: fmt.Sprintf(format, args...)})
+// owner returns what a workspace owns.
+func (c *usage) owner(workspace string) *owned {
+	o, ok := c.owners[workspace]
+	if !ok {
+		o = &owned{}
+		c.owners[workspace] = o
+	}
+	return o
 }
 
 func (c *usage) checkWorkspaces() {
 	for id, w := range c.view.Workspaces() {
 		path := jsonPointer("workspaces", id)
-		if c.owned[id] == 0 && c.keys[id] == 0 {
+		own := c.owner(id)
+		if *own == (owned{}) {
 			c.add(SeverityWarning, path, "owns no adapter, route or key")
 		}
 		if w.Weight > 0 && w.Weight < 1 {
@@ -141,7 +172,7 @@
 			}
 		}
 		switch {
-		case c.adapters[id] == 0:
+		case own.adapters == 0:
 		case w.BurstTokens < smallestCompletion:
 			c.add(SeverityError, path+"/burst_tokens", "holds no completion: each reserves at least %d tokens", smallestCompletion)
 		case w.BurstTokens < plainCompletion:
@@ -155,7 +186,8 @@
 	byHash := map[string]string{}
 	for id, k := range c.view.keys.all() {
 		path := jsonPointer("keys", id)
-		if _, ok := c.view.Workspace(k.Workspace); ok && c.owned[k.Workspace] == 0 {
+		own := c.owner(k.Workspace)
+		if _, ok := c.view.Workspace(k.Workspace); ok && own.adapters+own.routes == 0 {
 			c.add(SeverityWarning, path+"/workspace", "workspace %q owns no adapter or route, so the key opens nothing that isn't open to all", k.Workspace)
 		}
 		if other, used := byHash[k.Hash]; used {
@@ -169,8 +201,11 @@
 // unreachable reports whether no caller may use an object of the workspace. A document without any keys leaves the keys
 // in force as they are, so it tells nothing about this.
 func (c *usage) unreachable(workspace string, open bool) bool {
+	if open || !c.hasKeys || c.owner(workspace).keys > 0 {
+		return false
+	}
 	_, exists := c.view.Workspace(workspace)
-	return exists && !open && len(c.keys) > 0 && c.keys[workspace] == 0
+	return exists
 }
 
 func (c *usage) checkAdapters() {
--- a/internal/state/config/report_test.go
+++ b/internal/state/config/report_test.go
@@ -139,4 +139,9 @@
 	if w := v.WarningsOf([]Operation{NewDelete(KindRoute, "x")}); w != nil {
 		t.Errorf("a change without effect: got %v", w)
 	}
+	leaving, _ := NewPut(KindBackendServer, "e", BackendServer{Kind: KindEngine, BaseModel: "kelp-base-8b", Slots: 1, Leaving: true})
+	many := foldWithAdapters(3000).View()
+	if w := many.WarningsOf([]Operation{leaving}); len(w) != maxProblems+1 || w[maxProblems].Message != "and 2000 more" {
+		t.Errorf("3000 adapters: got %d warnings", len(w))
+	}
 }
--- a/internal/transport/admin/admin_test.go
+++ b/internal/transport/admin/admin_test.go
@@ -164,3 +164,15 @@
 		}
 	})
 }
+
+// TestWarnings guards against an accepted change whose warnings are lost, and against warnings that refuse a change.
+func TestWarnings(t *testing.T) {
+	_, h := serve(t)
+	adapter := `{"op":"put","kind":"adapter","id":"a","value":{"workspace":"w","base_model":"m","versions":["1"],"default":"1"}}`
+	w := send(h, "POST", "/admin/v1/changes", "p", change("0", putWorkspace, adapter))
+	var response admin.ChangeResponse
+	if err := json.Unmarshal(w.Body.Bytes(), &response); err != nil || !response.Accepted || len(response.Warnings) != 2 ||
+		response.Warnings[0].Path != "/adapters/a/base_model" || response.Warnings[1].Path != "/workspaces/w/burst_tokens" {
+		t.Errorf("status %d: %s", w.Code, w.Body)
+	}
+}
--- a/internal/transport/admin/handler.go
+++ b/internal/transport/admin/handler.go
@@ -174,6 +174,8 @@
 	case err != nil:
 		writeUnavailable(w, "the change may have taken effect, send it again with the same id: "+trace.UserMessage(err))
 	case a.Accepted:
+		// The warnings are determined after the publication, so that they do not delay it.
+		a.Warnings = v.WarningsOf(ops)
 		writeJSON(w, http.StatusOK, a)
 	default:
 		writeJSON(w, http.StatusConflict, a)
--- a/internal/transport/admin/messages.go
+++ b/internal/transport/admin/messages.go
@@ -40,6 +40,8 @@
 	// instances.
 	ConfirmedBy []string `json:"confirmed_by"`
 	Unconfirmed []string `json:"unconfirmed"`
+	// Warnings lists entries of the document that the change leaves useless or contradictory, with their paths.
+	Warnings config.Problems `json:"warnings,omitempty"`
 }
 
 // Refusal describes the conflict because of which a change was refused.
