--- a/cmd/turmericctl/app.go
+++ b/cmd/turmericctl/app.go
@@ -54,6 +54,7 @@
 	}{
 		{"keygen", "make a key and print its secret once", &keygen{app: a}},
 		{"validate", "check a document", &validate{app: a}},
+		{"check", "check a document before it is published, without an instance", &check{app: a}},
 		{"diff", "compare a document with the configuration in force", &diff{app: a}},
 		{"publish", "put a document in force", &publish{app: a}},
 		{"get", "print the configuration in force", &get{app: a}},
@@ -183,6 +184,9 @@
 	if asJSON {
 		return a.printJSON(response)
 	}
+	for _, w := range response.Warnings {
+		a.printf(a.stderr, "warning: %s: %s\n", w.Path, w.Message)
+	}
 	a.printf(a.stdout, "version %d, in force at %d instances\n", response.Version, len(response.ConfirmedBy))
 	if len(response.Unconfirmed) > 0 {
 		a.printf(a.stdout, "not confirmed by: %s\n", strings.Join(response.Unconfirmed, " "))
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -444,6 +444,9 @@
 	// numberOutOfRange means that a number is out of range. The schema check must not get such a number:
 	// it computes with exact fractions, whose size grows with the exponent.
 	numberOutOfRange bool
+	// visit, unless nil, gets the path of each field and array element and the offset in the data behind its name or, in an
+	// array, before it. The path is valid during the call only.
+	visit func(path []string, offset int64)
 }
 
 // scanTokens finds numbers out of range, and fields that occur twice in an object. Of such fields, the schema
@@ -460,7 +463,13 @@
 	return result, err
 }
 
+// maxDepth is the deepest nesting that encoding/json accepts. A scan of text that isn't valid must not recurse further.
+const maxDepth = 10_000
+
 func (s *scanResult) scanValue(d *json.Decoder, path []string) error {
+	if len(path) > maxDepth {
+		return trace.LimitExceeded("values are nested too deeply")
+	}
 	token, err := d.Token()
 	if err != nil {
 		return err
@@ -487,6 +496,9 @@
 			}
 			seen[name] = true
 		}
+		if s.visit != nil {
+			s.visit(append(path, name), d.InputOffset())
+		}
 		if err := s.scanValue(d, append(path, name)); err != nil {
 			return err
 		}
