--- a/internal/state/config/difference.go
+++ b/internal/state/config/difference.go
@@ -40,7 +40,7 @@
 // kindOrder lists the kinds in the order in which differences are listed, those that matter most to callers first.
 var kindOrder = []Kind{KindKey, KindRoute, KindWorkspace, KindAdapter, KindBackendServer, KindFleet}
 
-// fieldDefaults holds the values that stand for absent fields and for zero.
+// fieldDefaults holds the values of absent fields. A document encodes these fields with omitempty, so zero is absent too.
 var fieldDefaults = map[Kind]map[string]json.Number{
 	KindWorkspace:     {"weight": "1"},
 	KindAdapter:       {"worth": "1", "deadline_seconds": json.Number(fmt.Sprint(defaultCompletionDeadline.Seconds()))},
@@ -184,7 +184,7 @@
 	for name, v := range fields {
 		if _, nested := v.(map[string]any); nested {
 			flatten(flat, prefix+name+".", v)
-		} else if _, hasDefault := flat[prefix+name]; !hasDefault || v != json.Number("0") {
+		} else {
 			flat[prefix+name] = v
 		}
 	}
--- a/internal/state/config/report_test.go
+++ b/internal/state/config/report_test.go
@@ -23,6 +23,7 @@
 		{`"hash":"` + testKeyHash + `"}`, `"hash":"` + testKeyHash + `"},"0123456789abcdee":{"workspace":"w","hash":"` + testKeyHash + `"}`,
 			"warning 4 /keys/0123456789abcdef/hash"},
 		{`"base_model":"m","v`, `"base_model":"x","v`, "error 5 /adapters/org~1a/base_model; warning 8 /backend_servers/e/base_model"},
+		{`"base_model":"m","v`, `"base_model":5,"v`, "error 5 /adapters/org~1a/base_model; warning 8 /backend_servers/e/base_model"},
 		{`"slots":4`, `"slots":4,"leaving":true`, "error 5 /adapters/org~1a/base_model"},
 		{`"non_idempotent":true`, `"tokens":1001`, "error 6 /routes/lots/tokens"},
 		{`"non_idempotent":true`, `"tokens":1000`, ""},
@@ -95,12 +96,14 @@
 	}
 	for _, c := range []struct{ old, new, want string }{
 		{`"non_idempotent":true`, `"non_idempotent":true,"tokens":1,"deadline_seconds":30`, ""},
+		{`"non_idempotent":true`, `"non_idempotent":true,"tokens":0,"deadline_seconds":0`, ""},
 		{`"tokens_per_second":100`, `"tokens_per_second":50`, "reduce workspace w: tokens_per_second falls from 100 to 50"},
 		{`"tokens_per_second":100`, `"tokens_per_second":200`, "change workspace w: tokens_per_second rises from 100 to 200"},
 		{`"loads_per_second":4`, `"loads_per_second":3`, "reduce fleet fleet: weight_store.loads_per_second falls from 4 to 3"},
 		{`"non_idempotent":true`, `"tokens":3`, "reduce route lots: non_idempotent is unset, it was true; tokens rises from 1 to 3"},
 		{testKeyHash, strings.Repeat("0", 64), "reduce key 0123456789abcdef: the secret changes: the old one is refused"},
 		{`["1","2"]`, `["2","3"]`, `reduce adapter org/a: versions lose "1"; versions gain "3"`},
+		{`"slots":4`, `"slots":4,"leaving":true`, "reduce backend_server e: leaving is set to true"},
 		{`"default":"2"`, `"default":"1","open":true`, `change adapter org/a: default changes from "2" to "1"; open is set to true`},
 		{`"s":{`, `"t":{"kind":"service","url":"http://127.0.0.1:3","data_centre":"d","service":"rack"},"s":{`,
 			"add backend_server t: is added"},
@@ -116,12 +119,18 @@
 			t.Errorf("%s: got %s, %v, want %s", c.new, s, err, c.want)
 		}
 	}
-	list, err := Differences(before, Document{Workspaces: map[string]Workspace{"u": {}}})
+	for _, a := range []Adapter{{Workspace: "w"}, {Workspace: "v", Open: true}} {
+		old, changed := map[string]Adapter{"a": {Workspace: "w", Open: true}}, map[string]Adapter{"a": a}
+		if list, err := Differences(Document{Adapters: old}, Document{Adapters: changed}); err != nil || len(list) != 1 || list[0].Action != ActionReduce {
+			t.Errorf("%v: got %v, %v, want a reduction", a, list, err)
+		}
+	}
+	list, err := Differences(before, Document{Workspaces: map[string]Workspace{"u": {}}, Keys: map[string]Key{"0123456789abcdef": {Workspace: "w"}}})
 	var order []string
 	for _, d := range list {
 		order = append(order, string(d.Action)+" "+string(d.Kind))
 	}
-	want := []string{"remove key", "remove route", "remove workspace", "remove adapter", "remove backend_server", "remove backend_server",
+	want := []string{"reduce key", "remove route", "remove workspace", "remove adapter", "remove backend_server", "remove backend_server",
 		"reduce fleet", "add workspace"}
 	if err != nil || !reflect.DeepEqual(order, want) {
 		t.Errorf("got %v, %v, want %v", order, err, want)
