workerload: hold a late request for no longer than a worker can begin it in time

A late plain request was refused although a worker was expected to begin it before its deadline: the next hold reached beyond the deadline (target 500 ms, 300 ms left, wait 80 ms).

TestPlainHoldBeforeDeadline failed before (refused) and passes.

--- a/internal/coordination/workerload/plain_test.go
+++ b/internal/coordination/workerload/plain_test.go
@@ -138,6 +138,23 @@
 	})
 }
 
+// TestPlainHoldBeforeDeadline guards against the refusal of a request that a worker is expected to begin before its deadline, because
+// the usual hold reaches beyond that, and against a hold after which it can no longer begin in time.
+func TestPlainHoldBeforeDeadline(t *testing.T) {
+	const ms = time.Millisecond
+	Convey("a request is held until a worker can just begin it in time", t, func() {
+		list := []Candidate{{Outlook: Outlook{Time: 30 * ms}}}
+		declined := []PlainAnswer{{Answer{Known: true, Wait: 80 * ms}, 0, 30 * ms}}
+		for left, expected := range map[time.Duration]Step{2000 * ms: Hold, 300 * ms: Hold, 90 * ms: Hold, 80 * ms: Refuse, 20 * ms: Refuse} {
+			c := ChoosePlain(list, declined, Times{Target: 500 * ms, Slack: -100 * ms, Left: left}, 0)
+			So(c.Step, ShouldEqual, expected)
+			if c.Step == Hold {
+				So(c.After, ShouldBeBetweenOrEqual, callTime, left-80*ms)
+			}
+		}
+	})
+}
+
 // TestChoosePlain checks each step, in particular that a late request takes no room from those that are on time, and that one for
 // which there is no time is refused at once.
 func TestChoosePlain(t *testing.T) {
--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -283,7 +283,9 @@
 	hold := min(max(wait-t.share(lateShare), t.share(minHoldShare)), t.share(maxHoldShare))
 	// Requests that were declined together ask again at different times.
 	hold = time.Duration((0.75 + random/2) * float64(hold))
-	if wait >= t.Left || hold >= t.Left {
+	// A hold ends while the worker is still expected to begin the request in time. Below callTime, the next answer would be too late.
+	hold = min(hold, t.Left-wait)
+	if hold < callTime {
 		return PlainChoice{Step: Refuse, After: SpreadRetry(wait, t.Left, random), Wait: wait}
 	}
 	return PlainChoice{Step: Hold, After: hold, Wait: wait}
