gateway: ask no further keepers once the time for questions is over

The candidates were cut to the number of answers after 50 ms. Each answer to a repeated question made the list longer by one, so that the questions went on. workerload.Questions now keeps the length of the first cut.

TestQuestionsEndAfterTimeout failed before (4 answers) and passes (2 at most, the second from the worker that waits least).

--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -221,6 +221,23 @@
 
 func (t Times) share(s float64) time.Duration { return time.Duration(s * float64(t.Target)) }
 
+// Questions bounds how many candidates are asked for one request.
+type Questions struct {
+	asked int
+}
+
+// Limit returns how many of the candidates may be asked, given the number of answers so far and whether the time for questions is
+// over. From then on it stays the same: an answer to a repeated question must not permit a further candidate.
+func (q *Questions) Limit(candidates, answers int, over bool) int {
+	if over && q.asked == 0 {
+		q.asked = answers
+	}
+	if q.asked > 0 {
+		return min(candidates, q.asked)
+	}
+	return candidates
+}
+
 // PlainAnswer is what the keeper of a candidate answered.
 type PlainAnswer struct {
 	Answer
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -287,12 +287,10 @@
 // askKeepers asks the keepers of a round's workers until it is known what to do with a job.
 func (g *Gateway) askKeepers(j *forward.Job, r *keeperRound) workerload.PlainChoice {
 	start := g.now()
+	var questions workerload.Questions
 	for {
-		list := r.candidates
-		if len(r.answers) > 0 && g.now()-start >= admitTimeout {
-			list = list[:min(len(list), len(r.answers))]
-		}
-		c := workerload.ChoosePlain(list, r.answers, g.plainTimes(j), rand.Float64())
+		limit := questions.Limit(len(r.candidates), len(r.answers), g.now()-start >= admitTimeout)
+		c := workerload.ChoosePlain(r.candidates[:limit], r.answers, g.plainTimes(j), rand.Float64())
 		if c.Step != workerload.Ask {
 			return c
 		}
--- /dev/null
+++ b/internal/gateway/keeper_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
+	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/forward"
+)
+
+// newKeeperGateway returns an instance that is the keeper of the workers of the plain service app, each with one place, and a job
+// for the service. The instance's clock advances by a step with each reading.
+func newKeeperGateway(step time.Duration, names ...string) (*Gateway, *forward.Job) {
+	now := time.Hour
+	g := New(Settings{Instance: "a", DataCentre: "z1"}, Dependencies{}, noNetwork{}, func() time.Duration { now += step; return now }, zerolog.Nop())
+	var entries []workers.Entry
+	for _, name := range names {
+		entries = append(entries, workers.Entry{ID: name, Worker: &workers.Worker{ID: name, Service: "app", Address: name + ":80", DataCentre: "z1", StartedMilli: 1, Slots: 1}})
+	}
+	g.applyEntries(entries, change{snapshot: true}, time.Time{})
+	g.applyConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "app"}}}, now)
+	g.locked(func() {
+		g.members.Apply(1, fleetlog.Record{Instance: "a", Incarnation: g.incarnation, Heartbeat: &fleetlog.Heartbeat{Number: 1, Address: "a:82", LeaseMS: time.Hour.Milliseconds(), MemoryMB: 100}}, now)
+	})
+	g.fleetRead.Store(true)
+	return g, &forward.Job{
+		Service: "app", Config: g.table.Load(), Route: &routing.Route{Kind: routing.Idempotent, TargetLatency: 500 * time.Millisecond},
+		Arrived: time.Now(), Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+// fill lets each worker run a request and reject a further one, so that it declines others whatever their bounds are.
+func fill(g *Gateway) {
+	now := g.now()
+	for _, w := range g.workers.Load().Ready("app") {
+		g.kept.admit(w, workerload.Bounds{MaxWait: time.Hour}, time.Hour, now)
+		place, _ := g.kept.admit(w, workerload.Bounds{MaxWait: time.Hour}, time.Hour, now)
+		g.kept.end(incarnationName(w), place, workerload.Rejected, now)
+	}
+}
+
+// TestQuestionsEndAfterTimeout guards against questions that go on after the time for them, since each answer permitted another one.
+func TestQuestionsEndAfterTimeout(t *testing.T) {
+	Convey("only the worker that waits least is asked again", t, func() {
+		g, j := newKeeperGateway(admitTimeout/2, "w1", "w2", "w3", "w4")
+		defer g.cancel()
+		fill(g)
+		r := g.newKeeperRound(j, false)
+		g.askKeepers(j, r)
+		So(len(r.answers), ShouldBeBetweenOrEqual, 1, 2)
+	})
+}
