gateway: forget how removed services are placed

The records of how a service is placed were never removed, and the keepers of removed workers stayed while the live instances were not read again.

TestKeepersOfRemovedServices failed before (2 known keepers instead of 1, then a record of a removed service) and passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -343,7 +343,9 @@
 	g.limits.Retain(listed)
 	g.logColdChanges(g.now())
 	g.availability.Retain(listed, g.now())
-	g.keepers.outlooks.Retain(listed)
+	if t := g.table.Load(); t != nil {
+		g.keepers.retain(listed, func(name string) bool { _, ok := t.Service(name); return ok })
+	}
 	g.kept.retain(listed, g.metrics, g.now())
 	for k := range g.unreachable {
 		if _, ok := g.members.Member(k.incarnation); !ok {
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -58,6 +59,13 @@
 	return &keepers{known: map[string]peerInstance{}, outlooks: workerload.NewOutlooks(), services: map[string]*servicePlacement{}}
 }
 
+// retain removes what is known of workers and services that are not listed. The lock is held.
+func (k *keepers) retain(worker, service func(name string) bool) {
+	k.outlooks.Retain(worker)
+	maps.DeleteFunc(k.known, func(name string, _ peerInstance) bool { return !worker(name) })
+	maps.DeleteFunc(k.services, func(name string, _ *servicePlacement) bool { return !service(name) })
+}
+
 // keptWorkers are the loads of the plain workers of which this instance is the keeper. Its lock may be taken while the
 // gateway's is held.
 type keptWorkers struct {
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -56,3 +56,20 @@
 		So(len(r.answers), ShouldBeBetweenOrEqual, 1, 2)
 	})
 }
+
+// TestKeepersOfRemovedServices guards against records of services and workers that are kept for good after these were removed.
+func TestKeepersOfRemovedServices(t *testing.T) {
+	Convey("only the services of the configuration and the registered workers are kept", t, func() {
+		g, j := newKeeperGateway(time.Millisecond, "w1", "w2")
+		defer g.cancel()
+		g.locked(func() { g.placedByKeepers(j) })
+		g.newKeeperRound(j, false)
+		g.applyEntries([]workers.Entry{{ID: "w1"}}, change{}, time.Time{})
+		g.removeUnused()
+		So(g.keepers.services, ShouldContainKey, "app")
+		So(len(g.keepers.known), ShouldEqual, 1)
+		g.applyConfig(&routing.Config{Version: 2, Services: []routing.Service{{Name: "other"}}}, g.now())
+		g.removeUnused()
+		So(g.keepers.services, ShouldBeEmpty)
+	})
+}
