gateway: ask the keeper of a single worker once for each attempt

A worker that was the only candidate was asked a second time for each request that was held or refused, as if it were an ejected one whose probe leaves the others out. The second round now follows only an ejected worker besides which there are others.

TestQuestionsToSingleWorker failed before (2 questions instead of 1) and passes; its case with a probe passed before and passes.

--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -190,6 +190,8 @@
 	reachable bool
 	// warm is set if one of the candidates is warm.
 	warm bool
+	// probe is set if the only candidate is an ejected worker that is due for a probe, although there are others.
+	probe bool
 }
 
 // newKeeperRound ranks the candidates for a job, without cold ones while there is a warm one if coldFull is set.
@@ -197,8 +199,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	list, warm := g.preferWarm(g.candidates(j), coldFull)
-	r := &keeperRound{places: map[int]workerPlace{}, warm: warm}
+	list := g.candidates(j)
+	r := &keeperRound{places: map[int]workerPlace{}, probe: g.isProbe(j, list)}
+	list, r.warm = g.preferWarm(list, coldFull)
 	unordered := make([]workerload.Candidate, len(list))
 	for i, w := range list {
 		name := incarnationName(w)
@@ -219,6 +222,18 @@
 	return r
 }
 
+// isProbe reports whether the candidates for a job are a single ejected worker although there are others that it was not sent to.
+// The lock is held.
+func (g *Gateway) isProbe(j *forward.Job, list []*workers.Worker) bool {
+	e := g.ejectors[j.Service]
+	if len(list) != 1 || e == nil || e.Usable(list[0].ID) {
+		return false
+	}
+	return slices.ContainsFunc(g.workers.Load().Ready(j.Service), func(w *workers.Worker) bool {
+		return w.Key() != list[0].Key() && !slices.Contains(j.Tried, w.Key())
+	})
+}
+
 // plainTimes returns the time limits of a job. Without a target latency, it is on time until its deadline.
 func (g *Gateway) plainTimes(j *forward.Job) workerload.Times {
 	passed, left := time.Since(j.Arrived), time.Until(j.Deadline)
@@ -244,8 +259,8 @@
 		}
 		c := g.askKeepers(j, r)
 		questions += len(r.answers)
-		if len(r.workers) == 1 && c.Step != workerload.Send && !probed {
-			// An ejected worker that is due for a probe is the only candidate of one round.
+		if r.probe && c.Step != workerload.Send && !probed {
+			// The probe is reserved now, so that the next round has the other workers.
 			probed = true
 			continue
 		}
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -19,12 +19,12 @@
 func newKeeperGateway(step time.Duration, names ...string) (*Gateway, *forward.Job) {
 	now := time.Hour
 	g := New(Settings{Instance: "a", DataCentre: "z1"}, Dependencies{}, noNetwork{}, func() time.Duration { now += step; return now }, zerolog.Nop())
+	g.applyConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "app"}}}, now)
 	var entries []workers.Entry
 	for _, name := range names {
 		entries = append(entries, workers.Entry{ID: name, Worker: &workers.Worker{ID: name, Service: "app", Address: name + ":80", DataCentre: "z1", StartedMilli: 1, Slots: 1}})
 	}
 	g.applyEntries(entries, change{snapshot: true}, time.Time{})
-	g.applyConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "app"}}}, now)
 	g.locked(func() {
 		g.members.Apply(1, fleetlog.Record{Instance: "a", Incarnation: g.incarnation, Heartbeat: &fleetlog.Heartbeat{Number: 1, Address: "a:82", LeaseMS: time.Hour.Milliseconds(), MemoryMB: 100}}, now)
 	})
@@ -73,3 +73,26 @@
 		So(g.keepers.services, ShouldBeEmpty)
 	})
 }
+
+// TestQuestionsToSingleWorker guards against a second question to the only worker for each request that is refused or held. Where
+// the only candidate is an ejected worker that is due for a probe, the others must be asked after it.
+func TestQuestionsToSingleWorker(t *testing.T) {
+	questions := func(eject string, names ...string) int {
+		g, j := newKeeperGateway(time.Millisecond, names...)
+		defer g.cancel()
+		for _, w := range g.workers.Load().Ready("app") {
+			for range 1000 {
+				g.kept.admit(w, workerload.Bounds{MaxWait: time.Hour}, time.Hour, g.created)
+			}
+		}
+		for range 5 {
+			g.ejectors["app"].RecordResult(eject, false, time.Now().Add(-time.Hour))
+		}
+		_, err := g.placeByKeepers(t.Context(), j)
+		So(err, ShouldNotBeNil)
+		So(j.Placed.How, ShouldEqual, placedRefused)
+		return j.Placed.Questions
+	}
+	Convey("the only worker is asked once", t, func() { So(questions("", "w1"), ShouldEqual, 1) })
+	Convey("a probe is followed by a question to the other worker", t, func() { So(questions("w1", "w1", "w2"), ShouldEqual, 2) })
+}
