gateway: do not state an earlier attempt's placement for a later one

The log line of a request had placed_how, questions and held_ms of an earlier attempt that keepers had placed, if the last one was placed by the instance's own requests.

TestPlacedOfEarlierAttempt failed before (held, 3 questions) and passes.

--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -153,9 +153,19 @@
 	return k, k.incarnation == g.incarnation || !g.recentlyUnreachable(roleKeeper, k.incarnation, now)
 }
 
-// placedByKeepers reports whether keepers place the requests of a service: one whose workers together have fewer places than there
-// are live instances. Elsewhere each instance has requests enough to know the load itself. The lock is held.
+// placedByKeepers reports whether keepers place a job. If not, what they recorded for an earlier attempt is removed, so that
+// the log line does not state it for this one. The lock is held.
 func (g *Gateway) placedByKeepers(j *forward.Job) bool {
+	kept := g.serviceKept(j)
+	if !kept {
+		j.Placed = forward.Placed{}
+	}
+	return kept
+}
+
+// serviceKept reports whether keepers place the requests of a job's service: one whose workers together have fewer places than there
+// are live instances. Elsewhere each instance has requests enough to know the load itself. The lock is held.
+func (g *Gateway) serviceKept(j *forward.Job) bool {
 	s, ok := j.Config.Service(j.Service)
 	if !ok || s.Engine != nil {
 		return false
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -96,3 +96,16 @@
 	Convey("the only worker is asked once", t, func() { So(questions("", "w1"), ShouldEqual, 1) })
 	Convey("a probe is followed by a question to the other worker", t, func() { So(questions("w1", "w1", "w2"), ShouldEqual, 2) })
 }
+
+// TestPlacedOfEarlierAttempt guards against a log line that states for a request how keepers placed an earlier attempt, although the
+// last one was placed by the instance's own requests.
+func TestPlacedOfEarlierAttempt(t *testing.T) {
+	Convey("a placement by own requests removes the earlier one by keepers", t, func() {
+		g, j := newKeeperGateway(time.Millisecond, "w1")
+		defer g.cancel()
+		j.Placed = forward.Placed{How: placedHeld, Questions: 3, Held: time.Second}
+		_, err := g.placeByLoad(t.Context(), j)
+		So(err, ShouldBeNil)
+		So(j.Placed, ShouldResemble, forward.Placed{})
+	})
+}
