gateway: log each failed call to a keeper

A call that failed with 50 ms or less left to the request was not logged. It still does not stop the calls to that keeper, since it had less time than usual; timeout_ms shows how much.

TestUnreachedKeeperIsLogged failed before with 25 ms left (no line) and passes with 25 ms and with a minute left.

--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -351,7 +351,8 @@
 		g.metrics.countKept(p.number != 0)
 	} else {
 		// The answer is awaited even if the caller leaves: a place in an answer that is not read would be kept until the deadline.
-		ctx, cancel := context.WithTimeout(g.lifetime, min(admitTimeout, left))
+		timeout := min(admitTimeout, left)
+		ctx, cancel := context.WithTimeout(g.lifetime, timeout)
 		defer cancel()
 		r, err := g.peers.clients.AdmitRequest(ctx, keeper.address, &peerpb.AdmitRequestRequest{
 			Engine: name, MaxWaitMs: b.MaxWait.Milliseconds(), WithinMs: b.Within.Milliseconds(), DeadlineMs: left.Milliseconds(),
@@ -359,8 +360,8 @@
 		if err != nil {
 			if left > admitTimeout {
 				g.markUnreachable(roleKeeper, keeper.incarnation)
-				g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Msg("keeper of a worker not reached")
 			}
+			g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Int64("timeout_ms", timeout.Milliseconds()).Msg("keeper of a worker not reached")
 			return workerload.PlainAnswer{}, p
 		}
 		if !r.Owned {
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
+	"github.com/turmericworks/turmericworks/internal/standin/bubble"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
@@ -109,3 +111,31 @@
 		So(j.Placed, ShouldResemble, forward.Placed{})
 	})
 }
+
+// TestUnreachedKeeperIsLogged guards against failed calls to keepers that nothing shows, because little time was left for them. Such a
+// call says too little of the keeper to stop asking it.
+func TestUnreachedKeeperIsLogged(t *testing.T) {
+	for left, marked := range map[time.Duration]bool{admitTimeout / 2: false, time.Minute: true} {
+		bubble.Run(t, func(t *testing.T) {
+			g, j := newKeeperGateway(time.Microsecond, "w1")
+			defer g.peers.clients.Close()
+			defer g.cancel()
+			var log bytes.Buffer
+			g.log = zerolog.New(&log)
+			w, _ := g.workers.Load().Get("w1")
+			g.locked(func() {
+				g.keeperOf(incarnationName(w), g.now())
+				g.keepers.known[incarnationName(w)] = peerInstance{"b", "other", "b:82"}
+			})
+			j.Deadline = time.Now().Add(left)
+			answer, _ := g.askKeeper(j, w, workerload.Bounds{})
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			Convey("a failed call with "+left.String()+" left is logged", t, func() {
+				So(answer.Known, ShouldBeFalse)
+				So(log.String(), ShouldContainSubstring, "keeper of a worker not reached")
+				So(g.recentlyUnreachable(roleKeeper, "other", g.now()), ShouldEqual, marked)
+			})
+		})
+	}
+}
