--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -221,6 +221,23 @@
 
 func (t Times) share(s float64) time.Duration { return time.Duration(s * float64(t.Target)) }
 
+// Questions bounds how many candidates are asked for one request.
+type Questions struct {
+	asked int
+}
+
+// Limit returns how many of the candidates may be asked, given the number of answers so far and whether the time for questions is
+// over. From then on it stays the same: an answer to a repeated question must not permit a further candidate.
+func (q *Questions) Limit(candidates, answers int, over bool) int {
+	if over && q.asked == 0 {
+		q.asked = answers
+	}
+	if q.asked > 0 {
+		return min(candidates, q.asked)
+	}
+	return candidates
+}
+
 // PlainAnswer is what the keeper of a candidate answered.
 type PlainAnswer struct {
 	Answer
@@ -283,7 +300,9 @@
 	hold := min(max(wait-t.share(lateShare), t.share(minHoldShare)), t.share(maxHoldShare))
 	// Requests that were declined together ask again at different times.
 	hold = time.Duration((0.75 + random/2) * float64(hold))
-	if wait >= t.Left || hold >= t.Left {
+	// A hold ends while the worker is still expected to begin the request in time. Below callTime, the next answer would be too late.
+	hold = min(hold, t.Left-wait)
+	if hold < callTime {
 		return PlainChoice{Step: Refuse, After: SpreadRetry(wait, t.Left, random), Wait: wait}
 	}
 	return PlainChoice{Step: Hold, After: hold, Wait: wait}
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -58,6 +59,13 @@
 	return &keepers{known: map[string]peerInstance{}, outlooks: workerload.NewOutlooks(), services: map[string]*servicePlacement{}}
 }
 
+// retain removes what is known of workers and services that are not listed. The lock is held.
+func (k *keepers) retain(worker, service func(name string) bool) {
+	k.outlooks.Retain(worker)
+	maps.DeleteFunc(k.known, func(name string, _ peerInstance) bool { return !worker(name) })
+	maps.DeleteFunc(k.services, func(name string, _ *servicePlacement) bool { return !service(name) })
+}
+
 // keptWorkers are the loads of the plain workers of which this instance is the keeper. Its lock may be taken while the
 // gateway's is held.
 type keptWorkers struct {
@@ -145,9 +153,19 @@
 	return k, k.incarnation == g.incarnation || !g.recentlyUnreachable(roleKeeper, k.incarnation, now)
 }
 
-// placedByKeepers reports whether keepers place the requests of a service: one whose workers together have fewer places than there
-// are live instances. Elsewhere each instance has requests enough to know the load itself. The lock is held.
+// placedByKeepers reports whether keepers place a job. If not, what they recorded for an earlier attempt is removed, so that
+// the log line does not state it for this one. The lock is held.
 func (g *Gateway) placedByKeepers(j *forward.Job) bool {
+	kept := g.serviceKept(j)
+	if !kept {
+		j.Placed = forward.Placed{}
+	}
+	return kept
+}
+
+// serviceKept reports whether keepers place the requests of a job's service: one whose workers together have fewer places than there
+// are live instances. Elsewhere each instance has requests enough to know the load itself. The lock is held.
+func (g *Gateway) serviceKept(j *forward.Job) bool {
 	s, ok := j.Config.Service(j.Service)
 	if !ok || s.Engine != nil {
 		return false
@@ -182,6 +200,8 @@
 	reachable bool
 	// warm is set if one of the candidates is warm.
 	warm bool
+	// probe is set if the only candidate is an ejected worker that is due for a probe, although there are others.
+	probe bool
 }
 
 // newKeeperRound ranks the candidates for a job, without cold ones while there is a warm one if coldFull is set.
@@ -189,8 +209,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	list, warm := g.preferWarm(g.candidates(j), coldFull)
-	r := &keeperRound{places: map[int]workerPlace{}, warm: warm}
+	list := g.candidates(j)
+	r := &keeperRound{places: map[int]workerPlace{}, probe: g.isProbe(j, list)}
+	list, r.warm = g.preferWarm(list, coldFull)
 	unordered := make([]workerload.Candidate, len(list))
 	for i, w := range list {
 		name := incarnationName(w)
@@ -211,6 +232,18 @@
 	return r
 }
 
+// isProbe reports whether the candidates for a job are a single ejected worker although there are others that it was not sent to.
+// The lock is held.
+func (g *Gateway) isProbe(j *forward.Job, list []*workers.Worker) bool {
+	e := g.ejectors[j.Service]
+	if len(list) != 1 || e == nil || e.Usable(list[0].ID) {
+		return false
+	}
+	return slices.ContainsFunc(g.workers.Load().Ready(j.Service), func(w *workers.Worker) bool {
+		return w.Key() != list[0].Key() && !slices.Contains(j.Tried, w.Key())
+	})
+}
+
 // plainTimes returns the time limits of a job. Without a target latency, it is on time until its deadline.
 func (g *Gateway) plainTimes(j *forward.Job) workerload.Times {
 	passed, left := time.Since(j.Arrived), time.Until(j.Deadline)
@@ -236,8 +269,8 @@
 		}
 		c := g.askKeepers(j, r)
 		questions += len(r.answers)
-		if len(r.workers) == 1 && c.Step != workerload.Send && !probed {
-			// An ejected worker that is due for a probe is the only candidate of one round.
+		if r.probe && c.Step != workerload.Send && !probed {
+			// The probe is reserved now, so that the next round has the other workers.
 			probed = true
 			continue
 		}
@@ -287,12 +320,10 @@
 // askKeepers asks the keepers of a round's workers until it is known what to do with a job.
 func (g *Gateway) askKeepers(j *forward.Job, r *keeperRound) workerload.PlainChoice {
 	start := g.now()
+	var questions workerload.Questions
 	for {
-		list := r.candidates
-		if len(r.answers) > 0 && g.now()-start >= admitTimeout {
-			list = list[:min(len(list), len(r.answers))]
-		}
-		c := workerload.ChoosePlain(list, r.answers, g.plainTimes(j), rand.Float64())
+		limit := questions.Limit(len(r.candidates), len(r.answers), g.now()-start >= admitTimeout)
+		c := workerload.ChoosePlain(r.candidates[:limit], r.answers, g.plainTimes(j), rand.Float64())
 		if c.Step != workerload.Ask {
 			return c
 		}
@@ -320,7 +351,8 @@
 		g.metrics.countKept(p.number != 0)
 	} else {
 		// The answer is awaited even if the caller leaves: a place in an answer that is not read would be kept until the deadline.
-		ctx, cancel := context.WithTimeout(g.lifetime, min(admitTimeout, left))
+		timeout := min(admitTimeout, left)
+		ctx, cancel := context.WithTimeout(g.lifetime, timeout)
 		defer cancel()
 		r, err := g.peers.clients.AdmitRequest(ctx, keeper.address, &peerpb.AdmitRequestRequest{
 			Engine: name, MaxWaitMs: b.MaxWait.Milliseconds(), WithinMs: b.Within.Milliseconds(), DeadlineMs: left.Milliseconds(),
@@ -328,8 +360,8 @@
 		if err != nil {
 			if left > admitTimeout {
 				g.markUnreachable(roleKeeper, keeper.incarnation)
-				g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Msg("keeper of a worker not reached")
 			}
+			g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Int64("timeout_ms", timeout.Milliseconds()).Msg("keeper of a worker not reached")
 			return workerload.PlainAnswer{}, p
 		}
 		if !r.Owned {
