Let a resigned holder count until its reservations are sent

When the instance that meters a cold worker's limit resigned at a planned stop, its successor metered at once with a bucket of its own, while requests that the predecessor had reserved up to MaxColdWait ahead were still to be sent.

A resigned member now counts as the holder of cold workers, without metering, for MaxColdWait + maxColdDelay after its first heartbeat was read that says so; callers take turns meanwhile. Holders of limits that workers name change hands as before.

Measured: TestSuccessorOfResignedHolder failed before the change (the successor metered at the first resigned heartbeat) and passes now. TestColdWindowAfterResignation fails with the delay removed and passes with it.

--- a/internal/coordination/quota/cold_test.go
+++ b/internal/coordination/quota/cold_test.go
@@ -54,8 +54,8 @@
 		delay := rapid.SampledFrom([]float64{0, 1}).Draw(t, "delayed")
 		var sent []time.Duration
 		for now := start; now < until; now += time.Duration(r.Int64N(int64(8 * time.Millisecond))) {
-			// The next holder begins after all that the last one has reserved, which TestTenure checks.
-			between := now >= changeAt && now < changeAt+MaxColdWait+maxColdDelay
+			// The holder resigns. Its successor meters once the holder does not count any more.
+			between := now >= changeAt && CountsAsColdHolder(true, changeAt, now)
 			if now >= changeAt {
 				holder = instances - 1
 			}
@@ -87,6 +87,29 @@
 	})
 }
 
+// TestColdWindowAfterResignation guards against a successor that meters at once after the holder has resigned, while what that one
+// has reserved ahead is still being sent.
+func TestColdWindowAfterResignation(t *testing.T) {
+	const rate, start = 17.0, time.Hour
+	var sent []time.Duration
+	holder, next := NewWorkerLimits(), NewWorkerLimits()
+	for now := start - 2*time.Second; now < start+4*time.Second; now += 10 * time.Millisecond {
+		meter := holder
+		if now >= start {
+			meter = next
+			if CountsAsColdHolder(true, start, now) {
+				continue
+			}
+		}
+		for wait, ok := meter.ReserveCold("w", rate, MaxColdWait, now); ok; wait, ok = meter.ReserveCold("w", rate, MaxColdWait, now) {
+			sent = append(sent, now+wait)
+		}
+	}
+	if n := busiestSecond(sent); n > coldBound(rate) {
+		t.Fatalf("%d requests in a second, %d allowed", n, coldBound(rate))
+	}
+}
+
 // TestSmallColdRateOfManyInstances guards against 91 instances that do not reach the one that meters for all, and together send a
 // worker of 3 requests per second one request each, since each has saved up for one.
 func TestSmallColdRateOfManyInstances(t *testing.T) {
--- a/internal/coordination/quota/tenure.go
+++ b/internal/coordination/quota/tenure.go
@@ -7,6 +7,18 @@
 // clocks.
 const tenureMargin = 2 * time.Second
 
+// resignDelay is for how long after an instance has resigned its successor does not meter requests to cold workers. What the
+// instance has reserved ahead is sent or void then.
+const resignDelay = MaxColdWait + maxColdDelay
+
+// CountsAsColdHolder reports whether an instance is among those of which one is the holder of a cold worker, given whether and when
+// it was read to have resigned. One that has resigned still counts for a time, in which it does not meter, so that its successor
+// does not permit requests on top of those that the instance has reserved ahead. It handles planned stops of instances while
+// requests wait for cold workers.
+func CountsAsColdHolder(resigned bool, at, now time.Duration) bool {
+	return !resigned || now-at <= resignDelay
+}
+
 // Place is an instance's place among the live instances.
 type Place struct{ Rank, Count int }
 
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -159,7 +159,7 @@
 			shortest, longest = min(shortest, lease), max(longest, lease)
 		}
 	}
-	holder, ok := g.limitHolder(worker, now)
+	holder, ok := g.limitHolder(worker, true, now)
 	return ok && holder.incarnation == g.incarnation && g.tenure.MayMeter(shortest, longest, now)
 }
 
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -97,3 +97,52 @@
 		So(metering(), ShouldBeFalse)
 	})
 }
+
+// TestSuccessorOfResignedHolder guards against an instance that meters the requests to a cold worker as soon as the holder before
+// it has resigned, while requests that were reserved there are still to be sent.
+func TestSuccessorOfResignedHolder(t *testing.T) {
+	Convey("it begins when they have been sent, also if the holder repeats that it resigns", t, func() {
+		g, w, now := newColdGateway()
+		defer g.cancel()
+		g.fleetRead.Store(true)
+		number := int64(0)
+		beat := func(incarnation string, memory int, resigned bool) {
+			number++
+			g.locked(func() {
+				h := &fleetlog.Heartbeat{Number: number, Address: "x:82", LeaseMS: 2000, MemoryMB: memory, Resigned: resigned}
+				instance := "b"
+				if incarnation == g.incarnation {
+					instance = "a"
+				}
+				g.members.Apply(number, fleetlog.Record{Instance: instance, Incarnation: incarnation, Heartbeat: h}, *now)
+			})
+		}
+		own := func() {
+			beat(g.incarnation, 100, false)
+			g.acknowledge(sentHeartbeat{sent: *now, lease: 2 * time.Second, spend: 4 * time.Second})
+			g.renewTenure()
+		}
+		metering := func() (ok bool) {
+			g.locked(func() { _, _, ok = g.meterCold(incarnationName(w), 17, 0, *now) })
+			return ok
+		}
+		for range 6 {
+			own()
+			// The other instance is so much larger that it is the holder.
+			beat("b1", 100_000_000, false)
+			*now += time.Second
+		}
+		So(metering(), ShouldBeFalse)
+		beat("b1", 100_000_000, true)
+		own()
+		So(metering(), ShouldBeFalse)
+		*now += time.Second
+		beat("b1", 100_000_000, true)
+		own()
+		So(metering(), ShouldBeFalse)
+		*now += 500 * time.Millisecond
+		So(metering(), ShouldBeFalse)
+		*now++
+		So(metering(), ShouldBeTrue)
+	})
+}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -139,7 +139,7 @@
 		if cold = g.limits.Cold(name, now); cold {
 			r.maxWait = coldWait(r.maxWait, warm)
 		}
-		if holder, known = g.limitHolder(name, now); known && holder.incarnation == g.incarnation {
+		if holder, known = g.limitHolder(name, cold, now); known && holder.incarnation == g.incarnation {
 			r.wait, r.ok, r.reached = g.reserveHere(name, rate, cold, r.maxWait, now)
 		}
 	})
@@ -177,13 +177,13 @@
 	return wait, ok, true
 }
 
-// limitHolder returns the instance that meters a worker's limit, or false if none is known that is reachable. The lock
-// is held.
-func (g *Gateway) limitHolder(worker string, now time.Duration) (peerInstance, bool) {
+// limitHolder returns the instance that meters a worker's limit, or false if none is known that is reachable. For a cold worker,
+// it may be one that has resigned and does not meter. The lock is held.
+func (g *Gateway) limitHolder(worker string, cold bool, now time.Duration) (peerInstance, bool) {
 	byName := map[string]peerInstance{}
 	var names []rendezvous.Member
 	for _, m := range g.rateMembers(now) {
-		if !m.Heartbeat.Resigned {
+		if !m.Heartbeat.Resigned || cold && quota.CountsAsColdHolder(true, m.ResignedAt, now) {
 			byName[m.Instance] = peerInstance{m.Instance, m.Incarnation, m.Heartbeat.Address}
 			names = append(names, rendezvous.Member{Name: m.Instance, Size: m.Heartbeat.MemoryMB})
 		}
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -135,6 +135,8 @@
 	Heartbeat   Heartbeat
 	// LastHeard is when the latest heartbeat was read, by the monotonic clock of this process.
 	LastHeard time.Duration
+	// ResignedAt is when the first heartbeat was read that says that the incarnation has resigned.
+	ResignedAt time.Duration
 }
 
 // Owner is the current owner of a worker.
@@ -269,7 +271,14 @@
 		f.end(r.Incarnation)
 		return r.Heartbeat
 	}
-	f.members[r.Incarnation] = &Member{Instance: r.Instance, Incarnation: r.Incarnation, Heartbeat: *r.Heartbeat, LastHeard: now}
+	next := &Member{Instance: r.Instance, Incarnation: r.Incarnation, Heartbeat: *r.Heartbeat, LastHeard: now}
+	if next.Heartbeat.Resigned {
+		next.ResignedAt = now
+		if m != nil && m.Heartbeat.Resigned {
+			next.ResignedAt = m.ResignedAt
+		}
+	}
+	f.members[r.Incarnation] = next
 	return r.Heartbeat
 }
 
