Let workers count as cold after a withdrawal known from a peer

An instance that starts just after an evacuation was withdrawn learns of the withdrawal from another instance, but never knew the evacuation. Its state did not change, so that the workers of the data centre did not count as cold, and it sent to them without limit before the registry had said that they are warm.

Measured: TestColdAfterWithdrawalLearnedFromPeer failed before the change (the worker did not count as cold) and passes now.

--- a/internal/coordination/quota/cold.go
+++ b/internal/coordination/quota/cold.go
@@ -127,14 +127,14 @@
 	return fault
 }
 
-// maxEntryDelay is how long after it was written an entry of the registry may be read.
-const maxEntryDelay = 2500 * time.Millisecond
+// MaxEntryDelay is how long after it was written an entry of the registry may be read.
+const MaxEntryDelay = 2500 * time.Millisecond
 
-// AssumeCold lets a worker count as cold until ReportCold applies an entry that is not old and was written after now.
-func (l *WorkerLimits) AssumeCold(worker string, rate float64, now time.Duration) {
+// AssumeCold lets a worker count as cold until ReportCold applies an entry that is not old and was written after the time since.
+func (l *WorkerLimits) AssumeCold(worker string, rate float64, since time.Duration) {
 	if rate > 0 {
 		c := l.coldWorker(worker)
-		c.rate, c.assumed, c.assumedUntil = rate, true, now+maxEntryDelay
+		c.rate, c.assumed, c.assumedUntil = rate, true, max(c.assumedUntil, since+MaxEntryDelay)
 	}
 }
 
--- a/internal/coordination/quota/cold_test.go
+++ b/internal/coordination/quota/cold_test.go
@@ -158,7 +158,7 @@
 		l.AssumeCold("w", 17, start)
 		report(l, 0, true, start+time.Hour)
 		So(l.Cold("w", start+2*time.Hour), ShouldBeTrue)
-		report(l, 0, false, start+maxEntryDelay-1)
+		report(l, 0, false, start+MaxEntryDelay-1)
 		So(l.Cold("w", start+2*time.Hour), ShouldBeTrue)
 		report(l, 0, false, start+2*time.Hour)
 		So(l.Cold("w", start+2*time.Hour), ShouldBeFalse)
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -50,6 +50,9 @@
 		}
 		if w, ok := set.Get(e.ID); ok && w == e.Worker {
 			g.reportCold(w, snapshot, now)
+			if since, ok := g.evacuations.WithdrawnSince(w.DataCentre); ok && snapshot {
+				g.assumeColdWorker(w, since, now)
+			}
 		}
 	}
 	g.logColdChanges(now)
@@ -71,16 +74,24 @@
 }
 
 // assumeCold lets the workers of a data centre count as cold, if their services have a limit for cold workers, until the
-// registry is read to say otherwise. The lock is held.
-func (g *Gateway) assumeCold(dataCentre string, now time.Duration) {
+// registry is read to say otherwise by entries that were written after the time since. The lock is held.
+func (g *Gateway) assumeCold(dataCentre string, since, now time.Duration) {
 	for _, w := range g.workers.Load().All() {
-		if s, ok := g.coldService(w); ok && w.DataCentre == dataCentre {
-			g.limits.AssumeCold(incarnationName(w), s.ColdRate, now)
+		if w.DataCentre == dataCentre {
+			g.assumeColdWorker(w, since, now)
 		}
 	}
 	g.logColdChanges(now)
 }
 
+// assumeColdWorker is assumeCold for one worker. It has no effect if all entries that are read now were written after the time
+// since. The lock is held.
+func (g *Gateway) assumeColdWorker(w *workers.Worker, since, now time.Duration) {
+	if s, ok := g.coldService(w); ok && now-since < quota.MaxEntryDelay {
+		g.limits.AssumeCold(incarnationName(w), s.ColdRate, since)
+	}
+}
+
 // logColdChanges logs which workers have become cold or warm. The lock is held.
 func (g *Gateway) logColdChanges(now time.Duration) {
 	if g.limits.Empty() {
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
@@ -48,9 +49,9 @@
 	Convey("all workers of the data centre count as cold until a later entry", t, func() {
 		g, w, now := newColdGateway()
 		defer g.cancel()
-		g.locked(func() { g.assumeCold("z2", *now) })
+		g.locked(func() { g.assumeCold("z2", *now, *now) })
 		So(g.isCold(w), ShouldBeFalse)
-		g.locked(func() { g.assumeCold("z1", *now) })
+		g.locked(func() { g.assumeCold("z1", *now, *now) })
 		*now += time.Hour
 		So(g.isCold(w), ShouldBeTrue)
 		So(exportedColdTimes(t, g), ShouldResemble, map[string]float64{"w@1": math.Inf(1)})
@@ -62,6 +63,39 @@
 	})
 }
 
+// TestColdAfterWithdrawalLearnedFromPeer guards against an instance that starts just after an evacuation was withdrawn and sends to
+// workers of that data centre without limit before the registry has said that they are warm.
+func TestColdAfterWithdrawalLearnedFromPeer(t *testing.T) {
+	Convey("workers count as cold while entries from before the withdrawal may be read", t, func() {
+		for _, c := range []struct {
+			entry evacuationInForce
+			cold  bool
+		}{
+			{evacuationInForce{DataCentre: "z1", Era: 1, Offset: 5, AgeMS: 100}, true},
+			{evacuationInForce{DataCentre: "z1", Era: 1, Offset: 5, AgeMS: 2499}, true},
+			{evacuationInForce{DataCentre: "z1", Era: 1, Offset: 5, AgeMS: 2500}, false},
+			{evacuationInForce{DataCentre: "z2", Era: 1, Offset: 5, AgeMS: 100}, false},
+			{evacuationInForce{DataCentre: "z1", Era: 1, Offset: 5, AgeMS: 100, Evacuated: true}, false},
+		} {
+			g, w, _ := newColdGateway()
+			g.mergeEvacuations([]evacuationInForce{c.entry}, "b")
+			So(g.isCold(w), ShouldEqual, c.cold)
+			g.cancel()
+		}
+	})
+	Convey("so do workers whose entries are read after the answer, until the next entry", t, func() {
+		g, _, now := newColdGateway()
+		defer g.cancel()
+		later := &workers.Worker{ID: "w2", Service: "app", Address: "w2:80", DataCentre: "z1", StartedMilli: 1}
+		g.mergeEvacuations([]evacuationInForce{{DataCentre: "z1", Era: 1, Offset: 5, AgeMS: 100}}, "b")
+		g.applyEntries([]workers.Entry{{ID: "w2", Worker: later}}, change{snapshot: true}, time.Time{})
+		So(g.isCold(later), ShouldBeTrue)
+		*now += quota.MaxEntryDelay - 100*time.Millisecond
+		g.applyEntries([]workers.Entry{{ID: "w2", Worker: later}}, change{}, time.Time{})
+		So(g.isCold(later), ShouldBeFalse)
+	})
+}
+
 // TestMeteringOfColdWorkers guards against an instance that meters the requests to a cold worker although another one may still
 // do so, or it has resigned.
 func TestMeteringOfColdWorkers(t *testing.T) {
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -51,7 +51,7 @@
 			message = "evacuation withdrawn"
 			delete(g.unknownDataCentres, c.DataCentre)
 			// Its workers may have become cold while nothing was sent to them.
-			g.assumeCold(c.DataCentre, now)
+			g.assumeCold(c.DataCentre, now, now)
 		case c.Before.Evacuated:
 			message = "evacuation restated"
 		}
@@ -161,6 +161,12 @@
 		entries = append(entries, evacuation.Entry{DataCentre: e.DataCentre, Era: e.Era, Offset: e.Offset, Evacuated: e.Evacuated, Since: now - age})
 	}
 	g.evacuationsChanged(g.evacuations.Merge(entries, now), peer, now)
+	for _, e := range entries {
+		// An instance that has just started never knew the evacuation, so that its withdrawal is no change.
+		if !e.Evacuated && !g.evacuations.Evacuated(e.DataCentre) {
+			g.assumeCold(e.DataCentre, e.Since, now)
+		}
+	}
 }
 
 // maxEvacuationAge bounds the age that another instance names, so that it does not overflow.
