Reserve after a load what was not reserved before it

A request that waits for the load of its adapter at a cold worker is reserved after the load, but only if the worker was still cold then. If it had become warm and named a limit of its own, nothing was reserved at all.

reserveBeforeLoad now says whether it reserved, and claimAfterLoad claims capacity if it did not. That covers workers too that name a limit for the first time during the load.

Measured: TestNamedLimitAfterLoad sent 100 requests at once to a worker that takes 5 a second with the previous condition, and passes now (1 to 10 permitted).

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -240,19 +240,37 @@
 	delete(g.coldPermits, j)
 }
 
+// loadReservation is what a request has reserved at a worker that is to load its adapter.
+type loadReservation struct {
+	// reserved is false if nothing was reserved, since the worker was not limited or cold.
+	reserved bool
+	// sendAt is from when on the request may be sent.
+	sendAt time.Time
+}
+
 // reserveBeforeLoad is reserveRequest for a worker that is to load the job's adapter: a limited one loads it only if it also takes
 // the request. The request to a cold one is reserved after the load.
-func (g *Gateway) reserveBeforeLoad(j *forward.Job, w *workers.Worker) (wait time.Duration, ok bool) {
-	if g.isCold(w) {
-		return 0, true
+func (g *Gateway) reserveBeforeLoad(j *forward.Job, w *workers.Worker) (r loadReservation, ok bool) {
+	g.locked(func() {
+		now := g.now()
+		_, limited := g.limits.Rate(incarnationName(w), now)
+		r.reserved = limited && !g.cold(w, now)
+	})
+	if !r.reserved {
+		return r, true
 	}
-	return g.reserveRequest(j, w, false)
+	wait, ok := g.reserveRequest(j, w, false)
+	r.sendAt = time.Now().Add(wait)
+	return r, ok
 }
 
-// claimIfCold is claimCapacity for a worker that has just loaded the job's adapter, if it is cold: a reservation that was made
-// before the load would be void.
-func (g *Gateway) claimIfCold(ctx context.Context, j *forward.Job, w *workers.Worker) bool {
-	return !g.isCold(w) || g.claimCapacity(ctx, j, w, false)
+// claimAfterLoad is claimCapacity for a worker that has just loaded the job's adapter, if nothing was reserved before the load, or
+// the worker is cold now: a reservation from before the load would be void then. It waits until the request may be sent.
+func (g *Gateway) claimAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, r loadReservation) bool {
+	if !sleep(ctx, time.Until(r.sendAt)) || !g.awaitBackoff(ctx, j, w) {
+		return false
+	}
+	return r.reserved && !g.isCold(w) || g.claimCapacity(ctx, j, w, false)
 }
 
 // coldCollector exports the state of cold workers. A worker without a cold time has none.
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/forward"
 )
 
 // newColdGateway returns an instance with one worker in data centre z1, whose service limits cold workers, and its clock.
@@ -180,3 +182,46 @@
 		So(metering(), ShouldBeTrue)
 	})
 }
+
+// TestNamedLimitAfterLoad guards against requests beyond a worker's named limit that waited for a load while it was cold, or that
+// waited for one when it had not named the limit yet.
+func TestNamedLimitAfterLoad(t *testing.T) {
+	Convey("what was not reserved before the load is reserved after it", t, func() {
+		for _, cold := range []bool{true, false} {
+			g, w, now := newColdGateway()
+			name := incarnationName(w)
+			g.fleetRead.Store(true)
+			g.locked(func() {
+				r := fleetlog.Record{Instance: "a", Incarnation: g.incarnation, Heartbeat: &fleetlog.Heartbeat{Number: 1, Address: "a:82", LeaseMS: 2000, MemoryMB: 100}}
+				g.members.Apply(1, r, *now)
+			})
+			if cold {
+				g.locked(func() { g.limits.AssumeCold(name, 17, *now) })
+			}
+			j := &forward.Job{Route: &routing.Route{TargetLatency: time.Second}, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), Service: "app"}
+			var reserved []loadReservation
+			for range 100 {
+				r, ok := g.reserveBeforeLoad(j, w)
+				So(ok, ShouldBeTrue)
+				reserved = append(reserved, r)
+			}
+			g.locked(func() {
+				g.limits.Answered(name, 5, true, *now)
+				g.limits.SetColdRate(name, 0)
+				g.limits.Reserve(name, 5, 0, *now)
+			})
+			// The holder has capacity for two requests at once.
+			*now += time.Second
+			sent := 0
+			for _, r := range reserved {
+				ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+				if g.claimAfterLoad(ctx, j, w, r) {
+					sent++
+				}
+				cancel()
+			}
+			So(sent, ShouldBeBetweenOrEqual, 1, 10)
+			g.cancel()
+		}
+	})
+}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -374,12 +374,12 @@
 		if target == nil {
 			return forward.Reservation{}, noWorkerError()
 		}
-		wait, ok := g.reserveBeforeLoad(j, target)
+		reserved, ok := g.reserveBeforeLoad(j, target)
 		if !ok {
 			continue
 		}
 		want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
-		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
+		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, reserved); ok {
 			return reservation, nil
 		}
 		if ctx.Err() != nil {
@@ -431,10 +431,10 @@
 }
 
 // reserveAfterLoad lets a worker load the job's adapter and reserves it, if both are done in time and the worker takes the
-// request from sendAt on.
-func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, sendAt time.Time) (forward.Reservation, bool) {
+// request, also by what was reserved before the load.
+func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, reserved loadReservation) (forward.Reservation, bool) {
 	place, loaded := g.ensureResident(ctx, w, want)
-	if loaded && sleep(ctx, time.Until(sendAt)) && g.awaitBackoff(ctx, j, w) && g.claimIfCold(ctx, j, w) {
+	if loaded && g.claimAfterLoad(ctx, j, w, reserved) {
 		if reservation, ok := g.reserveLoaded(j, w, want.adapter, want.version); ok {
 			g.recordSent(w, want.adapter)
 			return g.withPlace(reservation, place), true
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -253,9 +253,9 @@
 	slack = workerload.FurtherSlack(c.answers, slack, residency.ResponseReserve(j.Route.TargetLatency))
 	tried := slices.Clone(failed)
 	for target := o.further; target != nil && len(tried) < len(failed)+loadAttempts && ctx.Err() == nil; {
-		if wait, ok := g.reserveBeforeLoad(j, target); ok {
+		if reserved, ok := g.reserveBeforeLoad(j, target); ok {
 			want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
-			if r, ok := g.reserveAfterLoad(ctx, j, target, want, time.Now().Add(wait)); ok {
+			if r, ok := g.reserveAfterLoad(ctx, j, target, want, reserved); ok {
 				return residentChoice{reservation: r, loaded: true}
 			}
 		}
