Load adapters at warm workers while there are any

The choice of a worker to load an adapter at ignored whether it is cold. The list of workers that hold the adapter lacked cold ones without capacity, so that a further load could be begun at a cold worker that holds it, and another replica be loaded because of it. A request that had an adapter loaded at a cold worker waited there as if there were no warm one.

loadTarget now prefers warm workers. Further loads and replicas are decided by all workers that hold the adapter, and whether one of them is warm counts after a load too.

Measured: TestColdLoadTargets failed before the change (target w, which is cold, in place of w2) and passes now; it also fails if further loads leave out only the workers that the request may go to. The count of replicas has no test of its own.

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -266,11 +266,11 @@
 
 // claimAfterLoad is claimCapacity for a worker that has just loaded the job's adapter, if nothing was reserved before the load, or
 // the worker is cold now: a reservation from before the load would be void then. It waits until the request may be sent.
-func (g *Gateway) claimAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, r loadReservation) bool {
+func (g *Gateway) claimAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, r loadReservation, warm bool) bool {
 	if !sleep(ctx, time.Until(r.sendAt)) || !g.awaitBackoff(ctx, j, w) {
 		return false
 	}
-	return r.reserved && !g.isCold(w) || g.claimCapacity(ctx, j, w, false)
+	return r.reserved && !g.isCold(w) || g.claimCapacity(ctx, j, w, warm)
 }
 
 // coldCollector exports the state of cold workers. A worker without a cold time has none.
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
@@ -215,7 +216,7 @@
 			sent := 0
 			for _, r := range reserved {
 				ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-				if g.claimAfterLoad(ctx, j, w, r) {
+				if g.claimAfterLoad(ctx, j, w, r, false) {
 					sent++
 				}
 				cancel()
@@ -225,3 +226,56 @@
 		}
 	})
 }
+
+// TestColdLoadTargets guards against an adapter that is loaded at a cold worker although a warm one could load it, and against a
+// further load at a cold worker that holds the adapter already.
+func TestColdLoadTargets(t *testing.T) {
+	Convey("a cold worker loads an adapter only if no warm one can, and none that holds it", t, func() {
+		a := residency.Adapter{Model: "m", Name: "a"}
+		for _, c := range []struct {
+			cold, holding   []string
+			failed          bool
+			target, further string
+		}{
+			{cold: []string{"w"}, target: "w2", further: "w2"},
+			{cold: []string{"w2"}, target: "w", further: "w"},
+			{cold: []string{"w"}, failed: true, target: "w", further: "w"},
+			{cold: []string{"w"}, holding: []string{"w2"}, further: "w"},
+			{cold: []string{"w"}, holding: []string{"w", "w2"}},
+			{cold: []string{"w2"}, holding: []string{"w", "w2"}},
+		} {
+			g, w, now := newColdGateway()
+			other := *w
+			other.ID = "w2"
+			g.applyEntries([]workers.Entry{{ID: "w", Worker: w}, {ID: "w2", Worker: &other}}, change{}, time.Time{})
+			byID := map[string]*workers.Worker{"w": w, "w2": &other}
+			owner := fleetlog.Heartbeat{Number: 1, Address: "b:82", LeaseMS: 2000, Owned: map[string]int64{"w": 1, "w2": 1}}
+			g.locked(func() {
+				g.members.Apply(1, fleetlog.Record{Instance: "b", Incarnation: "b1", Heartbeat: &owner}, *now)
+				for _, w := range byID {
+					g.residency.Record(w.Key(), residency.Adapter{Model: "m"}, 1, true, *now)
+				}
+				for _, id := range c.holding {
+					g.residency.Record(byID[id].Key(), a, 1, true, *now)
+				}
+				for _, id := range c.cold {
+					g.limits.AssumeCold(incarnationName(byID[id]), 17, *now)
+				}
+			})
+			var failed []*workers.Worker
+			if c.failed {
+				failed = append(failed, &other)
+			}
+			j := &forward.Job{Route: &routing.Route{TargetLatency: time.Second}, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), Service: "app"}
+			id := func(w *workers.Worker) string {
+				if w == nil {
+					return ""
+				}
+				return w.ID
+			}
+			o := g.engineOptions(j, a, failed, false, true)
+			So([]string{id(o.target), id(o.further)}, ShouldResemble, []string{c.target, c.further})
+			g.cancel()
+		}
+	})
+}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -342,7 +342,7 @@
 		}
 		target := o.target
 		if target == nil && len(o.resident) > 0 {
-			c := g.chooseResident(ctx, j, o.list, o.resident, a, o.further != nil)
+			c := g.chooseResident(ctx, j, o, a)
 			if c.elsewhere && g.ownersKnowRequests() {
 				c = g.loadFurther(ctx, j, a, o, c, slack, failed)
 			}
@@ -379,7 +379,7 @@
 			continue
 		}
 		want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
-		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, reserved); ok {
+		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, reserved, o.warm); ok {
 			return reservation, nil
 		}
 		if ctx.Err() != nil {
@@ -400,8 +400,9 @@
 
 // engineOptions are the workers at which a job for an adapter may be placed.
 type engineOptions struct {
-	// list holds the candidates, and resident those that hold the adapter.
-	list, resident []*workers.Worker
+	// list holds the candidates, holding those that hold the adapter, and resident those of them to which the job may go: of the cold
+	// ones, only those with capacity if there is a warm one.
+	list, holding, resident []*workers.Worker
 	// warm is set if one of those that hold the adapter is warm.
 	warm bool
 	// target is the worker that should load the adapter, nil if the job should go to a resident one, and further the one that
@@ -421,20 +422,21 @@
 	var accepted int64
 	o.list = g.candidates(j)
 	o.version, accepted = g.adapterVersions(a)
-	o.resident, o.warm = g.preferWarm(g.residentWorkers(o.list, a, accepted), noCold)
+	o.holding = g.residentWorkers(o.list, a, accepted)
+	o.resident, o.warm = g.preferWarm(o.holding, noCold)
 	if o.refusal = g.crashRefusal(j); o.refusal != nil {
 		return o
 	}
 	o.target = g.loadingWorker(o.list, o.resident, failed, a)
-	o.further = g.furtherWorker(o.list, o.resident, failed, a, noFurther)
+	o.further = g.furtherWorker(o.list, o.holding, failed, a, noFurther)
 	return o
 }
 
 // reserveAfterLoad lets a worker load the job's adapter and reserves it, if both are done in time and the worker takes the
-// request, also by what was reserved before the load.
-func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, reserved loadReservation) (forward.Reservation, bool) {
+// request, also by what was reserved before the load. It does not wait for a cold worker if warm is set.
+func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, reserved loadReservation, warm bool) (forward.Reservation, bool) {
 	place, loaded := g.ensureResident(ctx, w, want)
-	if loaded && g.claimAfterLoad(ctx, j, w, reserved) {
+	if loaded && g.claimAfterLoad(ctx, j, w, reserved, warm) {
 		if reservation, ok := g.reserveLoaded(j, w, want.adapter, want.version); ok {
 			g.recordSent(w, want.adapter)
 			return g.withPlace(reservation, place), true
@@ -525,14 +527,21 @@
 }
 
 // loadTarget returns the worker that should load the adapter: the first in the adapter's ranking of workers that holds
-// the base model, has a reachable owner and did not fail to load the adapter. The lock is held.
+// the base model, has a reachable owner and did not fail to load the adapter. A cold worker loads it only if no warm one can. The
+// lock is held.
 func (g *Gateway) loadTarget(list, failed []*workers.Worker, a residency.Adapter) *workers.Worker {
+	var cold *workers.Worker
+	now := g.now()
 	for _, w := range residency.RankWorkers(a, g.residentWorkers(list, residency.Adapter{Model: a.Model}, 0)) {
-		if g.hasReachableOwner(w) && !slices.Contains(failed, w) {
+		switch {
+		case slices.Contains(failed, w) || !g.hasReachableOwner(w):
+		case !g.cold(w, now):
 			return w
+		case cold == nil:
+			cold = w
 		}
 	}
-	return nil
+	return cold
 }
 
 // addReplica starts the load of an adapter at one more worker if the adapter has fewer replicas than its use requires.
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -197,9 +197,9 @@
 
 // chooseResident asks the owners of the workers at which the job's adapter is resident for a place, and reserves the worker that
 // gives one. If none does, the adapter is to be loaded at another worker, or the job goes where it waits least.
-func (g *Gateway) chooseResident(ctx context.Context, j *forward.Job, list, resident []*workers.Worker, a residency.Adapter, canLoad bool) residentChoice {
+func (g *Gateway) chooseResident(ctx context.Context, j *forward.Job, o engineOptions, a residency.Adapter) residentChoice {
 	var ranked []*workers.Worker
-	g.locked(func() { ranked = g.rankByLoad(resident) })
+	g.locked(func() { ranked = g.rankByLoad(o.resident) })
 	maxWait := workerload.MaxWait(j.Route.TargetLatency - time.Since(j.Arrived))
 	var answers []workerload.Answer
 	var places []workerPlace
@@ -209,7 +209,7 @@
 		if len(answers) > 0 && g.now()-start >= admitTimeout {
 			servers = len(answers)
 		}
-		c := workerload.Choose(answers, servers, canLoad, time.Until(j.Deadline))
+		c := workerload.Choose(answers, servers, o.further != nil, time.Until(j.Deadline))
 		switch c.Step {
 		case workerload.Ask:
 			answer, p, absent := g.admit(ctx, j, ranked[c.Index], maxWait, false)
@@ -222,9 +222,9 @@
 			}
 			answers, places = append(answers, answer), append(places, p)
 		case workerload.Send:
-			return residentChoice{reservation: g.reserveAtPlace(j, list, resident, a, places[c.Index])}
+			return residentChoice{reservation: g.reserveAtPlace(j, o.list, o.holding, a, places[c.Index])}
 		case workerload.SendLate:
-			return g.sendLate(ctx, j, list, resident, a, ranked[c.Index])
+			return g.sendLate(ctx, j, o.list, o.holding, a, ranked[c.Index])
 		case workerload.LoadElsewhere:
 			return residentChoice{elsewhere: true, ranked: ranked, answers: answers}
 		default:
@@ -255,16 +255,16 @@
 	for target := o.further; target != nil && len(tried) < len(failed)+loadAttempts && ctx.Err() == nil; {
 		if reserved, ok := g.reserveBeforeLoad(j, target); ok {
 			want := wantedAdapter{adapter: a, version: o.version, slack: slack, size: requestSize(j.PromptTokens, j.OutputTokens), left: time.Until(j.Deadline)}
-			if r, ok := g.reserveAfterLoad(ctx, j, target, want, reserved); ok {
+			if r, ok := g.reserveAfterLoad(ctx, j, target, want, reserved, o.warm); ok {
 				return residentChoice{reservation: r, loaded: true}
 			}
 		}
 		tried = append(tried, target)
-		g.locked(func() { target = g.furtherWorker(o.list, o.resident, tried, a, false) })
+		g.locked(func() { target = g.furtherWorker(o.list, o.holding, tried, a, false) })
 	}
 	switch late := workerload.Choose(c.answers, len(c.answers), false, time.Until(j.Deadline)); late.Step {
 	case workerload.SendLate:
-		return g.sendLate(ctx, j, o.list, o.resident, a, c.ranked[late.Index])
+		return g.sendLate(ctx, j, o.list, o.holding, a, c.ranked[late.Index])
 	default:
 		return residentChoice{refusal: workersFullError(late.RetryAfter)}
 	}
