--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -24,13 +24,14 @@
 
 // applyEvacuations applies the records on evacuations of one reading of the operators' topic.
 func (g *Gateway) applyEvacuations(records []evacuation.Record, c change) {
-	carriedOver := false
+	before, carriedOver := false, false
 	g.locked(func() {
 		now := g.now()
+		before = g.evacuations.CarriedOver()
 		g.evacuationsChanged(g.evacuations.Apply(records, evacuation.Reading{Era: c.era, Next: c.next, Snapshot: c.snapshot}, now), "", now)
 		carriedOver = g.evacuations.CarriedOver()
 	})
-	if c.snapshot && carriedOver {
+	if carriedOver && (c.snapshot || !before) {
 		// The log service may have dropped the record that withdrew the evacuation; other instances may have read it.
 		g.requestPeerConfig()
 	}
--- a/internal/gateway/peerconfig.go
+++ b/internal/gateway/peerconfig.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
@@ -39,7 +40,7 @@
 
 // followPeerConfig asks other instances for the configuration that they have in force, once the instance has read the
 // configuration and the fleet's stream, and again after each restore of the log service: a restored log service may lack
-// the newest configuration until it is written again.
+// the newest configuration until it is written again. While an evacuation is carried over from an earlier era, it asks at intervals.
 func (g *Gateway) followPeerConfig(ctx context.Context) error {
 	for _, ready := range []<-chan struct{}{g.configLoaded.done, g.fleetKnown.done} {
 		select {
@@ -48,24 +49,38 @@
 		case <-ready:
 		}
 	}
+	level := zerolog.InfoLevel
 	for round := 1; ; round++ {
 		era := g.knownEra()
-		answered := g.askPeersForConfig(ctx)
+		answered := g.askPeersForConfig(ctx, level)
 		g.recordPeersAsked(era)
 		var again <-chan time.Time
-		if !answered && round < maxConfigRounds {
-			again = time.After(configRoundInterval)
+		if d := g.askPeersAgain(answered, round); d > 0 {
+			again = time.After(d)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-g.askPeers:
-			round = 0
+			round, level = 0, zerolog.InfoLevel
 		case <-again:
+			// Only the first rounds follow a change.
+			if answered || round >= maxConfigRounds {
+				level = zerolog.DebugLevel
+			}
 		}
 	}
 }
 
+// askPeersAgain returns after which time followPeerConfig asks again after a number of rounds, 0 if it waits for a request.
+func (g *Gateway) askPeersAgain(answered bool, rounds int) (d time.Duration) {
+	if !answered && rounds < maxConfigRounds {
+		return configRoundInterval
+	}
+	g.locked(func() { d = g.evacuations.AskAgain() })
+	return d
+}
+
 // recordPeersAsked records that other instances were asked in an era. Answers from before a restore say nothing about what
 // the log service has lost in it; those of the round that it requests do.
 func (g *Gateway) recordPeersAsked(era int64) {
@@ -107,8 +122,9 @@
 	return peers
 }
 
-// askPeersForConfig applies what other instances have in force if it is newer, and reports whether any answered.
-func (g *Gateway) askPeersForConfig(ctx context.Context) bool {
+// askPeersForConfig applies what other instances have in force if it is newer, and reports whether any answered. It logs that at
+// the given level.
+func (g *Gateway) askPeersForConfig(ctx context.Context, level zerolog.Level) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerConfigTimeout)
 	defer cancel()
 	peers := g.configPeers()
@@ -127,7 +143,7 @@
 			answered++
 		}
 	}
-	g.log.Info().Int("asked", len(peers)).Int("answered", answered).Int64("ms", (g.now() - start).Milliseconds()).Msg("peers asked for their configuration")
+	g.log.WithLevel(level).Int("asked", len(peers)).Int("answered", answered).Int64("ms", (g.now() - start).Milliseconds()).Msg("peers asked for their configuration")
 	return answered > 0
 }
 
--- a/internal/state/evacuation/evacuation.go
+++ b/internal/state/evacuation/evacuation.go
@@ -134,6 +134,20 @@
 	return false
 }
 
+// askInterval is the time between two questions to other instances while an evacuation is carried over. It is short compared with
+// the time for which operators would wait for a withdrawal that has no effect, and costs three calls.
+const askInterval = 10 * time.Second
+
+// AskAgain returns after which time other instances are to be asked again for what they know, 0 if there is no need: while an
+// evacuation is carried over, the record that withdraws it may be one that only others have read, and those that were asked before
+// may not have been reached, or not have read it yet.
+func (s *State) AskAgain() time.Duration {
+	if s.CarriedOver() {
+		return askInterval
+	}
+	return 0
+}
+
 // Apply applies records that were read from the log service and returns the changes. Readings of an earlier era than a previous
 // one have no effect.
 func (s *State) Apply(records []Record, r Reading, now time.Duration) []Change {
