--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -50,6 +50,9 @@
 		}
 		if w, ok := set.Get(e.ID); ok && w == e.Worker {
 			g.reportCold(w, snapshot, now)
+			if since, ok := g.evacuations.WithdrawnSince(w.DataCentre); ok && snapshot {
+				g.assumeColdWorker(w, since, now)
+			}
 		}
 	}
 	g.logColdChanges(now)
@@ -71,16 +74,24 @@
 }
 
 // assumeCold lets the workers of a data centre count as cold, if their services have a limit for cold workers, until the
-// registry is read to say otherwise. The lock is held.
-func (g *Gateway) assumeCold(dataCentre string, now time.Duration) {
+// registry is read to say otherwise by entries that were written after the time since. The lock is held.
+func (g *Gateway) assumeCold(dataCentre string, since, now time.Duration) {
 	for _, w := range g.workers.Load().All() {
-		if s, ok := g.coldService(w); ok && w.DataCentre == dataCentre {
-			g.limits.AssumeCold(incarnationName(w), s.ColdRate, now)
+		if w.DataCentre == dataCentre {
+			g.assumeColdWorker(w, since, now)
 		}
 	}
 	g.logColdChanges(now)
 }
 
+// assumeColdWorker is assumeCold for one worker. It has no effect if all entries that are read now were written after the time
+// since. The lock is held.
+func (g *Gateway) assumeColdWorker(w *workers.Worker, since, now time.Duration) {
+	if s, ok := g.coldService(w); ok && now-since < quota.MaxEntryDelay {
+		g.limits.AssumeCold(incarnationName(w), s.ColdRate, since)
+	}
+}
+
 // logColdChanges logs which workers have become cold or warm. The lock is held.
 func (g *Gateway) logColdChanges(now time.Duration) {
 	if g.limits.Empty() {
@@ -159,7 +170,7 @@
 			shortest, longest = min(shortest, lease), max(longest, lease)
 		}
 	}
-	holder, ok := g.limitHolder(worker, now)
+	holder, ok := g.limitHolder(worker, true, now)
 	return ok && holder.incarnation == g.incarnation && g.tenure.MayMeter(shortest, longest, now)
 }
 
@@ -229,19 +240,37 @@
 	delete(g.coldPermits, j)
 }
 
+// loadReservation is what a request has reserved at a worker that is to load its adapter.
+type loadReservation struct {
+	// reserved is false if nothing was reserved, since the worker was not limited or cold.
+	reserved bool
+	// sendAt is from when on the request may be sent.
+	sendAt time.Time
+}
+
 // reserveBeforeLoad is reserveRequest for a worker that is to load the job's adapter: a limited one loads it only if it also takes
 // the request. The request to a cold one is reserved after the load.
-func (g *Gateway) reserveBeforeLoad(j *forward.Job, w *workers.Worker) (wait time.Duration, ok bool) {
-	if g.isCold(w) {
-		return 0, true
+func (g *Gateway) reserveBeforeLoad(j *forward.Job, w *workers.Worker) (r loadReservation, ok bool) {
+	g.locked(func() {
+		now := g.now()
+		_, limited := g.limits.Rate(incarnationName(w), now)
+		r.reserved = limited && !g.cold(w, now)
+	})
+	if !r.reserved {
+		return r, true
 	}
-	return g.reserveRequest(j, w, false)
+	wait, ok := g.reserveRequest(j, w, false)
+	r.sendAt = time.Now().Add(wait)
+	return r, ok
 }
 
-// claimIfCold is claimCapacity for a worker that has just loaded the job's adapter, if it is cold: a reservation that was made
-// before the load would be void.
-func (g *Gateway) claimIfCold(ctx context.Context, j *forward.Job, w *workers.Worker) bool {
-	return !g.isCold(w) || g.claimCapacity(ctx, j, w, false)
+// claimAfterLoad is claimCapacity for a worker that has just loaded the job's adapter, if nothing was reserved before the load, or
+// the worker is cold now: a reservation from before the load would be void then. It waits until the request may be sent.
+func (g *Gateway) claimAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, r loadReservation, warm bool) bool {
+	if !sleep(ctx, time.Until(r.sendAt)) || !g.awaitBackoff(ctx, j, w) {
+		return false
+	}
+	return r.reserved && !g.isCold(w) || g.claimCapacity(ctx, j, w, warm)
 }
 
 // coldCollector exports the state of cold workers. A worker without a cold time has none.
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -24,13 +24,14 @@
 
 // applyEvacuations applies the records on evacuations of one reading of the operators' topic.
 func (g *Gateway) applyEvacuations(records []evacuation.Record, c change) {
-	carriedOver := false
+	before, carriedOver := false, false
 	g.locked(func() {
 		now := g.now()
+		before = g.evacuations.CarriedOver()
 		g.evacuationsChanged(g.evacuations.Apply(records, evacuation.Reading{Era: c.era, Next: c.next, Snapshot: c.snapshot}, now), "", now)
 		carriedOver = g.evacuations.CarriedOver()
 	})
-	if c.snapshot && carriedOver {
+	if carriedOver && (c.snapshot || !before) {
 		// The log service may have dropped the record that withdrew the evacuation; other instances may have read it.
 		g.requestPeerConfig()
 	}
@@ -51,7 +52,7 @@
 			message = "evacuation withdrawn"
 			delete(g.unknownDataCentres, c.DataCentre)
 			// Its workers may have become cold while nothing was sent to them.
-			g.assumeCold(c.DataCentre, now)
+			g.assumeCold(c.DataCentre, now, now)
 		case c.Before.Evacuated:
 			message = "evacuation restated"
 		}
@@ -161,6 +162,12 @@
 		entries = append(entries, evacuation.Entry{DataCentre: e.DataCentre, Era: e.Era, Offset: e.Offset, Evacuated: e.Evacuated, Since: now - age})
 	}
 	g.evacuationsChanged(g.evacuations.Merge(entries, now), peer, now)
+	for _, e := range entries {
+		// An instance that has just started never knew the evacuation, so that its withdrawal is no change.
+		if !e.Evacuated && !g.evacuations.Evacuated(e.DataCentre) {
+			g.assumeCold(e.DataCentre, e.Since, now)
+		}
+	}
 }
 
 // maxEvacuationAge bounds the age that another instance names, so that it does not overflow.
