Replace the relocation of an earlier evacuation by a later one's

A second evacuation started a second relocation of adapters beside one that still ran, so that an instance had two loads in flight and the loads of both exceeded the part of the weight store's rate. Relocations also went to workers that had begun to leave since the list was made, and were left out if only such a worker held the adapter.

RelocationQueue holds what an instance has still to begin. The list of a later evacuation, which is decided by all that are in force, takes the place of what is left. relocationOwner leaves out workers that leave.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,10 @@
 	// availability is what workers have said about taking further requests from this instance.
 	availability *retry.Availability
 	// evacuations are the evacuations of data centres, and unknownDataCentres the evacuated ones that were logged as unknown.
-	evacuations        *evacuation.State
+	evacuations *evacuation.State
+	// relocations are the relocations that this instance has still to begin. relocationsChanged has a value after each change.
+	relocations        residency.RelocationQueue
+	relocationsChanged chan struct{}
 	unknownDataCentres map[string]bool
 	// relays are the instances that read the log service for the others, in the order in which this instance asks them,
 	// and topics the records that this instance has read.
@@ -193,7 +196,7 @@
 		usage: map[workerAdapter]*usage{}, inFlight: map[workers.Key]int{}, limits: quota.NewWorkerLimits(), coldPermits: map[*forward.Job]coldPermit{}, keepers: newKeepers(), kept: &keptWorkers{loads: map[string]*workerload.Plain{}}, availability: retry.NewAvailability(), evacuations: evacuation.New(), unknownDataCentres: map[string]bool{}, rateHolders: map[string][]peerInstance{},
 		spentUntil: map[holderShare]time.Duration{}, topics: map[string]*relayedTopic{},
 		buckets: map[string]*quota.Bucket{}, budgets: map[string]*retry.WindowBudget{},
-		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), configLoaded: newSignal(), fleetKnown: newSignal(),
+		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), relocationsChanged: make(chan struct{}, 1), configLoaded: newSignal(), fleetKnown: newSignal(),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{},
 		connections: keepalive.New(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
 		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]sentAttempt{}, fleetSize: 1,
--- a/internal/gateway/relocate.go
+++ b/internal/gateway/relocate.go
@@ -13,7 +13,7 @@
 const relocationTimeout = 2 * time.Second
 
 // startRelocation loads the adapters that are resident only in evacuated data centres at the workers that this instance owns, in
-// the background. The lock is held.
+// the background. If it still does so for an earlier evacuation, it goes on with the new relocations. The lock is held.
 func (g *Gateway) startRelocation() {
 	var own []residency.Relocation
 	planned := 0
@@ -26,21 +26,56 @@
 			}
 		}
 	}
+	start := g.relocations.Replace(own, g.now())
+	select {
+	case g.relocationsChanged <- struct{}{}:
+	default:
+	}
 	if len(own) == 0 {
 		return
 	}
 	g.log.Info().Int("adapters", len(own)).Int("of_all", planned).Msg("adapters of evacuated data centres are loaded elsewhere")
-	begin := g.now()
-	g.start("relocation of adapters", func(ctx context.Context) {
-		for _, r := range own {
-			if !sleep(ctx, r.Wait-(g.now()-begin)) {
-				return
-			}
-			if o, version := g.relocationOwner(r); o != nil {
-				o.relocate(ctx, r.Adapter, version)
-			}
+	if start {
+		g.start("relocation of adapters", g.relocateAdapters)
+	}
+}
+
+// relocateAdapters carries out relocations until none is left.
+func (g *Gateway) relocateAdapters(ctx context.Context) {
+	done := false
+	defer func() {
+		if !done {
+			g.locked(g.relocations.Stop)
+		}
+	}()
+	for ctx.Err() == nil {
+		var r residency.Relocation
+		var wait time.Duration
+		ok := false
+		g.locked(func() { r, wait, ok = g.relocations.Next(g.now()) })
+		if !ok {
+			done = true
+			return
+		}
+		if wait > 0 {
+			g.awaitRelocation(ctx, wait)
+			continue
 		}
-	})
+		if o, version := g.relocationOwner(r); o != nil {
+			o.relocate(ctx, r.Adapter, version)
+		}
+	}
+}
+
+// awaitRelocation waits for a time, or until the relocations change.
+func (g *Gateway) awaitRelocation(ctx context.Context, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-g.relocationsChanged:
+	case <-t.C:
+	}
 }
 
 // engineServices returns the services with an engine. The lock is held.
@@ -72,16 +107,16 @@
 }
 
 // relocationOwner returns this instance's owner of the worker of a relocation, and the version to load. It returns nil if the load is
-// no longer needed: the adapter is resident at a worker that is in use, or the evacuation was withdrawn.
+// no longer needed: the adapter is resident at a worker that is in use, or the evacuation was withdrawn; or if the worker leaves.
 func (g *Gateway) relocationOwner(r residency.Relocation) (*owner, int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	version, accepted := g.adapterVersions(r.Adapter)
-	if g.evacuations.Empty() || g.evacuated(r.Worker) {
+	if g.evacuations.Empty() || g.evacuated(r.Worker) || g.leaving(r.Worker) {
 		return nil, 0
 	}
 	for _, w := range g.workers.Load().Ready(r.Worker.Service) {
-		if !g.evacuated(w) && g.residency.Holds(w.Key(), r.Adapter, accepted) {
+		if !g.evacuated(w) && !g.leaving(w) && g.residency.Holds(w.Key(), r.Adapter, accepted) {
 			return nil, 0
 		}
 	}
