gateway: keep the keepers known before an outage of the log service

In an outage the instances that were heard of earlier than the reading one count as silent first. A lookup in that time, which each request makes every 250 ms, left only some of the keepers for the rest of the outage. The lookup now stops once the instance itself was not heard of for half the delay.

TestKeepersInOutage failed before (1 live instance instead of 2) and passes.

--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// readKeepers looks up the live instances, if that was not done recently. While this instance itself counts as silent, because the
-// log service is down or cut off, the last ones known are used: the others can be called nevertheless. The lock is held.
+// readKeepers looks up the live instances, if that was not done recently. While this instance itself is not heard of in time, because
+// the log service is down or cut off, the last ones known are used: the others can be called nevertheless. The lock is held.
 func (g *Gateway) readKeepers(now time.Duration) {
 	k := g.keepers
 	if k.read && now-k.readAt < keeperRefresh {
@@ -125,7 +125,10 @@
 		return
 	}
 	members := g.members.Live(now, quota.TakeoverDelay)
-	if !slices.ContainsFunc(members, func(m fleetlog.Member) bool { return m.Incarnation == g.incarnation }) {
+	// The others may count as silent an interval between heartbeats earlier than this instance. Half the delay is longer than an
+	// interval, and over before the first of them does.
+	own := slices.IndexFunc(members, func(m fleetlog.Member) bool { return m.Incarnation == g.incarnation })
+	if own < 0 || now-members[own].LastHeard > quota.TakeoverDelay(members[own].Lease())/2 {
 		return
 	}
 	k.live, k.byName = nil, map[string]peerInstance{}
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -139,3 +139,26 @@
 		})
 	}
 }
+
+// TestKeepersInOutage guards against an instance that forgets the others in an outage of the log service, since they were heard of
+// earlier than itself and count as silent first.
+func TestKeepersInOutage(t *testing.T) {
+	Convey("the last live instances known are kept", t, func() {
+		g, _, now := newColdGateway()
+		defer g.cancel()
+		g.fleetRead.Store(true)
+		beat := func(instance, incarnation string) {
+			g.members.Apply(1, fleetlog.Record{Instance: instance, Incarnation: incarnation, Heartbeat: &fleetlog.Heartbeat{Number: 1, Address: instance + ":82", LeaseMS: 2000, MemoryMB: 100}}, *now)
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		beat("b", "other")
+		*now += 999 * time.Millisecond
+		beat("a", g.incarnation)
+		for range 40 {
+			g.readKeepers(*now)
+			So(len(g.keepers.live), ShouldEqual, 2)
+			*now += keeperRefresh
+		}
+	})
+}
