workerload: change between keepers and own requests only after a while

Placement changed with each restart of an instance while instances and places were close in number, and keepers were used at startup until the last workers had registered, and in fleets of any size. Keepers are now used once there were fewer places than instances for 3 s without further places, no longer once that has not held for a minute, and never with fewer than ten instances.

--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -35,8 +35,14 @@
 	patienceShare = 0.1
 	// minHoldShare and maxHoldShare of the target latency bound the time between two questions for a request without a place.
 	minHoldShare, maxHoldShare = 1, 3
-	// extentMemory is how long the places of workers that are gone still count.
+	// extentMemory is how long the places of workers that are gone still count where no keepers are used yet, and how long a service
+	// must have as many places as there are instances until they are used no longer. Restarts of instances or workers take less.
 	extentMemory = time.Minute
+	// extentSettling is how long a service must have fewer places than there are instances, and get no further ones, until keepers are
+	// used. At startup its workers register one after another.
+	extentSettling = 3 * time.Second
+	// minKeptInstances is the smallest fleet that uses keepers. In a smaller one, each instance has requests enough.
+	minKeptInstances = 10
 	// minRetryAfter is the shortest time that a refusal names.
 	minRetryAfter = 50 * time.Millisecond
 	// callersPatience is the part of its remaining time for which a caller waits after a refusal. A later time would let all
@@ -90,27 +96,54 @@
 	}
 }
 
-// Extent is how many places the workers of a plain service have together.
+// Extent is how many places the workers of a plain service have together, and whether keepers place its requests.
+//
+// It handles load of this kind: instances or workers that restart, register or fail while the numbers of places and instances are close.
 type Extent struct {
 	places int
 	seen   time.Duration
+	kept   bool
+	// changing is true if the numbers have called for the other way of placement since the time since.
+	changing bool
+	since    time.Duration
 }
 
 // NeedsKeepers reports whether the requests of a plain service with workers of the given numbers of slots are placed by keepers:
-// if an instance has on average less than one request there, its own requests say nothing of the load. Workers that were there
-// within extentMemory count, so that a small fleet that loses some of its workers is not placed in another way during that.
+// if an instance has on average less than one request there, its own requests say nothing of the load. It is to be called
+// every few seconds at least. The way of placement changes only once the numbers have called for it for some time, and at once where
+// keepers can't be used: in a small fleet, and with workers whose places are not known.
 func (e *Extent) NeedsKeepers(slots []int, instances int, now time.Duration) bool {
-	total := 0
+	total, known := 0, true
 	for _, n := range slots {
-		if n <= 0 || n >= instances {
-			return false
-		}
+		known = known && n > 0
 		total += n
 	}
+	switch {
+	case len(slots) == 0:
+		return false
+	case !known || instances < minKeptInstances:
+		e.kept, e.changing = false, false
+		return false
+	}
+	// Workers that were there within extentMemory count, so that a small number of workers that loses some of them is not placed in
+	// another way during that.
+	grown := total > e.places
 	if total >= e.places || now-e.seen > extentMemory {
 		e.places, e.seen = total, now
 	}
-	return total > 0 && e.places < instances
+	wanted, due := e.places < instances, extentSettling
+	if e.kept {
+		wanted, due = total < instances, extentMemory
+	}
+	switch {
+	case wanted == e.kept:
+		e.changing = false
+	case !e.changing || wanted && grown:
+		e.changing, e.since = true, now
+	case now-e.since >= due:
+		e.kept, e.changing = wanted, false
+	}
+	return e.kept
 }
 
 // OwnView returns what an instance expects of a worker by its own requests there alone.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -345,6 +345,7 @@
 	g.availability.Retain(listed, g.now())
 	if t := g.table.Load(); t != nil {
 		g.keepers.retain(listed, func(name string) bool { _, ok := t.Service(name); return ok })
+		g.updatePlacements(t)
 	}
 	g.kept.retain(listed, g.metrics, g.now())
 	for k := range g.unreachable {
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -16,6 +16,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/state/fleetlog"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/forward"
 )
@@ -166,28 +167,41 @@
 	return kept
 }
 
-// serviceKept reports whether keepers place the requests of a job's service: one whose workers together have fewer places than there
-// are live instances. Elsewhere each instance has requests enough to know the load itself. The lock is held.
+// serviceKept reports whether keepers place the requests of a job's service. The lock is held.
 func (g *Gateway) serviceKept(j *forward.Job) bool {
 	s, ok := j.Config.Service(j.Service)
-	if !ok || s.Engine != nil {
-		return false
+	return ok && s.Engine == nil && g.updatePlacement(j.Service)
+}
+
+// updatePlacements decides for the plain services with workers whether keepers place their requests, also while there are no requests.
+// The lock is held.
+func (g *Gateway) updatePlacements(t *routing.Table) {
+	updated := map[string]bool{}
+	for _, w := range g.workers.Load().All() {
+		if s, ok := t.Service(w.Service); ok && s.Engine == nil && !updated[w.Service] {
+			updated[w.Service] = true
+			g.updatePlacement(w.Service)
+		}
 	}
+}
+
+// updatePlacement decides whether keepers place the requests of a plain service. The lock is held.
+func (g *Gateway) updatePlacement(service string) bool {
 	now := g.now()
 	g.readKeepers(now)
-	p := g.keepers.services[j.Service]
+	p := g.keepers.services[service]
 	if p == nil {
 		p = &servicePlacement{}
-		g.keepers.services[j.Service] = p
+		g.keepers.services[service] = p
 	}
 	var slots []int
-	for _, w := range g.workers.Load().Ready(j.Service) {
+	for _, w := range g.workers.Load().Ready(service) {
 		slots = append(slots, w.Slots)
 	}
 	kept := p.extent.NeedsKeepers(slots, len(g.keepers.live), now)
-	if kept != p.kept {
+	if kept != p.kept && len(slots) > 0 {
 		p.kept = kept
-		g.log.Info().Str("service", j.Service).Bool("by_keepers", kept).Ints("slots", slots).Int("live", len(g.keepers.live)).Msg("placement of a plain service changed")
+		g.log.Info().Str("service", service).Bool("by_keepers", kept).Ints("slots", slots).Int("live", len(g.keepers.live)).Msg("placement of a plain service changed")
 	}
 	return kept
 }
