--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -332,11 +332,11 @@
 			late, failed = true, nil
 		}
 		if late {
+			if len(failed) == loadAttempts {
+				break
+			}
 			slack = 0
 		}
-		if late && len(failed) == loadAttempts {
-			break
-		}
 		o := g.engineOptions(j, a, failed, late || elsewhere, coldFull)
 		if o.refusal != nil {
 			return forward.Reservation{}, o.refusal
@@ -381,8 +381,7 @@
 		if !ok {
 			continue
 		}
-		want := wantedAdapter{adapter: a, version: o.version, slack: slack, reserve: residency.ResponseReserve(j.Route.TargetLatency), size: g.jobSize(j), left: time.Until(j.Deadline)}
-		if reservation, ok := g.reserveAfterLoad(ctx, j, target, want, reserved, o.warm); ok {
+		if reservation, ok := g.reserveAfterLoad(ctx, j, target, g.want(j, a, o.version, slack), reserved, o.warm); ok {
 			return reservation, nil
 		}
 		if ctx.Err() != nil {
@@ -396,6 +395,14 @@
 	return forward.Reservation{}, adapterAbsentError()
 }
 
+// want returns what a worker's owner is asked for on behalf of a job.
+func (g *Gateway) want(j *forward.Job, a residency.Adapter, version int64, slack time.Duration) wantedAdapter {
+	return wantedAdapter{
+		adapter: a, version: version, slack: slack, reserve: residency.ResponseReserve(j.Route.TargetLatency),
+		size: g.jobSize(j), left: time.Until(j.Deadline),
+	}
+}
+
 // reservedExpired reports whether a request may no longer begin on the version of an adapter with which it was reserved. The
 // lock is not held.
 func (g *Gateway) reservedExpired(r forward.Reservation, a residency.Adapter) bool {
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -258,13 +258,11 @@
 // loadFurther lets further workers load the adapter of a job that no worker with the adapter admits: several, one after the other,
 // if the job begins there sooner than at the best of those that have it. Otherwise the job goes to that one, or is refused.
 func (g *Gateway) loadFurther(ctx context.Context, j *forward.Job, a residency.Adapter, o engineOptions, c residentChoice, slack time.Duration, failed []*workers.Worker) residentChoice {
-	reserve := residency.ResponseReserve(j.Route.TargetLatency)
-	slack = workerload.FurtherSlack(c.answers, slack, reserve, time.Until(j.Deadline))
+	slack = workerload.FurtherSlack(c.answers, slack, residency.ResponseReserve(j.Route.TargetLatency), time.Until(j.Deadline))
 	tried := slices.Clone(failed)
 	for target := o.further; target != nil && len(tried) < len(failed)+loadAttempts && ctx.Err() == nil; {
 		if reserved, ok := g.reserveBeforeLoad(j, target); ok {
-			want := wantedAdapter{adapter: a, version: o.version, slack: slack, reserve: reserve, size: g.jobSize(j), left: time.Until(j.Deadline)}
-			if r, ok := g.reserveAfterLoad(ctx, j, target, want, reserved, o.warm); ok {
+			if r, ok := g.reserveAfterLoad(ctx, j, target, g.want(j, a, o.version, slack), reserved, o.warm); ok {
 				return residentChoice{reservation: r, loaded: true}
 			}
 		}
