--- a/internal/coordination/workerload/choice.go
+++ b/internal/coordination/workerload/choice.go
@@ -15,7 +15,8 @@
 	Wait time.Duration
 }
 
-// Step is what to do next with a request whose adapter is resident at several servers.
+// Step is what to do next with a request whose adapter is resident at several servers, or with one to a plain service. Not every
+// step applies to both.
 type Step int
 
 // The steps.
--- a/internal/coordination/workerload/plain.go
+++ b/internal/coordination/workerload/plain.go
@@ -63,7 +63,7 @@
 // Plain is what runs and waits at one incarnation of a plain service's worker, as far as its keeper has admitted it. The worker
 // runs a number of requests at once and takes the others in the order of arrival.
 //
-// It answers load of this kind: many instances with few requests each, of which some data centres have more than others;
+// It handles load of this kind: many instances with few requests each, of which some data centres have more than others;
 // bursts; a worker that has become slow, fails requests at once, or takes fewer waiting requests than it is sent.
 type Plain struct {
 	slots int
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -1,7 +1,7 @@
 // Package workerload decides which requests a backend server with a batch of limited size takes. The server's owner runs
 // it for the requests of all instances, since each of them alone has about one request there and cannot know the rest.
 //
-// It answers load of this kind: an adapter that becomes popular within seconds fills the few servers at which it is
+// It handles load of this kind: an adapter that becomes popular within seconds fills the few servers at which it is
 // resident, while others are half idle; a server that has become slow; long prompts that keep others waiting. A request
 // that would wait too long is not admitted, so that it goes to another server or the adapter is loaded at one more.
 //
