Wording of comments after a read-through of the change

Cause: words that a newcomer stumbles over (told, gone, heard) in new comments. Change: the usual terms; comments only. Result: go vet and gofmt are clean; no code changed.

--- a/internal/coordination/residency/placed_test.go
+++ b/internal/coordination/residency/placed_test.go
@@ -7,7 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestPlacedRequests guards the adapters of requests that another instance has placed and of which no heartbeat tells yet: they
+// TestPlacedRequests guards the adapters of requests that another instance has placed and that no heartbeat has reported yet: they
 // are not evicted, a place that is never returned does not keep its adapter for good, and no request is placed for an adapter
 // that is about to be unloaded.
 func TestPlacedRequests(t *testing.T) {
--- a/internal/coordination/residency/relocationqueue_test.go
+++ b/internal/coordination/residency/relocationqueue_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestRelocationQueue guards against loads of two evacuations beside each other, loads that begin too early, and relocations that
-// nobody begins since the instance has just ended with the earlier ones.
+// no instance begins, since the instance has just ended with the earlier ones.
 func TestRelocationQueue(t *testing.T) {
 	Convey("a later list replaces what is left, and is begun once", t, func() {
 		q := RelocationQueue{}
--- a/internal/coordination/workerload/mixture_test.go
+++ b/internal/coordination/workerload/mixture_test.go
@@ -15,7 +15,7 @@
 	longSize    = Request{Prompt: 9200, Output: 100, Mixture: testMixture}
 )
 
-// TestMixture checks that only routes whose prompts differ much make a mixture, and that routes that are gone do not count.
+// TestMixture checks that only routes whose prompts differ much make a mixture, and that removed routes do not count.
 func TestMixture(t *testing.T) {
 	learn := func(sizes map[string]int64) *Mix {
 		m := NewMix()
@@ -29,7 +29,7 @@
 	Convey("routes with prompts of about one size make none", t, func() {
 		So(learn(map[string]int64{"a": 1460, "b": 2900, "c": 900}).Mixture(), ShouldResemble, Mixture{})
 	})
-	Convey("routes whose prompts differ much make one, until they are gone", t, func() {
+	Convey("routes whose prompts differ much make one, until they are removed", t, func() {
 		m := learn(map[string]int64{"a": 600, "b": 650, "long": 9200})
 		So(m.Mixture(), ShouldResemble, Mixture{ShortTarget: 500 * time.Millisecond, Short: 600, Long: 9200})
 		m.Retain(func(route string) bool { return route != "long" })
--- a/internal/coordination/workerload/plain.go
+++ b/internal/coordination/workerload/plain.go
@@ -15,7 +15,7 @@
 	minRemainingShare = 1.0 / 8
 	// maxFailureDoublings bounds how long places of requests that a worker has failed are kept: 32 times the time per request.
 	maxFailureDoublings = 5
-	// probeInterval is the time after which a worker that is too slow for the requests gets one nevertheless, since only that tells
+	// probeInterval is the time after which a worker that is too slow for the requests gets one nevertheless, since only that shows
 	// that it has become faster.
 	probeInterval = time.Second
 )
--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -35,7 +35,7 @@
 	patienceShare = 0.1
 	// minHoldShare and maxHoldShare of the target latency bound the time between two questions for a request without a place.
 	minHoldShare, maxHoldShare = 1, 3
-	// extentMemory is how long the places of workers that are gone still count where no keepers are used yet, and how long a service
+	// extentMemory is how long the places of removed workers still count where no keepers are used yet, and how long a service
 	// must have as many places as there are instances until they are used no longer. Restarts of instances or workers take less.
 	extentMemory = time.Minute
 	// extentSettling is how long a service must have fewer places than there are instances, and get no further ones, until keepers are
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -114,7 +114,7 @@
 	}
 }
 
-// readKeepers looks up the live instances, if that was not done recently. While this instance itself is not heard of in time, because
+// readKeepers looks up the live instances, if that was not done recently. While this instance itself has no heartbeat read in time, because
 // the log service is down or cut off, the last ones known are used: the others can be called nevertheless. The lock is held.
 func (g *Gateway) readKeepers(now time.Duration) {
 	k := g.keepers
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// TestKeepersInOutage guards against an instance that forgets the others in an outage of the log service, since they were heard of
+// TestKeepersInOutage guards against an instance that forgets the others in an outage of the log service, since their heartbeats were read
 // earlier than itself and count as silent first.
 func TestKeepersInOutage(t *testing.T) {
 	Convey("the last live instances known are kept", t, func() {
--- a/internal/gateway/mixture.go
+++ b/internal/gateway/mixture.go
@@ -13,7 +13,7 @@
 	"github.com/turmericworks/turmericworks/internal/transport/forward"
 )
 
-// maxPromptParts bounds the parts of a prompt that are told to a worker's owner.
+// maxPromptParts bounds the parts of a prompt that are reported to a worker's owner.
 const maxPromptParts = 16
 
 // mixOf returns what is known of the prompts of a service. The lock is held.
@@ -60,7 +60,7 @@
 	return r
 }
 
-// requestMix returns the message that tells an owner what requestOfMix reads, nil if that is nothing.
+// requestMix returns the message from which an owner reads requestOfMix, nil if there is nothing to send.
 func requestMix(r workerload.Request) *peerpb.RequestMix {
 	if r.Mixture.Long == 0 && len(r.Parts) == 0 {
 		return nil
@@ -75,7 +75,7 @@
 	return out
 }
 
-// requestOfMix returns a request of a size with what a message tells of it. A message of an instance that knows no mixtures is nil.
+// requestOfMix returns a request of a size with what a message says about it. A message of an instance that knows no mixtures is nil.
 func requestOfMix(prompt, output int64, m *peerpb.RequestMix) workerload.Request {
 	r := requestSize(prompt, output)
 	r.Priority, r.Late, r.Owed = int(min(max(0, m.GetPriority()), 9)), m.GetLate(), m.GetOwed()
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -20,7 +20,7 @@
 const reportTimeout = 500 * time.Millisecond
 
 // unknownPlacesTime is how long an owner does not know the requests that were placed before it began: until heartbeats of all
-// instances have told what runs.
+// instances have reported what runs.
 const unknownPlacesTime = 3 * time.Second
 
 // leaseCheckInterval is the time between two checks whether the instance may send orders again.
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -58,7 +58,7 @@
 	version int64
 }
 
-// adapterNeed returns what an owner is told of the adapter of a request.
+// adapterNeed returns what a question for a place names as the adapter of a request.
 func (g *Gateway) adapterNeed(a residency.Adapter) adapterNeed {
 	if a.Name == "" {
 		return adapterNeed{}
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -1,4 +1,4 @@
-// Package machine tells how much memory and how many descriptors a process may use.
+// Package machine returns how much memory and how many descriptors a process may use.
 package machine
 
 import (
@@ -14,7 +14,7 @@
 	percent      = 100
 	// NoMemoryLimit is the runtime's limit if none is set.
 	NoMemoryLimit = math.MaxInt64
-	// defaultDescriptors is assumed if the system does not tell the limit.
+	// defaultDescriptors is assumed if the system does not report the limit.
 	defaultDescriptors = 1024
 	// maxDescriptors bounds a limit that stands for no limit.
 	maxDescriptors = 1 << 20
--- a/internal/state/config/difference.go
+++ b/internal/state/config/difference.go
@@ -13,7 +13,7 @@
 	"github.com/gravitational/trace"
 )
 
-// Action tells what a difference does to an entry.
+// Action is what a difference does to an entry.
 type Action string
 
 // The actions, in the order in which differences are listed. ActionRemove and ActionReduce take something away from
--- a/internal/state/config/findings.go
+++ b/internal/state/config/findings.go
@@ -7,7 +7,7 @@
 	"slices"
 )
 
-// Severity tells how serious a finding is.
+// Severity is how serious a finding is.
 type Severity string
 
 // The severities. An entry with an error is refused by the instances or has all its requests refused.
@@ -199,7 +199,7 @@
 }
 
 // unreachable reports whether no caller may use an object of the workspace. A document without any keys leaves the keys
-// in force as they are, so it tells nothing about this.
+// in force as they are, so it does not change this.
 func (c *usage) unreachable(workspace string, open bool) bool {
 	if open || !c.hasKeys || c.owner(workspace).keys > 0 {
 		return false
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -37,7 +37,7 @@
 	sweepInterval = time.Second
 	// writeChunk is the largest part that is written at once, so that the progress of a slow reader is seen.
 	writeChunk = 64 << 10
-	// roomInterval is how often a full guard looks for a connection to close for those that wait.
+	// roomInterval is how often a full guard checks for a connection to close for those that wait.
 	roomInterval = 100 * time.Millisecond
 )
 
