residency: TestLoadWithinShortTarget fails with the former reserve

It did not: with the initial load time of 250 ms a load was on time to the millisecond. Change: the test uses a load time of 288 ms, that of the deployment that showed the fault; it is stricter. Result: fails with the reserve of 250 ms (the load is declined), passes with the present one.

--- a/internal/coordination/residency/placed_test.go
+++ b/internal/coordination/residency/placed_test.go
@@ -54,9 +54,11 @@
 // TestLoadWithinShortTarget guards against owners that decline every load for requests with a short target latency: one load at
 // the usual speed of the weight store is on time.
 func TestLoadWithinShortTarget(t *testing.T) {
-	const arrival = time.Second
+	// The load time is that of a deployment whose live requests have a target of 500 ms.
+	const arrival, loadTime = time.Second, 288 * time.Millisecond
 	for _, target := range []time.Duration{500 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
 		o := syncedOwner(2)
+		o.loadTime = loadTime
 		if deadline := arrival + target - ResponseReserve(target); !o.Admits(adapterN(1), 0, deadline, arrival) {
 			t.Errorf("a load for a request with the target %v is declined", target)
 		}
