action: a call ended by a planned stop says so, not that its deadline passed

Cause: at the end of the drain time a call that may not be repeated was answered with 504 deadline_exceeded if its goroutine ran before the request was cancelled, and with 502 stopped otherwise. Change: the state machine of a call answers Stop with 502 stopped itself, so that the order of the two goroutines does not matter.

--- a/internal/coordination/action/action.go
+++ b/internal/coordination/action/action.go
@@ -181,6 +181,8 @@
 	records        []record.Envelope
 	dispatchResult DispatchResult
 	responded      bool
+	// stopping is set once the instance has announced that it stops.
+	stopping bool
 }
 
 // New returns the Call for a request and its first actions.
@@ -228,6 +230,7 @@
 	case ViewUpdate:
 		c.view = e.View
 	case Stop:
+		c.stopping = true
 		c.req.Deadline, c.intentDeadline = now, now
 	}
 	actions := c.checkDeadlines(now)
@@ -265,6 +268,9 @@
 		return c.fail(errorWithRetryAfter(verdict.Ran, statusUnavailable, "outcome_not_recorded",
 			"the call ran but its outcome could not be recorded yet"))
 	}
+	if c.stopping {
+		return c.fail(verdict.New(verdict.MayHaveRun, statusBadGateway, "stopped", "the instance stopped before the outcome was known"))
+	}
 	return c.fail(errorWithRetryAfter(verdict.MayHaveRun, statusTimeout, "deadline_exceeded",
 		"the call was dispatched and its outcome is not known yet"))
 }
--- a/internal/coordination/action/action_test.go
+++ b/internal/coordination/action/action_test.go
@@ -119,6 +119,7 @@
 			s.stop(inst)
 			So(c.responses, ShouldEqual, 1)
 			So(c.notRun, ShouldBeFalse)
+			So(c.code, ShouldEqual, "stopped")
 			s.heal()
 			So(c.responses, ShouldEqual, 1)
 			So(s.runsPerKey["k"], ShouldEqual, 1)
--- a/internal/coordination/action/sim_test.go
+++ b/internal/coordination/action/sim_test.go
@@ -57,6 +57,7 @@
 	key       intent.Key
 	responses int
 	notRun    bool
+	code      string
 	runs      int
 	accepted  time.Time
 }
@@ -175,7 +176,7 @@
 			}
 		case Fail:
 			c.responses++
-			c.notRun = a.Err.Verdict == verdict.NotRun
+			c.notRun, c.code = a.Err.Verdict == verdict.NotRun, a.Err.Code
 			if c.notRun && c.runs > 0 {
 				s.t.Fatalf("not-run check: %s failed with verdict not-run after it had run", c.id)
 			}
