gateway: log how the worker of a request to an engine was chosen

Change: placed_how, questions and expected_wait_ms for engines; held_ms once. Result: go test ./internal/gateway ./internal/transport/forward pass; the placement test sets one field less, which no check read.

--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -36,6 +36,12 @@
 	placedHeld    = "held"
 	placedUnknown = "keeper_unknown"
 	placedRefused = "refused"
+	// At engines: with a place of the owner, with none since the owner was not reached or knew nothing, where it is late but waits
+	// least, and after a load.
+	placedAdmitted     = "owner"
+	placedOwnerUnknown = "owner_unknown"
+	placedLate         = "late"
+	placedLoaded       = "loaded"
 )
 
 // keepers are the keepers of plain workers, as this instance knows them. The gateway's lock guards it.
@@ -281,7 +287,7 @@
 			break
 		}
 		if !r.reachable {
-			g.recordPlaced(j, forward.Placed{How: placedUnknown, Questions: questions, Held: held})
+			g.recordPlaced(j, forward.Placed{How: placedUnknown, Questions: questions})
 			return g.placeByOwnRequests(ctx, j)
 		}
 		c := g.askKeepers(j, r)
@@ -291,7 +297,7 @@
 			probed = true
 			continue
 		}
-		placed := forward.Placed{Questions: questions, Wait: c.Wait, Held: held}
+		placed := forward.Placed{Questions: questions, Wait: c.Wait}
 		switch c.Step {
 		case workerload.Send:
 			placed.How = howPlaced(r, c, held)
@@ -305,6 +311,7 @@
 				return forward.Reservation{}, noWorkerError()
 			}
 			held = g.now() - began
+			j.Held += c.After
 		default:
 			placed.How = placedRefused
 			g.recordPlaced(j, placed)
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -105,7 +105,7 @@
 	Convey("a placement by own requests removes the earlier one by keepers", t, func() {
 		g, j := newKeeperGateway(time.Millisecond, "w1")
 		defer g.cancel()
-		j.Placed = forward.Placed{How: placedHeld, Questions: 3, Held: time.Second}
+		j.Placed = forward.Placed{How: placedHeld, Questions: 3}
 		_, err := g.placeByLoad(t.Context(), j)
 		So(err, ShouldBeNil)
 		So(j.Placed, ShouldResemble, forward.Placed{})
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -451,6 +451,7 @@
 	place, loaded := g.ensureResident(ctx, w, want)
 	if loaded && g.claimAfterLoad(ctx, j, w, reserved, warm) {
 		if reservation, ok := g.reserveLoaded(j, w, want.adapter, want.version); ok {
+			j.Placed = forward.Placed{How: placedLoaded}
 			g.recordSent(w, want.adapter)
 			return g.withPlace(reservation, place), true
 		}
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -228,8 +228,10 @@
 			}
 			answers, places = append(answers, answer), append(places, p)
 		case workerload.Send:
+			j.Placed = forward.Placed{How: howPlacedAtEngine(answers[c.Index]), Questions: len(answers), Wait: answers[c.Index].Wait}
 			return residentChoice{reservation: g.reserveAtPlace(j, o.list, o.holding, a, places[c.Index])}
 		case workerload.SendLate:
+			j.Placed = forward.Placed{How: placedLate, Questions: len(answers), Wait: answers[c.Index].Wait}
 			return g.sendLate(j, o.list, o.holding, a, ranked[c.Index])
 		case workerload.LoadElsewhere:
 			return residentChoice{elsewhere: true, ranked: ranked, answers: answers}
@@ -241,6 +243,14 @@
 	}
 }
 
+// howPlacedAtEngine returns how the worker with an answer was found, to which a job is sent.
+func howPlacedAtEngine(a workerload.Answer) string {
+	if a.Admitted {
+		return placedAdmitted
+	}
+	return placedOwnerUnknown
+}
+
 func workersFullError(retryAfter time.Duration) *verdict.Error {
 	return refuse(http.StatusServiceUnavailable, "workers_full", "no backend server can answer before the deadline", max(retryAfter, notReadyRetryAfter))
 }
@@ -271,6 +281,7 @@
 	}
 	switch late := workerload.Choose(c.answers, len(c.answers), false, time.Until(j.Deadline)); late.Step {
 	case workerload.SendLate:
+		j.Placed = forward.Placed{How: placedLate, Questions: len(c.answers), Wait: c.answers[late.Index].Wait}
 		return g.sendLate(j, o.list, o.holding, a, c.ranked[late.Index])
 	case workerload.Hold:
 		return residentChoice{held: true, wait: late.RetryAfter}
--- a/internal/transport/forward/ending.go
+++ b/internal/transport/forward/ending.go
@@ -125,7 +125,7 @@
 		e = e.Str("adapter", c.job.Adapter)
 	}
 	if p := c.job.Placed; p.How != "" {
-		e = e.Str("placed_how", p.How).Int("questions", p.Questions).Int64("expected_wait_ms", p.Wait.Milliseconds()).Int64("held_ms", p.Held.Milliseconds())
+		e = e.Str("placed_how", p.How).Int("questions", p.Questions).Int64("expected_wait_ms", p.Wait.Milliseconds())
 	}
 	if c.outcome != 0 {
 		e = e.Stringer("outcome", c.outcome)
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -122,8 +122,8 @@
 	How string
 	// Questions is how many questions were asked for the attempt.
 	Questions int
-	// Wait is the expected wait at the worker, and Held how long the job was held before.
-	Wait, Held time.Duration
+	// Wait is the expected wait at the worker.
+	Wait time.Duration
 }
 
 // Reservation is capacity reserved on a worker for one attempt.
