forward: a worker's stream is read on while its caller reads slowly

Cause: one loop read from the worker and wrote to the caller. A caller that did not read for some seconds stopped the reads, so that the worker cut off a healthy stream, and its place stayed occupied until the caller had read it. The place is returned when the worker has ended its response. pause_ms is measured where events arrive; behind_ms, unread_bytes and reading_stopped show the caller's side. A write to the caller that fails ends the request and no longer counts against the worker. Setting caller_limits.max_unread_kb.

--- a/internal/coordination/callerlimits/callerlimits.go
+++ b/internal/coordination/callerlimits/callerlimits.go
@@ -71,6 +71,8 @@
 	OwnerBytes int64
 	// ResponseBytes are those of responses until they are complete, which have an account of their own.
 	ResponseBytes int64
+	// Unread bounds the part of them that is held for callers that are behind.
+	Unread Unread
 	// IdleWorkers is the number of idle connections to workers that are kept.
 	IdleWorkers int
 	// Fields is the number of header fields of one request.
@@ -86,12 +88,13 @@
 
 // Derive returns the limits that follow from a machine's memory in bytes and from its number of descriptors.
 func Derive(memory int64, descriptors int) Limits {
-	heads := memory / headDivisor
+	heads, unread := memory/headDivisor, memory/responseDivisor/unreadDivisor
 	return Limits{
 		Connections:   max(1, min(int(heads/connectionParts*connectionShare/ConnectionBytes), descriptors*callersDescriptors/descriptorParts)),
 		Bytes:         [classes]int64{Heads: heads, Bodies: memory / bodyDivisor},
 		OwnerBytes:    memory / bodyDivisor / ownerParts * ownerShare,
 		ResponseBytes: memory / responseDivisor,
+		Unread:        Unread{Each: min(DefaultUnreadBytes, unread), Shared: unread},
 		IdleWorkers:   max(1, descriptors/idleDivisor),
 		Fields:        DefaultFields,
 		MinRate:       DefaultMinRate, Interval: defaultInterval, ReadWindow: DefaultReadWindow, WriteWindow: DefaultWriteWindow,
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -23,6 +23,8 @@
 	MinBytesPerSecond int `json:"min_bytes_per_second"`
 	ReadWindowS       int `json:"read_window_s"`
 	WriteWindowS      int `json:"write_window_s"`
+	// MaxUnreadKB is the part of one streamed response, in KB, that is held for a caller that reads slowly.
+	MaxUnreadKB int `json:"max_unread_kb"`
 }
 
 // derivedLimits returns the limits that follow from the machine.
@@ -52,6 +54,9 @@
 	if set.WriteWindowS > 0 {
 		out.WriteWindow = time.Duration(set.WriteWindowS) * time.Second
 	}
+	if set.MaxUnreadKB > 0 {
+		out.Unread.Each = int64(set.MaxUnreadKB) << 10
+	}
 	return out
 }
 
@@ -72,6 +77,10 @@
 	check(l.MinBytesPerSecond >= 0, "caller_limits.min_bytes_per_second", "must not be negative")
 	check(l.ReadWindowS == 0 || l.ReadWindowS > maxIdleS, "caller_limits.read_window_s", "must exceed 12: callers pause for up to 12 s")
 	check(l.WriteWindowS == 0 || l.WriteWindowS > maxIdleS, "caller_limits.write_window_s", "must exceed 12: callers pause for up to 12 s")
+	check(l.MaxUnreadKB == 0 || l.MaxUnreadKB >= callerlimits.MinUnreadBytes>>10, "caller_limits.max_unread_kb", "must be at least 64")
+	unreadKB := s.derivedLimits().Unread.Shared >> 10
+	check(int64(l.MaxUnreadKB) <= unreadKB, "caller_limits.max_unread_kb",
+		fmt.Sprintf("contradicts memory_mb, which allows %d KB for all callers together", unreadKB))
 }
 
 // newGuard returns the guard of a listener, which runs until the end of Serve.
--- a/internal/gateway/callerlimits_test.go
+++ b/internal/gateway/callerlimits_test.go
@@ -24,5 +24,8 @@
 		So(faults(CallerLimits{Descriptors: 128, MaxConnections: 43}), ShouldResemble, []string{"caller_limits.max_connections"})
 		So(faults(CallerLimits{Descriptors: 1 << 21}), ShouldResemble, []string{"caller_limits.descriptors"})
 		So(faults(CallerLimits{ReadWindowS: 12, WriteWindowS: 12}), ShouldResemble, []string{"caller_limits.read_window_s", "caller_limits.write_window_s"})
+		So(faults(CallerLimits{MaxUnreadKB: 8704}), ShouldBeEmpty)
+		So(faults(CallerLimits{MaxUnreadKB: 63}), ShouldResemble, []string{"caller_limits.max_unread_kb"})
+		So(faults(CallerLimits{MaxUnreadKB: 8705}), ShouldResemble, []string{"caller_limits.max_unread_kb"})
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,8 +222,11 @@
 	g.server = &forward.Server{
 		Headers: platform.Headers, Admission: (*admission)(g), Placement: (*placement)(g), Pool: g.pool,
 		Metrics: g.metrics, Log: g.log,
-		ResponseMemory: bytebudget.New(s.callerLimits().ResponseBytes),
+		ResponseMemory: bytebudget.New(s.callerLimits().ResponseBytes), Unread: s.callerLimits().Unread,
 	}
+	g.metricsRegistry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "turmeric_response_bytes_held", Help: "Bytes of responses that are held until they are complete, or until their callers have read them.",
+	}, func() float64 { return float64(g.server.ResponseMemory.Used()) }))
 	return g
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	latency         *prometheus.HistogramVec
 	attempts        *prometheus.CounterVec
 	unfinished      *prometheus.CounterVec
+	streamsBehind   *prometheus.CounterVec
 	callerCloses    *prometheus.CounterVec
 	logServiceCalls *prometheus.CounterVec
 	orders          *prometheus.CounterVec
@@ -49,6 +50,7 @@
 		requests:           counter("turmeric_requests_total", "Requests of callers, by kind of route, status and verdict.", "kind", "status", "verdict"),
 		attempts:           counter("turmeric_attempts_total", "Attempts at backend servers, by outcome.", "outcome"),
 		unfinished:         counter("turmeric_unfinished_answers_total", "Requests whose callers got no complete answer, by whether it had begun and by cause.", "begun", "cause"),
+		streamsBehind:      counter("turmeric_streams_behind_total", "Streams whose callers read more slowly than workers responded, by whether reading from a worker stopped at a limit for that.", "stopped"),
 		callerCloses:       counter("turmeric_caller_connections_closed_total", "Connections of callers that have ended, by cause and whether bytes had arrived that were not read.", "cause", "unread"),
 		logServiceCalls:    counter("turmeric_log_service_calls_total", "Calls to the log service, by call and outcome.", "call", "outcome"),
 		orders:             counter("turmeric_orders_total", "Orders to workers and reports read, by kind and whether they were answered well.", "order", "ok"),
@@ -92,6 +94,11 @@
 	m.unfinished.WithLabelValues(strconv.FormatBool(begun), cause).Inc()
 }
 
+// Behind implements forward.Metrics.
+func (m *metrics) Behind(stopped bool) {
+	m.streamsBehind.WithLabelValues(strconv.FormatBool(stopped)).Inc()
+}
+
 func (m *metrics) countLogServiceCall(call, outcome string) {
 	m.logServiceCalls.WithLabelValues(call, outcome).Inc()
 }
--- a/internal/transport/bytebudget/bytebudget.go
+++ b/internal/transport/bytebudget/bytebudget.go
@@ -29,6 +29,9 @@
 	return false
 }
 
+// Free returns n reserved bytes.
+func (b *Budget) Free(n int64) { b.used.Add(-n) }
+
 // Used returns the reserved bytes.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
--- a/internal/transport/forward/attempt_test.go
+++ b/internal/transport/forward/attempt_test.go
@@ -46,6 +46,7 @@
 func (g *standinGateway) HasOther(string, []workers.Key) bool { return true }
 func (g *standinGateway) Attempt(Outcome)                     {}
 func (g *standinGateway) Unfinished(bool, string)             {}
+func (g *standinGateway) Behind(bool)                         {}
 func (g *standinGateway) Request(*routing.Route, int, verdict.Verdict, time.Duration) {
 }
 
--- a/internal/transport/forward/ending.go
+++ b/internal/transport/forward/ending.go
@@ -112,7 +112,7 @@
 	}
 	e = e.Str("request", c.job.ID).Str("answer", string(state)).Int64("config", configVersion).Int64("config_age_ms", c.job.ConfigAge.Milliseconds()).Int("status", c.status).
 		Stringer("verdict", c.verdict).Int("attempts", c.attempts).Str("worker", c.lastWorker).
-		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("held_ms", c.job.Held.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).
+		Int64("placed_ms", c.placedAfter.Milliseconds()).Int64("held_ms", c.job.Held.Milliseconds()).Int64("first_ms", c.firstByteAfter.Milliseconds()).Int64("pause_ms", c.maxPause.Milliseconds()).Int64("behind_ms", c.behind.Milliseconds()).
 		Int64("ms", duration.Milliseconds()).Int64("deadline_ms", c.job.Request.Deadline.Milliseconds()).
 		Str("ended_by", string(c.endCause)).Bool("caller_left", c.r.Context().Err() != nil)
 	if c.job.Route != nil {
@@ -127,6 +127,9 @@
 	if p := c.job.Placed; p.How != "" {
 		e = e.Str("placed_how", p.How).Int("questions", p.Questions).Int64("expected_wait_ms", p.Wait.Milliseconds())
 	}
+	if c.behind > 0 {
+		e = e.Int64("unread_bytes", c.unread).Bool("reading_stopped", c.stopped)
+	}
 	if c.outcome != 0 {
 		e = e.Stringer("outcome", c.outcome)
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -22,6 +22,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/turmericworks/turmericworks/internal/coordination/callerlimits"
 	"github.com/turmericworks/turmericworks/internal/coordination/drain"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
@@ -206,6 +207,9 @@
 	// Unfinished records a request whose caller got no complete answer. Begun says whether the answer had begun, and cause is
 	// the code of the error, or CauseExit.
 	Unfinished(begun bool, cause string)
+	// Behind records a stream whose caller read more slowly than its workers responded. Stopped says whether reading from a
+	// worker stopped at a limit for that.
+	Behind(stopped bool)
 }
 
 // CauseExit is the cause of an unfinished answer that the end of the process cut off.
@@ -218,9 +222,12 @@
 	Placement Placement
 	Pool      *upstream.Pool
 	Metrics   Metrics
-	// ResponseMemory bounds the bytes of all responses that are held in memory until they are complete.
+	// ResponseMemory bounds the bytes of all responses that are held in memory until they are complete, or until their callers
+	// have read them.
 	ResponseMemory *bytebudget.Budget
-	Log            zerolog.Logger
+	// Unread bounds the part of them that is held for callers that are behind.
+	Unread callerlimits.Unread
+	Log    zerolog.Logger
 	// stop is set while the server drains.
 	stop atomic.Pointer[stopPeriod]
 
@@ -364,8 +371,13 @@
 	// reservation is that of the current attempt, and answering is set once the attempt's first event has arrived.
 	reservation Reservation
 	answering   bool
+	// reported is set once the outcome of the current attempt was reported.
+	reported bool
 	// revoked reports whether the current attempt was revoked.
 	revoked func() bool
+	// attemptCtx is the context of the current attempt, and abort ends it.
+	attemptCtx context.Context
+	abort      func()
 	// awaiting is set until the answer of the current attempt begins to arrive, or the attempt is ended because its worker is
 	// slow; nil if the attempt is not ended for that.
 	awaiting *atomic.Bool
@@ -386,8 +398,13 @@
 	// first byte sent to the caller, and maxPause is the longest time between two events of a stream; zero if that
 	// did not happen.
 	placedAfter, firstByteAfter, maxPause time.Duration
-	// lastEventAt is when the last event was written to the caller.
+	// lastEventAt is when the last event of a worker arrived. It and maxPause belong to the goroutine that reads from the worker.
 	lastEventAt time.Time
+	// behind is for how long events were waiting for the caller, unread the most bytes that were held for it, and stopped is set
+	// if reading from a worker stopped at a limit.
+	behind  time.Duration
+	unread  int64
+	stopped bool
 }
 
 // progress is how far the serving of a request has come.
@@ -551,6 +568,9 @@
 		if c.expired(ctx) {
 			return c.endedEarly(ctx, v, ranAttempts > 0)
 		}
+		if c.endCause != notEnded {
+			return err
+		}
 		if v.Verdict != verdict.NotRun {
 			ranAttempts++
 			if !c.retryable() || ranAttempts >= c.job.Route.MaxAttempts {
@@ -607,9 +627,10 @@
 		c.placedAfter = time.Since(c.job.Arrived)
 	}
 	c.lastWorker = reservation.Worker.ID
-	c.reservation, c.answering, c.resuming = reservation, false, c.headerSent
+	c.reservation, c.answering, c.resuming, c.reported = reservation, false, c.headerSent, false
 	attemptCtx, end := context.WithCancelCause(ctx)
 	defer end(nil)
+	c.attemptCtx, c.abort = attemptCtx, func() { end(nil) }
 	c.revoked = func() bool { return context.Cause(attemptCtx) == errRevoked }
 	reservation.Sending(func() { end(errRevoked) })
 	defer c.endIfSlow(attemptCtx, end)()
@@ -621,16 +642,24 @@
 		c.outcome = Abandoned
 		err = verdict.Wrap(err, verdict.FromError(err).Verdict, http.StatusBadGateway, "revoked", "the attempt was ended before its answer began")
 	}
+	if !c.reported {
+		c.report(ctx)
+	}
+	c.job.Tried = append(c.job.Tried, reservation.Worker.Key())
+	return err
+}
+
+// report reports the outcome of the current attempt, whose context or that of its request is given. It is called once for each.
+func (c *call) report(ctx context.Context) {
 	if c.outcome == Broken && c.answering {
 		c.outcome = Interrupted
 	}
 	if c.outcome != Succeeded && c.expired(ctx) {
 		c.outcome = Abandoned
 	}
-	c.job.Tried = append(c.job.Tried, reservation.Worker.Key())
-	reservation.Done(c.outcome)
+	c.reported = true
+	c.reservation.Done(c.outcome)
 	c.server.Metrics.Attempt(c.outcome)
-	return err
 }
 
 // workerHeader returns the headers of the request to the worker of a reservation, with the time that is left now.
@@ -848,6 +877,9 @@
 		c.sendError(verdict.FromError(err))
 	}
 	c.log(err, state, duration)
+	if c.behind > 0 {
+		c.server.Metrics.Behind(c.stopped)
+	}
 	if state == brokenOff || state == noAnswer {
 		c.server.Metrics.Unfinished(c.headerSent, verdict.FromError(err).Code)
 	}
--- a/internal/transport/forward/panic_test.go
+++ b/internal/transport/forward/panic_test.go
@@ -48,6 +48,7 @@
 func (noMetrics) Request(*routing.Route, int, verdict.Verdict, time.Duration) {}
 func (noMetrics) Attempt(Outcome)                                             {}
 func (noMetrics) Unfinished(bool, string)                                     {}
+func (noMetrics) Behind(bool)                                                 {}
 
 // TestPanicIsAnswered guards against requests without an answer whose serving fails with a panic.
 func TestPanicIsAnswered(t *testing.T) {
--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
@@ -20,6 +22,8 @@
 	maxEventBytes = 1 << 20
 )
 
+var errEventTooLong = trace.LimitExceeded("an event is longer than %d bytes", maxEventBytes)
+
 var errRevokedBegun = verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "revoked", "the attempt was ended when its answer began")
 
 // eventEnd is the blank line that ends a server-sent event, and eventEndCR one whose line ends with a carriage return and a line
@@ -107,51 +111,63 @@
 // forwardStream forwards complete events as they arrive. If the stream breaks off in the middle of an event, the
 // caller has only complete events, after which another worker can resume.
 func (c *call) forwardStream(resp *upstream.Response) error {
-	buf := eventBuffer{data: make([]byte, 0, streamBufferBytes), memory: c.server.ResponseMemory.NewUsage(freeResponseBytes)}
-	defer buf.memory.Release()
+	r := newRelay(c, resp)
+	defer r.close()
 	for {
-		events, err := buf.read(resp)
-		if len(events) > 0 {
-			if err := c.checkResumed(events); err != nil {
-				c.outcome = Broken
-				return err
-			}
-			if werr := c.writeEvents(resp, events); werr != nil {
-				return werr
+		events, err := r.next()
+		if err != nil {
+			c.behind += r.behind
+			if r.behind > 0 {
+				// The time in which the caller read the rest is no pause of a worker.
+				c.lastEventAt = time.Now()
 			}
-			buf.consume(events)
-		}
-		switch {
-		case err == io.EOF && len(buf.data) == 0:
-			if c.resuming && endsWithConnection(resp) {
-				c.outcome = Broken
-				return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "not_resumed", "the connection ended before a further event")
+			outcome, err := c.streamEnd(resp, err, len(r.buf.data))
+			if !c.reported {
+				c.outcome = outcome
 			}
-			c.outcome = Succeeded
-			if !c.headerSent {
+			if err == nil && !c.headerSent {
 				// The whole answer is there, as in forwardBuffered.
 				c.beginAnswer()
 				c.sendHeader(resp, -1)
 			}
-			return nil
-		case err == nil && len(buf.data) > maxEventBytes:
-			c.outcome = Broken
-			return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "event_too_long", "an event of the stream is too long")
-		case err == io.EOF:
-			c.outcome = Broken
-			return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "cut_answer", "the stream ended in the middle of an event")
-		case errors.Is(err, bytebudget.ErrExhausted):
-			c.outcome = Broken
-			return errResponseMemory
-		case err != nil:
+			return err
+		}
+		if err := c.checkResumed(events); err != nil {
 			c.outcome = Broken
-			return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "cut_answer", "the stream was cut")
+			return err
+		}
+		if err := c.beginEvents(resp, events); err != nil {
+			return err
+		}
+		if err := r.write(events); err != nil {
+			c.behind += r.behind
+			return err
 		}
 	}
 }
 
-// writeEvents writes complete events to the caller.
-func (c *call) writeEvents(resp *upstream.Response, events []byte) error {
+// streamEnd returns the outcome of a stream that ended with err, and the error for the caller, which is nil if the stream is
+// complete. Rest is the length of the incomplete event at its end.
+func (c *call) streamEnd(resp *upstream.Response, err error, rest int) (Outcome, error) {
+	switch {
+	case err == io.EOF && rest == 0:
+		if c.resuming && endsWithConnection(resp) {
+			return Broken, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "not_resumed", "the connection ended before a further event")
+		}
+		return Succeeded, nil
+	case errors.Is(err, errEventTooLong):
+		return Broken, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "event_too_long", "an event of the stream is too long")
+	case err == io.EOF:
+		return Broken, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "cut_answer", "the stream ended in the middle of an event")
+	case errors.Is(err, bytebudget.ErrExhausted):
+		return Broken, errResponseMemory
+	default:
+		return Broken, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "cut_answer", "the stream was cut")
+	}
+}
+
+// beginEvents prepares the caller's answer for complete events, which are written next.
+func (c *call) beginEvents(resp *upstream.Response, events []byte) error {
 	if !c.answering {
 		c.answering = true
 		c.reservation.Answering()
@@ -168,26 +184,31 @@
 	} else if len(c.job.Tried) > 0 && c.resumed == 0 {
 		c.resumed = len(c.job.Tried)
 	}
-	now := time.Now()
-	if !c.lastEventAt.IsZero() {
-		c.maxPause = max(c.maxPause, now.Sub(c.lastEventAt))
-	}
-	c.lastEventAt = now
 	for _, id := range eventIDs(events) {
 		c.lastUnnamed = id == ""
 		if id != "" {
 			c.lastEventID = id
 		}
 	}
+	return nil
+}
+
+// eventsArrived records that a worker has sent events.
+func (c *call) eventsArrived() {
+	now := time.Now()
+	if !c.lastEventAt.IsZero() {
+		c.maxPause = max(c.maxPause, now.Sub(c.lastEventAt))
+	}
+	c.lastEventAt = now
+}
+
+// writeEvents writes complete events to the caller.
+func (c *call) writeEvents(events []byte) error {
 	_, err := c.w.Write(events)
 	if err == nil {
 		err = http.NewResponseController(c.w).Flush()
 	}
-	if err != nil {
-		c.endCause = c.connectionEnd()
-		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, codeCallerLeft, "the caller left during the stream")
-	}
-	return nil
+	return err
 }
 
 // checkResumed returns an error if the first event of a resumed stream does not follow the last one that the caller has
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -255,6 +255,8 @@
 	complete bool
 	// discarding is set if the rest of the body is being read in the background, which then closes the response.
 	discarding bool
+	// closed is set once Close was called.
+	closed bool
 }
 
 // Match reports whether the headers of a response belong to the request that was sent.
@@ -450,9 +452,11 @@
 func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
 
 // Close ends the exchange, unless Discard does. The connection returns to the pool if the response was read to its end
-// and nothing follows it; otherwise it is closed, which tells the worker to stop.
+// and nothing follows it; otherwise it is closed, which tells the worker to stop. Further calls have no effect: the connection
+// may carry another exchange by then.
 func (resp *Response) Close() {
-	if !resp.discarding {
+	if !resp.discarding && !resp.closed {
+		resp.closed = true
 		resp.release()
 	}
 }
