forward: tests of callers that read late, and memory of buffers

Cause: reading ahead, the return of places and the limit had no tests. Each time the second goroutine began with a new buffer, the former one stayed counted until the stream ended, so that a long stream could use up the memory for responses. After a wait at the limit, pause_ms contained that wait if the caller then caught up. Change: a buffer of its own usage for each turn of the second goroutine, the former one is released with the write. Four are not covered: the early release of the worker's connection, abort after a failed write, no further attempt after one, and the check for a closed relay.

--- a/internal/coordination/callerlimits/callerlimits_test.go
+++ b/internal/coordination/callerlimits/callerlimits_test.go
@@ -184,3 +184,22 @@
 		So(a.Connections(), ShouldEqual, 4)
 	})
 }
+
+// TestUnread guards against a response for which more is held than its limit allows, and against callers that never read and leave
+// no memory to one that falls behind after them, or to buffered responses.
+func TestUnread(t *testing.T) {
+	Convey("One caller gets its limit, and many leave some to another one", t, func() {
+		const chunk, greedy = 8 << 10, 16
+		l := limits()
+		used, held := int64(0), make([]int64, greedy+1)
+		for i := range held {
+			for l.Unread.MayHold(held[i], used, chunk) {
+				held[i], used = held[i]+chunk, used+chunk
+			}
+		}
+		So(held[0], ShouldEqual, DefaultUnreadBytes)
+		So(held[greedy], ShouldBeGreaterThanOrEqualTo, MinUnreadBytes)
+		So(used, ShouldBeLessThanOrEqualTo, l.ResponseBytes/2)
+		So(l.Unread.MayHold(0, l.ResponseBytes/2, 1), ShouldBeFalse)
+	})
+}
--- a/internal/transport/forward/attempt_test.go
+++ b/internal/transport/forward/attempt_test.go
@@ -32,6 +32,11 @@
 	placed  atomic.Int64
 	// onFirstEvent is called with the function that revokes an attempt when its first event has arrived.
 	onFirstEvent func(attempt int64, revoke func())
+	// onDone is called with the outcome of each attempt.
+	onDone func(Outcome)
+	// listen wraps the server's listener, and caller the caller's connection.
+	listen func(net.Listener, *http.Server) net.Listener
+	caller func(net.Conn) net.Conn
 	// beforeRequest is called before the request is sent to the server.
 	beforeRequest func(s *Server)
 }
@@ -63,7 +68,11 @@
 				g.onFirstEvent(n, revoke)
 			}
 		},
-		Done: func(Outcome) {},
+		Done: func(o Outcome) {
+			if g.onDone != nil {
+				g.onDone(o)
+			}
+		},
 	}, nil
 }
 
@@ -116,10 +125,17 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: s}
+	if g.listen != nil {
+		l = g.listen(l, server)
+	}
 	go func() { _ = server.Serve(l) }()
 	defer server.Close()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return n.Host("caller").Dial(ctx, "gate:80")
+		c, err := n.Host("caller").Dial(ctx, "gate:80")
+		if g.caller != nil && err == nil {
+			c = g.caller(c)
+		}
+		return c, err
 	}}}
 	req, err := http.NewRequest(http.MethodGet, "http://gate/x", nil)
 	if err != nil {
--- a/internal/transport/forward/relay.go
+++ b/internal/transport/forward/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/coordination/callerlimits"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
 	"github.com/turmericworks/turmericworks/internal/transport/upstream"
 )
 
@@ -38,6 +39,8 @@
 	// reading is set while the second goroutine reads, and idle while the request's goroutine waits for it, since the caller has
 	// got all events.
 	reading, idle, closed bool
+	// former is the usage of a buffer whose events are being written while the second goroutine uses another one.
+	former *bytebudget.Usage
 	// direct are the events in buf that are being written to the caller without a copy.
 	direct []byte
 	// handed are the events in buf with which the second goroutine has ended.
@@ -141,6 +144,15 @@
 	if r.direct != nil {
 		r.buf.consume(r.direct)
 		r.direct = nil
+		if !timed || !r.behindSince.IsZero() {
+			// The worker was not read in the meantime: this is no pause of its own.
+			r.call.lastEventAt = time.Now()
+			r.caughtUp()
+		}
+	}
+	if r.former != nil {
+		r.former.Release()
+		r.former = nil
 	}
 	r.free(int64(cap(r.chunk)))
 	r.chunk = nil
@@ -160,17 +172,23 @@
 // readAhead reads from the worker while the caller is behind. It is called when a write takes long.
 func (r *relay) readAhead() {
 	r.mu.Lock()
+	if r.closed || r.direct == nil || r.call.reported {
+		r.mu.Unlock()
+		return
+	}
+	r.behindSince = time.Now().Add(-callerlimits.SlowWrite)
 	// Without memory for it, the worker is not read while the caller is behind.
-	if r.closed || r.direct == nil || r.call.reported || !r.reserve(readAheadBytes) {
+	rest, memory := r.buf.data[len(r.direct):], r.call.server.ResponseMemory.NewUsage(freeResponseBytes)
+	size := max(streamBufferBytes, len(rest))
+	if !memory.Add(int64(size-streamBufferBytes)) || !r.reserve(readAheadBytes) {
+		memory.Release()
+		r.call.stopped = true
 		r.mu.Unlock()
 		return
 	}
-	r.reading, r.behindSince = true, time.Now().Add(-callerlimits.SlowWrite)
 	// The events that are being written stay in the former buffer.
-	rest := r.buf.data[len(r.direct):]
-	r.buf.data = append(make([]byte, 0, max(streamBufferBytes, len(rest))), rest...)
-	r.buf.searched = len(rest)
-	r.direct = nil
+	r.former, r.direct, r.reading = r.buf.memory, nil, true
+	r.buf = eventBuffer{data: append(make([]byte, 0, size), rest...), searched: len(rest), memory: memory}
 	r.mu.Unlock()
 	defer func() {
 		if p := recover(); p != nil {
@@ -197,7 +215,7 @@
 		r.finish(events, r.err)
 		return false
 	}
-	for waited := false; ; waited = true {
+	for {
 		r.mu.Lock()
 		if r.idle {
 			r.mu.Unlock()
@@ -209,15 +227,13 @@
 		if held {
 			r.buf.consume(events)
 			signal(r.changed)
-			if waited {
-				// The worker was not read in the meantime: this is no pause of its own.
-				r.call.lastEventAt = time.Now()
-			}
 			return true
 		}
 		r.call.stopped = true
 		select {
 		case <-r.room:
+			// The worker was not read in the meantime: this is no pause of its own.
+			r.call.lastEventAt = time.Now()
 		case <-r.call.attemptCtx.Done():
 			r.finish(events, context.Cause(r.call.attemptCtx))
 			return false
@@ -231,7 +247,11 @@
 		r.queue[last] = append(r.queue[last], events...)
 		return true
 	}
-	size := max(chunkBytes, len(events))
+	size := chunkBytes
+	if len(events) > chunkBytes/4 {
+		// Long events of similar length would leave up to half of each chunk unused.
+		size = len(events)
+	}
 	if !r.reserve(int64(size)) {
 		return false
 	}
@@ -286,6 +306,9 @@
 		<-r.changed
 		r.mu.Lock()
 	}
+	if r.former != nil {
+		r.former.Release()
+	}
 	// The second goroutine has ended, so that all that is held are chunks.
 	r.free(r.held)
 	r.queue, r.chunk = nil, nil
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -32,6 +32,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// The second Close must not end the connection, which may be reused.
+	resp.Close()
 	return string(b)
 }
 
