findings: what checks of configurations share is a package of its own

turmericctl check --in-force with a document that lacks a kind of object (such as {}) ended with a panic, an assignment to a nil map: the former Differences copied the new objects into a nil map. It compares them now; TestDifferences covers it.

--- a/cmd/turmericctl/check.go
+++ b/cmd/turmericctl/check.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/findings"
 )
 
 // check reports on a document before it is published, from files alone.
@@ -77,19 +78,19 @@
 	return nil, trace.BadParameter("the configuration in force can't be used:\n%s", strings.Join(lines, "\n"))
 }
 
-func formatFinding(file string, f config.Finding) string {
+func formatFinding(file string, f findings.Finding) string {
 	return fmt.Sprintf("%s:%d: %s: %s: %s", file, max(f.Line, 1), f.Severity, cmp.Or(f.Path, "/"), f.Message)
 }
 
 // print prints a report as text: first the findings, then the differences.
-func (c *check) print(r config.Report) {
+func (c *check) print(r findings.Report) {
 	out := c.app.stdout
 	for _, f := range r.Findings {
 		c.app.printf(out, "%s\n", formatFinding(c.File, f))
 	}
 	keys := false
 	for _, d := range r.Differences {
-		keys = keys || d.Kind == config.KindKey
+		keys = keys || d.Kind == string(config.KindKey)
 		c.app.printf(out, "%-6s  %s %s: %s\n", d.Action, d.Kind, d.ID, d.Words)
 	}
 	switch {
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -16,6 +16,8 @@
 	schemakind "github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
+
+	"github.com/turmericworks/turmericworks/internal/state/findings"
 )
 
 //go:embed schema.json
@@ -23,9 +25,6 @@
 
 const schemaName = "config.json"
 
-// maxProblems limits how many problems an error lists; a document of the wrong type could have 93,000.
-const maxProblems = 1000
-
 // Problem is one problem found in a document or in a list of operations.
 type Problem struct {
 	// Path is the JSON pointer (RFC 6901) of the invalid value.
@@ -110,7 +109,7 @@
 
 func checkObjects[T any](c *checker, field string, kind Kind, objects map[string]T) {
 	for id := range objects {
-		path := jsonPointer(field, id)
+		path := findings.Pointer(field, id)
 		c.checkID(path, kind, id)
 		c.checkObject(path, kind, id)
 	}
@@ -136,7 +135,7 @@
 	c := checker{view: v.mutableCopy()}
 	before := v
 	for i, o := range ops {
-		path := jsonPointer(strconv.Itoa(i))
+		path := findings.Pointer(strconv.Itoa(i))
 		if !c.checkOperation(path, o) {
 			continue
 		}
@@ -148,7 +147,7 @@
 		return c.err()
 	}
 	for i, o := range ops {
-		path := jsonPointer(strconv.Itoa(i))
+		path := findings.Pointer(strconv.Itoa(i))
 		if o.Op == OpDelete {
 			c.checkDeletion(path, o)
 		} else {
@@ -175,7 +174,7 @@
 
 func (c *checker) err() error { return problemsError(c.problems) }
 
-// problemsError returns the problems in a fixed order, or nil if there are none. Beyond maxProblems, it
+// problemsError returns the problems in a fixed order, or nil if there are none. Beyond findings.Max, it
 // returns only how many more there are.
 func problemsError(p Problems) error {
 	if len(p) == 0 {
@@ -185,9 +184,9 @@
 		return strings.Compare(a.Path+"\x00"+a.Message, b.Path+"\x00"+b.Message)
 	})
 	p = slices.Compact(p)
-	if len(p) > maxProblems {
-		dropped := len(p) - maxProblems
-		p = append(p[:maxProblems], Problem{Message: fmt.Sprintf("and %d more", dropped)})
+	if len(p) > findings.Max {
+		dropped := len(p) - findings.Max
+		p = append(p[:findings.Max], Problem{Message: fmt.Sprintf("and %d more", dropped)})
 	}
 	return p
 }
@@ -416,16 +415,16 @@
 	if e == nil {
 		return p
 	}
-	path := jsonPointer(e.InstanceLocation...)
+	path := findings.Pointer(e.InstanceLocation...)
 	switch k := e.ErrorKind.(type) {
 	case *schemakind.AdditionalProperties:
 		for _, name := range k.Properties {
-			p = append(p, Problem{path + jsonPointer(name), "unknown field"})
+			p = append(p, Problem{path + findings.Pointer(name), "unknown field"})
 		}
 		return p
 	case *schemakind.Required:
 		for _, name := range k.Missing {
-			p = append(p, Problem{path + jsonPointer(name), "is missing"})
+			p = append(p, Problem{path + findings.Pointer(name), "is missing"})
 		}
 		return p
 	}
@@ -444,67 +443,27 @@
 	// numberOutOfRange means that a number is out of range. The schema check must not get such a number:
 	// it computes with exact fractions, whose size grows with the exponent.
 	numberOutOfRange bool
-	// visit, unless nil, gets the path of each field and array element and the offset in the data behind its name or, in an
-	// array, before it. The path is valid during the call only.
-	visit func(path []string, offset int64)
 }
 
-// scanTokens finds numbers out of range, and fields that occur twice in an object. Of such fields, the schema
-// check sees only the last, while encoding/json merges both into one map.
+// scanTokens finds numbers out of range, and fields that occur twice in an object.
 func scanTokens(data []byte) (scanResult, error) {
 	var result scanResult
 	var raw json.RawMessage
 	if err := json.Unmarshal(data, &raw); err != nil {
 		return result, err
 	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.UseNumber()
-	err := result.scanValue(d, nil)
-	return result, err
-}
-
-// maxDepth is the deepest nesting that encoding/json accepts. A scan of text that isn't valid must not recurse further.
-const maxDepth = 10_000
-
-func (s *scanResult) scanValue(d *json.Decoder, path []string) error {
-	if len(path) > maxDepth {
-		return trace.LimitExceeded("values are nested too deeply")
-	}
-	token, err := d.Token()
-	if err != nil {
-		return err
-	}
-	if n, ok := token.(json.Number); ok && !inRange(n.String()) {
-		s.numberOutOfRange = true
-		s.problems = append(s.problems, Problem{jsonPointer(path...), "number out of range"})
-	}
-	opening, ok := token.(json.Delim)
-	if !ok {
-		return nil
-	}
-	seen := map[string]bool{}
-	for i := 0; d.More(); i++ {
-		name := strconv.Itoa(i)
-		if opening == '{' {
-			token, err := d.Token()
-			if err != nil {
-				return err
-			}
-			name, _ = token.(string)
-			if seen[name] {
-				s.problems = append(s.problems, Problem{jsonPointer(append(path, name)...), "occurs twice"})
+	err := findings.Scanner{
+		Number: func(path []string, n json.Number) {
+			if !inRange(n.String()) {
+				result.numberOutOfRange = true
+				result.problems = append(result.problems, Problem{findings.Pointer(path...), "number out of range"})
 			}
-			seen[name] = true
-		}
-		if s.visit != nil {
-			s.visit(append(path, name), d.InputOffset())
-		}
-		if err := s.scanValue(d, append(path, name)); err != nil {
-			return err
-		}
-	}
-	_, err = d.Token()
-	return err
+		},
+		Repeated: func(path []string) {
+			result.problems = append(result.problems, Problem{findings.Pointer(path...), "occurs twice"})
+		},
+	}.Scan(data)
+	return result, err
 }
 
 // Limits on the text of a number: no sensible setting needs more than a float64 can hold.
@@ -522,18 +481,6 @@
 	return err == nil && -maxExponent <= e && e <= maxExponent
 }
 
-var pointerEscapes = strings.NewReplacer("~", "~0", "/", "~1")
-
-// jsonPointer returns the JSON pointer of a path; the empty path refers to the whole value.
-func jsonPointer(path ...string) string {
-	var b strings.Builder
-	for _, p := range path {
-		b.WriteByte('/')
-		b.WriteString(pointerEscapes.Replace(p))
-	}
-	return b.String()
-}
-
 type objectSchema struct{ id, value *jsonschema.Schema }
 
 var compiler = sync.OnceValue(func() *jsonschema.Compiler {
--- a/internal/state/config/findings.go
+++ b/internal/state/config/findings.go
@@ -5,28 +5,10 @@
 	"fmt"
 	"hash/maphash"
 	"slices"
-)
-
-// Severity is how serious a finding is.
-type Severity string
 
-// The severities. An entry with an error is refused by the instances or has all its requests refused.
-const (
-	SeverityError   Severity = "error"
-	SeverityWarning Severity = "warning"
+	"github.com/turmericworks/turmericworks/internal/state/findings"
 )
 
-// Finding is one result of the check of a document.
-type Finding struct {
-	Severity Severity `json:"severity"`
-	// Line is the line of the file, from 1, on which the value or the closest enclosing value starts; 0 means that the
-	// value isn't in a file.
-	Line int `json:"line,omitempty"`
-	// Path is the JSON pointer (RFC 6901) of the value.
-	Path    string `json:"path"`
-	Message string `json:"message"`
-}
-
 const (
 	// largestRate is the largest rate and burst of a workspace in tokens; the bucket of the package shares cuts larger ones.
 	largestRate = 10_000_000
@@ -39,10 +21,10 @@
 
 // Findings returns what is wrong with a configuration beyond the errors for which instances refuse it: entries that can
 // never match, and limits that contradict each other. They are ordered by path.
-func (v *View) Findings() []Finding {
-	var found []Finding
-	v.eachFinding(func(f Finding) { found = append(found, f) })
-	slices.SortFunc(found, compareFindings)
+func (v *View) Findings() []findings.Finding {
+	var found []findings.Finding
+	v.eachFinding(func(f findings.Finding) { found = append(found, f) })
+	slices.SortFunc(found, findings.Compare)
 	return found
 }
 
@@ -58,16 +40,16 @@
 	// Hashes instead of findings: those of 93,000 adapters without an engine take 42 MB, and an instance may have 136 MB.
 	seed := maphash.MakeSeed()
 	fresh := map[uint64]struct{}{}
-	after.eachFinding(func(f Finding) { fresh[maphash.Comparable(seed, f)] = struct{}{} })
+	after.eachFinding(func(f findings.Finding) { fresh[maphash.Comparable(seed, f)] = struct{}{} })
 	if len(fresh) > 0 {
-		v.eachFinding(func(f Finding) { delete(fresh, maphash.Comparable(seed, f)) })
+		v.eachFinding(func(f findings.Finding) { delete(fresh, maphash.Comparable(seed, f)) })
 	}
 	if len(fresh) == 0 {
 		return nil
 	}
 	var added Problems
-	after.eachFinding(func(f Finding) {
-		if _, ok := fresh[maphash.Comparable(seed, f)]; ok && len(added) < maxProblems {
+	after.eachFinding(func(f findings.Finding) {
+		if _, ok := fresh[maphash.Comparable(seed, f)]; ok && len(added) < findings.Max {
 			added = append(added, Problem{f.Path, f.Message})
 		}
 	})
@@ -79,10 +61,10 @@
 }
 
 // eachFinding calls add for each finding, in no fixed order.
-func (v *View) eachFinding(add func(Finding)) {
+func (v *View) eachFinding(add func(findings.Finding)) {
 	c := newUsage(v)
-	c.add = func(s Severity, path, format string, args ...any) {
-		add(Finding{Severity: s, Path: path, Message: fmt.Sprintf(format, args...)})
+	c.add = func(s findings.Severity, path, format string, args ...any) {
+		add(findings.Finding{Severity: s, Path: path, Message: fmt.Sprintf(format, args...)})
 	}
 	c.checkWorkspaces()
 	c.checkKeys()
@@ -95,10 +77,6 @@
 	return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Message, b.Message))
 }
 
-func compareFindings(a, b Finding) int {
-	return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Message, b.Message))
-}
-
 // owned counts what a workspace owns.
 type owned struct{ adapters, routes, keys int }
 
@@ -113,7 +91,7 @@
 	// usedModels and usedServices hold what adapters and routes need.
 	usedModels, usedServices map[string]bool
 	// add takes a finding.
-	add func(s Severity, path, format string, args ...any)
+	add func(s findings.Severity, path, format string, args ...any)
 }
 
 func newUsage(v *View) *usage {
@@ -155,28 +133,28 @@
 
 func (c *usage) checkWorkspaces() {
 	for id, w := range c.view.Workspaces() {
-		path := jsonPointer("workspaces", id)
+		path := findings.Pointer("workspaces", id)
 		own := c.owner(id)
 		if *own == (owned{}) {
-			c.add(SeverityWarning, path, "owns no adapter, route or key")
+			c.add(findings.SeverityWarning, path, "owns no adapter, route or key")
 		}
 		if w.Weight > 0 && w.Weight < 1 {
-			c.add(SeverityWarning, path+"/weight", "counts as 1, since it is less than 1")
+			c.add(findings.SeverityWarning, path+"/weight", "counts as 1, since it is less than 1")
 		}
 		for _, limit := range []struct {
 			field string
 			value float64
 		}{{"tokens_per_second", w.TokensPerSecond}, {"burst_tokens", w.BurstTokens}} {
 			if limit.value > largestRate {
-				c.add(SeverityWarning, path+"/"+limit.field, "counts as %d, the largest possible value", largestRate)
+				c.add(findings.SeverityWarning, path+"/"+limit.field, "counts as %d, the largest possible value", largestRate)
 			}
 		}
 		switch {
 		case own.adapters == 0:
 		case w.BurstTokens < smallestCompletion:
-			c.add(SeverityError, path+"/burst_tokens", "holds no completion: each reserves at least %d tokens", smallestCompletion)
+			c.add(findings.SeverityError, path+"/burst_tokens", "holds no completion: each reserves at least %d tokens", smallestCompletion)
 		case w.BurstTokens < plainCompletion:
-			c.add(SeverityWarning, path+"/burst_tokens", "holds no completion without max_tokens: each reserves at least %d tokens",
+			c.add(findings.SeverityWarning, path+"/burst_tokens", "holds no completion without max_tokens: each reserves at least %d tokens",
 				plainCompletion)
 		}
 	}
@@ -185,13 +163,13 @@
 func (c *usage) checkKeys() {
 	byHash := map[string]string{}
 	for id, k := range c.view.keys.all() {
-		path := jsonPointer("keys", id)
+		path := findings.Pointer("keys", id)
 		own := c.owner(k.Workspace)
 		if _, ok := c.view.Workspace(k.Workspace); ok && own.adapters+own.routes == 0 {
-			c.add(SeverityWarning, path+"/workspace", "workspace %q owns no adapter or route, so the key opens nothing that isn't open to all", k.Workspace)
+			c.add(findings.SeverityWarning, path+"/workspace", "workspace %q owns no adapter or route, so the key opens nothing that isn't open to all", k.Workspace)
 		}
 		if other, used := byHash[k.Hash]; used {
-			c.add(SeverityWarning, path+"/hash", "is also the hash of the key %q; a secret belongs to one key, so one of them can't match", other)
+			c.add(findings.SeverityWarning, path+"/hash", "is also the hash of the key %q; a secret belongs to one key, so one of them can't match", other)
 		} else {
 			byHash[k.Hash] = id
 		}
@@ -216,31 +194,31 @@
 		if fits && reached {
 			continue
 		}
-		path := jsonPointer("adapters", name)
+		path := findings.Pointer("adapters", name)
 		switch {
 		case !known:
-			c.add(SeverityError, path+"/base_model", "no engine runs the base model %q", a.BaseModel)
+			c.add(findings.SeverityError, path+"/base_model", "no engine runs the base model %q", a.BaseModel)
 		case !offered:
-			c.add(SeverityError, path+"/base_model", "all engines that run the base model %q are leaving", a.BaseModel)
+			c.add(findings.SeverityError, path+"/base_model", "all engines that run the base model %q are leaving", a.BaseModel)
 		}
 		if !reached {
-			c.add(SeverityWarning, path, "no caller reaches it: it is not open and workspace %q has no key", a.Workspace)
+			c.add(findings.SeverityWarning, path, "no caller reaches it: it is not open and workspace %q has no key", a.Workspace)
 		}
 	}
 }
 
 func (c *usage) checkRoutes() {
 	for id, r := range c.view.Routes() {
-		path := jsonPointer("routes", id)
+		path := findings.Pointer("routes", id)
 		if offered, known := c.services[r.Service]; known && !offered {
-			c.add(SeverityError, path+"/service", "all backend servers that offer the service %q are leaving", r.Service)
+			c.add(findings.SeverityError, path+"/service", "all backend servers that offer the service %q are leaving", r.Service)
 		}
 		if c.unreachable(r.Workspace, r.Open) {
-			c.add(SeverityWarning, path, "no caller reaches it: it is not open and workspace %q has no key", r.Workspace)
+			c.add(findings.SeverityWarning, path, "no caller reaches it: it is not open and workspace %q has no key", r.Workspace)
 		}
 		w, ok := c.view.Workspace(r.Workspace)
 		if ok && float64(r.Tokens) > min(w.BurstTokens, largestRate) {
-			c.add(SeverityError, path+"/tokens", "one call takes %d tokens, but the burst of workspace %q holds %g", r.Tokens,
+			c.add(findings.SeverityError, path+"/tokens", "one call takes %d tokens, but the burst of workspace %q holds %g", r.Tokens,
 				r.Workspace, min(w.BurstTokens, largestRate))
 		}
 	}
@@ -249,15 +227,15 @@
 func (c *usage) checkServers() {
 	byURL := map[string]string{}
 	for id, s := range c.view.BackendServers() {
-		path := jsonPointer("backend_servers", id)
+		path := findings.Pointer("backend_servers", id)
 		switch {
 		case s.Kind == KindEngine && s.BaseModel != "" && !c.usedModels[s.BaseModel]:
-			c.add(SeverityWarning, path+"/base_model", "no adapter uses the base model %q", s.BaseModel)
+			c.add(findings.SeverityWarning, path+"/base_model", "no adapter uses the base model %q", s.BaseModel)
 		case s.Kind == KindService && s.Service != "" && !c.usedServices[s.Service]:
-			c.add(SeverityWarning, path+"/service", "no route leads to the service %q", s.Service)
+			c.add(findings.SeverityWarning, path+"/service", "no route leads to the service %q", s.Service)
 		}
 		if other, used := byURL[s.URL]; used {
-			c.add(SeverityWarning, path+"/url", "is also the URL of the backend server %q, whose room then counts twice", other)
+			c.add(findings.SeverityWarning, path+"/url", "is also the URL of the backend server %q, whose room then counts twice", other)
 		} else {
 			byURL[s.URL] = id
 		}
--- a/internal/state/config/report_test.go
+++ b/internal/state/config/report_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"strings"
 	"testing"
+
+	"github.com/turmericworks/turmericworks/internal/state/findings"
 )
 
 // TestFindings guards against a finding that is missed, has the wrong severity, path or line, or is reported for a
@@ -82,7 +84,7 @@
 func TestFindingLimit(t *testing.T) {
 	d := foldWithAdapters(3000).View().Document()
 	data, _ := json.Marshal(d)
-	if r, _ := CheckFile(data, nil); len(r.Findings) != maxProblems+1 || r.Valid {
+	if r, _ := CheckFile(data, nil); len(r.Findings) != findings.Max+1 || r.Valid {
 		t.Errorf("%d findings", len(r.Findings))
 	}
 }
@@ -121,14 +123,18 @@
 	}
 	for _, a := range []Adapter{{Workspace: "w"}, {Workspace: "v", Open: true}} {
 		old, changed := map[string]Adapter{"a": {Workspace: "w", Open: true}}, map[string]Adapter{"a": a}
-		if list, err := Differences(Document{Adapters: old}, Document{Adapters: changed}); err != nil || len(list) != 1 || list[0].Action != ActionReduce {
+		if list, err := Differences(Document{Adapters: old}, Document{Adapters: changed}); err != nil || len(list) != 1 || list[0].Action != findings.ActionReduce {
 			t.Errorf("%v: got %v, %v, want a reduction", a, list, err)
 		}
 	}
+	// A document without any objects of a kind has null there.
+	if list, err := Differences(Document{}, before); err != nil || len(list) != 7 || list[0].Action != findings.ActionChange {
+		t.Errorf("from an empty document: got %v, %v", list, err)
+	}
 	list, err := Differences(before, Document{Workspaces: map[string]Workspace{"u": {}}, Keys: map[string]Key{"0123456789abcdef": {Workspace: "w"}}})
 	var order []string
 	for _, d := range list {
-		order = append(order, string(d.Action)+" "+string(d.Kind))
+		order = append(order, string(d.Action)+" "+d.Kind)
 	}
 	want := []string{"reduce key", "remove route", "remove workspace", "remove adapter", "remove backend_server", "remove backend_server",
 		"reduce fleet", "add workspace"}
@@ -150,7 +156,7 @@
 	}
 	leaving, _ := NewPut(KindBackendServer, "e", BackendServer{Kind: KindEngine, BaseModel: "kelp-base-8b", Slots: 1, Leaving: true})
 	many := foldWithAdapters(3000).View()
-	if w := many.WarningsOf([]Operation{leaving}); len(w) != maxProblems+1 || w[maxProblems].Message != "and 2000 more" {
+	if w := many.WarningsOf([]Operation{leaving}); len(w) != findings.Max+1 || w[findings.Max].Message != "and 2000 more" {
 		t.Errorf("3000 adapters: got %d warnings", len(w))
 	}
 }
