turmericctl: check of the gateway's configuration before it is written

turmericctl check knew turmericd's document only. The record that the gateway's operators write is decoded leniently: an entry that no request matches, a key of two workspaces or an unknown service showed only after it was in force.

Lines of elements of lists are those of the elements now, not of the text before them.

--- a/cmd/turmericctl/check.go
+++ b/cmd/turmericctl/check.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/findings"
+	"github.com/turmericworks/turmericworks/platform"
 )
 
 // check reports on a document before it is published, from files alone.
@@ -19,6 +20,7 @@
 	jsonFlag
 	fileFlag
 	InForce string `long:"in-force" description:"JSON document of the configuration in force, as printed by get, to compare with"`
+	Gateway bool   `long:"gateway" description:"the documents are values of the record config that turmeric-gateway reads, not documents of turmericd"`
 }
 
 // Execute implements flags.Commander.
@@ -30,13 +32,7 @@
 	if err != nil {
 		return err
 	}
-	var inForce *config.Document
-	if c.InForce != "" {
-		if inForce, err = c.readInForce(); err != nil {
-			return err
-		}
-	}
-	report, err := config.CheckFile(data, inForce)
+	report, err := c.report(data)
 	if err != nil {
 		return err
 	}
@@ -51,6 +47,28 @@
 	return trace.BadParameter("%s has errors", c.File)
 }
 
+// report checks a document by the rules of the program that reads it.
+func (c *check) report(data []byte) (findings.Report, error) {
+	if !c.Gateway {
+		var inForce *config.Document
+		if c.InForce != "" {
+			var err error
+			if inForce, err = c.readInForce(); err != nil {
+				return findings.Report{}, err
+			}
+		}
+		return config.CheckFile(data, inForce)
+	}
+	var inForce []byte
+	if c.InForce != "" {
+		var err error
+		if inForce, err = c.app.readInput(c.InForce); err != nil {
+			return findings.Report{}, err
+		}
+	}
+	return platform.CheckConfig(data, inForce)
+}
+
 // readInForce reads the document to compare with, in the form that get prints with or without --json.
 func (c *check) readInForce() (*config.Document, error) {
 	data, err := c.app.readInput(c.InForce)
@@ -90,7 +108,7 @@
 	}
 	keys := false
 	for _, d := range r.Differences {
-		keys = keys || d.Kind == string(config.KindKey)
+		keys = keys || !c.Gateway && d.Kind == string(config.KindKey)
 		c.app.printf(out, "%-6s  %s %s: %s\n", d.Action, d.Kind, d.ID, d.Words)
 	}
 	switch {
--- a/cmd/turmericctl/main_test.go
+++ b/cmd/turmericctl/main_test.go
@@ -22,6 +22,10 @@
 const document = `{"workspaces":{"w":{"tokens_per_second":1,"burst_tokens":1}},
  "adapters":{"a":{"workspace":"w","base_model":"m","versions":["1"],"default":"1"}}}`
 
+// gatewayConfig is a value of the record that turmeric-gateway reads.
+const gatewayConfig = `{"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/","service":"app","type":"idempotent"}],
+ "services":[{"name":"app"}],"tenants":[{"name":"w","apiKeys":["k"]}]}`
+
 // newCLI returns an in-memory daemon and a function that runs turmericctl against it and returns the exit code, standard
 // output and standard error.
 func newCLI(t *testing.T) (*admintest.Daemon, func(stdin string, args ...string) (int, string, string)) {
@@ -128,7 +132,7 @@
 }
 
 // Guards against a check that needs an instance, a wrong exit code, a report that lacks the line and path of a fault, and
-// warnings of an instance that publish doesn't print.
+// warnings of an instance that publish doesn't print. The same of the gateway's configuration, which has other rules.
 func TestCheck(t *testing.T) {
 	_, ctl := newCLI(t)
 	_, _, warnings := ctl(document, "publish", "-f", "-")
@@ -149,6 +153,7 @@
 		return path
 	}
 	inForce, printed, bad := write("old", good), write("get", `{"version":1,`+"\n"+`"document":`+good+`}`), write("bad", "{\n}}")
+	gateway := write("gateway", gatewayConfig)
 	smaller := strings.Replace(good, `"burst_tokens":600`, `"burst_tokens":550`, 1)
 	for _, c := range []struct {
 		code       int
@@ -165,6 +170,13 @@
 		{exitFailed, "{\n]", "check -f - --in-force " + inForce, "-:2: error: /: not valid JSON", "has errors"},
 		{exitFailed, good, "check -f - --in-force " + bad, "", bad + ":2: error: /: not valid JSON"},
 		{exitFailed, "", "check -f /nonexistent", "", "nonexistent"},
+		{exitOK, gatewayConfig, "check --gateway -f -", "valid\n", ""},
+		{exitOK, gatewayConfig, "check --gateway -f - --in-force " + gateway, "no difference from", ""},
+		{exitOK, strings.NewReplacer(`"k"`, `"l"`, `:1,`, `:2,`).Replace(gatewayConfig), "check --gateway -f - --in-force " + gateway,
+			"remove  key w/1: is removed: requests of workspace \"w\" with it are refused\nadd     key w/1: is added\n", ""},
+		{exitFailed, strings.Replace(gatewayConfig, `"service":"app"`, `"service":"x"`, 1), "check --gateway --json -f -", `"path": "/routes/0/service"`, "has errors"},
+		{exitFailed, gatewayConfig, "check --gateway -f - --in-force " + bad, "", "the configuration in force can't be used"},
+		{exitFailed, good, "check --gateway -f -", "-:1: error: /version: is missing", "has errors"},
 		{exitUsage, good, "check -f - --in-force -", "", "standard input"}, {exitUsage, "", "check", "", "required"},
 	} {
 		code, out, errs := ctl(c.stdin, append([]string{"--server", "http://127.0.0.1:1"}, strings.Fields(c.args)...)...)
--- a/internal/state/config/report.go
+++ b/internal/state/config/report.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"strings"
-
 	"github.com/gravitational/trace"
 
 	"github.com/turmericworks/turmericworks/internal/state/findings"
@@ -23,7 +21,8 @@
 		d.Keys = inForce.Keys
 		problems = ProblemsOf(checkReferences(d, nil))
 	}
-	r.Findings = appendUnreported(errorsOf(problems), ViewOf(0, d).Findings())
+	r.Findings = errorsOf(problems)
+	r.AppendUnreported(ViewOf(0, d).Findings())
 	if inForce != nil && !refused {
 		if r.Differences, err = Differences(*inForce, d); err != nil {
 			return r, trace.Wrap(err)
@@ -34,23 +33,6 @@
 	return r, nil
 }
 
-// appendUnreported appends findings, except those at or around a path at which an error is reported already: they only
-// follow from it.
-func appendUnreported(reported, found []findings.Finding) []findings.Finding {
-	skip := map[string]bool{}
-	for _, f := range reported {
-		for path := f.Path; path != ""; path = path[:strings.LastIndexByte(path, '/')] {
-			skip[path] = true
-		}
-	}
-	for _, f := range found {
-		if !skip[f.Path] {
-			reported = append(reported, f)
-		}
-	}
-	return reported
-}
-
 // Locate returns the errors that ParseDocument found in a text, with their lines.
 func Locate(data []byte, err error) []findings.Finding {
 	problems := ProblemsOf(err)
--- a/internal/state/findings/findings.go
+++ b/internal/state/findings/findings.go
@@ -53,6 +53,25 @@
 // NewReport returns an empty report, whose lists are encoded as empty lists.
 func NewReport() Report { return Report{Findings: []Finding{}, Differences: []Difference{}} }
 
+// AppendUnreported appends findings, except those at or around a path at which an error is reported already: they only
+// follow from it.
+func (r *Report) AppendUnreported(found []Finding) {
+	skip := map[string]bool{}
+	for _, f := range r.Findings {
+		if f.Severity != SeverityError {
+			continue
+		}
+		for path := f.Path; path != ""; path = path[:strings.LastIndexByte(path, '/')] {
+			skip[path] = true
+		}
+	}
+	for _, f := range found {
+		if !skip[f.Path] {
+			r.Findings = append(r.Findings, f)
+		}
+	}
+}
+
 // Finish adds the lines of the document's text to the findings and differences, sorts and limits the findings, and sets
 // Valid.
 func (r *Report) Finish(data []byte) {
--- a/internal/state/findings/scan.go
+++ b/internal/state/findings/scan.go
@@ -18,8 +18,8 @@
 
 // Scanner reads JSON text value by value. Each function may be nil. The paths are valid during the calls only.
 type Scanner struct {
-	// Visit gets the path of each field and array element and the offset in the text behind its name or, in an array,
-	// before it.
+	// Visit gets the path of each field and array element and the offset in the text behind its name or, in an array, at
+	// its beginning.
 	Visit func(path []string, offset int64)
 	// Number gets each number.
 	Number func(path []string, n json.Number)
@@ -32,10 +32,10 @@
 func (s Scanner) Scan(data []byte) error {
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.UseNumber()
-	return s.scanValue(d, nil)
+	return s.scanValue(data, d, nil)
 }
 
-func (s Scanner) scanValue(d *json.Decoder, path []string) error {
+func (s Scanner) scanValue(data []byte, d *json.Decoder, path []string) error {
 	if len(path) > maxDepth {
 		return trace.LimitExceeded("values are nested too deeply")
 	}
@@ -65,9 +65,14 @@
 			seen[name] = true
 		}
 		if s.Visit != nil {
-			s.Visit(append(path, name), d.InputOffset())
+			offset := int(d.InputOffset())
+			if opening == '[' {
+				// The decoder stands before the comma.
+				offset = len(data) - len(bytes.TrimLeft(data[offset:], ", \t\r\n"))
+			}
+			s.Visit(append(path, name), int64(offset))
 		}
-		if err := s.scanValue(d, append(path, name)); err != nil {
+		if err := s.scanValue(data, d, append(path, name)); err != nil {
 			return err
 		}
 	}
