gateway: log what is wrong with a configuration that comes into force

Operators who write the configuration without turmericctl check saw its faults only in refused requests. Instances run the same check when a version is in force, in the background, one version after another, and log each finding that the previous version did not have: errors first, at most 20 lines, and one line with the number of the rest. Nothing is refused.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -144,6 +144,7 @@
 	g.logUnreadable("config", u.Unreadable)
 	if u.Config != nil && g.applyConfig(u.Config, now) {
 		g.log.Info().Int64("config", u.Config.Version).Int("routes", len(u.Config.Routes)).Int("workspaces", len(u.Config.Workspaces)).Msg("configuration in force")
+		g.checkConfig(u.Config)
 	}
 	for _, v := range u.Versions {
 		g.applyVersion(v, now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,8 @@
 	relocations        residency.RelocationQueue
 	relocationsChanged chan struct{}
 	unknownDataCentres map[string]bool
+	// configCheck has a lock of its own.
+	configCheck configCheck
 	// relays are the instances that read the log service for the others, in the order in which this instance asks them,
 	// and topics the records that this instance has read.
 	relays []peerInstance
--- a/internal/state/routing/check/check_test.go
+++ b/internal/state/routing/check/check_test.go
@@ -130,6 +130,34 @@
 	}
 }
 
+// TestHistory guards against a finding that is reported again while nothing but its index changes, against one that is not
+// reported when it comes back, and against more reports than allowed.
+func TestHistory(t *testing.T) {
+	var h History
+	faulty := func(bad int) *routing.Config {
+		c := valid()
+		for i := range bad {
+			c.Routes = append(c.Routes, routing.Route{Name: fmt.Sprint("bad-", i), Host: "b.example", PathPrefix: fmt.Sprintf("/%d/", i)},
+				routing.Route{Name: fmt.Sprint("worse-", i), PathPrefix: fmt.Sprintf("/%d/", i), MaxAttempts: 2})
+		}
+		return c
+	}
+	shifted := faulty(3)
+	shifted.Routes = append(shifted.Routes[:1], shifted.Routes[2:]...)
+	for i, c := range []struct {
+		config       *routing.Config
+		added, total int
+	}{{valid(), 0, 0}, {faulty(3), 5, 6}, {shifted, 0, 0}, {faulty(4), 2, 2}, {valid(), 0, 0}, {faulty(1), 2, 2}} {
+		added, total := h.Added(c.config, 5)
+		if len(added) != c.added || total != c.total {
+			t.Errorf("version %d: got %v of %d, want %d of %d", i, added, total, c.added, c.total)
+		}
+		if i == 1 && (added[2].Severity != "error" || added[3].Severity != "warning") {
+			t.Errorf("the errors are not first: %v", added)
+		}
+	}
+}
+
 // TestAnyConfiguration guards against a panic, and against a difference of a configuration from itself.
 func TestAnyConfiguration(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -155,8 +183,9 @@
 	}
 }
 
-// BenchmarkEach checks 3,000 routes, 300 services and 1,000 workspaces; without faults, and with a finding for each route.
-func BenchmarkEach(b *testing.B) {
+// BenchmarkAdded checks 3,000 routes, 300 services and 1,000 workspaces as an instance does when a version comes into force:
+// without faults, and with a finding for each route that the previous version has, too.
+func BenchmarkAdded(b *testing.B) {
 	for _, faulty := range []bool{false, true} {
 		c := &routing.Config{}
 		for i := range 300 {
@@ -175,11 +204,11 @@
 		}
 		b.Run(fmt.Sprint("faulty=", faulty), func(b *testing.B) {
 			b.ReportAllocs()
+			var h History
+			h.Added(c, 20)
 			for b.Loop() {
-				n := 0
-				Each(c, func(Finding) { n++ })
-				if n != map[bool]int{false: 0, true: 3000}[faulty] {
-					b.Fatalf("%d findings", n)
+				if _, n := h.Added(c, 20); n != 0 || faulty != (len(h.known) == 3000) {
+					b.Fatalf("%d new findings of %d", n, len(h.known))
 				}
 			}
 		})
