turmericctl: show evacuated data centres and cold workers of the gateway

Operators had to read the metrics of each instance to see which data centres are evacuated and which workers are cold. turmericctl gateways ADDRESS... reads them, at most 16 instances at the same time, and prints one table of each, or JSON: since when and by which record a data centre is evacuated, at how many instances and where it is missing; how long a worker stays cold, its rate, and what all instances sent it. internal/state/gatewaystatus merges, without a network. Instances that aren't read are named and make the exit code 1. The gateway exports turmeric_cold_worker_requests_per_second, with the label of the other metrics of cold workers, since the rate was in no metric.

--- a/cmd/turmericctl/app.go
+++ b/cmd/turmericctl/app.go
@@ -59,6 +59,7 @@
 		{"publish", "put a document in force", &publish{app: a}},
 		{"get", "print the configuration in force", &get{app: a}},
 		{"status", "show the instances", &status{app: a}},
+		{"gateways", "show evacuated data centres and cold workers, from the metrics of instances of turmeric-gateway", &gateways{app: a}},
 		{"keys", "create, withdraw and list keys", &struct {
 			Create   keysCreate   `command:"create" description:"make a key, put it in force and print its secret once"`
 			Withdraw keysWithdraw `command:"withdraw" description:"withdraw a key"`
--- a/cmd/turmericctl/main_test.go
+++ b/cmd/turmericctl/main_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -185,3 +186,42 @@
 		}
 	}
 }
+
+// Guards against instances of the gateway whose metrics aren't merged, a wrong exit code when some aren't read, and control
+// characters of another program in a table.
+func TestGateways(t *testing.T) {
+	_, ctl := newCLI(t)
+	serve := func(text string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/metrics" {
+				t.Errorf("read %s", r.URL)
+			}
+			_, _ = fmt.Fprint(w, text)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	const era = "# TYPE turmeric_log_service_era gauge\nturmeric_log_service_era 1\n"
+	a := serve(era + "# TYPE turmeric_evacuated_data_centres gauge\nturmeric_evacuated_data_centres{data_centre=\"z\x1b\",era=\"1\",offset=\"7\"} 1\n" +
+		"# TYPE turmeric_evacuation_start_seconds gauge\nturmeric_evacuation_start_seconds{data_centre=\"z\x1b\"} 1000\n")
+	b := serve(era + "# TYPE turmeric_cold_worker_remaining_seconds gauge\nturmeric_cold_worker_remaining_seconds{worker=\"w@1\"} +Inf\n")
+	for _, c := range []struct {
+		code       int
+		args       string
+		out, error string
+	}{
+		{exitOK, "gateways " + a + " http://" + b, `"z\x1b"                1970-01-01T00:16:40Z  1    7       1 of 2     0      0        http://` + b, ""},
+		{exitOK, "gateways " + a + " " + b, "w@1          unknown    unknown     0     1 of 2\n", ""},
+		{exitOK, "gateways --json " + a + " " + b, `"remaining_seconds": null,`, ""},
+		{exitOK, "gateways " + serve(era), "no data centre is evacuated\nno worker is cold\n", ""},
+		{exitFailed, "gateways 127.0.0.1:1 " + a, "1 of 1", "1 of 2 instances were not read"},
+		{exitFailed, "gateways " + serve(""), "no worker is cold", "exports no metrics of turmeric-gateway"},
+		{exitFailed, "gateways " + serve("<html>"), "no worker is cold", "reading the metrics"},
+		{exitUsage, "gateways", "", "ADDRESS"}, {exitUsage, "gateways ftp://x", "", "neither HOST:PORT nor a URL"},
+	} {
+		code, out, errs := ctl("", strings.Fields(c.args)...)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.error) {
+			t.Errorf("%s: exit code %d, want %d:\n%s%s", c.args, code, c.code, out, errs)
+		}
+	}
+}
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -275,14 +275,15 @@
 
 // coldCollector exports the state of cold workers. A worker without a cold time has none.
 type coldCollector struct {
-	g                *Gateway
-	remaining, count *prometheus.Desc
+	g                      *Gateway
+	remaining, rate, count *prometheus.Desc
 }
 
 func newColdCollector(g *Gateway) *coldCollector {
 	return &coldCollector{
 		g:         g,
 		remaining: prometheus.NewDesc("turmeric_cold_worker_remaining_seconds", "Seconds that a worker stays cold; 0 for one that was cold, +Inf until the registry says more.", []string{"worker"}, nil),
+		rate:      prometheus.NewDesc("turmeric_cold_worker_requests_per_second", "Requests per second that a worker gets from all instances together while it is cold.", []string{"worker"}, nil),
 		count:     prometheus.NewDesc("turmeric_cold_worker_requests_total", "Requests that this instance sent to a worker while it was cold.", []string{"worker"}, nil),
 	}
 }
@@ -290,6 +291,7 @@
 // Describe implements prometheus.Collector.
 func (c *coldCollector) Describe(ch chan<- *prometheus.Desc) {
 	ch <- c.remaining
+	ch <- c.rate
 	ch <- c.count
 }
 
@@ -299,6 +301,7 @@
 	c.g.locked(func() { list = c.g.limits.ColdWorkers(c.g.now()) })
 	for _, w := range list {
 		ch <- prometheus.MustNewConstMetric(c.remaining, prometheus.GaugeValue, w.RemainingSeconds(), w.Worker)
+		ch <- prometheus.MustNewConstMetric(c.rate, prometheus.GaugeValue, w.Rate, w.Worker)
 		ch <- prometheus.MustNewConstMetric(c.count, prometheus.CounterValue, float64(w.Sent), w.Worker)
 	}
 }
