--- a/cmd/turmericctl/gateways.go
+++ b/cmd/turmericctl/gateways.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +42,10 @@
 		if err != nil {
 			return err
 		}
+		if slices.Contains(urls, u) {
+			// Its requests would count twice.
+			return usageError("%q is named twice", address)
+		}
 		urls[i] = u
 	}
 	ctx, cancel := context.WithTimeout(c.app.ctx, c.app.options.Timeout)
--- a/cmd/turmericctl/main_test.go
+++ b/cmd/turmericctl/main_test.go
@@ -217,7 +217,7 @@
 		{exitFailed, "gateways 127.0.0.1:1 " + a, "1 of 1", "1 of 2 instances were not read"},
 		{exitFailed, "gateways " + serve(""), "no worker is cold", "exports no metrics of turmeric-gateway"},
 		{exitFailed, "gateways " + serve("<html>"), "no worker is cold", "reading the metrics"},
-		{exitUsage, "gateways", "", "ADDRESS"}, {exitUsage, "gateways ftp://x", "", "neither HOST:PORT nor a URL"},
+		{exitUsage, "gateways", "", "ADDRESS"}, {exitUsage, "gateways " + a + " http://" + a, "", "named twice"}, {exitUsage, "gateways ftp://x", "", "neither HOST:PORT nor a URL"},
 	} {
 		code, out, errs := ctl("", strings.Fields(c.args)...)
 		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.error) {
