--- a/cmd/turmericctl/check.go
+++ b/cmd/turmericctl/check.go
@@ -10,6 +10,8 @@
 	"github.com/gravitational/trace"
 
 	"github.com/turmericworks/turmericworks/internal/state/config"
+	"github.com/turmericworks/turmericworks/internal/state/findings"
+	"github.com/turmericworks/turmericworks/platform"
 )
 
 // check reports on a document before it is published, from files alone.
@@ -18,6 +20,7 @@
 	jsonFlag
 	fileFlag
 	InForce string `long:"in-force" description:"JSON document of the configuration in force, as printed by get, to compare with"`
+	Gateway bool   `long:"gateway" description:"the documents are values of the record config that turmeric-gateway reads, not documents of turmericd"`
 }
 
 // Execute implements flags.Commander.
@@ -29,13 +32,7 @@
 	if err != nil {
 		return err
 	}
-	var inForce *config.Document
-	if c.InForce != "" {
-		if inForce, err = c.readInForce(); err != nil {
-			return err
-		}
-	}
-	report, err := config.CheckFile(data, inForce)
+	report, err := c.report(data)
 	if err != nil {
 		return err
 	}
@@ -50,6 +47,28 @@
 	return trace.BadParameter("%s has errors", c.File)
 }
 
+// report checks a document by the rules of the program that reads it.
+func (c *check) report(data []byte) (findings.Report, error) {
+	if !c.Gateway {
+		var inForce *config.Document
+		if c.InForce != "" {
+			var err error
+			if inForce, err = c.readInForce(); err != nil {
+				return findings.Report{}, err
+			}
+		}
+		return config.CheckFile(data, inForce)
+	}
+	var inForce []byte
+	if c.InForce != "" {
+		var err error
+		if inForce, err = c.app.readInput(c.InForce); err != nil {
+			return findings.Report{}, err
+		}
+	}
+	return platform.CheckConfig(data, inForce)
+}
+
 // readInForce reads the document to compare with, in the form that get prints with or without --json.
 func (c *check) readInForce() (*config.Document, error) {
 	data, err := c.app.readInput(c.InForce)
@@ -77,19 +96,19 @@
 	return nil, trace.BadParameter("the configuration in force can't be used:\n%s", strings.Join(lines, "\n"))
 }
 
-func formatFinding(file string, f config.Finding) string {
+func formatFinding(file string, f findings.Finding) string {
 	return fmt.Sprintf("%s:%d: %s: %s: %s", file, max(f.Line, 1), f.Severity, cmp.Or(f.Path, "/"), f.Message)
 }
 
 // print prints a report as text: first the findings, then the differences.
-func (c *check) print(r config.Report) {
+func (c *check) print(r findings.Report) {
 	out := c.app.stdout
 	for _, f := range r.Findings {
 		c.app.printf(out, "%s\n", formatFinding(c.File, f))
 	}
 	keys := false
 	for _, d := range r.Differences {
-		keys = keys || d.Kind == config.KindKey
+		keys = keys || !c.Gateway && d.Kind == string(config.KindKey)
 		c.app.printf(out, "%-6s  %s %s: %s\n", d.Action, d.Kind, d.ID, d.Words)
 	}
 	switch {
--- a/cmd/turmericctl/main_test.go
+++ b/cmd/turmericctl/main_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -22,6 +23,10 @@
 const document = `{"workspaces":{"w":{"tokens_per_second":1,"burst_tokens":1}},
  "adapters":{"a":{"workspace":"w","base_model":"m","versions":["1"],"default":"1"}}}`
 
+// gatewayConfig is a value of the record that turmeric-gateway reads.
+const gatewayConfig = `{"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/","service":"app","type":"idempotent"}],
+ "services":[{"name":"app"}],"tenants":[{"name":"w","apiKeys":["k"]}]}`
+
 // newCLI returns an in-memory daemon and a function that runs turmericctl against it and returns the exit code, standard
 // output and standard error.
 func newCLI(t *testing.T) (*admintest.Daemon, func(stdin string, args ...string) (int, string, string)) {
@@ -128,7 +133,7 @@
 }
 
 // Guards against a check that needs an instance, a wrong exit code, a report that lacks the line and path of a fault, and
-// warnings of an instance that publish doesn't print.
+// warnings of an instance that publish doesn't print. The same of the gateway's configuration, which has other rules.
 func TestCheck(t *testing.T) {
 	_, ctl := newCLI(t)
 	_, _, warnings := ctl(document, "publish", "-f", "-")
@@ -149,6 +154,7 @@
 		return path
 	}
 	inForce, printed, bad := write("old", good), write("get", `{"version":1,`+"\n"+`"document":`+good+`}`), write("bad", "{\n}}")
+	gateway := write("gateway", gatewayConfig)
 	smaller := strings.Replace(good, `"burst_tokens":600`, `"burst_tokens":550`, 1)
 	for _, c := range []struct {
 		code       int
@@ -165,6 +171,13 @@
 		{exitFailed, "{\n]", "check -f - --in-force " + inForce, "-:2: error: /: not valid JSON", "has errors"},
 		{exitFailed, good, "check -f - --in-force " + bad, "", bad + ":2: error: /: not valid JSON"},
 		{exitFailed, "", "check -f /nonexistent", "", "nonexistent"},
+		{exitOK, gatewayConfig, "check --gateway -f -", "valid\n", ""},
+		{exitOK, gatewayConfig, "check --gateway -f - --in-force " + gateway, "no difference from", ""},
+		{exitOK, strings.NewReplacer(`"k"`, `"l"`, `:1,`, `:2,`).Replace(gatewayConfig), "check --gateway -f - --in-force " + gateway,
+			"remove  key w/1: is removed: requests of workspace \"w\" with it are refused\nadd     key w/1: is added\n", ""},
+		{exitFailed, strings.Replace(gatewayConfig, `"service":"app"`, `"service":"x"`, 1), "check --gateway --json -f -", `"path": "/routes/0/service"`, "has errors"},
+		{exitFailed, gatewayConfig, "check --gateway -f - --in-force " + bad, "", "the configuration in force can't be used"},
+		{exitFailed, good, "check --gateway -f -", "-:1: error: /version: is missing", "has errors"},
 		{exitUsage, good, "check -f - --in-force -", "", "standard input"}, {exitUsage, "", "check", "", "required"},
 	} {
 		code, out, errs := ctl(c.stdin, append([]string{"--server", "http://127.0.0.1:1"}, strings.Fields(c.args)...)...)
@@ -173,3 +186,42 @@
 		}
 	}
 }
+
+// Guards against instances of the gateway whose metrics aren't merged, a wrong exit code when some aren't read, and control
+// characters of another program in a table.
+func TestGateways(t *testing.T) {
+	_, ctl := newCLI(t)
+	serve := func(text string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/metrics" {
+				t.Errorf("read %s", r.URL)
+			}
+			_, _ = fmt.Fprint(w, text)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	const era = "# TYPE turmeric_log_service_era gauge\nturmeric_log_service_era 1\n"
+	a := serve(era + "# TYPE turmeric_evacuated_data_centres gauge\nturmeric_evacuated_data_centres{data_centre=\"z\x1b\",era=\"1\",offset=\"7\"} 1\n" +
+		"# TYPE turmeric_evacuation_start_seconds gauge\nturmeric_evacuation_start_seconds{data_centre=\"z\x1b\"} 1000\n")
+	b := serve(era + "# TYPE turmeric_cold_worker_remaining_seconds gauge\nturmeric_cold_worker_remaining_seconds{worker=\"w@1\"} +Inf\n")
+	for _, c := range []struct {
+		code       int
+		args       string
+		out, error string
+	}{
+		{exitOK, "gateways " + a + " http://" + b, `"z\x1b"                1970-01-01T00:16:40Z  1    7       1 of 2     0      0        http://` + b, ""},
+		{exitOK, "gateways " + a + " " + b, "w@1          unknown    unknown     0     1 of 2\n", ""},
+		{exitOK, "gateways --json " + a + " " + b, `"remaining_seconds": null,`, ""},
+		{exitOK, "gateways " + serve(era), "no data centre is evacuated\nno worker is cold\n", ""},
+		{exitFailed, "gateways 127.0.0.1:1 " + a, "1 of 1", "1 of 2 instances were not read"},
+		{exitFailed, "gateways " + serve(""), "no worker is cold", "exports no metrics of turmeric-gateway"},
+		{exitFailed, "gateways " + serve("<html>"), "no worker is cold", "reading the metrics"},
+		{exitUsage, "gateways", "", "ADDRESS"}, {exitUsage, "gateways " + a + " http://" + a, "", "named twice"}, {exitUsage, "gateways ftp://x", "", "neither HOST:PORT nor a URL"},
+	} {
+		code, out, errs := ctl("", strings.Fields(c.args)...)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.error) {
+			t.Errorf("%s: exit code %d, want %d:\n%s%s", c.args, code, c.code, out, errs)
+		}
+	}
+}
