workerload: expect prompts to be read one after the other, but not what a first event takes besides

Cause: the learned time of one prompt token contained what each first event takes besides the reading, so that the expected wait behind n prompts counted that n times. Change: Load learns both separately: a request that waited for the prompt before it shows the time of its own, any other the sum. Result: TestQueueOfShortPrompts failed before (335 ms where 220 ms are due). TestLearnedTimes: an idle server's expectation for an empty prompt is the base time rather than 0; no wait is added to it.

--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -14,10 +14,14 @@
 )
 
 const (
-	// initialPromptTime and initialOutputTime are the times of one token of a prompt and of an answer until the server's
-	// own ones are learned.
-	initialPromptTime = 60 * time.Microsecond
+	// initialPromptTime and initialOutputTime are the times of one token of a prompt and of an answer, and initialBaseTime is
+	// what a first event takes besides, until the server's own ones are learned.
+	initialPromptTime = 40 * time.Microsecond
 	initialOutputTime = 10 * time.Millisecond
+	initialBaseTime   = 40 * time.Millisecond
+	// minPromptTime and minBaseTime keep the learned times above 0, from which they would never rise.
+	minPromptTime = time.Microsecond
+	minBaseTime   = time.Millisecond
 	// learnWeight is the weight of one ended request in the learned times.
 	learnWeight = 0.15
 	// maxLearnedFactor bounds the change of a learned time by one request, so that a single outlier does not close a server.
@@ -69,10 +73,11 @@
 	memory int64
 	last   uint64
 	places map[uint64]*place
-	// lastBegin is when the first event of the latest request to begin arrived: the server has read its prompt then.
+	// lastBegin is when the first event of the latest request to begin arrived.
 	lastBegin time.Duration
-	// promptTime and outputTime are the learned times of one token.
-	promptTime, outputTime learnedTime
+	// promptTime and outputTime are the learned times of one token, and baseTime is what a first event takes besides the reading
+	// of prompts. Prompts are read one after the other, but their base times overlap.
+	promptTime, outputTime, baseTime learnedTime
 	// reading is what is known of prompts of mixtures.
 	reading reading
 }
@@ -83,7 +88,7 @@
 	return &Load{
 		slots: slots, memory: memoryTokens, places: map[uint64]*place{},
 		promptTime: learnedTime{Duration: initialPromptTime}, outputTime: learnedTime{Duration: initialOutputTime},
-		reading: newReading(),
+		baseTime: learnedTime{Duration: initialBaseTime}, reading: newReading(),
 	}
 }
 
@@ -119,7 +124,7 @@
 		queued, read := l.mixedWait(r, now)
 		return max(ready, now) - now + queued + read
 	}
-	return max(ready, l.roomAt(r, now), l.promptsRead(now)) + l.promptTime.of(r.Prompt) - now
+	return max(ready, l.roomAt(r, now), l.promptsRead(now)) + l.promptTime.of(r.Prompt) + l.baseTime.Duration - now
 }
 
 // promptsRead returns when the server is expected to have read the prompts that it has got so far. It reads one after the
@@ -132,9 +137,12 @@
 			since = min(since, p.ready)
 		}
 	}
-	return max(now, max(since, l.lastBegin)+l.promptTime.of(tokens))
+	return max(now, max(since, l.lastRead())+l.promptTime.of(tokens))
 }
 
+// lastRead returns when the server had read the prompt of the latest request that has begun.
+func (l *Load) lastRead() time.Duration { return l.lastBegin - l.baseTime.Duration }
+
 // roomAt returns when the server is expected to have a slot and memory for a request.
 func (l *Load) roomAt(r Request, now time.Duration) time.Duration {
 	held := int64(0)
@@ -206,15 +214,30 @@
 	p.end += now - p.first
 	p.overdue += now - p.first
 	p.first = now
-	if reading := now - max(p.ready, l.lastBegin); p.unqueued && p.request.Prompt > 0 {
-		l.promptTime.learn(max(0, reading) / time.Duration(p.request.Prompt))
+	if p.unqueued && p.request.Prompt > 0 {
+		l.learnReading(p, now)
 		if p.request.Mixture.Long > 0 {
-			l.reading.learn(p.request, p.uncached, max(0, reading))
+			l.reading.learn(p.request, p.uncached, max(0, now-max(p.ready, l.lastBegin)))
 		}
 	}
 	l.lastBegin = now
 }
 
+// learnReading learns from a request whose first event has just arrived. One that waited for the prompt before it shows how long
+// the reading of its own took. Any other shows the sum of reading and base time, whose larger part is corrected.
+func (l *Load) learnReading(p *place, now time.Duration) {
+	tokens, base := p.request.Prompt, l.baseTime.Duration
+	reading := now - p.ready - base
+	switch {
+	case p.ready < l.lastRead():
+		reading = now - l.lastBegin
+	case l.promptTime.of(tokens) < base:
+		l.baseTime.learn(max(minBaseTime, now-p.ready-l.promptTime.of(tokens)))
+		return
+	}
+	l.promptTime.learn(max(minPromptTime, reading/time.Duration(tokens)))
+}
+
 // End returns a place. Complete is true if the whole answer has arrived.
 func (l *Load) End(id uint64, complete bool, now time.Duration) {
 	p := l.places[id]
