workerload: divide places that are short between workspaces

Owners and keepers admit requests first come, first served, so that a workspace that sends several times its usual load takes the places of the others while it stays below its rate.

Load.Admit and Plain.Admit now learn for each workspace that requests name, what it asked for and got in the last seconds. While the queue takes more than 0.3 of the time that a request may wait, a workspace that holds more than its share of the places gets none. The share is in proportion to the rates of the workspaces that are sending; what one does not ask for is divided between the others. Choose and ChoosePlain send such a request elsewhere, hold it until the share is available if that is soon enough, and refuse it otherwise. Requests that name no workspace are decided as before.

--- a/internal/coordination/workerload/choice.go
+++ b/internal/coordination/workerload/choice.go
@@ -5,6 +5,10 @@
 // maxAsked is how many servers are asked for one request. Each question takes a round trip between instances.
 const maxAsked = 4
 
+// maxOverAsked is how many servers are asked for a request whose workspace is over its share at each of them: the others that hold its
+// adapters are probably as short, and under overload such requests are the most frequent ones.
+const maxOverAsked = 2
+
 // Answer is what the owner of a server answered to a question about a request.
 type Answer struct {
 	// Known is false if the owner was not reached, so that nothing is known of the server's load.
@@ -17,6 +21,9 @@
 	Defers bool
 	// InTime means that the first event is expected in time, although the request has no place.
 	InTime bool
+	// OverShare means that the request got no place because its workspace holds more than its share. Wait is then the time until it
+	// holds less, and InTime means that this is soon enough.
+	OverShare bool
 }
 
 // Step is what to do next with a request whose adapter is resident at several servers, or with one to a plain service. Not every
@@ -47,29 +54,42 @@
 	Step       Step
 	Index      int
 	RetryAfter time.Duration
+	// Share means that the request is held or refused since its workspace holds more than its share.
+	Share bool
 }
 
 // Choose returns the next step for a request with a number of servers at which its adapter is resident, in the order in which
 // they are to be asked. Answers are those of the servers that were asked so far. CanLoad is true if the adapter may still
-// be loaded elsewhere, and left is the time until the request's deadline.
+// be loaded elsewhere, and left is the time until the request's deadline. A request whose workspace is over its share at all servers
+// waits if the share is available soon, and is refused otherwise: it is not sent late beside others.
 func Choose(answers []Answer, servers int, canLoad bool, left time.Duration) Choice {
-	best := -1
+	best, over := -1, -1
 	for i, a := range answers {
 		switch {
-		case a.Admitted || !a.Known && best < 0:
+		case a.Admitted || !a.Known && best < 0 && over < 0:
 			return Choice{Step: Send, Index: i}
+		case a.Known && a.OverShare:
+			if over < 0 || a.Wait < answers[over].Wait {
+				over = i
+			}
 		case a.Known && (best < 0 || a.Wait < answers[best].Wait):
 			best = i
 		}
 	}
 	switch {
-	case len(answers) < min(servers, maxAsked):
+	case len(answers) < min(servers, maxAsked) && (best >= 0 || over < 0 || len(answers) < maxOverAsked):
 		return Choice{Step: Ask, Index: len(answers)}
 	case best >= 0 && answers[best].Defers && answers[best].InTime && answers[best].Wait < left:
 		// It only waits for prompts that are read soon, which takes less than a load.
 		return Choice{Step: Hold, Index: best, RetryAfter: answers[best].Wait}
 	case canLoad:
 		return Choice{Step: LoadElsewhere}
+	case best < 0 && over >= 0:
+		step := Refuse
+		if answers[over].InTime && answers[over].Wait < left {
+			step = Hold
+		}
+		return Choice{Step: step, Index: over, RetryAfter: answers[over].Wait, Share: true}
 	case best < 0:
 		return Choice{Step: Refuse}
 	case answers[best].Wait >= left:
--- a/internal/coordination/workerload/plain.go
+++ b/internal/coordination/workerload/plain.go
@@ -28,6 +28,9 @@
 	Room float64
 	// Time is how long it takes for one request.
 	Time time.Duration
+	// OverShare is the time until the workspace of a request that got no place for holding more than its share holds less; 0 if that
+	// is not the reason.
+	OverShare time.Duration
 }
 
 // Ending is how a request with a place at a plain worker ended.
@@ -50,6 +53,8 @@
 // plainPlace is a request at a plain worker.
 type plainPlace struct {
 	number uint64
+	// workspace is that of the request, if places are divided between workspaces.
+	workspace string
 	// ahead is how many requests were at the worker when this one was admitted.
 	ahead int
 	// begun is true once the worker is expected to run the request, since the time start.
@@ -78,6 +83,8 @@
 	failures int
 	// given is when the latest place was given.
 	given time.Duration
+	// shares is what the workspaces use.
+	shares sharing
 }
 
 // NewPlain returns the load of a worker that runs a number of requests at once. Places are numbered after first, which differs
@@ -143,6 +150,8 @@
 // completion does not matter.
 type Bounds struct {
 	MaxWait, Within time.Duration
+	// Share says whose request it is, if places are divided between workspaces.
+	Share Share
 }
 
 // admits reports whether the worker is expected to serve a request within its bounds.
@@ -154,16 +163,20 @@
 	return b.Within <= 0 || wait+l.time.Duration <= b.Within || len(l.places) == 0 && now-l.given >= probeInterval
 }
 
-// Admit gives a request a place if the worker is expected to serve it within its bounds; otherwise the place is 0. Lifetime is how
-// long the request lasts at most. The outlook is that of the next request.
+// Admit gives a request a place if the worker is expected to serve it within its bounds and its workspace is not over its share;
+// otherwise the place is 0. Lifetime is how long the request lasts at most. The outlook is that of the next request.
 func (l *Plain) Admit(b Bounds, lifetime, now time.Duration) (place uint64, o Outlook) {
-	if l.admits(b, now) {
+	l.settle(now)
+	l.shares.ask(b.Share, l.time.Duration, now)
+	until, over := l.overShare(b, now)
+	if !over && l.admits(b, now) {
+		l.shares.give(b.Share, l.time.Duration, now)
 		l.last++
 		l.given = now
 		place = l.last
-		l.places = append(l.places, &plainPlace{number: place, ahead: len(l.places), expires: now + lifetime})
+		l.places = append(l.places, &plainPlace{number: place, workspace: b.Share.Workspace, ahead: len(l.places), expires: now + lifetime})
 	}
-	return place, Outlook{Wait: l.Wait(now), Room: l.Room(now), Time: l.time.Duration}
+	return place, Outlook{Wait: l.Wait(now), Room: l.Room(now), Time: l.time.Duration, OverShare: until}
 }
 
 // End returns a place. The place of a request that the worker has failed is kept for the time of a request, and longer with each
--- a/internal/coordination/workerload/plain_replay_test.go
+++ b/internal/coordination/workerload/plain_replay_test.go
@@ -38,6 +38,7 @@
 	order           []int
 	answers         []PlainAnswer
 	place           uint64
+	share           Share
 }
 
 // plainServer runs plainSlots requests at once and the others in the order of arrival.
@@ -163,11 +164,17 @@
 	case Ask:
 		q.calls++
 		r.after(r.hop(), func() {
+			c.Bounds.Share = q.share
 			place, o := s.load.Admit(c.Bounds, t.Left, r.now)
 			r.after(r.hop(), func() {
-				r.outlooks[q.instance].Answered(string(rune(n)), o, r.now)
+				answer := Answer{Known: true, Admitted: place != 0, Wait: o.Wait}
+				if o.OverShare > 0 {
+					answer.Wait, answer.OverShare = o.OverShare, true
+				} else {
+					r.outlooks[q.instance].Answered(string(rune(n)), o, r.now)
+				}
 				q.place = place
-				q.answers = append(q.answers, PlainAnswer{Answer{Known: true, Admitted: place != 0, Wait: o.Wait}, c.Index, o.Time})
+				q.answers = append(q.answers, PlainAnswer{answer, c.Index, o.Time})
 				r.step(q)
 			})
 		})
--- a/internal/coordination/workerload/plainchoice.go
+++ b/internal/coordination/workerload/plainchoice.go
@@ -289,18 +289,25 @@
 	After time.Duration
 	// Wait is the shortest wait that an answer named, if there was one.
 	Wait time.Duration
+	// Share means that the request is held or refused since its workspace holds more than its share.
+	Share bool
 }
 
 // ChoosePlain returns the next step for a request. The candidates are in the order in which they are asked, and the answers those
 // of the keepers that were asked. A request goes where it is admitted, to a worker of which nothing is known if no other has declined,
 // or where it waits least, if it can be on time there. Otherwise it is held for room that those on time leave, and refused if no
-// worker is expected to begin it before its deadline. Random is a number in [0, 1).
+// worker is expected to begin it before its deadline. One whose workspace is over its share at all workers asked is held if the share
+// is available while it can be on time, and refused otherwise. Random is a number in [0, 1).
 func ChoosePlain(list []Candidate, answers []PlainAnswer, t Times, random float64) PlainChoice {
-	best := -1
+	best, over := -1, -1
 	for i, a := range answers {
 		switch {
-		case a.Admitted || !a.Known && best < 0:
+		case a.Admitted || !a.Known && best < 0 && over < 0:
 			return PlainChoice{Step: Send, Index: a.Index, Wait: a.Wait}
+		case a.Known && a.OverShare:
+			if over < 0 || a.Wait < answers[over].Wait {
+				over = i
+			}
 		case a.Known && (best < 0 || a.Wait+a.Time < answers[best].Wait+answers[best].Time):
 			best = i
 		}
@@ -320,6 +327,12 @@
 			bounds.MaxWait = min(bounds.MaxWait, patience)
 		}
 		return PlainChoice{Step: Ask, Index: asked, Bounds: bounds}
+	case best < 0 && over >= 0:
+		wait := answers[over].Wait
+		if after := time.Duration((1 + random/4) * float64(wait)); after <= t.onTime() {
+			return PlainChoice{Step: Hold, After: after, Wait: wait, Share: true}
+		}
+		return PlainChoice{Step: Refuse, After: SpreadRetry(wait, t.Left, random), Wait: wait, Share: true}
 	case best < 0:
 		return PlainChoice{Step: Refuse, After: SpreadRetry(0, t.Left, random)}
 	}
--- a/internal/coordination/workerload/replay_test.go
+++ b/internal/coordination/workerload/replay_test.go
@@ -39,6 +39,7 @@
 	// given is when it got its place, sent when it was sent, and place the number that the server's Load has given it.
 	given, sent time.Duration
 	place       uint64
+	questions   int
 }
 
 // simServer is a server that runs a batch of limited size in the order of arrival and reads one prompt at a time.
@@ -85,6 +86,9 @@
 	requests []*simRequest
 	refused  int
 	place    func(r *replay, q *simRequest)
+	// callersReturn means that refused callers come back after their Retry-After, at the times returns.
+	callersReturn bool
+	returns       []time.Duration
 }
 
 func newReplay(seed uint64, place func(r *replay, q *simRequest)) *replay {
@@ -198,8 +202,14 @@
 		c := Choose(answers, len(servers), canLoad, left)
 		switch c.Step {
 		case Ask:
-			place, wait := servers[c.Index].load.Admit(q.size, 0, maxWait, left, r.now)
-			answers, places = append(answers, Answer{Known: true, Admitted: place != 0, Wait: wait}), append(places, place)
+			l := servers[c.Index].load
+			place, wait := l.Admit(q.size, 0, maxWait, left, r.now)
+			answer := Answer{Known: true, Admitted: place != 0, Wait: wait}
+			if until, over := l.OverShare(q.size, maxWait, r.now); place == 0 && over {
+				answer.Wait, answer.OverShare, answer.InTime = until, true, until <= maxWait
+			}
+			answers, places = append(answers, answer), append(places, place)
+			q.questions++
 			continue
 		case Send:
 			r.send(q, servers[c.Index], places[c.Index])
@@ -207,8 +217,14 @@
 			r.send(q, servers[c.Index], servers[c.Index].load.Add(q.size, 0, left, r.now))
 		case LoadElsewhere:
 			r.loadElsewhere(q)
+		case Hold:
+			r.after(HoldTime(c.RetryAfter, r.now-q.at, left), func() { r.placeByOwners(q, canLoad) })
 		default:
 			r.refused++
+			if after := SpreadRetry(c.RetryAfter, left, r.random.Float64()); r.callersReturn && after < left/3 {
+				r.returns = append(r.returns, r.now+after)
+				r.after(after, func() { r.placeByOwners(q, canLoad) })
+			}
 		}
 		return
 	}
--- /dev/null
+++ b/internal/coordination/workerload/sharing.go
@@ -0,0 +1,272 @@
+package workerload
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// useMemory is the time in which the measures of a workspace's use fall to about a third. It is longer than usual requests
+	// last, and short enough that a new owner knows the workspaces within seconds.
+	useMemory = 2 * time.Second
+	// activeTime after its last request, a workspace no longer counts as sending.
+	activeTime = 3 * useMemory
+	// usableShare of the capacity is divided between the workspaces. With all of it divided, the queues of those that stay within
+	// their shares would grow at random.
+	usableShare = 0.9
+	// shortShare of the time that a request may wait is the wait from which capacity is short. Below it, those that stay within their
+	// shares are still served in time, and places are not left free between two requests.
+	shortShare = 0.3
+	// minShareTimes of the time of a request is the shortest time that is named until a share is available. A shorter one only brings
+	// more questions: no place of the workspace ends before.
+	minShareTimes = 0.25
+	// unmetShare of what a workspace asked for without getting it counts as demand: such a request also asks other servers, and asks
+	// again. With all of it counted, the shares of those with usual demand would be too small under overload.
+	unmetShare = 1.0 / maxAsked
+	// maxWorkspaces bounds the workspaces that are known at one server.
+	maxWorkspaces = 1024
+	// maxShareWait bounds the time that is named until a share is available.
+	maxShareWait = 10 * time.Second
+)
+
+// Share says whose request it is, so that capacity that is short is divided between workspaces. The zero value means that this is
+// not known: the request is then treated as if there were no shares.
+type Share struct {
+	Workspace string
+	// Rate is the workspace's rate in requests per second, 0 if it has none.
+	Rate float64
+}
+
+// RequestRate returns a workspace's rate in requests per second, so that rates in tokens and in requests can be compared. It is 0
+// for a rate in tokens if the usual tokens of a request are not configured.
+func RequestRate(rate float64, countsTokens bool, defaultTokens float64) float64 {
+	switch {
+	case !countsTokens:
+		return max(0, rate)
+	case defaultTokens > 0:
+		return max(0, rate/defaultTokens)
+	}
+	return 0
+}
+
+// workspaceUse is what a workspace has asked for and got at a server in the last seconds, as the average number of places.
+type workspaceUse struct {
+	rate        float64
+	asked, used float64
+	// at is when these were brought up to date, and sent when the workspace sent its last request.
+	at, sent time.Duration
+}
+
+func (u *workspaceUse) decay(now time.Duration) {
+	if now > u.at {
+		f := math.Exp(-float64(now-u.at) / float64(useMemory))
+		u.asked, u.used, u.at = u.asked*f, u.used*f, now
+	}
+}
+
+// demand returns the places that the workspace is taken to need.
+func (u *workspaceUse) demand() float64 { return u.used + unmetShare*max(0, u.asked-u.used) }
+
+// sharing divides the places of a server between workspaces while they are short.
+//
+// It handles load of this kind: a workspace that stays within its rate but sends several times its usual load, and takes the places
+// of the others since places are given first come, first served.
+type sharing struct {
+	known map[string]*workspaceUse
+}
+
+// of returns the use of a workspace. The least used one is forgotten for it if there are too many.
+func (s *sharing) of(workspace string, now time.Duration) *workspaceUse {
+	u := s.known[workspace]
+	if u == nil {
+		if s.known == nil {
+			s.known = map[string]*workspaceUse{}
+		}
+		if len(s.known) >= maxWorkspaces {
+			s.forgetLeast(now)
+		}
+		u = &workspaceUse{at: now}
+		s.known[workspace] = u
+	}
+	u.decay(now)
+	u.sent = now
+	return u
+}
+
+func (s *sharing) forgetLeast(now time.Duration) {
+	least, use := "", math.Inf(1)
+	for name, u := range s.known {
+		u.decay(now)
+		if n := u.asked + u.used; n < use || n == use && name < least {
+			least, use = name, n
+		}
+	}
+	delete(s.known, least)
+}
+
+// ask records a request, which holds a place for the time takes if it gets one.
+func (s *sharing) ask(share Share, takes, now time.Duration) {
+	if share.Workspace == "" {
+		return
+	}
+	u := s.of(share.Workspace, now)
+	u.rate = share.Rate
+	u.asked += float64(takes) / float64(useMemory)
+}
+
+// give records that a request got a place.
+func (s *sharing) give(share Share, takes, now time.Duration) {
+	if share.Workspace != "" {
+		s.of(share.Workspace, now).used += float64(takes) / float64(useMemory)
+	}
+}
+
+// holding is what a workspace holds: after which times its requests with a place are expected to end.
+type holding map[string][]time.Duration
+
+// places returns the number of places of all workspaces.
+func (h holding) places() (n int) {
+	for _, ends := range h {
+		n += len(ends)
+	}
+	return n
+}
+
+// over reports whether a workspace holds more than its share of a number of places, and how long until it holds less. What a
+// workspace does not ask for is divided between the others in the proportion of their rates.
+//
+// One place does not count as held, since shares of many workspaces are fractions of a place.
+func (s *sharing) over(share Share, held holding, places int, takes, now time.Duration) (until time.Duration, over bool) {
+	u := s.known[share.Workspace]
+	if share.Workspace == "" || u == nil {
+		return 0, false
+	}
+	level, limited := s.level(held, usableShare*float64(places), now)
+	if !limited {
+		return 0, false
+	}
+	u.decay(now)
+	own := level * s.weight(u, s.meanRate(now))
+	ends := held[share.Workspace]
+	if u.used > own {
+		until, over = time.Duration(float64(useMemory)*min(math.Log(u.used/own), float64(maxShareWait/useMemory))), true
+	}
+	if excess := float64(len(ends)-1) - own; excess > 0 {
+		slices.Sort(ends)
+		until, over = max(until, ends[min(len(ends), int(math.Ceil(excess)))-1]), true
+	}
+	if !over {
+		return 0, false
+	}
+	return min(max(until, minRetryAfter, time.Duration(minShareTimes*float64(takes))), maxShareWait), true
+}
+
+// level returns by how many places for one unit of rate a workspace can be served, if the places do not suffice for what all ask
+// for. Those that ask for less get what they ask for.
+func (s *sharing) level(held holding, places float64, now time.Duration) (level float64, limited bool) {
+	type demand struct {
+		places, weight float64
+		name           string
+	}
+	mean := s.meanRate(now)
+	var list []demand
+	weights := 0.0
+	for _, name := range s.active(now) {
+		u := s.known[name]
+		u.decay(now)
+		d := demand{max(u.demand(), float64(len(held[name]))), s.weight(u, mean), name}
+		list = append(list, d)
+		weights += d.weight
+	}
+	slices.SortFunc(list, func(x, y demand) int {
+		return cmp.Or(cmp.Compare(x.places/x.weight, y.places/y.weight), cmp.Compare(x.name, y.name))
+	})
+	for i, d := range list {
+		if level = places / weights; d.places > level*d.weight {
+			// With a single workspace there is no other one that the places could be kept for.
+			return level, len(list) > 1
+		}
+		if i+1 < len(list) {
+			places -= d.places
+			weights -= d.weight
+		}
+	}
+	return 0, false
+}
+
+// active returns the workspaces that are sending requests, in the order of their names.
+func (s *sharing) active(now time.Duration) []string {
+	var names []string
+	for name, u := range s.known {
+		if now-u.sent <= activeTime {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// meanRate returns the mean rate of the active workspaces that have one, 0 if none has.
+func (s *sharing) meanRate(now time.Duration) float64 {
+	sum, n := 0.0, 0.0
+	for _, name := range s.active(now) {
+		if r := s.known[name].rate; r > 0 {
+			sum, n = sum+r, n+1
+		}
+	}
+	return sum / max(1, n)
+}
+
+// weight returns what a workspace's share is proportional to. One without a rate counts like the mean of the others.
+func (s *sharing) weight(u *workspaceUse, mean float64) float64 {
+	return cmp.Or(u.rate, mean, 1)
+}
+
+// placeTime is how long a request is expected to hold a place.
+func (l *Load) placeTime(r Request) time.Duration {
+	return l.baseTime.Duration + l.promptTime.of(r.Prompt) + l.outputTime.of(r.Output)
+}
+
+// OverShare reports whether a request gets no place because its workspace holds more than its share of the server while capacity is
+// short: the queue takes a large part of the time that the request may wait. Until is the time until the workspace holds less.
+func (l *Load) OverShare(r Request, maxWait, now time.Duration) (until time.Duration, over bool) {
+	if r.Share.Workspace == "" {
+		return 0, false
+	}
+	if max(l.roomAt(r, now), l.promptsRead(now))-now <= time.Duration(shortShare*float64(maxWait)) {
+		return 0, false
+	}
+	held := holding{}
+	for _, p := range l.places {
+		if w := p.request.Share.Workspace; w != "" {
+			held[w] = append(held[w], max(p.end-now, 0))
+		}
+	}
+	places := held.places()
+	if l.slots > 0 {
+		places = min(places, l.slots)
+	}
+	return l.shares.over(r.Share, held, places, l.placeTime(r), now)
+}
+
+// overShare reports whether a request gets no place because its workspace holds more than its share of the worker while capacity is
+// short, and the time until it holds less.
+func (l *Plain) overShare(b Bounds, now time.Duration) (until time.Duration, over bool) {
+	if b.Share.Workspace == "" || l.Wait(now) <= time.Duration(shortShare*float64(max(b.MaxWait, b.Within))) {
+		return 0, false
+	}
+	held := holding{}
+	for i, p := range l.places {
+		if p.workspace == "" {
+			continue
+		}
+		end := time.Duration(1+i/l.slots) * l.time.Duration
+		if i < l.slots {
+			end = l.remaining(p, now)
+		}
+		held[p.workspace] = append(held[p.workspace], end)
+	}
+	return l.shares.over(b.Share, held, min(l.slots, held.places()), l.time.Duration, now)
+}
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -44,6 +44,8 @@
 	Priority int
 	// Late means that the request cannot be on time any more, and Owed that requests like it were served less than others.
 	Late, Owed bool
+	// Share says whose request it is, if places are divided between workspaces.
+	Share Share
 }
 
 func (r Request) tokens() int64 { return r.Prompt + r.Output }
@@ -80,6 +82,8 @@
 	promptTime, outputTime, baseTime learnedTime
 	// reading is what is known of prompts of mixtures.
 	reading reading
+	// shares is what the workspaces use.
+	shares sharing
 }
 
 // New returns the load of a server that runs a number of requests at once, which hold a number of tokens at most. 0 means
@@ -171,11 +175,15 @@
 	return at
 }
 
-// Admit gives a request a place if its first event is expected within maxWait; otherwise the place is 0. The server has the
-// request's adapter at the time ready. Lifetime is how long the request lasts at most.
+// Admit gives a request a place if its first event is expected within maxWait and its workspace is not over its share; otherwise the
+// place is 0. The server has the request's adapter at the time ready. Lifetime is how long the request lasts at most.
 func (l *Load) Admit(r Request, ready, maxWait, lifetime, now time.Duration) (place uint64, wait time.Duration) {
 	r = l.inMixture(r, now)
 	wait = l.Wait(r, ready, now)
+	l.shares.ask(r.Share, l.placeTime(r), now)
+	if _, over := l.OverShare(r, maxWait, now); over {
+		return 0, wait
+	}
 	admitted := wait <= maxWait
 	if l.mixed(r) {
 		admitted = l.fits(r, ready, maxWait, now)
@@ -192,6 +200,7 @@
 	wait := l.Wait(r, ready, now)
 	running := l.outputTime.of(r.Output)
 	first := now + wait
+	l.shares.give(r.Share, l.placeTime(r), now)
 	l.last++
 	l.places[l.last] = &place{
 		request: r, given: now, ready: max(ready, now), first: first, end: first + running, overdue: first + time.Duration((1+overdueShare)*float64(running)),
