gateway: carry the workspace of a request to owners and keepers

With the setting workspace_shares, off where it is absent, questions for places name the workspace and its rate in requests per second, and the answer says if the workspace is over its share. A request that is over it at all workers asked is refused with 503, code workspace_share, not run, and a Retry-After spread from the time at which the share is available. An owner or keeper without the setting ignores the field; an instance that names no workspace is served as before.

A counter, a log field over_share and one line when a workspace exceeds its share and when it is within it again.

--- a/internal/coordination/workerload/sharing.go
+++ b/internal/coordination/workerload/sharing.go
@@ -39,6 +39,15 @@
 	Rate float64
 }
 
+// NewShare returns a share. A rate that is negative or not a number counts as none; the sum of rates stays finite.
+func NewShare(workspace string, rate float64) Share {
+	const maxRate = 1e12
+	if rate > 0 {
+		return Share{workspace, min(rate, maxRate)}
+	}
+	return Share{Workspace: workspace}
+}
+
 // RequestRate returns a workspace's rate in requests per second, so that rates in tokens and in requests can be compared. It is 0
 // for a rate in tokens if the usual tokens of a request are not configured.
 func RequestRate(rate float64, countsTokens bool, defaultTokens float64) float64 {
@@ -69,6 +78,13 @@
 // demand returns the places that the workspace is taken to need.
 func (u *workspaceUse) demand() float64 { return u.used + unmetShare*max(0, u.asked-u.used) }
 
+// average returns by how much a request that holds a place for a time raises the average number of places. The time is bounded since
+// callers name the sizes from which it is derived.
+func average(takes time.Duration) float64 {
+	const longest = time.Hour
+	return float64(min(max(takes, 0), longest)) / float64(useMemory)
+}
+
 // sharing divides the places of a server between workspaces while they are short.
 //
 // It handles load of this kind: a workspace that stays within its rate but sends several times its usual load, and takes the places
@@ -113,13 +129,13 @@
 	}
 	u := s.of(share.Workspace, now)
 	u.rate = share.Rate
-	u.asked += float64(takes) / float64(useMemory)
+	u.asked += average(takes)
 }
 
 // give records that a request got a place.
 func (s *sharing) give(share Share, takes, now time.Duration) {
 	if share.Workspace != "" {
-		s.of(share.Workspace, now).used += float64(takes) / float64(useMemory)
+		s.of(share.Workspace, now).used += average(takes)
 	}
 }
 
--- a/internal/coordination/workerload/sharing_test.go
+++ b/internal/coordination/workerload/sharing_test.go
@@ -181,3 +181,15 @@
 		So(refused.After, ShouldBeGreaterThanOrEqualTo, second)
 	})
 }
+
+// TestOverShares guards against a log line for each request that is declined instead of one when a workspace exceeds its share.
+func TestOverShares(t *testing.T) {
+	Convey("the begin and the end are reported once", t, func() {
+		o := &OverShares{}
+		So(o.Declined("a", 0), ShouldBeTrue)
+		So(o.Declined("a", second), ShouldBeFalse)
+		So(o.Ended(overShareEnd), ShouldBeEmpty)
+		So(o.Ended(second+overShareEnd), ShouldResemble, []EndedOverShare{{"a", 2}})
+		So(o.Declined("a", second+overShareEnd), ShouldBeTrue)
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,8 @@
 	owners     map[workers.Key]*owner
 	// mixes is what is known of the prompts that the routes of a service bring, by service.
 	mixes map[string]*workerload.Mix
+	// overShares is which workspaces hold more than their shares of workers.
+	overShares workerload.OverShares
 	// replicaLoads are the additional replicas of adapters that are being loaded.
 	replicaLoads map[workerAdapter]bool
 	// unreachable is the time of the last failed call to an instance.
@@ -350,6 +352,7 @@
 	listed := func(name string) bool { return names[name] }
 	g.limits.Retain(listed)
 	g.logColdChanges(g.now())
+	g.logSharesEnded()
 	g.availability.Retain(listed, g.now())
 	if t := g.table.Load(); t != nil {
 		g.keepers.retain(listed, func(name string) bool { _, ok := t.Service(name); return ok })
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -42,6 +43,8 @@
 	placedOwnerUnknown = "owner_unknown"
 	placedLate         = "late"
 	placedLoaded       = "loaded"
+	// placedOverShare is a refusal at both, and its code.
+	placedOverShare = "workspace_share"
 )
 
 // keepers are the keepers of plain workers, as this instance knows them. The gateway's lock guards it.
@@ -313,6 +316,11 @@
 			held = g.now() - began
 			j.Held += c.After
 		default:
+			if c.Share {
+				placed.How = placedOverShare
+				g.recordPlaced(j, placed)
+				return forward.Reservation{}, g.refuseOverShare(c.After)
+			}
 			placed.How = placedRefused
 			g.recordPlaced(j, placed)
 			return forward.Reservation{}, refuse(http.StatusServiceUnavailable, "workers_full", "no backend server can answer before the deadline", c.After)
@@ -361,6 +369,7 @@
 // askKeeper asks the keeper of a worker for a place for a job.
 func (g *Gateway) askKeeper(j *forward.Job, w *workers.Worker, b workerload.Bounds) (workerload.PlainAnswer, workerPlace) {
 	name, left := incarnationName(w), time.Until(j.Deadline)
+	b.Share = g.jobShare(j)
 	g.mu.Lock()
 	now := g.now()
 	keeper, ok := g.keeperOf(name, now)
@@ -379,7 +388,7 @@
 		ctx, cancel := context.WithTimeout(g.lifetime, timeout)
 		defer cancel()
 		r, err := g.peers.clients.AdmitRequest(ctx, keeper.address, &peerpb.AdmitRequestRequest{
-			Engine: name, MaxWaitMs: b.MaxWait.Milliseconds(), WithinMs: b.Within.Milliseconds(), DeadlineMs: left.Milliseconds(),
+			Engine: name, MaxWaitMs: b.MaxWait.Milliseconds(), WithinMs: b.Within.Milliseconds(), DeadlineMs: left.Milliseconds(), Share: shareMessage(b.Share),
 		})
 		if err != nil {
 			if left > admitTimeout {
@@ -393,6 +402,15 @@
 		}
 		p.number = r.Place
 		o = workerload.Outlook{Wait: time.Duration(r.WaitMs) * time.Millisecond, Room: r.Room, Time: time.Duration(r.RequestMs) * time.Millisecond}
+		if r.OverShare {
+			o.OverShare = o.Wait
+		}
+	}
+	if o.OverShare > 0 {
+		// The wait is that of this workspace alone and says nothing of the worker.
+		answer := workerload.PlainAnswer{Answer: workerload.Answer{Known: true, Wait: o.OverShare, OverShare: true}, Time: o.Time}
+		g.recordOverShare(j, answer.Answer)
+		return answer, p
 	}
 	g.locked(func() { g.keepers.outlooks.Answered(name, o, g.now()) })
 	return workerload.PlainAnswer{Answer: workerload.Answer{Known: true, Admitted: p.number != 0, Wait: o.Wait}, Time: o.Time}, p
@@ -477,10 +495,11 @@
 
 // admitKept answers another instance's question for a place at a plain worker.
 func (g *Gateway) admitKept(w *workers.Worker, r *peerpb.AdmitRequestRequest) *peerpb.AdmitRequestResponse {
-	b := workerload.Bounds{MaxWait: time.Duration(r.MaxWaitMs) * time.Millisecond, Within: time.Duration(r.WithinMs) * time.Millisecond}
+	b := workerload.Bounds{MaxWait: time.Duration(r.MaxWaitMs) * time.Millisecond, Within: time.Duration(r.WithinMs) * time.Millisecond, Share: g.shareOf(r.Share)}
 	place, o := g.kept.admit(w, b, time.Duration(r.DeadlineMs)*time.Millisecond, g.now())
 	g.metrics.countKept(place != 0)
-	return &peerpb.AdmitRequestResponse{Owned: true, Place: place, WaitMs: o.Wait.Milliseconds(), Room: o.Room, RequestMs: o.Time.Milliseconds()}
+	wait := cmp.Or(o.OverShare, o.Wait)
+	return &peerpb.AdmitRequestResponse{Owned: true, Place: place, WaitMs: wait.Milliseconds(), Room: o.Room, RequestMs: o.Time.Milliseconds(), OverShare: o.OverShare > 0}
 }
 
 // endKept applies another instance's report of a place at a plain worker.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,8 @@
 	keptPlaces, keptSeconds      *prometheus.GaugeVec
 	holds                        prometheus.Counter
 	mixedServices                *prometheus.GaugeVec
+	// overShare counts what happened to requests whose workspaces held more than their shares.
+	overShare *prometheus.CounterVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -67,6 +69,7 @@
 	m.keptAnswers = counter("turmeric_kept_answers_total", "Answers of this instance as the keeper of a plain worker, by whether they gave a place.", "admitted")
 	m.keptPlaces = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_kept_places", Help: "Requests of all instances at a plain worker of which this instance is the keeper."}, []string{"worker"})
 	m.keptSeconds = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_kept_request_seconds", Help: "Learned time of one request at a plain worker of which this instance is the keeper."}, []string{"worker"})
+	m.overShare = counter("turmeric_workspace_share_total", "Requests whose workspaces held more than their shares of short capacity: declined by an owner or keeper that this instance asked, and refused by this instance.", "outcome")
 	m.holds = prometheus.NewCounter(prometheus.CounterOpts{Name: "turmeric_holds_total", Help: "Waits of requests for room at workers that take a mixture of long and short prompts."})
 	m.mixedServices = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_mixed_prompt_tokens", Help: "Usual tokens of a long prompt at services whose routes bring prompts of very different sizes, else 0."}, []string{"service"})
 	r.MustRegister(m.latency, m.logEra, m.evacuated, m.evacuatedSince, m.keptPlaces, m.keptSeconds, m.holds, m.mixedServices)
--- a/internal/gateway/odd_state_test.go
+++ b/internal/gateway/odd_state_test.go
@@ -220,9 +220,10 @@
 	_, _ = p.Retire(ctx, &peerpb.RetireRequest{Engine: name, Adapter: name})
 	_, _ = p.Spend(ctx, &peerpb.SpendRequest{Workspace: name, Microtokens: number})
 	_, _ = p.ReserveRequest(ctx, &peerpb.ReserveRequestRequest{Server: name, Limit: oddFloat.Draw(t, "limit"), MaxWaitMs: number, Cold: rapid.Bool().Draw(t, "cold")})
-	_, _ = p.AdmitRequest(ctx, &peerpb.AdmitRequestRequest{Engine: name, PromptTokens: number, OutputTokens: number, MaxWaitMs: number, DeadlineMs: number})
+	share := &peerpb.WorkspaceShare{Workspace: name, Rate: oddFloat.Draw(t, "rate")}
+	_, _ = p.AdmitRequest(ctx, &peerpb.AdmitRequestRequest{Engine: name, PromptTokens: number, OutputTokens: number, MaxWaitMs: number, DeadlineMs: number, Share: share})
 	for _, w := range s.g.workers.Load().All() {
-		_, _ = p.AdmitRequest(ctx, &peerpb.AdmitRequestRequest{Engine: incarnationName(w), MaxWaitMs: number, WithinMs: number, DeadlineMs: number})
+		_, _ = p.AdmitRequest(ctx, &peerpb.AdmitRequestRequest{Engine: incarnationName(w), MaxWaitMs: number, WithinMs: number, DeadlineMs: number, Share: share})
 		_, _ = p.EndRequest(ctx, &peerpb.EndRequestRequest{Engine: incarnationName(w), Place: uint64(number), Rejected: true})
 	}
 	_, _ = p.EndRequest(ctx, &peerpb.EndRequestRequest{Engine: name, Place: uint64(number), DelayMs: number, Running: rapid.Bool().Draw(t, "running")})
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -289,6 +289,8 @@
 	wait time.Duration
 	// defers says that a request without a place waits, and absent that the worker does not hold the adapter that it needs.
 	defers, absent bool
+	// overShare says that the request has no place since its workspace holds more than its share; wait is the time until it holds less.
+	overShare bool
 }
 
 // admit gives a request a place at the worker if its first event is expected within maxWait, or if it is sent in any case.
@@ -309,6 +311,9 @@
 	} else {
 		out.defers = o.load.Defers(r, now)
 		out.place, out.wait = o.load.Admit(r, now, maxWait, lifetime, now)
+		if until, over := o.load.OverShare(r, maxWait, now); over && out.place == 0 {
+			out.wait, out.overShare = until, true
+		}
 	}
 	o.recordPlace(out.place, need.adapter, now+lifetime, now)
 	return out
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -81,9 +81,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerLoadWait)
 	defer cancel()
+	size := requestOfMix(r.PromptTokens, r.OutputTokens, r.Mix)
+	size.Share = p.g.shareOf(r.Share)
 	l := o.ensureResident(ctx, wantedAdapter{
 		adapter: a, version: version, slack: time.Duration(r.SlackMs) * time.Millisecond, reserve: time.Duration(r.ReserveMs) * time.Millisecond,
-		size: requestOfMix(r.PromptTokens, r.OutputTokens, r.Mix), left: time.Duration(r.DeadlineMs) * time.Millisecond,
+		size: size, left: time.Duration(r.DeadlineMs) * time.Millisecond,
 	})
 	out := &peerpb.WantAdapterResponse{Accepted: l.admitted, Ended: l.resident, Resident: l.resident}
 	if l.resident {
@@ -231,6 +233,7 @@
 		r, err := g.peers.clients.WantAdapter(ctx, member.Heartbeat.Address, &peerpb.WantAdapterRequest{
 			Engine: w.ID, Adapter: adapterVersion(want.adapter, want.version), FromIncarnation: g.incarnation, Waiting: 1,
 			SlackMs: want.slack.Milliseconds(), ReserveMs: want.reserve.Milliseconds(), PromptTokens: want.size.Prompt, OutputTokens: want.size.Output, DeadlineMs: want.left.Milliseconds(), Mix: requestMix(want.size),
+			Share: shareMessage(want.size.Share),
 		})
 		if err != nil {
 			// The call may have failed because the caller left or its deadline passed. The owner counts as unreachable
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -397,9 +397,11 @@
 
 // want returns what a worker's owner is asked for on behalf of a job.
 func (g *Gateway) want(j *forward.Job, a residency.Adapter, version int64, slack time.Duration) wantedAdapter {
+	size := g.jobSize(j)
+	size.Share = g.jobShare(j)
 	return wantedAdapter{
 		adapter: a, version: version, slack: slack, reserve: residency.ResponseReserve(j.Route.TargetLatency),
-		size: g.jobSize(j), left: time.Until(j.Deadline),
+		size: size, left: time.Until(j.Deadline),
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,8 +37,10 @@
 	LogLevel string `json:"log_level"`
 	// MixedPrompts lets owners bound what long prompts delay for short ones, where the routes of a service bring both, and lets
 	// work that is late wait for room. Default false.
-	MixedPrompts bool   `json:"mixed_prompts"`
-	Bounds       Bounds `json:"bounds"`
+	MixedPrompts bool `json:"mixed_prompts"`
+	// WorkspaceShares lets owners and keepers divide capacity that is short between workspaces. Default false.
+	WorkspaceShares bool   `json:"workspace_shares"`
+	Bounds          Bounds `json:"bounds"`
 	// CallerLimits bound what connections of callers hold.
 	CallerLimits CallerLimits `json:"caller_limits"`
 }
--- /dev/null
+++ b/internal/gateway/shares_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/turmericworks/turmericworks/internal/coordination/residency"
+	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
+	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
+	"github.com/turmericworks/turmericworks/internal/state/routing"
+	"github.com/turmericworks/turmericworks/internal/state/verdict"
+)
+
+// TestSharesAtKeeper guards against a workspace over its share that is refused with another code, without a Retry-After or a guarantee that
+// it has not run, or although the setting is off.
+func TestSharesAtKeeper(t *testing.T) {
+	const places = 10
+	refusal := func(on bool) (code string, retryAfter time.Duration, log string) {
+		g, j := newKeeperGateway(time.Microsecond, "w1")
+		defer g.cancel()
+		var buffer bytes.Buffer
+		g.log, g.settings.WorkspaceShares = zerolog.New(&buffer), on
+		w, _ := g.workers.Load().Get("w1")
+		ask := func(workspace string, maxWait time.Duration) *peerpb.AdmitRequestResponse {
+			return g.admitKept(w, &peerpb.AdmitRequestRequest{MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: time.Hour.Milliseconds(), Share: &peerpb.WorkspaceShare{Workspace: workspace}})
+		}
+		for range places {
+			So(ask("hot", time.Hour).Place, ShouldNotEqual, 0)
+		}
+		for range 10 * places {
+			So(ask("other", time.Millisecond).Place, ShouldEqual, 0)
+		}
+		So(ask("hot", time.Millisecond).OverShare, ShouldEqual, on)
+		j.Workspace = &routing.Workspace{Name: "hot"}
+		j.Route.TargetLatency = 50 * time.Millisecond
+		j.Deadline = time.Now().Add(10 * time.Millisecond)
+		_, err := g.placeByKeepers(t.Context(), j)
+		var refused *verdict.Error
+		So(errors.As(err, &refused), ShouldBeTrue)
+		So(refused.Verdict, ShouldEqual, verdict.NotRun)
+		return refused.Code, refused.RetryAfter, buffer.String()
+	}
+	Convey("with the setting", t, func() {
+		code, retryAfter, log := refusal(true)
+		So(code, ShouldEqual, "workspace_share")
+		So(retryAfter, ShouldBeGreaterThan, 0)
+		So(log, ShouldContainSubstring, "workspace is over its share")
+	})
+	Convey("without it", t, func() {
+		code, _, log := refusal(false)
+		So(code, ShouldEqual, "workers_full")
+		So(log, ShouldNotContainSubstring, "share")
+	})
+}
+
+// TestSharesAtOwner guards against an owner that ignores whose request it is, that holds requests to a share for an instance of an older
+// version, which names no workspace, or although the setting is off.
+func TestSharesAtOwner(t *testing.T) {
+	declined := func(on bool, hot *peerpb.WorkspaceShare) bool {
+		g, w, now := newColdGateway()
+		defer g.cancel()
+		g.settings.WorkspaceShares = on
+		o := &owner{g: g, worker: w, wake: make(chan struct{}, 1), state: residency.NewOwner("m", 8, *now), load: workerload.New(2, 0), changed: make(chan struct{})}
+		g.owners[w.Key()] = o
+		g.applyConfig(&routing.Config{Version: 2, Services: []routing.Service{{Name: "app", Engine: &routing.Engine{Models: []routing.Model{{Name: "m"}}}}}}, *now)
+		ask := func(s *peerpb.WorkspaceShare, maxWait time.Duration) *peerpb.AdmitRequestResponse {
+			r, err := g.peers.AdmitRequest(t.Context(), &peerpb.AdmitRequestRequest{Engine: incarnationName(w), OutputTokens: 100, MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: 20000, Share: s})
+			So(err, ShouldBeNil)
+			So(r.Owned, ShouldBeTrue)
+			return r
+		}
+		for range 4 {
+			So(ask(hot, time.Hour).Place, ShouldNotEqual, 0)
+		}
+		for range 10 {
+			ask(&peerpb.WorkspaceShare{Workspace: "other"}, 0)
+		}
+		r := ask(hot, time.Second)
+		So(r.Place, ShouldEqual, 0)
+		return r.OverShare
+	}
+	Convey("only with the setting and a workspace", t, func() {
+		So(declined(true, &peerpb.WorkspaceShare{Workspace: "hot", Rate: 5}), ShouldBeTrue)
+		So(declined(true, nil), ShouldBeFalse)
+		So(declined(false, &peerpb.WorkspaceShare{Workspace: "hot", Rate: 5}), ShouldBeFalse)
+	})
+}
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -81,6 +81,7 @@
 // the worker does not hold the adapter.
 func (g *Gateway) admit(j *forward.Job, w *workers.Worker, maxWait time.Duration, sent bool) (answer workerload.Answer, p workerPlace, absent bool) {
 	left, size := time.Until(j.Deadline), g.jobSize(j)
+	size.Share = g.jobShare(j)
 	need := g.adapterNeed(residency.Adapter{Model: j.Model, Name: j.Adapter})
 	g.mu.Lock()
 	own := g.owners[w.Key()]
@@ -94,7 +95,7 @@
 	if own != nil {
 		got := own.admit(size, need, maxWait, left, sent)
 		p.number, p.owner = got.place, peerInstance{incarnation: g.incarnation}
-		return workerload.Answer{Known: true, Admitted: got.place != 0, Wait: got.wait, Defers: got.defers, InTime: got.wait <= maxWait}, p, got.absent
+		return workerload.Answer{Known: true, Admitted: got.place != 0, Wait: got.wait, Defers: got.defers, InTime: got.wait <= maxWait, OverShare: got.overShare}, p, got.absent
 	}
 	if !reachable {
 		return workerload.Answer{}, p, false
@@ -105,7 +106,7 @@
 	defer cancel()
 	r, err := g.peers.clients.AdmitRequest(ctx, p.owner.address, &peerpb.AdmitRequestRequest{
 		Engine: incarnationName(w), PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens,
-		MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: left.Milliseconds(), Sent: sent, Adapter: need.String(), Mix: requestMix(size),
+		MaxWaitMs: maxWait.Milliseconds(), DeadlineMs: left.Milliseconds(), Sent: sent, Adapter: need.String(), Mix: requestMix(size), Share: shareMessage(size.Share),
 	})
 	if err != nil {
 		if j.Deadline.After(time.Now()) {
@@ -116,7 +117,7 @@
 	}
 	p.number = r.Place
 	wait := time.Duration(r.WaitMs) * time.Millisecond
-	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: wait, Defers: r.Defers, InTime: wait <= maxWait}, p, r.Absent
+	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: wait, Defers: r.Defers, InTime: wait <= maxWait, OverShare: r.OverShare}, p, r.Absent
 }
 
 // ownPlace returns this instance's owner of a place, nil if another instance gave it or the owner has ended.
@@ -227,6 +228,7 @@
 				continue
 			}
 			answers, places = append(answers, answer), append(places, p)
+			g.recordOverShare(j, answer)
 		case workerload.Send:
 			j.Placed = forward.Placed{How: howPlacedAtEngine(answers[c.Index]), Questions: len(answers), Wait: answers[c.Index].Wait}
 			return residentChoice{reservation: g.reserveAtPlace(j, o.list, o.holding, a, places[c.Index])}
@@ -238,7 +240,7 @@
 		case workerload.Hold:
 			return residentChoice{held: true, wait: c.RetryAfter}
 		default:
-			return residentChoice{refusal: workersFullError(c.RetryAfter)}
+			return residentChoice{refusal: g.chosenRefusal(j, c, len(answers))}
 		}
 	}
 }
@@ -286,7 +288,7 @@
 	case workerload.Hold:
 		return residentChoice{held: true, wait: late.RetryAfter}
 	default:
-		return residentChoice{refusal: workersFullError(late.RetryAfter)}
+		return residentChoice{refusal: g.chosenRefusal(j, late, len(c.answers))}
 	}
 }
 
@@ -331,8 +333,10 @@
 			return nil, err
 		}
 	}
-	got := o.admit(requestOfMix(r.PromptTokens, r.OutputTokens, r.Mix), need, time.Duration(r.MaxWaitMs)*time.Millisecond, time.Duration(r.DeadlineMs)*time.Millisecond, r.Sent)
-	return &peerpb.AdmitRequestResponse{Owned: true, Place: got.place, WaitMs: got.wait.Milliseconds(), Absent: got.absent, Defers: got.defers}, nil
+	size := requestOfMix(r.PromptTokens, r.OutputTokens, r.Mix)
+	size.Share = p.g.shareOf(r.Share)
+	got := o.admit(size, need, time.Duration(r.MaxWaitMs)*time.Millisecond, time.Duration(r.DeadlineMs)*time.Millisecond, r.Sent)
+	return &peerpb.AdmitRequestResponse{Owned: true, Place: got.place, WaitMs: got.wait.Milliseconds(), Absent: got.absent, Defers: got.defers, OverShare: got.overShare}, nil
 }
 
 // EndRequest implements peerpb.PeerServer.
--- a/internal/transport/forward/ending.go
+++ b/internal/transport/forward/ending.go
@@ -127,6 +127,9 @@
 	if p := c.job.Placed; p.How != "" {
 		e = e.Str("placed_how", p.How).Int("questions", p.Questions).Int64("expected_wait_ms", p.Wait.Milliseconds())
 	}
+	if c.job.OverShare > 0 {
+		e = e.Int("over_share", c.job.OverShare)
+	}
 	if c.outcome != 0 {
 		e = e.Stringer("outcome", c.outcome)
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -94,6 +94,8 @@
 	Tried []workers.Key
 	// Placed is how the job's latest worker was chosen, empty if that is not recorded.
 	Placed Placed
+	// OverShare is how many workers had no place for the job because its workspace held more than its share.
+	OverShare int
 	// Method, URI (the path and the query), Body and CallerHost identify a request that crashes workers. CallerHost is the
 	// host, without a port, from which the request came.
 	Method, URI, CallerHost string
