workerload: tests for a lone workspace and for a sender without shares

Two guards could be removed without a failing test: that a workspace which is the only one to send is never over its share, and that an instance without the setting names no workspace. An unneeded check of an empty name is gone.

--- a/internal/coordination/workerload/sharing.go
+++ b/internal/coordination/workerload/sharing.go
@@ -156,7 +156,7 @@
 // One place does not count as held, since shares of many workspaces are fractions of a place.
 func (s *sharing) over(share Share, held holding, places int, takes, now time.Duration) (until time.Duration, over bool) {
 	u := s.known[share.Workspace]
-	if share.Workspace == "" || u == nil {
+	if u == nil {
 		return 0, false
 	}
 	level, limited := s.level(held, usableShare*float64(places), now)
--- a/internal/coordination/workerload/sharing_test.go
+++ b/internal/coordination/workerload/sharing_test.go
@@ -75,7 +75,11 @@
 	}
 	many := func(r Request) []Request { return []Request{r, r, r, r, r, r, r, r, r, r} }
 	Convey("capacity that no other workspace asks for is available to all", t, func() {
-		So(over(busy(), of("a", 10), 0), ShouldBeFalse)
+		l := busy()
+		for range 8 {
+			l.Add(of("a", 10), 0, time.Hour, 0)
+		}
+		So(over(l, of("a", 10), 0), ShouldBeFalse)
 	})
 	Convey("a workspace that holds all is over its share once another one asks, and the other one is not", t, func() {
 		l := busy(many(of("b", 10))...)
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -37,6 +37,7 @@
 			}
 			So(ask("hot", time.Millisecond).OverShare, ShouldEqual, on)
 			j.Workspace, j.Route.TargetLatency, j.Deadline = &routing.Workspace{Name: "hot"}, 50*time.Millisecond, time.Now().Add(10*time.Millisecond)
+			So(g.jobShare(j).Workspace != "", ShouldEqual, on)
 			_, err := g.placeByKeepers(t.Context(), j)
 			var refused *verdict.Error
 			So(errors.As(err, &refused), ShouldBeTrue)
