workerload: a cheaper decision on the shares of workspaces

The owner computed twice for each question who is over its share, also after it had given a place, and the active workspaces and their rates three times. It now does so once, and a second time only for a request that got no place; of the others only the number of places is kept.

--- a/internal/coordination/workerload/sharing.go
+++ b/internal/coordination/workerload/sharing.go
@@ -139,39 +139,45 @@
 	}
 }
 
-// holding is what a workspace holds: after which times its requests with a place are expected to end.
-type holding map[string][]time.Duration
+// holding is how many places each workspace holds, and after which times those of the workspace in question are expected to end.
+type holding struct {
+	workspace string
+	places    map[string]int
+	ends      []time.Duration
+	total     int
+}
 
-// places returns the number of places of all workspaces.
-func (h holding) places() (n int) {
-	for _, ends := range h {
-		n += len(ends)
+// add adds a place of a workspace that is expected to end after a time.
+func (h *holding) add(workspace string, end time.Duration) {
+	if workspace == "" {
+		return
+	}
+	h.places[workspace]++
+	h.total++
+	if workspace == h.workspace {
+		h.ends = append(h.ends, max(end, 0))
 	}
-	return n
 }
 
-// over reports whether a workspace holds more than its share of a number of places, and how long until it holds less. What a
+// over reports whether the workspace in question holds more than its share of a number of places, and how long until it holds less. What a
 // workspace does not ask for is divided between the others in the proportion of their rates.
 //
 // One place does not count as held, since shares of many workspaces are fractions of a place.
-func (s *sharing) over(share Share, held holding, places int, takes, now time.Duration) (until time.Duration, over bool) {
-	u := s.known[share.Workspace]
+func (s *sharing) over(held holding, places int, takes, now time.Duration) (until time.Duration, over bool) {
+	u := s.known[held.workspace]
 	if u == nil {
 		return 0, false
 	}
-	level, limited := s.level(held, usableShare*float64(places), now)
+	own, limited := s.part(u, held, usableShare*float64(places), now)
 	if !limited {
 		return 0, false
 	}
-	u.decay(now)
-	own := level * s.weight(u, s.meanRate(now))
-	ends := held[share.Workspace]
 	if u.used > own {
 		until, over = time.Duration(float64(useMemory)*min(math.Log(u.used/own), float64(maxShareWait/useMemory))), true
 	}
-	if excess := float64(len(ends)-1) - own; excess > 0 {
-		slices.Sort(ends)
-		until, over = max(until, ends[min(len(ends), int(math.Ceil(excess)))-1]), true
+	if excess := float64(len(held.ends)-1) - own; excess > 0 {
+		slices.Sort(held.ends)
+		until, over = max(until, held.ends[min(len(held.ends), int(math.Ceil(excess)))-1]), true
 	}
 	if !over {
 		return 0, false
@@ -179,20 +185,26 @@
 	return min(max(until, minRetryAfter, time.Duration(minShareTimes*float64(takes))), maxShareWait), true
 }
 
-// level returns by how many places for one unit of rate a workspace can be served, if the places do not suffice for what all ask
-// for. Those that ask for less get what they ask for.
-func (s *sharing) level(held holding, places float64, now time.Duration) (level float64, limited bool) {
+// part returns how many places are those of a workspace, if the places do not suffice for what all ask for. Those that ask for less than their
+// part get what they ask for.
+func (s *sharing) part(own *workspaceUse, held holding, places float64, now time.Duration) (part float64, limited bool) {
 	type demand struct {
 		places, weight float64
 		name           string
 	}
-	mean := s.meanRate(now)
-	var list []demand
-	weights := 0.0
-	for _, name := range s.active(now) {
+	rates, rated, weights := 0.0, 0.0, 0.0
+	active := s.active(now)
+	for _, name := range active {
+		if r := s.known[name].rate; r > 0 {
+			rates, rated = rates+r, rated+1
+		}
+	}
+	mean := rates / max(1, rated)
+	list := make([]demand, 0, len(active))
+	for _, name := range active {
 		u := s.known[name]
 		u.decay(now)
-		d := demand{max(u.demand(), float64(len(held[name]))), s.weight(u, mean), name}
+		d := demand{max(u.demand(), float64(held.places[name])), u.weight(mean), name}
 		list = append(list, d)
 		weights += d.weight
 	}
@@ -200,9 +212,9 @@
 		return cmp.Or(cmp.Compare(x.places/x.weight, y.places/y.weight), cmp.Compare(x.name, y.name))
 	})
 	for i, d := range list {
-		if level = places / weights; d.places > level*d.weight {
+		if level := places / weights; d.places > level*d.weight {
 			// With a single workspace there is no other one that the places could be kept for.
-			return level, len(list) > 1
+			return level * own.weight(mean), len(list) > 1
 		}
 		if i+1 < len(list) {
 			places -= d.places
@@ -212,9 +224,9 @@
 	return 0, false
 }
 
-// active returns the workspaces that are sending requests, in the order of their names.
+// active returns the workspaces that are sending requests, in the order of their names, since sums of floating-point numbers depend on it.
 func (s *sharing) active(now time.Duration) []string {
-	var names []string
+	names := make([]string, 0, len(s.known))
 	for name, u := range s.known {
 		if now-u.sent <= activeTime {
 			names = append(names, name)
@@ -224,21 +236,9 @@
 	return names
 }
 
-// meanRate returns the mean rate of the active workspaces that have one, 0 if none has.
-func (s *sharing) meanRate(now time.Duration) float64 {
-	sum, n := 0.0, 0.0
-	for _, name := range s.active(now) {
-		if r := s.known[name].rate; r > 0 {
-			sum, n = sum+r, n+1
-		}
-	}
-	return sum / max(1, n)
-}
-
-// weight returns what a workspace's share is proportional to. One without a rate counts like the mean of the others.
-func (s *sharing) weight(u *workspaceUse, mean float64) float64 {
-	return cmp.Or(u.rate, mean, 1)
-}
+// weight returns what the workspace's share is proportional to, given the mean rate of those that have one. One without a rate counts like
+// the mean.
+func (u *workspaceUse) weight(mean float64) float64 { return cmp.Or(u.rate, mean, 1) }
 
 // placeTime is how long a request is expected to hold a place.
 func (l *Load) placeTime(r Request) time.Duration {
@@ -269,17 +269,15 @@
 	if queue <= time.Duration(shortShare*float64(maxWait)) {
 		return 0, false
 	}
-	held := holding{}
+	held := holding{workspace: r.Share.Workspace, places: map[string]int{}}
 	for _, p := range l.places {
-		if w := p.request.Share.Workspace; w != "" {
-			held[w] = append(held[w], max(p.end-now, 0))
-		}
+		held.add(p.request.Share.Workspace, p.end-now)
 	}
-	places := held.places()
+	places := held.total
 	if l.slots > 0 {
 		places = min(places, l.slots)
 	}
-	return l.shares.over(r.Share, held, places, l.placeTime(r), now)
+	return l.shares.over(held, places, l.placeTime(r), now)
 }
 
 // overShare reports whether a request gets no place because its workspace holds more than its share of the worker while capacity is
@@ -288,16 +286,13 @@
 	if b.Share.Workspace == "" || l.Wait(now) <= time.Duration(shortShare*float64(max(b.MaxWait, b.Within))) {
 		return 0, false
 	}
-	held := holding{}
+	held := holding{workspace: b.Share.Workspace, places: map[string]int{}}
 	for i, p := range l.places {
-		if p.workspace == "" {
-			continue
-		}
 		end := time.Duration(1+i/l.slots) * l.time.Duration
 		if i < l.slots {
 			end = l.remaining(p, now)
 		}
-		held[p.workspace] = append(held[p.workspace], end)
+		held.add(p.workspace, end)
 	}
-	return l.shares.over(b.Share, held, min(l.slots, held.places()), l.time.Duration, now)
+	return l.shares.over(held, min(l.slots, held.total), l.time.Duration, now)
 }
--- a/internal/coordination/workerload/sharing_test.go
+++ b/internal/coordination/workerload/sharing_test.go
@@ -116,21 +116,19 @@
 		So(over(l, of("a", 10), until+activeTime), ShouldBeFalse)
 	})
 	Convey("shares are in proportion to rates, one without a rate counts like the mean, and all are equal without any", t, func() {
-		level := func(a, b float64) (s [2]float64) {
+		parts := func(a, b float64) (s [2]float64) {
 			c := &sharing{}
 			for i, rate := range []float64{a, b} {
 				c.ask(Share{fmt.Sprint(i), rate}, time.Hour, 0)
 			}
-			l, limited := c.level(nil, 8, 0)
-			So(limited, ShouldBeTrue)
 			for i := range s {
-				s[i] = l * c.weight(c.known[fmt.Sprint(i)], c.meanRate(0))
+				s[i], _ = c.part(c.known[fmt.Sprint(i)], holding{}, 8, 0)
 			}
 			return s
 		}
-		So(level(30, 10), ShouldResemble, [2]float64{6, 2})
-		So(level(30, 0), ShouldResemble, [2]float64{4, 4})
-		So(level(0, 0), ShouldResemble, [2]float64{4, 4})
+		So(parts(30, 10), ShouldResemble, [2]float64{6, 2})
+		So(parts(30, 0), ShouldResemble, [2]float64{4, 4})
+		So(parts(0, 0), ShouldResemble, [2]float64{4, 4})
 	})
 	Convey("what is known of workspaces is bounded", t, func() {
 		c := &sharing{}
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -311,8 +311,10 @@
 	} else {
 		out.defers = o.load.Defers(r, now)
 		out.place, out.wait = o.load.Admit(r, now, maxWait, lifetime, now)
-		if until, over := o.load.OverShare(r, maxWait, now); over && out.place == 0 {
-			out.wait, out.overShare = until, true
+		if out.place == 0 {
+			if until, over := o.load.OverShare(r, maxWait, now); over {
+				out.wait, out.overShare = until, true
+			}
 		}
 	}
 	o.recordPlace(out.place, need.adapter, now+lifetime, now)
