--- a/internal/transport/forward/ending.go
+++ b/internal/transport/forward/ending.go
@@ -130,6 +130,9 @@
 	if c.behind > 0 {
 		e = e.Int64("unread_bytes", c.unread).Bool("reading_stopped", c.stopped)
 	}
+	if c.job.OverShare > 0 {
+		e = e.Int("over_share", c.job.OverShare)
+	}
 	if c.outcome != 0 {
 		e = e.Stringer("outcome", c.outcome)
 	}
