workerload: requests that wait for their adapters keep no others waiting for a slot

Cause: a request gets its place when the load of its adapter begins, and occupied a slot in the expectation from then on. Change: a request is expected to wait only for those that are sent before it.

--- a/internal/coordination/workerload/mixed.go
+++ b/internal/coordination/workerload/mixed.go
@@ -128,7 +128,7 @@
 // One that waits for its adapter is expected to find the queue of now: while it waits, others are taken up to the same bounds.
 func (l *Load) mixedWait(r Request, now time.Duration) (queued, read time.Duration) {
 	read = l.reading.base.Duration + l.reading.time.of(l.reading.uncached(r))
-	return max(l.roomAt(r, now), l.uncachedRead(now), l.lastFirst(now)) - now, read
+	return max(l.roomAt(r, now, now), l.uncachedRead(now), l.lastFirst(now)) - now, read
 }
 
 // uncachedRead returns when the server is expected to have read the prompts that it has got so far, without what it has cached.
--- a/internal/coordination/workerload/sharing.go
+++ b/internal/coordination/workerload/sharing.go
@@ -262,7 +262,7 @@
 	if r.Share.Workspace == "" {
 		return 0, false
 	}
-	queue := l.roomAt(r, now) - now
+	queue := l.roomAt(r, now, now) - now
 	if l.promptsWait(now) {
 		queue = max(queue, l.promptsRead(now)-now)
 	}
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -128,7 +128,7 @@
 		queued, read := l.mixedWait(r, now)
 		return max(ready, now) - now + queued + read
 	}
-	return max(ready, l.roomAt(r, now), l.promptsRead(now)) + l.promptTime.of(r.Prompt) + l.baseTime.Duration - now
+	return max(ready, l.roomAt(r, ready, now), l.promptsRead(now)) + l.promptTime.of(r.Prompt) + l.baseTime.Duration - now
 }
 
 // promptsRead returns when the server is expected to have read the prompts that it has got so far. It reads one after the
@@ -147,11 +147,15 @@
 // lastRead returns when the server had read the prompt of the latest request that has begun.
 func (l *Load) lastRead() time.Duration { return l.lastBegin - l.baseTime.Duration }
 
-// roomAt returns when the server is expected to have a slot and memory for a request.
-func (l *Load) roomAt(r Request, now time.Duration) time.Duration {
+// roomAt returns when the server is expected to have a slot and memory for a request that is sent at the time ready or now. Those
+// that are sent later, since they wait for their adapters, do not keep it waiting.
+func (l *Load) roomAt(r Request, ready, now time.Duration) time.Duration {
 	held := int64(0)
 	ends := make([]*place, 0, len(l.places))
 	for _, p := range l.places {
+		if p.ready > max(ready, now) {
+			continue
+		}
 		held += p.request.tokens()
 		ends = append(ends, p)
 	}
@@ -204,7 +208,7 @@
 	l.last++
 	l.places[l.last] = &place{
 		request: r, given: now, ready: max(ready, now), first: first, end: first + running, overdue: first + time.Duration((1+overdueShare)*float64(running)),
-		unqueued: l.roomAt(r, now) <= now, expires: now + lifetime, uncached: l.reading.uncached(r),
+		unqueued: l.roomAt(r, ready, now) <= now, expires: now + lifetime, uncached: l.reading.uncached(r),
 	}
 	if r.Mixture.Long > 0 {
 		l.reading.hold(r, l.memory, now)
--- a/internal/coordination/workerload/workerload_test.go
+++ b/internal/coordination/workerload/workerload_test.go
@@ -206,3 +206,18 @@
 		So(float64(l.Wait(testSize, 0, time.Hour)), ShouldAlmostEqual, want, 0.2*want)
 	})
 }
+
+// TestPlacesOfLoadingAdapters guards against a request that is declined although a slot is free, because requests that wait for their
+// adapters have places.
+func TestPlacesOfLoadingAdapters(t *testing.T) {
+	const load = 300 * time.Millisecond
+	Convey("a request is sent before those that wait for a load, and waits behind them after it", t, func() {
+		l := New(testSlots, 0)
+		for range testSlots {
+			l.Add(testSize, load, time.Minute, 0)
+		}
+		idle := New(testSlots, 0).Wait(testSize, 0, 0)
+		So(l.Wait(testSize, 0, 0), ShouldEqual, idle)
+		So(l.Wait(testSize, load, 0), ShouldBeGreaterThan, load+idle)
+	})
+}
