--- a/internal/coordination/workerload/choice.go
+++ b/internal/coordination/workerload/choice.go
@@ -15,8 +15,6 @@
 	Wait time.Duration
 	// Defers means that the server takes requests of a mixture of prompts only as Load.Admit decides: none is sent there in any case.
 	Defers bool
-	// InTime means that the first event is expected in time, although the request has no place.
-	InTime bool
 }
 
 // Step is what to do next with a request whose adapter is resident at several servers, or with one to a plain service. Not every
@@ -65,9 +63,6 @@
 	switch {
 	case len(answers) < min(servers, maxAsked):
 		return Choice{Step: Ask, Index: len(answers)}
-	case best >= 0 && answers[best].Defers && answers[best].InTime && answers[best].Wait < left:
-		// It only waits for prompts that are read soon, which takes less than a load.
-		return Choice{Step: Hold, Index: best, RetryAfter: answers[best].Wait}
 	case canLoad:
 		return Choice{Step: LoadElsewhere}
 	case best < 0:
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -40,9 +40,7 @@
 	Mixture Mixture
 	// Parts are the leading parts of the prompt that it has in common with others.
 	Parts []Part
-	// Priority is the request's priority; 0 is the most urgent.
-	Priority int
-	// Late means that the request cannot be on time any more, and Owed that requests like it were served less than others.
+	// Late means that the request cannot be on time any more, and Owed that it has waited for so long that it is sent in any case.
 	Late, Owed bool
 }
 
@@ -75,8 +73,8 @@
 	places map[uint64]*place
 	// lastBegin is when the first event of the latest request to begin arrived.
 	lastBegin time.Duration
-	// promptTime and outputTime are the learned times of one token, and baseTime is what a first event takes besides the reading
-	// of prompts. Prompts are read one after the other, but their base times overlap.
+	// promptTime and outputTime are the learned times of one token, for prompts that is not cached, and baseTime is what a first event
+	// takes besides the reading. Prompts are read one after the other, but their base times overlap.
 	promptTime, outputTime, baseTime learnedTime
 	// reading is what is known of prompts of mixtures.
 	reading reading
@@ -133,7 +131,7 @@
 	tokens, since := int64(0), now
 	for _, p := range l.places {
 		if !p.begun && p.ready <= now {
-			tokens += p.request.Prompt
+			tokens += p.uncached
 			since = min(since, p.ready)
 		}
 	}
@@ -195,9 +193,9 @@
 	l.last++
 	l.places[l.last] = &place{
 		request: r, given: now, ready: max(ready, now), first: first, end: first + running, overdue: first + time.Duration((1+overdueShare)*float64(running)),
-		unqueued: l.roomAt(r, now) <= now, expires: now + lifetime, uncached: l.reading.uncached(r),
+		unqueued: l.roomAt(r, now) <= now, expires: now + lifetime, uncached: l.unread(r),
 	}
-	if r.Mixture.Long > 0 {
+	if l.mixed(r) {
 		l.reading.hold(r, l.memory, now)
 	}
 	return l.last
@@ -210,28 +208,24 @@
 		return
 	}
 	p.begun, p.ready = true, min(p.given+max(0, delay), now)
-	l.reading.drift = now - p.first
 	p.end += now - p.first
 	p.overdue += now - p.first
 	p.first = now
-	if p.unqueued && p.request.Prompt > 0 {
+	if p.unqueued && p.uncached > 0 {
 		l.learnReading(p, now)
-		if p.request.Mixture.Long > 0 {
-			l.reading.learn(p.request, p.uncached, max(0, now-max(p.ready, l.lastBegin)))
-		}
 	}
 	l.lastBegin = now
 }
 
 // learnReading learns from a request whose first event has just arrived. One that waited for the prompt before it shows how long
-// the reading of its own took. Any other shows the sum of reading and base time, whose larger part is corrected.
+// the reading of its own took. Any other shows the sum of reading and base time, one of which is corrected.
 func (l *Load) learnReading(p *place, now time.Duration) {
-	tokens, base := p.request.Prompt, l.baseTime.Duration
+	tokens, base := p.uncached, l.baseTime.Duration
 	reading := now - p.ready - base
 	switch {
 	case p.ready < l.lastRead():
 		reading = now - l.lastBegin
-	case l.promptTime.of(tokens) < base:
+	case l.learnsBase(p):
 		l.baseTime.learn(max(minBaseTime, now-p.ready-l.promptTime.of(tokens)))
 		return
 	}
--- a/internal/gateway/mixture.go
+++ b/internal/gateway/mixture.go
@@ -26,15 +26,6 @@
 	return m
 }
 
-// mixGroup returns what a job has in common with others that must not be served much less than the rest.
-func mixGroup(j *forward.Job) workerload.Group {
-	group := workerload.Group{Route: j.Route.Name, Prompt: j.PromptTokens}
-	if j.Workspace != nil {
-		group.Workspace = j.Workspace.Name
-	}
-	return group
-}
-
 // jobSize returns the size of a job, and what else decides on its place if the routes of its service bring prompts of very
 // different sizes.
 func (g *Gateway) jobSize(j *forward.Job) workerload.Request {
@@ -42,8 +33,8 @@
 	if !g.settings.MixedPrompts {
 		return r
 	}
-	r.Priority = j.Priority()
-	r.Late = time.Since(j.Arrived) >= j.Route.TargetLatency
+	waited := time.Since(j.Arrived)
+	r.Late, r.Owed = waited >= j.Route.TargetLatency, workerload.Owed(waited, time.Until(j.Deadline))
 	for i, part := range j.Prefix {
 		if i == maxPromptParts {
 			break
@@ -55,8 +46,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.mixOf(j.Service)
-	r.Mixture, r.Owed = m.Mixture(), m.Owed(mixGroup(j))
+	r.Mixture = g.mixOf(j.Service).Mixture()
 	return r
 }
 
@@ -67,7 +57,7 @@
 	}
 	out := &peerpb.RequestMix{
 		ShortTargetMs: r.Mixture.ShortTarget.Milliseconds(), ShortTokens: r.Mixture.Short, LongTokens: r.Mixture.Long,
-		Priority: int64(r.Priority), Late: r.Late, Owed: r.Owed,
+		Late: r.Late, Owed: r.Owed,
 	}
 	for _, p := range r.Parts {
 		out.Parts, out.PartTokens = append(out.Parts, p.ID), append(out.PartTokens, p.Tokens)
@@ -78,7 +68,7 @@
 // requestOfMix returns a request of a size with what a message says about it. A message of an instance that knows no mixtures is nil.
 func requestOfMix(prompt, output int64, m *peerpb.RequestMix) workerload.Request {
 	r := requestSize(prompt, output)
-	r.Priority, r.Late, r.Owed = int(min(max(0, m.GetPriority()), 9)), m.GetLate(), m.GetOwed()
+	r.Late, r.Owed = m.GetLate(), m.GetOwed()
 	if m.GetShortTargetMs() > 0 && m.GetShortTokens() > 0 && m.GetLongTokens() > m.GetShortTokens() {
 		r.Mixture = workerload.Mixture{ShortTarget: time.Duration(m.GetShortTargetMs()) * time.Millisecond, Short: m.GetShortTokens(), Long: m.GetLongTokens()}
 	}
@@ -110,9 +100,6 @@
 	for {
 		reservation, err := g.placeEngine(ctx, j, held.elsewhere)
 		if !errors.As(err, &held) {
-			if firstAttempt {
-				g.jobPlaced(j, err == nil)
-			}
 			return reservation, err
 		}
 		if !g.hold(ctx, j, held.wait) {
@@ -138,16 +125,6 @@
 	return sleep(ctx, d)
 }
 
-// jobPlaced records for the mix of a job's service whether the job got a worker.
-func (g *Gateway) jobPlaced(j *forward.Job, ok bool) {
-	if !g.settings.MixedPrompts {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.mixOf(j.Service).Ended(mixGroup(j), ok)
-}
-
 // jobArrived records the size of a job in the mix of its service, and logs when a mixture begins or ends.
 func (g *Gateway) jobArrived(j *forward.Job) {
 	if !g.settings.MixedPrompts {
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -94,7 +94,7 @@
 	if own != nil {
 		got := own.admit(size, need, maxWait, left, sent)
 		p.number, p.owner = got.place, peerInstance{incarnation: g.incarnation}
-		return workerload.Answer{Known: true, Admitted: got.place != 0, Wait: got.wait, Defers: got.defers, InTime: got.wait <= maxWait}, p, got.absent
+		return workerload.Answer{Known: true, Admitted: got.place != 0, Wait: got.wait, Defers: got.defers}, p, got.absent
 	}
 	if !reachable {
 		return workerload.Answer{}, p, false
@@ -115,8 +115,7 @@
 		return workerload.Answer{}, p, false
 	}
 	p.number = r.Place
-	wait := time.Duration(r.WaitMs) * time.Millisecond
-	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: wait, Defers: r.Defers, InTime: wait <= maxWait}, p, r.Absent
+	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: time.Duration(r.WaitMs) * time.Millisecond, Defers: r.Defers}, p, r.Absent
 }
 
 // ownPlace returns this instance's owner of a place, nil if another instance gave it or the owner has ended.
