workerload: expect the answers to requests with a length hint to be as long as their callers say

Cause: the expected end of a request, and with it the room at a full server, was derived from the maximum that the request names. Change: X-Length-Hint is read with `mixed_prompts`. The instance corrects it for the route by the median time per hinted token, compared with that of all routes of the service, since workers do not report how many tokens an answer has; RequestMix.expected_output_tokens carries the result, bounded by the maximum. Load learns the time of a token of such answers apart. Memory is still counted by the maximum. Without a hint, or with one that is not a positive number, all is as before.

--- a/internal/coordination/workerload/mixed.go
+++ b/internal/coordination/workerload/mixed.go
@@ -39,10 +39,13 @@
 	// mixture is the latest one that a request has shown, at the time seen.
 	mixture Mixture
 	seen    time.Duration
+	// outputTime is the learned time of one token of an answer whose length was expected. That of the others is learned by their
+	// maximum and is therefore shorter.
+	outputTime learnedTime
 }
 
 func newReading() reading {
-	return reading{parts: map[uint64]*held{}}
+	return reading{parts: map[uint64]*held{}, outputTime: learnedTime{Duration: initialOutputTime}}
 }
 
 // uncached returns the tokens of a prompt that the server must read. Only leading parts can be cached.
@@ -100,6 +103,22 @@
 	return m.Long > 0 && float64(l.promptTime.of(m.Long)) >= significantShare*float64(m.ShortTarget)
 }
 
+// length returns the tokens of an answer as they are expected, or their maximum if that is not known.
+func (r Request) length() int64 {
+	if r.Expected > 0 {
+		return min(r.Expected, r.Output)
+	}
+	return r.Output
+}
+
+// outputTimeOf returns the learned time of one token of an answer's length.
+func (l *Load) outputTimeOf(r Request) *learnedTime {
+	if r.Expected > 0 {
+		return &l.reading.outputTime
+	}
+	return &l.outputTime
+}
+
 // unread returns the tokens of a request's prompt that the server must read. Outside of mixtures none is taken to be cached.
 func (l *Load) unread(r Request) int64 {
 	if !l.mixed(r) {
--- a/internal/coordination/workerload/mixed_replay_test.go
+++ b/internal/coordination/workerload/mixed_replay_test.go
@@ -26,6 +26,8 @@
 	mixedEvent = 5
 	// mixedMaxOutput is the number of tokens that requests name at most.
 	mixedMaxOutput = 512
+	// mixedHinted is the part of the requests whose callers say what they expect.
+	mixedHinted = 0.6
 	// mixedAdapters is how many adapters a server holds, and mixedLoadTime and mixedLoadSpread what a load of one takes.
 	mixedAdapters, scarceAdapters  = 8, 4
 	mixedLoadTime, mixedLoadSpread = 250 * time.Millisecond, 40 * time.Millisecond
@@ -167,6 +169,10 @@
 		size.Prompt += size.Parts[0].Tokens
 		actual := min(mixedMaxOutput, int64(0.8*float64(output)*math.Exp(0.6*random.NormFloat64())))
 		q := &simRequest{at: at, instance: random.IntN(len(m.mixes)), adapter: a, size: size, target: k.target, deadline: k.deadline, output: actual}
+		// Both are drawn for each request, so that the load does not depend on how many have a hint.
+		if hinted, off := random.Float64(), random.NormFloat64(); hinted < mixedHinted {
+			q.hint = max(1, int64(float64(actual)*math.Exp(0.5*off)))
+		}
 		m.requests = append(m.requests, q)
 		m.kinds[q] = k
 		m.after(at, func() { m.place(m.replay, q) })
@@ -203,6 +209,9 @@
 	if mixtures {
 		m.mixes[q.instance].Arrived(m.kinds[q].name, q.size.Prompt, q.target)
 	}
+	if hint := q.hint; mixtures && hint > 0 {
+		q.size.Expected = m.mixes[q.instance].Expected(m.kinds[q].name, hint, q.size.Output)
+	}
 	m.work(q.instance, mixedRequestCPU, func() { m.placed(q, mixtures, true) })
 }
 
@@ -297,6 +306,8 @@
 		})
 		if events*mixedEvent < q.output {
 			m.after(gap, func() { m.stream(q, events+1) })
+		} else {
+			m.mixes[q.instance].Answered(m.kinds[q].name, q.hint, m.now-q.first)
 		}
 	}
 }
--- a/internal/coordination/workerload/mixture_test.go
+++ b/internal/coordination/workerload/mixture_test.go
@@ -171,3 +171,32 @@
 		So(HoldTime(second, 2*second, 100*time.Millisecond), ShouldEqual, 100*time.Millisecond)
 	})
 }
+
+// TestLengthHints guards against hints that are trusted although those of their route are off, that exceed the maximum which the request
+// names, or that change what is expected of requests without one.
+func TestLengthHints(t *testing.T) {
+	Convey("a hint is corrected by the answers of its route, and bounded by the maximum", t, func() {
+		m := NewMix()
+		for range 400 {
+			for route, real := range map[string]int64{"right": 100, "good": 100, "low": 300} {
+				m.Arrived(route, 100, second)
+				m.Answered(route, 100, time.Duration(real)*10*time.Millisecond)
+			}
+		}
+		So(float64(m.Expected("right", 100, 512)), ShouldAlmostEqual, 100, 10)
+		So(float64(m.Expected("low", 100, 512)), ShouldAlmostEqual, 300, 30)
+		So(m.Expected("low", 400, 512), ShouldEqual, 512)
+		So(m.Expected("unknown", 70, 512), ShouldEqual, 70)
+		So(m.Expected("right", 0, 512), ShouldEqual, 0)
+	})
+	Convey("a full server is expected to have room when its shortest answer ends, and the maxima fill its memory", t, func() {
+		for expected, room := range map[int64]time.Duration{0: 5 * second, 50: second / 2} {
+			l := New(1, 0)
+			l.Begin(l.Add(Request{Output: 500, Expected: expected}, 0, time.Hour, 0), 0, 0)
+			So(l.roomAt(Request{}, 0), ShouldEqual, room)
+		}
+		l := New(0, 600)
+		l.Begin(l.Add(Request{Output: 500, Expected: 50}, 0, time.Hour, 0), 0, 0)
+		So(l.roomAt(Request{Output: 101, Expected: 10}, 0), ShouldEqual, second/2)
+	})
+}
--- a/internal/coordination/workerload/replay_test.go
+++ b/internal/coordination/workerload/replay_test.go
@@ -36,6 +36,8 @@
 	target, deadline time.Duration
 	// output is the number of tokens of its answer in replays of mixtures, of which size names the maximum.
 	output int64
+	// hint is what the caller expects of output, 0 if it does not say.
+	hint int64
 	// first is when its first event arrived, 0 if never.
 	first time.Duration
 	// given is when it got its place, sent when it was sent, and place the number that the server's Load has given it.
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -36,6 +36,8 @@
 // Request is the size of a request in tokens.
 type Request struct {
 	Prompt, Output int64
+	// Expected is the expected number of tokens of the answer, 0 if only Output is known, which is the maximum.
+	Expected int64
 	// Mixture is that of the request's service; the fields below it matter only if it is not zero.
 	Mixture Mixture
 	// Parts are the leading parts of the prompt that it has in common with others.
@@ -105,9 +107,9 @@
 		if now >= p.expires {
 			delete(l.places, id)
 		}
-		if now >= p.overdue && p.request.Output > 0 {
+		if length := p.request.length(); now >= p.overdue && length > 0 {
 			running := now - p.first
-			l.outputTime.learn(running / time.Duration(p.request.Output))
+			l.outputTimeOf(p.request).learn(running / time.Duration(length))
 			p.overdue = now + time.Duration(overdueShare*float64(running))
 			p.end = p.overdue
 		}
@@ -188,7 +190,7 @@
 func (l *Load) Add(r Request, ready, lifetime, now time.Duration) uint64 {
 	r = l.inMixture(r, now)
 	wait := l.Wait(r, ready, now)
-	running := l.outputTime.of(r.Output)
+	running := l.outputTimeOf(r).of(r.length())
 	first := now + wait
 	l.last++
 	l.places[l.last] = &place{
@@ -239,8 +241,8 @@
 		return
 	}
 	delete(l.places, id)
-	if complete && p.begun && p.request.Output > 0 {
-		l.outputTime.learn((now - p.first) / time.Duration(p.request.Output))
+	if length := p.request.length(); complete && p.begun && length > 0 {
+		l.outputTimeOf(p.request).learn((now - p.first) / time.Duration(length))
 	}
 }
 
--- a/internal/gateway/mixture.go
+++ b/internal/gateway/mixture.go
@@ -46,18 +46,19 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r.Mixture = g.mixOf(j.Service).Mixture()
+	m := g.mixOf(j.Service)
+	r.Mixture, r.Expected = m.Mixture(), m.Expected(j.Route.Name, j.LengthHint, r.Output)
 	return r
 }
 
 // requestMix returns the message from which an owner reads requestOfMix, nil if there is nothing to send.
 func requestMix(r workerload.Request) *peerpb.RequestMix {
-	if r.Mixture.Long == 0 && len(r.Parts) == 0 {
+	if r.Mixture.Long == 0 && len(r.Parts) == 0 && r.Expected == 0 {
 		return nil
 	}
 	out := &peerpb.RequestMix{
 		ShortTargetMs: r.Mixture.ShortTarget.Milliseconds(), ShortTokens: r.Mixture.Short, LongTokens: r.Mixture.Long,
-		Late: r.Late, Owed: r.Owed,
+		Late: r.Late, Owed: r.Owed, ExpectedOutputTokens: r.Expected,
 	}
 	for _, p := range r.Parts {
 		out.Parts, out.PartTokens = append(out.Parts, p.ID), append(out.PartTokens, p.Tokens)
@@ -68,7 +69,7 @@
 // requestOfMix returns a request of a size with what a message says about it. A message of an instance that knows no mixtures is nil.
 func requestOfMix(prompt, output int64, m *peerpb.RequestMix) workerload.Request {
 	r := requestSize(prompt, output)
-	r.Late, r.Owed = m.GetLate(), m.GetOwed()
+	r.Late, r.Owed, r.Expected = m.GetLate(), m.GetOwed(), min(max(0, m.GetExpectedOutputTokens()), r.Output)
 	if m.GetShortTargetMs() > 0 && m.GetShortTokens() > 0 && m.GetLongTokens() > m.GetShortTokens() {
 		r.Mixture = workerload.Mixture{ShortTarget: time.Duration(m.GetShortTargetMs()) * time.Millisecond, Short: m.GetShortTokens(), Long: m.GetLongTokens()}
 	}
@@ -100,7 +101,7 @@
 	for {
 		reservation, err := g.placeEngine(ctx, j, held.elsewhere)
 		if !errors.As(err, &held) {
-			return reservation, err
+			return g.withLength(reservation, j), err
 		}
 		if !g.hold(ctx, j, held.wait) {
 			return forward.Reservation{}, workersFullError(held.wait)
@@ -125,6 +126,26 @@
 	return sleep(ctx, d)
 }
 
+// withLength lets a reservation record how long the answer to a job with a length hint takes.
+func (g *Gateway) withLength(r forward.Reservation, j *forward.Job) forward.Reservation {
+	if !g.settings.MixedPrompts || j.LengthHint <= 0 || r.Worker == nil {
+		return r
+	}
+	began := time.Duration(0)
+	answering, done := r.Answering, r.Done
+	r.Answering = func() {
+		began = g.now()
+		answering()
+	}
+	r.Done = func(o forward.Outcome) {
+		if o == forward.Succeeded && began > 0 {
+			g.locked(func() { g.mixOf(j.Service).Answered(j.Route.Name, j.LengthHint, g.now()-began) })
+		}
+		done(o)
+	}
+	return r
+}
+
 // jobArrived records the size of a job in the mix of its service, and logs when a mixture begins or ends.
 func (g *Gateway) jobArrived(j *forward.Job) {
 	if !g.settings.MixedPrompts {
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -201,8 +201,10 @@
 	HasTokens    bool
 	PromptTokens int64
 	OutputTokens int64
-	Prefix       []PromptPart
-	LastEventID  string
+	// LengthHint is the number of output tokens that the caller expects, 0 if the request does not say.
+	LengthHint  int64
+	Prefix      []PromptPart
+	LastEventID string
 }
 
 // WorkerRequest holds the values of the headers that the system sets on a request to a worker.
