--- a/internal/coordination/workerload/mixture.go
+++ b/internal/coordination/workerload/mixture.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/bits"
 	"time"
 )
 
@@ -27,15 +26,10 @@
 	mixtureSeen = 2
 	// sizeWeight is the weight of one request in the usual size of a route's prompts.
 	sizeWeight = 0.02
-	// outcomeWeight is the weight of one request in the share of a group that was served: the latest fifty or so count.
-	outcomeWeight = 0.02
-	// groupSeen is the number of requests of a group from which its share is known.
-	groupSeen = 8
-	// owedShare of the share of all requests is what a group is served at least. The bounds are a quarter for a kind and a
-	// half for the largest requests of a kind; the rest covers the error of an instance that sees few of them.
-	owedShare = 0.75
-	// maxGroups bounds the groups of which the served share is kept.
-	maxGroups = 4096
+	// medianStep is by which part one answer moves a median, once a hundred are known.
+	medianStep = 0.01
+	// hintsSeen is the number of answers of a route from which its hints are corrected.
+	hintsSeen = 8
 )
 
 // routeSizes is what is known of the prompts of a route.
@@ -43,33 +37,39 @@
 	target time.Duration
 	tokens float64
 	seen   int
+	// perToken is the median time that answers took for each token that their callers had expected.
+	perToken median
 }
 
-// served is the share of a group of requests that was served.
-type served struct {
-	share float64
+// median follows the median of values above 0.
+type median struct {
+	value float64
 	seen  int
 }
 
-func (s *served) record(ok bool) {
-	s.seen++
-	x := 0.0
-	if ok {
-		x = 1
+// add moves the median by a factor, whatever the distance of the value, since hints are often far off.
+func (m *median) add(x float64) {
+	m.seen++
+	switch step := 1 + max(medianStep, 1/float64(m.seen)); {
+	case m.seen == 1:
+		m.value = x
+	case x > m.value:
+		m.value *= step
+	default:
+		m.value /= step
 	}
-	s.share += max(outcomeWeight, 1/float64(s.seen)) * (x - s.share)
 }
 
-// Mix learns the sizes of the prompts that the routes of one service bring, and which groups of requests are served less than
-// the others. It answers a load of many short prompts with a few long ones.
+// Mix learns the sizes of the prompts that the routes of one service bring. It answers a load of many short prompts with a few long
+// ones.
 type Mix struct {
 	routes map[string]*routeSizes
-	groups map[string]*served
-	all    served
+	// perToken is the median over the answers of all routes.
+	perToken median
 }
 
 // NewMix returns the mix of a service of which nothing is known.
-func NewMix() *Mix { return &Mix{routes: map[string]*routeSizes{}, groups: map[string]*served{}} }
+func NewMix() *Mix { return &Mix{routes: map[string]*routeSizes{}} }
 
 // Arrived records a request of a route with a target latency.
 func (m *Mix) Arrived(route string, prompt int64, target time.Duration) {
@@ -112,41 +112,27 @@
 	return out
 }
 
-// Group is what a request has in common with others that must not be served much less than the rest.
-type Group struct {
-	Route, Workspace string
-	Prompt           int64
-}
-
-// keys returns the names of the groups: the route, the route's prompts of about the same size, and the workspace.
-func (g Group) keys() [3]string {
-	size := string(rune('a' + bits.Len64(uint64(max(0, g.Prompt)))))
-	return [3]string{"r" + g.Route, "s" + size + g.Route, "w" + g.Workspace}
-}
-
-// Ended records whether a request was served.
-func (m *Mix) Ended(g Group, ok bool) {
-	m.all.record(ok)
-	for _, k := range g.keys() {
-		s := m.groups[k]
-		if s == nil {
-			if len(m.groups) >= maxGroups {
-				// Groups that still send requests are known again after a few.
-				clear(m.groups)
-			}
-			s = &served{}
-			m.groups[k] = s
-		}
-		s.record(ok)
+// Answered records how long an answer of a route took from its first event to its end, for which its caller had expected a number of
+// tokens.
+func (m *Mix) Answered(route string, hint int64, took time.Duration) {
+	r := m.routes[route]
+	if r == nil || hint <= 0 || took <= 0 {
+		return
 	}
+	r.perToken.add(took.Seconds() / float64(hint))
+	m.perToken.add(took.Seconds() / float64(hint))
 }
 
-// Owed reports whether a group of the request was served so much less than all requests that it goes before the others.
-func (m *Mix) Owed(g Group) bool {
-	for _, k := range g.keys() {
-		if s := m.groups[k]; s != nil && s.seen >= groupSeen && s.share < owedShare*m.all.share {
-			return true
-		}
+// Expected returns the expected tokens of an answer of a route whose caller expects a number of tokens and allows a maximum, 0 if only
+// the maximum is known. Workers do not report the tokens of an answer, only its duration is seen. Hints are right at the median over
+// all routes; by how much those of a route are off shows in the time per token compared with that of all.
+func (m *Mix) Expected(route string, hint, maximum int64) int64 {
+	if hint <= 0 || maximum <= 0 {
+		return 0
+	}
+	expected := float64(min(hint, maxPartTokens))
+	if r := m.routes[route]; r != nil && r.perToken.seen >= hintsSeen {
+		expected *= r.perToken.value / m.perToken.value
 	}
-	return false
+	return min(max(1, int64(expected)), maximum)
 }
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -36,13 +36,13 @@
 // Request is the size of a request in tokens.
 type Request struct {
 	Prompt, Output int64
+	// Expected is the expected number of tokens of the answer, 0 if only Output is known, which is the maximum.
+	Expected int64
 	// Mixture is that of the request's service; the fields below it matter only if it is not zero.
 	Mixture Mixture
 	// Parts are the leading parts of the prompt that it has in common with others.
 	Parts []Part
-	// Priority is the request's priority; 0 is the most urgent.
-	Priority int
-	// Late means that the request cannot be on time any more, and Owed that requests like it were served less than others.
+	// Late means that the request cannot be on time any more, and Owed that it has waited for so long that it is sent in any case.
 	Late, Owed bool
 	// Share says whose request it is, if places are divided between workspaces.
 	Share Share
@@ -77,8 +77,8 @@
 	places map[uint64]*place
 	// lastBegin is when the first event of the latest request to begin arrived.
 	lastBegin time.Duration
-	// promptTime and outputTime are the learned times of one token, and baseTime is what a first event takes besides the reading
-	// of prompts. Prompts are read one after the other, but their base times overlap.
+	// promptTime and outputTime are the learned times of one token, for prompts that is not cached, and baseTime is what a first event
+	// takes besides the reading. Prompts are read one after the other, but their base times overlap.
 	promptTime, outputTime, baseTime learnedTime
 	// reading is what is known of prompts of mixtures.
 	reading reading
@@ -111,9 +111,9 @@
 		if now >= p.expires {
 			delete(l.places, id)
 		}
-		if now >= p.overdue && p.request.Output > 0 {
+		if length := p.request.length(); now >= p.overdue && length > 0 {
 			running := now - p.first
-			l.outputTime.learn(running / time.Duration(p.request.Output))
+			l.outputTimeOf(p.request).learn(running / time.Duration(length))
 			p.overdue = now + time.Duration(overdueShare*float64(running))
 			p.end = p.overdue
 		}
@@ -137,7 +137,7 @@
 	tokens, since := int64(0), now
 	for _, p := range l.places {
 		if !p.begun && p.ready <= now {
-			tokens += p.request.Prompt
+			tokens += p.uncached
 			since = min(since, p.ready)
 		}
 	}
@@ -202,15 +202,15 @@
 func (l *Load) Add(r Request, ready, lifetime, now time.Duration) uint64 {
 	r = l.inMixture(r, now)
 	wait := l.Wait(r, ready, now)
-	running := l.outputTime.of(r.Output)
+	running := l.outputTimeOf(r).of(r.length())
 	first := now + wait
 	l.shares.give(r.Share, l.placeTime(r), now)
 	l.last++
 	l.places[l.last] = &place{
 		request: r, given: now, ready: max(ready, now), first: first, end: first + running, overdue: first + time.Duration((1+overdueShare)*float64(running)),
-		unqueued: l.roomAt(r, ready, now) <= now, expires: now + lifetime, uncached: l.reading.uncached(r),
+		unqueued: l.roomAt(r, ready, now) <= now, expires: now + lifetime, uncached: l.unread(r),
 	}
-	if r.Mixture.Long > 0 {
+	if l.mixed(r) {
 		l.reading.hold(r, l.memory, now)
 	}
 	return l.last
@@ -223,28 +223,24 @@
 		return
 	}
 	p.begun, p.ready = true, min(p.given+max(0, delay), now)
-	l.reading.drift = now - p.first
 	p.end += now - p.first
 	p.overdue += now - p.first
 	p.first = now
-	if p.unqueued && p.request.Prompt > 0 {
+	if p.unqueued && p.uncached > 0 {
 		l.learnReading(p, now)
-		if p.request.Mixture.Long > 0 {
-			l.reading.learn(p.request, p.uncached, max(0, now-max(p.ready, l.lastBegin)))
-		}
 	}
 	l.lastBegin = now
 }
 
 // learnReading learns from a request whose first event has just arrived. One that waited for the prompt before it shows how long
-// the reading of its own took. Any other shows the sum of reading and base time, whose larger part is corrected.
+// the reading of its own took. Any other shows the sum of reading and base time, one of which is corrected.
 func (l *Load) learnReading(p *place, now time.Duration) {
-	tokens, base := p.request.Prompt, l.baseTime.Duration
+	tokens, base := p.uncached, l.baseTime.Duration
 	reading := now - p.ready - base
 	switch {
 	case p.ready < l.lastRead():
 		reading = now - l.lastBegin
-	case l.promptTime.of(tokens) < base:
+	case l.learnsBase(p):
 		l.baseTime.learn(max(minBaseTime, now-p.ready-l.promptTime.of(tokens)))
 		return
 	}
@@ -258,8 +254,8 @@
 		return
 	}
 	delete(l.places, id)
-	if complete && p.begun && p.request.Output > 0 {
-		l.outputTime.learn((now - p.first) / time.Duration(p.request.Output))
+	if length := p.request.length(); complete && p.begun && length > 0 {
+		l.outputTimeOf(p.request).learn((now - p.first) / time.Duration(length))
 	}
 }
 
