--- a/internal/coordination/workerload/mixture_test.go
+++ b/internal/coordination/workerload/mixture_test.go
@@ -193,10 +193,10 @@
 		for expected, room := range map[int64]time.Duration{0: 5 * second, 50: second / 2} {
 			l := New(1, 0)
 			l.Begin(l.Add(Request{Output: 500, Expected: expected}, 0, time.Hour, 0), 0, 0)
-			So(l.roomAt(Request{}, 0), ShouldEqual, room)
+			So(l.roomAt(Request{}, 0, 0), ShouldEqual, room)
 		}
 		l := New(0, 600)
 		l.Begin(l.Add(Request{Output: 500, Expected: 50}, 0, time.Hour, 0), 0, 0)
-		So(l.roomAt(Request{Output: 101, Expected: 10}, 0), ShouldEqual, second/2)
+		So(l.roomAt(Request{Output: 101, Expected: 10}, 0, 0), ShouldEqual, second/2)
 	})
 }
