guard: connections to workers and between instances have counts of their own

Cause: connections to workers and between instances had no limit within the process's descriptors. turmericd also kept up to 256 idle connections to each engine, and its admin listener took as many descriptors as that of callers. 700 clients that connect to the address for instances and send nothing took all 512 descriptors of either program: accept failed with EMFILE for callers and readiness checks.

Workers have a third of the descriptors (one of them at most half, the last quarter is for workers with few), instances a sixth, half of it in each direction. An idle connection is closed for a new one; otherwise the request is refused at once with 503 worker_connections_full, not run, which does not count against the worker. turmericd's status calls, orders and cancellations are counted but not refused. Listeners other than that of callers take at most a sixteenth each.

Result: TestPeerConnections fails before (512 descriptors of 512 in both programs) and passes after (59 and 61). TestOutbound, TestWorkerConnections and TestFullConnections pass with -race, as do the packages gateway, daemon, forward, enginehttp, servicehttp, dispatch and peer.

--- a/internal/coordination/callerlimits/callerlimits.go
+++ b/internal/coordination/callerlimits/callerlimits.go
@@ -32,12 +32,10 @@
 	// connectionShare of connectionParts is the part of the memory for heads with connections that connections take before
 	// they have sent a long head. The rest is always left to long heads.
 	connectionShare, connectionParts = 3, 4
-	// callersDescriptors of descriptorParts is the part of the descriptors for connections of callers. Each request in flight has
-	// one connection to a worker, so that these take as much at most. The rest is for idle connections to
-	// workers, for other instances, the log service and the other listeners.
+	// callersDescriptors of descriptorParts is the part of the descriptors for connections of callers. Connections to workers and
+	// between instances have parts of their own; the rest, a sixth, is for the log service, files and the other listeners.
 	callersDescriptors, descriptorParts = 1, 3
-	// idleDivisor is the part of the descriptors for idle connections to workers, less than half of what is left to others: the
-	// largest fleet has 195 instances, with two connections between each two.
+	// idleDivisor is the part of the descriptors for idle connections to workers, which are within the part for workers.
 	idleDivisor = 10
 	// ownerShare of ownerParts is the largest part of the memory for bodies that one address, or one key, may hold.
 	ownerShare, ownerParts = 3, 4
@@ -73,6 +71,12 @@
 	ResponseBytes int64
 	// IdleWorkers is the number of idle connections to workers that are kept.
 	IdleWorkers int
+	// Workers bound the connections to workers, and Peers those that are opened to other instances.
+	Workers, Peers OutboundLimits
+	// PeersAccepted is the number of connections that are accepted from other instances.
+	PeersAccepted int
+	// Reserve is the number of connections of each listener that is not for callers.
+	Reserve int
 	// Fields is the number of header fields of one request.
 	Fields int
 	// MinRate is in bytes per second. A connection on which less is transferred throughout a window is closed, if the caller
@@ -87,21 +91,23 @@
 // Derive returns the limits that follow from a machine's memory in bytes and from its number of descriptors.
 func Derive(memory int64, descriptors int) Limits {
 	heads := memory / headDivisor
-	return Limits{
+	l := Limits{
 		Connections:   max(1, min(int(heads/connectionParts*connectionShare/ConnectionBytes), descriptors*callersDescriptors/descriptorParts)),
 		Bytes:         [classes]int64{Heads: heads, Bodies: memory / bodyDivisor},
 		OwnerBytes:    memory / bodyDivisor / ownerParts * ownerShare,
 		ResponseBytes: memory / responseDivisor,
 		IdleWorkers:   max(1, descriptors/idleDivisor),
+		Reserve:       max(1, descriptors/reservedDivisor),
 		Fields:        DefaultFields,
 		MinRate:       DefaultMinRate, Interval: defaultInterval, ReadWindow: DefaultReadWindow, WriteWindow: DefaultWriteWindow,
 	}
+	return l.WithWorkers(max(1, descriptors*workersDescriptors/descriptorParts)).WithPeers(max(2, descriptors/peersDivisor))
 }
 
 // Reserved returns the limits of a listener that is not for callers, such as that of readiness checks. They do not depend on what
 // callers hold.
 func (l Limits) Reserved() Limits {
-	l.Connections, l.Interval = min(l.Connections, reservedConnections), reservedInterval
+	l.Connections, l.Interval = min(l.Connections, reservedConnections, l.Reserve), reservedInterval
 	l.Bytes = [classes]int64{Heads: reservedConnections * 2 * ConnectionBytes}
 	return l
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
+	"github.com/turmericworks/turmericworks/internal/coordination/callerlimits"
 	"github.com/turmericworks/turmericworks/internal/coordination/fairqueue"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/protocol/platform"
@@ -101,12 +102,15 @@
 	transport := network.HTTPTransportOver(d.tlsConfigs.dialPlain, d.tlsConfigs.dialTLS)
 	d.platformLog = platformhttp.NewLog(d.settings.Platform.LogURL, transport)
 	d.instanceList = platformhttp.NewInstanceList(d.settings.Platform.ListURL, transport)
-	d.fleet = fleet.New(transport, d.engineReported)
+	d.guardMetrics = guard.NewMetrics(d.registry)
+	limits := d.settings.Limits.callers()
+	d.fleet = fleet.New(d.workerTransport(limits), d.engineReported)
 	d.events = newEvents(d.settings)
 	d.replica = newReplica(d)
 	d.control = newControl(d)
 	d.actions = newActions(d)
-	d.peers = peer.NewClients(d.tlsConfigs.peerClient, d.tlsConfigs.dialPeer, d.control.recordRefusedConnection)
+	toPeers := d.tlsConfigs.over(guard.NewOutbound("to_peers", limits.Peers, d.guardMetrics, d.log).Network(o.Network))
+	d.peers = peer.NewClients(d.tlsConfigs.peerClient, toPeers.dialPeer, d.control.recordRefusedConnection)
 	d.control.peers = d.peers
 	d.owners = newOwners(d)
 	d.peerServer = peer.NewServer(d.tlsConfigs.peers, func(call string, value any, stack []byte) {
@@ -127,7 +131,6 @@
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, AdmitRun: d.admitRun, Ready: d.ready, Draining: d.draining, Log: d.log, Record: d.events.record, Registry: d.registry,
 	})
 	d.registry.MustRegister(newCollector(d))
-	d.guardMetrics = guard.NewMetrics(d.registry)
 	return d, nil
 }
 
@@ -176,16 +179,31 @@
 	handshakeTimeout = 2 * time.Second
 	// idleTimeout is how long a caller's idle connection is kept open.
 	idleTimeout = 60 * time.Second
-	// adminConnections is the maximum number of open connections on the admin listener.
+	// adminConnections is the maximum number of open connections on the admin listener, if the descriptors allow it.
 	adminConnections = 256
 )
 
+// workerTransport returns the transport to engines and plain services, whose connections are counted.
+func (d *Daemon) workerTransport(l callerlimits.Limits) *http.Transport {
+	count := guard.NewOutbound("workers", l.Workers, d.guardMetrics, d.log)
+	counted := d.tlsConfigs.over(count.RequestNetwork(d.tlsConfigs.network))
+	out := network.HTTPTransportOver(counted.dialPlain, counted.dialTLS)
+	out.MaxIdleConns = l.IdleWorkers
+	count.CloseIdle = func() bool {
+		before := count.Total()
+		out.CloseIdleConnections()
+		return count.Total() < before
+	}
+	return out
+}
+
 // listenPeers opens the listener for other instances.
 func (d *Daemon) listenPeers() (suture.Service, error) {
 	l, err := d.opts.Network.Listen(d.settings.Listen.Peers)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", d.settings.Listen.Peers)
 	}
+	l = guard.Limit(l, "from_peers", d.settings.Limits.callers().PeersAccepted, d.guardMetrics, d.log)
 	return &listenerService{serve: func() error { return d.peerServer.Serve(l) }, stop: d.peerServer.Stop}, nil
 }
 
@@ -201,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	admin, err := d.listen(d.settings.Listen.Admin, d.tlsConfigs.admin, adminConnections, d.adminHandler())
+	admin, err := d.listen(d.settings.Listen.Admin, d.tlsConfigs.admin, min(adminConnections, d.settings.Limits.callers().Reserve), d.adminHandler())
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -24,13 +24,23 @@
 	return defaultMemoryMB << 20
 }
 
-// callers returns the limits on callers' connections.
+// descriptors returns the number of open descriptors that the process may have.
+func (l Limits) descriptors() int {
+	if l.Descriptors > 0 {
+		return l.Descriptors
+	}
+	return machine.Descriptors()
+}
+
+// callers returns the limits on callers' connections, and on those to workers and between instances.
 func (l Limits) callers() callerlimits.Limits {
-	descriptors := l.Descriptors
-	if descriptors == 0 {
-		descriptors = machine.Descriptors()
+	out := callerlimits.Derive(l.memory(), l.descriptors())
+	if l.MaxWorkerConnections > 0 {
+		out = out.WithWorkers(l.MaxWorkerConnections)
+	}
+	if l.MaxPeerConnections > 0 {
+		out = out.WithPeers(l.MaxPeerConnections)
 	}
-	out := callerlimits.Derive(l.memory(), descriptors)
 	out.Bytes[callerlimits.Bodies] = min(out.Bytes[callerlimits.Bodies], int64(l.MaxBodyMemoryBytes))
 	out.Fields, out.MinRate = l.MaxFields, int64(l.MinBytesPerSecond)
 	out.ReadWindow, out.WriteWindow = time.Duration(l.ReadWindowSeconds)*time.Second, time.Duration(l.WriteWindowSeconds)*time.Second
@@ -49,6 +59,10 @@
 		p = append(p, config.Problem{Path: "/limits/max_connections", Message: fmt.Sprintf(
 			"contradicts /limits/memory_mb and /limits/descriptors, which allow %d connections", allowed.Connections)})
 	}
+	if taken, left := allowed.Shares(l.descriptors()); taken+left > l.descriptors() && (l.MaxWorkerConnections > 0 || l.MaxPeerConnections > 0) {
+		p = append(p, config.Problem{Path: "/limits", Message: fmt.Sprintf(
+			"connections of callers, max_worker_connections and max_peer_connections take %d descriptors together and leave fewer than %d of %d", taken, left, l.descriptors())})
+	}
 	if bodies := allowed.Bytes[callerlimits.Bodies]; l.MaxBodyMemoryBytes != defaults.MaxBodyMemoryBytes && int64(l.MaxBodyMemoryBytes) > bodies {
 		p = append(p, config.Problem{Path: "/limits/max_body_memory_bytes", Message: fmt.Sprintf(
 			"contradicts /limits/memory_mb, which allows %d bytes of bodies", bodies)})
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -16,7 +16,11 @@
 	Convey("Contradicting limits are named, defaults contradict nothing", t, func() {
 		So(parse(`{"memory_mb":136,"descriptors":128}`), ShouldBeNil)
 		So(parse(`{"memory_mb":136,"max_connections":100,"max_body_memory_bytes":8388608}`), ShouldBeNil)
-		err := parse(`{"memory_mb":136,"descriptors":128,"max_connections":100,"max_body_memory_bytes":100000000}`)
+		So(parse(`{"memory_mb":136,"descriptors":2870,"max_worker_connections":1000}`), ShouldBeNil)
+		err := parse(`{"memory_mb":136,"descriptors":2870,"max_peer_connections":2000}`)
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "max_peer_connections")
+		err = parse(`{"memory_mb":136,"descriptors":128,"max_connections":100,"max_body_memory_bytes":100000000}`)
 		So(err, ShouldNotBeNil)
 		So(err.Error(), ShouldContainSubstring, "/limits/max_connections")
 		So(err.Error(), ShouldContainSubstring, "/limits/max_body_memory_bytes")
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -125,6 +125,13 @@
 	// Descriptors is the number of open descriptors that the process may have. Callers' connections take at most a third of
 	// it. Default: 0, which stands for the process's own limit (RLIMIT_NOFILE).
 	Descriptors int `json:"descriptors,omitempty"`
+	// MaxWorkerConnections is the maximum number of open connections to engines and plain services, idle ones included, of which
+	// one host has at most half. A request beyond it is refused with 503 and not-run. Default: 0, which stands for a third of the
+	// descriptors.
+	MaxWorkerConnections int `json:"max_worker_connections,omitempty"`
+	// MaxPeerConnections is the maximum number of open connections between this instance and others, half of it in each direction.
+	// Default: 0, which stands for a sixth of the descriptors.
+	MaxPeerConnections int `json:"max_peer_connections,omitempty"`
 	// MaxFields is the maximum number of header fields of a request. Default: 256.
 	MaxFields int `json:"max_fields,omitempty"`
 	// MinBytesPerSecond is the rate below which a caller that has to send or to read counts as stalled. Default: 128.
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -59,6 +59,13 @@
 	return nil
 }
 
+// over returns the configurations over another network.
+func (c *tlsConfigs) over(n network.Network) *tlsConfigs {
+	out := *c
+	out.network = n
+	return &out
+}
+
 // serverConfig returns the configuration of a listener, or nil if it has no certificate.
 func serverConfig(k KeyPair) (*tls.Config, error) {
 	if k == (KeyPair{}) {
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -16,6 +16,12 @@
 	Descriptors int `json:"descriptors"`
 	// MaxConnections is the number of open connections of callers. Default: what memory_mb and descriptors allow.
 	MaxConnections int `json:"max_connections"`
+	// MaxWorkerConnections is the number of open connections to workers, idle ones included, of which one worker has at most half.
+	// Default: a third of descriptors.
+	MaxWorkerConnections int `json:"max_worker_connections"`
+	// MaxPeerConnections is the number of open connections between this instance and others, half of it in each direction. Default:
+	// a sixth of descriptors.
+	MaxPeerConnections int `json:"max_peer_connections"`
 	// MaxFields is the number of header fields of a request.
 	MaxFields int `json:"max_fields"`
 	// MinBytesPerSecond is the rate below which a caller that has to send or to read counts as stalled, and ReadWindowS and
@@ -25,13 +31,17 @@
 	WriteWindowS      int `json:"write_window_s"`
 }
 
+// descriptors returns the number of open descriptors that the process may have.
+func (s Settings) descriptors() int {
+	if n := s.CallerLimits.Descriptors; n > 0 {
+		return n
+	}
+	return machine.Descriptors()
+}
+
 // derivedLimits returns the limits that follow from the machine.
 func (s Settings) derivedLimits() callerlimits.Limits {
-	descriptors := s.CallerLimits.Descriptors
-	if descriptors == 0 {
-		descriptors = machine.Descriptors()
-	}
-	return callerlimits.Derive(int64(max(s.MemoryMB, minMemoryMB))<<20, descriptors)
+	return callerlimits.Derive(int64(max(s.MemoryMB, minMemoryMB))<<20, s.descriptors())
 }
 
 // callerLimits returns the limits on callers' connections.
@@ -40,6 +50,12 @@
 	if set.MaxConnections > 0 {
 		out.Connections = min(out.Connections, set.MaxConnections)
 	}
+	if set.MaxWorkerConnections > 0 {
+		out = out.WithWorkers(set.MaxWorkerConnections)
+	}
+	if set.MaxPeerConnections > 0 {
+		out = out.WithPeers(set.MaxPeerConnections)
+	}
 	if set.MaxFields > 0 {
 		out.Fields = set.MaxFields
 	}
@@ -59,7 +75,7 @@
 func (s Settings) checkCallerLimits(check func(ok bool, path, what string)) {
 	l := s.CallerLimits
 	const (
-		minDescriptors, minFields = 64, 32
+		minDescriptors, minFields, minOutbound = 64, 32, 8
 		// maxIdleS is the longest time for which callers pause before they go on.
 		maxIdleS = 12
 	)
@@ -68,6 +84,12 @@
 	check(l.MaxConnections >= 0, "caller_limits.max_connections", "must not be negative")
 	check(l.MaxConnections <= s.derivedLimits().Connections, "caller_limits.max_connections",
 		fmt.Sprintf("contradicts memory_mb and caller_limits.descriptors, which allow %d connections", s.derivedLimits().Connections))
+	check(l.MaxWorkerConnections == 0 || l.MaxWorkerConnections >= minOutbound, "caller_limits.max_worker_connections", "must be at least 8")
+	check(l.MaxPeerConnections == 0 || l.MaxPeerConnections >= minOutbound, "caller_limits.max_peer_connections", "must be at least 8")
+	if taken, left := s.callerLimits().Shares(s.descriptors()); l.MaxWorkerConnections > 0 || l.MaxPeerConnections > 0 {
+		check(taken+left <= s.descriptors(), "caller_limits", fmt.Sprintf(
+			"max_connections, max_worker_connections and max_peer_connections take %d descriptors together and leave fewer than %d of %d", taken, left, s.descriptors()))
+	}
 	check(l.MaxFields == 0 || l.MaxFields >= minFields, "caller_limits.max_fields", "must be at least 32")
 	check(l.MinBytesPerSecond >= 0, "caller_limits.min_bytes_per_second", "must not be negative")
 	check(l.ReadWindowS == 0 || l.ReadWindowS > maxIdleS, "caller_limits.read_window_s", "must exceed 12: callers pause for up to 12 s")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,13 +208,15 @@
 		missingSince: map[string]time.Duration{},
 	}
 	g.created = g.now()
-	g.pool.MaxIdle = s.callerLimits().IdleWorkers
 	g.members = fleetlog.NewFollower(g.incarnation, quota.MaxTakeoverDelay)
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
 	g.metricsRegistry.MustRegister(newColdCollector(g))
 	g.guardMetrics = guard.NewMetrics(g.metricsRegistry)
+	limits := s.callerLimits()
+	g.pool.MaxIdle, g.pool.Connections = limits.IdleWorkers, guard.NewOutbound("workers", limits.Workers, g.guardMetrics, g.log)
+	g.pool.Connections.CloseIdle = g.pool.CloseOldestIdle
 	g.connections.OnClose = g.callerConnectionClosed
 	g.workers.Store(workers.NewRegistry().Snapshot())
 	g.peers = newPeers(g)
@@ -222,7 +224,7 @@
 	g.server = &forward.Server{
 		Headers: platform.Headers, Admission: (*admission)(g), Placement: (*placement)(g), Pool: g.pool,
 		Metrics: g.metrics, Log: g.log,
-		ResponseMemory: bytebudget.New(s.callerLimits().ResponseBytes),
+		ResponseMemory: bytebudget.New(limits.ResponseBytes),
 	}
 	return g
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,6 +11,7 @@
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/peer"
 )
 
@@ -30,7 +31,8 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	clients := peer.NewClients(nil, g.network.Dial, func(string) {})
+	counted := guard.NewOutbound("to_peers", g.settings.callerLimits().Peers, g.guardMetrics, g.log).Network(g.network)
+	clients := peer.NewClients(nil, counted.Dial, func(string) {})
 	clients.OnCall = func(method string) { g.metrics.peerCalls.WithLabelValues(method).Inc() }
 	return &peers{g: g, clients: clients}
 }
@@ -41,6 +43,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	l = guard.Limit(l, "from_peers", p.g.settings.callerLimits().PeersAccepted, p.g.guardMetrics, p.g.log)
 	s := peer.NewServer(nil, p.g.recordPanic)
 	peerpb.RegisterPeerServer(s, p)
 	go func() {
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
 	"github.com/turmericworks/turmericworks/internal/transport/fleet"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 )
 
 // Outcome is the result of an attempt.
@@ -91,7 +93,8 @@
 // afterFailure decides what follows a failed attempt. If the decision is to retry, it first waits for the delay of the
 // retry.
 func (r *Runner) afterFailure(ctx context.Context, call *retry.Call, err error, resumable bool) retry.Decision {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, guard.ErrNoDescriptor) {
+		// Without a descriptor, the request is refused at once.
 		r.requestEnded(call, verdict.FromError(err).Verdict)
 		return retry.Decision{}
 	}
--- a/internal/transport/enginehttp/enginehttp.go
+++ b/internal/transport/enginehttp/enginehttp.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,6 +20,7 @@
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
@@ -79,6 +81,9 @@
 	if err == nil {
 		return resp, nil
 	}
+	if errors.Is(err, guard.ErrNoDescriptor) {
+		return nil, guard.RefuseFull(err)
+	}
 	v := verdict.NotRun
 	if connected.Load() {
 		v = verdict.MayHaveRun
@@ -116,7 +121,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m := e.monitor(ctx, r.ID, cancel)
-	resp, err := e.send(ctx, http.MethodPost, r.Path, requestHeader(r), r.Body)
+	resp, err := e.send(guard.ForRequest(ctx), http.MethodPost, r.Path, requestHeader(r), r.Body)
 	if m.stop() {
 		return backend.Response{}, errSilent
 	}
@@ -191,7 +196,7 @@
 
 // Stream implements backend.Engine.
 func (e *Engine) Stream(ctx context.Context, r backend.Request) (backend.ChunkReader, error) {
-	return e.openStream(ctx, r.ID, http.MethodPost, r.Path, requestHeader(r), r.Body)
+	return e.openStream(guard.ForRequest(ctx), r.ID, http.MethodPost, r.Path, requestHeader(r), r.Body)
 }
 
 // Resume implements backend.Engine.
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -561,6 +561,9 @@
 				c.waitAgain()
 			}
 			rejections++
+			if errors.Is(err, guard.ErrNoDescriptor) {
+				return c.combineVerdicts(v, ranAttempts > 0)
+			}
 			if c.outcome == 0 || rejections > extraRejections {
 				return c.combineVerdicts(v, ranAttempts > 0)
 			}
@@ -666,6 +669,10 @@
 	resp, err := c.server.Pool.Send(ctx, reservation.Worker, upstream.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.job.Body,
 	}, match, options)
+	if errors.Is(err, guard.ErrNoDescriptor) {
+		// The cause is in this process. It tells nothing about the worker.
+		c.outcome = Withheld
+	}
 	if c.outcome == Withheld {
 		return err
 	}
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -24,10 +24,12 @@
 // The bounds.
 const (
 	Connections Bound = "connections"
-	HeadMemory  Bound = "head_memory"
-	BodyMemory  Bound = "body_memory"
-	Fields      Bound = "fields"
-	Rate        Bound = "rate"
+	// HostConnections is that on the connections to one host.
+	HostConnections Bound = "host_connections"
+	HeadMemory      Bound = "head_memory"
+	BodyMemory      Bound = "body_memory"
+	Fields          Bound = "fields"
+	Rate            Bound = "rate"
 )
 
 const (
@@ -74,32 +76,24 @@
 
 // Guard is the account of the connections of one listener. It is safe for concurrent use.
 type Guard struct {
-	name    string
-	limits  callerlimits.Limits
-	metrics *Metrics
-	log     zerolog.Logger
-	created time.Time
+	*reporter
+	limits callerlimits.Limits
 	// freed holds an element after a connection was closed.
 	freed chan struct{}
 
 	mu      sync.Mutex
 	account *callerlimits.Account
 	conns   map[*callerlimits.Conn]*conn
-	// lastLog is the time of the last log line, and unlogged the number of enforcements since, by bound.
-	lastLog  time.Duration
-	unlogged map[Bound]int
 }
 
 // New returns a guard for the listener with a name.
 func New(name string, l callerlimits.Limits, m *Metrics, log zerolog.Logger) *Guard {
 	return &Guard{
-		name: name, limits: l, metrics: m, log: log, created: time.Now(), freed: make(chan struct{}, 1), lastLog: -logInterval,
-		account: callerlimits.New(l), conns: map[*callerlimits.Conn]*conn{}, unlogged: map[Bound]int{},
+		reporter: newReporter(name, m, log), limits: l, freed: make(chan struct{}, 1),
+		account: callerlimits.New(l), conns: map[*callerlimits.Conn]*conn{},
 	}
 }
 
-func (g *Guard) now() time.Duration { return time.Since(g.created) }
-
 // Run closes connections without progress until the context ends.
 func (g *Guard) Run(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
@@ -140,22 +134,6 @@
 	return out
 }
 
-// enforce counts and logs a bound.
-func (g *Guard) enforce(b Bound) {
-	g.metrics.enforced.WithLabelValues(g.name, string(b)).Inc()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.unlogged[b]++
-	if now := g.now(); now-g.lastLog >= logInterval {
-		e := g.log.Warn().Str("listener", g.name)
-		for b, n := range g.unlogged {
-			e.Int(string(b), n)
-		}
-		e.Msg("bounds on callers enforced, by number")
-		g.lastLog, g.unlogged = now, map[Bound]int{}
-	}
-}
-
 // Listener returns a listener whose connections are limited. Further ones wait in the operating system's queue. If opaque is set,
 // the connections carry TLS, so that fields cannot be counted before they are parsed.
 func (g *Guard) Listener(l net.Listener, opaque bool) net.Listener {
--- a/internal/transport/servicehttp/servicehttp.go
+++ b/internal/transport/servicehttp/servicehttp.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +14,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
@@ -53,7 +55,7 @@
 	})
 	// The path is escaped again: a decoded "?", "#" or "%" must not change what the service sees.
 	target := url.URL{Path: r.Path, RawQuery: r.Query}
-	req, err := http.NewRequestWithContext(ctx, r.Method, s.base+target.String(), bytes.NewReader(r.Body))
+	req, err := http.NewRequestWithContext(guard.ForRequest(ctx), r.Method, s.base+target.String(), bytes.NewReader(r.Body))
 	if err != nil {
 		return backend.ServiceResponse{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, "bad_path", "the path is not valid")
 	}
@@ -64,6 +66,9 @@
 		req.Header.Set("Traceparent", r.TraceParent)
 	}
 	resp, err := s.client.Do(req)
+	if errors.Is(err, guard.ErrNoDescriptor) {
+		return backend.ServiceResponse{}, guard.RefuseFull(err)
+	}
 	if err != nil {
 		v := verdict.NotRun
 		if connected.Load() {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -27,6 +27,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/bytebudget"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
@@ -83,15 +84,25 @@
 	// It is nil if no asynchronous write was started.
 	writeDone chan struct{}
 	writeErr  error
+	// release ends the count of the connection.
+	release func()
+}
+
+// Close implements net.Conn. The error of a close does not matter, since the connection is not used any more.
+func (c *Conn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
 }
 
 // Pool keeps idle connections to workers for reuse. It is safe for concurrent use.
 type Pool struct {
 	// MaxIdle bounds the idle connections to all workers; 0 stands for no bound. It is set before the first use.
 	MaxIdle int
-	network network.Network
-	mu      sync.Mutex
-	idle    map[workers.Key][]*Conn
+	// Connections counts the open connections and bounds them; nil stands for no bound. It is set before the first use.
+	Connections *guard.Outbound
+	network     network.Network
+	mu          sync.Mutex
+	idle        map[workers.Key][]*Conn
 	// idleCount is the number of connections in idle.
 	idleCount int
 }
@@ -112,7 +123,7 @@
 			c.reused = true
 			return c, nil
 		}
-		closeConn(c.Conn)
+		closeConn(c)
 	}
 }
 
@@ -121,7 +132,7 @@
 func (p *Pool) ConnectionRefused(ctx context.Context, w *workers.Worker) bool {
 	c, err := p.dial(ctx, w)
 	if err == nil {
-		closeConn(c.Conn)
+		closeConn(c)
 		return false
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
@@ -143,13 +154,22 @@
 func (p *Pool) dial(ctx context.Context, w *workers.Worker) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	release := func() {}
+	if p.Connections != nil {
+		var err error
+		if release, err = p.Connections.Acquire(w.Address); err != nil {
+			return nil, err
+		}
+	}
 	nc, err := p.network.Dial(ctx, w.Address)
 	if err != nil {
+		release()
 		return nil, trace.Wrap(err)
 	}
 	source := &limitedSource{conn: nc, left: unlimited}
 	return &Conn{
 		Conn: nc, reader: bufio.NewReaderSize(source, readBufferBytes), source: source, worker: w.Key(), idleLimit: defaultIdleLimit,
+		release: release,
 	}, nil
 }
 
@@ -189,10 +209,32 @@
 	}
 	p.mu.Unlock()
 	if full {
-		closeConn(c.Conn)
+		closeConn(c)
 	}
 }
 
+// CloseOldestIdle closes the connection that has been idle for the longest, and reports whether there was one.
+func (p *Pool) CloseOldestIdle() bool {
+	var oldest *Conn
+	p.mu.Lock()
+	for _, list := range p.idle {
+		// The first one of each list is its oldest.
+		if len(list) > 0 && (oldest == nil || list[0].idleSince.Before(oldest.idleSince)) {
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.idle[oldest.worker] = p.idle[oldest.worker][1:]
+		p.idleCount--
+	}
+	p.mu.Unlock()
+	if oldest == nil {
+		return false
+	}
+	closeConn(oldest)
+	return true
+}
+
 // Retain closes the idle connections to workers for which keep returns false, and those that have been idle longer
 // than their limit.
 func (p *Pool) Retain(keep func(workers.Key) bool) {
@@ -215,7 +257,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range dropped {
-		closeConn(c.Conn)
+		closeConn(c)
 	}
 }
 
@@ -279,11 +321,14 @@
 		maxIdle = time.Hour
 	}
 	c, err := p.get(ctx, w, maxIdle)
+	if errors.Is(err, guard.ErrNoDescriptor) {
+		return nil, guard.RefuseFull(err)
+	}
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, "connect_failed", "the backend server cannot be reached")
 	}
 	resp := &Response{conn: c, pool: p}
-	resp.stopCancel = context.AfterFunc(ctx, func() { closeConn(c.Conn) })
+	resp.stopCancel = context.AfterFunc(ctx, func() { closeConn(c) })
 	if err := resp.exchange(r, m, o); err != nil {
 		resp.abandon()
 		return nil, err
@@ -475,7 +520,7 @@
 // abandon closes the connection.
 func (resp *Response) abandon() {
 	resp.stopCancel()
-	closeConn(resp.conn.Conn)
+	closeConn(resp.conn)
 }
 
 // keepAliveLimit returns how long a connection may be idle according to the worker's Keep-Alive header.
