dispatch: a request that may have run is not refused with 503

Cause: a completion is sent again after an attempt that may have run. If the engine of the second attempt was busy, or none was left, the caller got that refusal's 503 with a Retry-After, although 503 guarantees that the request has not run; only the header Turmeric-Verdict told otherwise.

Change: if an earlier attempt may have run, a final 408, 421, 429 or 503 becomes 502 without Retry-After, as in the gateway. verdict.IsPromise replaces the gateway's own list of these statuses.

--- a/internal/state/verdict/verdict.go
+++ b/internal/state/verdict/verdict.go
@@ -96,3 +96,12 @@
 	}
 	return Wrap(err, MayHaveRun, http.StatusBadGateway, "internal", "the request failed")
 }
+
+// IsPromise reports whether a response with a status guarantees that its request has not run and never will.
+func IsPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/transport/dispatch/cancel_test.go
+++ b/internal/transport/dispatch/cancel_test.go
@@ -85,3 +85,51 @@
 		}
 	}
 }
+
+// errorsEngine fails its requests with errors in turn.
+type errorsEngine struct {
+	backend.Engine
+	errs *[]error
+}
+
+func (e errorsEngine) Complete(context.Context, backend.Request) (backend.Response, error) {
+	err := (*e.errs)[0]
+	*e.errs = (*e.errs)[1:]
+	return backend.Response{}, err
+}
+
+func (e errorsEngine) Status(context.Context) (backend.Status, error) { return backend.Status{}, nil }
+
+// sameRouter gives a reservation on one engine each time.
+type sameRouter struct{ engine *fleet.Engine }
+
+func (r sameRouter) Acquire(context.Context, entry.Call) (Reservation, error) {
+	return Reservation{Engine: r.engine, Release: func(Outcome) {}}, nil
+}
+
+func (sameRouter) HandleReport(fleet.Report) {}
+
+// TestRefusedAfterRun guards against 503, which guarantees that a request has not run, for a request whose first attempt may have
+// run and whose second one is refused.
+func TestRefusedAfterRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("a refusal after an attempt that may have run is no promise", t, func() {
+			errs := []error{
+				verdict.New(verdict.MayHaveRun, 502, "answer_cut", "cut"),
+				verdict.New(verdict.NotRun, 503, "engine_busy", "busy").WithRetryAfter(time.Second),
+				verdict.New(verdict.NotRun, 503, "engine_busy", "busy").WithRetryAfter(time.Second),
+			}
+			r := New(sameRouter{&fleet.Engine{ID: "e", Client: errorsEngine{errs: &errs}}}, &fakeGate{inFlight: map[string]int{}}, func(event.Event) {})
+			for range 2 * requestsPerRetry {
+				r.budget.CountRequest()
+			}
+			call := entry.Call{RequestID: "r", Adapter: adapter.Ref{Name: "a", Version: "1"}, Deadline: time.Now().Add(time.Hour)}
+			_, err := r.Complete(t.Context(), call)
+			v := verdict.FromError(err)
+			So(v.Code, ShouldEqual, "engine_busy")
+			So(v.Verdict, ShouldEqual, verdict.MayHaveRun)
+			So(v.Status, ShouldEqual, 502)
+			So(v.RetryAfter, ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/transport/dispatch/dispatch.go
+++ b/internal/transport/dispatch/dispatch.go
@@ -129,6 +129,10 @@
 	if call.Attempts() > 1 {
 		e.Verdict = call.Verdict()
 	}
+	if e.Verdict != verdict.NotRun && verdict.IsPromise(e.Status) {
+		// An earlier attempt may have run, which the refusal of the last one does not tell.
+		e.Status, e.RetryAfter = http.StatusBadGateway, 0
+	}
 	return &e
 }
 
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -742,7 +742,7 @@
 		// The headers show the rejection; its body does not matter.
 		resp.Discard()
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "worker_rejected", "the backend server did not take the request").WithRetryAfter(retryAfter)
-	case !info.Signed && (success || isPromise(resp.StatusCode)):
+	case !info.Signed && (success || verdict.IsPromise(resp.StatusCode)):
 		c.outcome = Broken
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "unsigned_answer", "the answer is not the backend server's own")
 	case success && c.job.Route.Kind == routing.Stream && isEventStream(resp, !c.headerSent):
@@ -752,15 +752,6 @@
 	}
 }
 
-// isPromise reports whether a status tells the caller that its request has not run.
-func isPromise(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // forwardBuffered forwards a response after its last byte has been read, so that a truncated response never reaches
 // the caller.
 func (c *call) forwardBuffered(resp *upstream.Response, success bool) error {
