guard: bytes of a body are not counted as those of a head

Cause: the guard takes the bytes that are read after a response for the next head. If the head was read together with the end of the previous request, these are bytes of its body: their lines counted as fields, and a caller that sends requests ahead was closed at a body of more than 256 lines. Over TLS, the rest of a body that the handler did not read counted as a head twice, and stayed counted while the connection was idle: 208,400 bytes instead of 24,576 after a request of 200 KB that was refused.

Change: from the call of the handler until the server waits for the next request, bytes belong to no head.

Result: TestBodiesAreNoHeads fails before in both forms and passes after, three times with -race; FuzzScanHead for 3 s.

--- a/internal/transport/guard/conn.go
+++ b/internal/transport/guard/conn.go
@@ -20,9 +20,11 @@
 	// refused is the error of all further reads, nil if there is none: net/http ignores the first one in places.
 	refused           error
 	fields, lineBytes int
-	// opaque is set if the bytes are those of TLS, and handling while a handler runs: the bytes before belong to the head.
-	opaque   bool
-	handling atomic.Bool
+	// opaque is set if the bytes are those of TLS.
+	opaque bool
+	// headRead is set from the call of the handler until the server waits for the next request: the bytes belong to no head, also if the
+	// head was read together with the end of the previous request.
+	headRead atomic.Bool
 	// nextHead is set when the server waits for the next request.
 	nextHead atomic.Bool
 }
@@ -45,9 +47,10 @@
 	}
 	head := 0
 	switch {
-	case c.opaque && !c.handling.Load():
+	case c.headRead.Load():
+	case c.opaque:
 		head = n
-	case c.inHead && !c.opaque:
+	case c.inHead:
 		head = c.scanHead(b[:n])
 	}
 	// The first line is that of the request.
@@ -148,7 +151,6 @@
 
 // finish releases what the request held. The rest of its body may still be read.
 func (c *conn) finish() {
-	c.handling.Store(false)
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -157,6 +159,7 @@
 }
 
 func (c *conn) waitForRequest() {
+	c.headRead.Store(false)
 	c.nextHead.Store(true)
 	c.setPhase(callerlimits.Idle)
 }
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -263,7 +263,7 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		c.handling.Store(true)
+		c.headRead.Store(true)
 		c.setPhase(callerlimits.Serving)
 		defer c.finish()
 		if c.opaque && fieldsOf(r.Header) > c.guard.limits.Fields {
--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -1,8 +1,10 @@
 package guard
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -62,6 +64,67 @@
 	})
 }
 
+// TestBodiesAreNoHeads guards against bodies that are counted as heads: that of a request whose head was read together with the end of
+// the previous one, whose lines would count as fields, and over TLS the rest of a body that the handler did not read.
+func TestBodiesAreNoHeads(t *testing.T) {
+	const lines = "a\n"
+	body := strings.Repeat(lines, 100_000)
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", len(body))
+	const first = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello"
+	for name, opaque := range map[string]bool{"plain": false, "opaque": true} {
+		Convey("A long body is served and not counted as a head: "+name, t, func() {
+			g := newGuard()
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			lengths := make(chan int, 2)
+			idle := make(chan struct{}, 2)
+			srv := &http.Server{
+				ConnContext: ConnContext,
+				ConnState: func(nc net.Conn, s http.ConnState) {
+					if ConnState(nc, s); s == http.StateIdle {
+						idle <- struct{}{}
+					}
+				},
+				Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					if !opaque {
+						body, _ := ReadBody(r.Context(), r.Body, r.ContentLength, "", 0)
+						lengths <- len(body)
+					}
+				})),
+			}
+			go func() {
+				// It ends with the test.
+				_ = srv.Serve(g.Listener(inner, opaque))
+			}()
+			defer srv.Close()
+			c, err := net.Dial("tcp", inner.Addr().String())
+			So(err, ShouldBeNil)
+			defer c.Close()
+			So(c.SetDeadline(time.Now().Add(testTimeout)), ShouldBeNil)
+			_, err = io.WriteString(c, first+head+body)
+			So(err, ShouldBeNil)
+			answers := bufio.NewReader(c)
+			for range 2 {
+				resp, err := http.ReadResponse(answers, nil)
+				So(err, ShouldBeNil)
+				So(resp.StatusCode, ShouldEqual, http.StatusOK)
+				select {
+				case <-idle:
+				case <-time.After(testTimeout):
+					t.Fatal("the connection was closed")
+				}
+			}
+			if !opaque {
+				So(<-lengths, ShouldEqual, 5)
+				So(<-lengths, ShouldEqual, len(body))
+			}
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			So(g.account.Used(callerlimits.Heads), ShouldEqual, callerlimits.ConnectionBytes)
+		})
+	}
+}
+
 // FuzzScanHead checks that the count of a head's lines does not depend on how its bytes arrive, and equals that of its line
 // ends up to the first empty line.
 func FuzzScanHead(f *testing.F) {
