upstream: a long body is sent without a copy

Cause: each attempt copied head and body into one buffer before it was written. The memory for bodies counts a complete body once, so that requests to workers that read slowly made an instance hold twice its quarter of the memory or more.

Result: TestBodyIsNotCopied fails before (8,438,512 bytes allocated for a body of 4 MiB) and passes after (fewer than 1 MiB), with -race.

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -57,6 +57,8 @@
 	dialTimeout = 700 * time.Millisecond
 
 	readBufferBytes = 4 << 10
+	// headRoom is the room for a head that is usually enough.
+	headRoom = 1024
 )
 
 // Request is an HTTP request to a worker.
@@ -346,7 +348,7 @@
 			return err
 		}
 	}
-	if n, err := resp.conn.write(encodeRequest(r)); err != nil && n == 0 {
+	if n, err := resp.conn.write(encodeHead(r), r.Body); err != nil && n == 0 {
 		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, "send_failed", "nothing of the request could be sent")
 	}
 	for i := range maxResponses {
@@ -371,18 +373,21 @@
 	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "foreign_answer", "the backend server answered another request")
 }
 
-// write sends an encoded request. A long one is written by another goroutine, so that its response can be read at the
-// same time; write then returns the full length before the bytes are sent.
-func (c *Conn) write(b []byte) (int, error) {
-	if len(b) < asyncWriteBytes {
-		return c.Write(b)
+// write sends an encoded head and a body. A long request is written by another goroutine, so that its response can be read at the
+// same time; write then returns the full length before the bytes are sent. A long body is not copied: the memory for bodies
+// counts it once.
+func (c *Conn) write(head, body []byte) (int, error) {
+	size := len(head) + len(body)
+	if size < asyncWriteBytes {
+		return c.Write(append(head, body...))
 	}
 	c.writeDone = make(chan struct{})
 	go func() {
 		defer close(c.writeDone)
-		_, c.writeErr = c.Write(b)
+		parts := net.Buffers{head, body}
+		_, c.writeErr = parts.WriteTo(c.Conn)
 	}()
-	return len(b), nil
+	return size, nil
 }
 
 // fullyWritten reports whether the whole request has been written.
@@ -400,9 +405,10 @@
 	}
 }
 
-func encodeRequest(r Request) []byte {
+// encodeHead returns the head of a request, with room for a short body.
+func encodeHead(r Request) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(headRoom + min(len(r.Body), asyncWriteBytes))
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
@@ -410,7 +416,6 @@
 	// A write to a bytes.Buffer cannot fail.
 	_ = r.Header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/internal/transport/upstream/upstream_test.go
+++ b/internal/transport/upstream/upstream_test.go
@@ -135,3 +135,36 @@
 		So(conns, ShouldHaveLength, 1)
 	})
 }
+
+// TestBodyIsNotCopied guards against a second copy of each body that is being sent: the account of bodies counts only one, and a
+// worker that reads slowly would make an instance hold twice as much as it may.
+func TestBodyIsNotCopied(t *testing.T) {
+	Convey("a long body is sent whole, and not copied", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		const size = 4 << 20
+		received := make(chan int64, 1)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			n, _ := io.Copy(io.Discard, r.Body)
+			received <- n
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}()
+		p, w, body := NewPool(network.TCP{}), &workers.Worker{ID: "w", Address: l.Addr().String()}, make([]byte, size)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		So(send(t, p, w, body), ShouldEqual, "ok")
+		runtime.ReadMemStats(&after)
+		So(<-received, ShouldEqual, size)
+		So(after.TotalAlloc-before.TotalAlloc, ShouldBeLessThan, size/4)
+	})
+}
