guard: a caller on a slow link is not closed during a long write

Cause: the progress of a response was counted after each write of up to 64 KiB. A caller that takes longer than the window of 30 s for one, which is 2.2 KB/s, was closed as stalled, although the limit is 128 bytes per second; after 3 s it could be closed in favour of others.

Change: the bytes that the client's system has acknowledged count (TCP_INFO), looked up after each write and once a second while one waits. Connections without a socket are counted as before.

--- a/internal/coordination/callerlimits/callerlimits.go
+++ b/internal/coordination/callerlimits/callerlimits.go
@@ -374,3 +374,6 @@
 
 // IsIdle reports whether no byte of a request has arrived on the connection since its last one.
 func (c *Conn) IsIdle() bool { return c.phase == Idle }
+
+// IsWriting reports whether a write to the caller is in progress.
+func (c *Conn) IsWriting() bool { return c.writing }
--- a/internal/transport/guard/conn.go
+++ b/internal/transport/guard/conn.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/turmericworks/turmericworks/internal/coordination/callerlimits"
 )
 
@@ -25,6 +27,8 @@
 	// headRead is set from the call of the handler until the server waits for the next request: the bytes belong to no head, also if the
 	// head was read together with the end of the previous request.
 	headRead atomic.Bool
+	// acked is the number of bytes that the client's system had acknowledged when it was last asked. The guard's lock guards it.
+	acked uint64
 	// nextHead is set when the server waits for the next request.
 	nextHead atomic.Bool
 }
@@ -135,13 +139,34 @@
 	g.account.SetWriting(g.now(), c.account, writing)
 }
 
+// moved counts the bytes that the client has received, which are those that its system has acknowledged. If that is not known, n bytes
+// count.
 func (c *conn) moved(n int) {
+	acked, known := ackedBytes(c.Conn)
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if known {
+		n, c.acked = int(acked-min(acked, c.acked)), max(acked, c.acked)
+	}
 	g.account.Moved(g.now(), c.account, n)
 }
 
+// ackedBytes returns the number of bytes of a TCP connection that the other end has acknowledged.
+func ackedBytes(nc net.Conn) (n uint64, known bool) {
+	raw, err := socketOf(nc)
+	if err != nil {
+		return 0, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if known = infoErr == nil; known {
+			n = info.Bytes_acked
+		}
+	})
+	return n, known && err == nil
+}
+
 func (c *conn) setPhase(p callerlimits.Phase) {
 	g := c.guard
 	g.mu.Lock()
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -109,6 +109,10 @@
 }
 
 func (g *Guard) sweep() {
+	// A write of a long response may take longer than the window, and shows its progress only at its end.
+	for _, c := range g.writing() {
+		c.moved(0)
+	}
 	g.mu.Lock()
 	overdue := g.take(g.account.Overdue(g.now()))
 	held := g.metrics.held
@@ -122,6 +126,19 @@
 	}
 }
 
+// writing returns the connections on which a write waits for the client.
+func (g *Guard) writing() []*conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []*conn
+	for a, c := range g.conns {
+		if a.IsWriting() {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // take returns the connections of accounts that were closed. The lock is held.
 func (g *Guard) take(accounts []*callerlimits.Conn) []*conn {
 	var out []*conn
--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"github.com/turmericworks/turmericworks/internal/coordination/callerlimits"
 )
@@ -125,6 +127,53 @@
 	}
 }
 
+// TestSlowReader guards against closing a caller that reads slowly, but faster than the lowest rate: a write of 64 KiB takes longer than
+// a window then. One that reads nothing is closed nevertheless.
+func TestSlowReader(t *testing.T) {
+	Convey("A caller on a slow link is not closed, a stalled one is", t, func() {
+		l := callerlimits.Derive(testMemory, testDescriptors)
+		l.MinRate, l.Interval, l.WriteWindow = 1<<10, 200*time.Millisecond, 2*time.Second
+		g := New("test", l, NewMetrics(prometheus.NewRegistry()), zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go g.Run(ctx)
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		srv := &http.Server{ConnState: ConnState, ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			// The stalled caller's connection is closed.
+			_, _ = w.Write(make([]byte, 16<<20))
+		}))}
+		go func() {
+			// It ends with the test.
+			_ = srv.Serve(g.Listener(inner, false))
+		}()
+		defer srv.Close()
+		open := func() net.Conn {
+			// The buffer is set before the connection is opened, so that its window is small from the start.
+			d := net.Dialer{Control: func(_, _ string, rc syscall.RawConn) error {
+				return rc.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) })
+			}}
+			c, err := d.Dial("tcp", inner.Addr().String())
+			So(err, ShouldBeNil)
+			So(c.SetDeadline(time.Now().Add(testTimeout)), ShouldBeNil)
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			So(err, ShouldBeNil)
+			return c
+		}
+		slow, stalled := open(), open()
+		defer slow.Close()
+		defer stalled.Close()
+		const piece, pause = 512, 50 * time.Millisecond
+		for end := time.Now().Add(3 * l.WriteWindow); time.Now().Before(end); time.Sleep(pause) {
+			_, err := io.ReadFull(slow, make([]byte, piece))
+			So(err, ShouldBeNil)
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		So(g.account.Connections(), ShouldEqual, 1)
+	})
+}
+
 // FuzzScanHead checks that the count of a head's lines does not depend on how its bytes arrive, and equals that of its line
 // ends up to the first empty line.
 func FuzzScanHead(f *testing.F) {
