callerlimits: the time in which the process was stopped counts against no caller

Cause: rates are measured on a clock that goes on while the process is frozen. After 15 s or more without running, the first check closed every connection on which a request was being received, also those whose requests lay whole in the socket; after 3 s they could be closed in favour of others.

Change: if the check that runs each second comes more than 5 s late, all measurements begin anew.

Result: TestFrozenProcess fails before (a caller that sends 1,000 bytes per second is closed) and passes after.

--- a/internal/coordination/callerlimits/callerlimits.go
+++ b/internal/coordination/callerlimits/callerlimits.go
@@ -55,6 +55,9 @@
 	// defaultInterval is long enough for callers that send slowly at times. reservedInterval is that of other listeners, whose
 	// clients send a short request at once.
 	defaultInterval, reservedInterval = 3 * time.Second, 250 * time.Millisecond
+	// maxCheckGap is the time between two calls of Overdue, which is called each second, from which on the process itself was stopped:
+	// what arrived in the meantime was not read, so that the measurements begin anew.
+	maxCheckGap = 5 * time.Second
 	// reservedConnections is the number of connections of a listener that is not for callers.
 	reservedConnections = 32
 )
@@ -147,6 +150,8 @@
 	used   [classes]int64
 	conns  map[*Conn]struct{}
 	owners map[owner]int64
+	// checked is the time of the last call of Overdue, 0 before it.
+	checked time.Duration
 }
 
 // owner is a part that bytes of bodies are charged to.
@@ -313,6 +318,10 @@
 
 // observe ends the measurement of the rate if its time has passed.
 func (a *Account) observe(now time.Duration, c *Conn) {
+	if a.checked > 0 && now-a.checked > maxCheckGap {
+		c.measure(now)
+		return
+	}
 	elapsed := now - c.since
 	if elapsed < a.limits.Interval || !c.expected() {
 		return
@@ -340,6 +349,7 @@
 			out = append(out, c)
 		}
 	}
+	a.checked = now
 	for _, c := range out {
 		a.Close(c)
 	}
--- a/internal/coordination/callerlimits/callerlimits_test.go
+++ b/internal/coordination/callerlimits/callerlimits_test.go
@@ -184,3 +184,32 @@
 		So(a.Connections(), ShouldEqual, 4)
 	})
 }
+
+// TestFrozenProcess guards against closing all callers that were sending when the process itself was stopped for longer than the window.
+func TestFrozenProcess(t *testing.T) {
+	Convey("The time in which the process did not run counts against nobody, later time does", t, func() {
+		a := New(limits())
+		sending, stalled := a.Open(0, "a"), a.Open(0, "b")
+		for _, c := range []*Conn{sending, stalled} {
+			a.SetPhase(0, c, Receiving)
+		}
+		step := func(now time.Duration) []*Conn {
+			a.Moved(now, sending, 1000)
+			return a.Overdue(now)
+		}
+		for now := time.Second; now <= 5*time.Second; now += time.Second {
+			So(step(now), ShouldBeEmpty)
+		}
+		const resumed = 40 * time.Second
+		_, ok := a.Reserve(5*time.Second, sending, Bodies, a.limits.OwnerBytes)
+		So(ok, ShouldBeTrue)
+		closeFirst, ok := a.Reserve(resumed, a.Open(resumed, "c"), Bodies, a.limits.OwnerBytes)
+		So(ok, ShouldBeFalse)
+		So(closeFirst, ShouldBeEmpty)
+		So(a.Overdue(resumed), ShouldBeEmpty)
+		for now := resumed + time.Second; now < resumed+DefaultReadWindow; now += time.Second {
+			So(step(now), ShouldBeEmpty)
+		}
+		So(step(resumed+DefaultReadWindow+time.Second), ShouldResemble, []*Conn{stalled})
+	})
+}
