entry: a body that arrives steadily is not cut off after 30 s

Cause: turmericd read a whole body within one deadline of 30 s. A caller on a slow link got 408 in the middle of a legal body: 4 MiB need 140 KB/s, while the limits on callers call 128 bytes per second enough.

Change: the deadline is renewed after each 3,840 bytes, which is that rate over 30 s. A request that ends meanwhile stops the read as before.

Result: TestSlowBody (1,000 bytes each second for 60 s) fails before with 408 and passes after; TestSlowCallers, TestReusedConnectionAfterStream, TestConnectionAndMemoryLimits, TestBadInputIsRefused and TestWithdrawnKey pass with -race.

--- a/internal/daemon/input_test.go
+++ b/internal/daemon/input_test.go
@@ -203,6 +203,29 @@
 	})
 }
 
+// TestSlowBody guards against one deadline for a whole body, which cuts off callers on slow links whose bodies arrive steadily.
+func TestSlowBody(t *testing.T) {
+	runFleet(t, 1, nil, func(f *testFleet) {
+		Convey("A body that arrives steadily for longer than the time limit of a stalled one is read to its end", t, func() {
+			const piece, pieces = 1000, 60
+			c, r := f.dialCaller(fmt.Sprintf("POST /v1/completions"+commonHead+"Content-Length: %d\r\n\r\n", piece*pieces))
+			defer func() { _ = c.Close() }()
+			go func() {
+				for range pieces {
+					time.Sleep(time.Second)
+					if _, err := io.WriteString(c, strings.Repeat("x", piece)); err != nil {
+						return
+					}
+				}
+			}()
+			reply := readReply(r)
+			// The whole body is not valid JSON.
+			So(reply.status, ShouldEqual, http.StatusBadRequest)
+			So(reply.body, ShouldContainSubstring, "invalid_body")
+		})
+	})
+}
+
 // TestReusedConnectionAfterStream guards against a time limit of one request that ends a later request on the same
 // connection. net/http clears the write deadline after each request; readBody clears the read deadline for bodies.
 func TestReusedConnectionAfterStream(t *testing.T) {
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/turmericworks/turmericworks/internal/coordination/callerlimits"
 	"github.com/turmericworks/turmericworks/internal/protocol/openai"
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/event"
@@ -17,8 +19,12 @@
 	"github.com/turmericworks/turmericworks/internal/transport/guard"
 )
 
-// bodyTimeout is how long a caller may take to send its body.
-const bodyTimeout = 30 * time.Second
+// bodyTimeout is how long a caller may take to send bodyProgress bytes of its body, at the lowest rate that the limits on callers
+// have by default.
+const (
+	bodyTimeout  = 30 * time.Second
+	bodyProgress = callerlimits.DefaultMinRate * int(bodyTimeout/time.Second)
+)
 
 // aLongTimeAgo is a deadline that ends a read at once.
 var aLongTimeAgo = time.Unix(1, 0)
@@ -224,7 +230,31 @@
 var errBodyTooLarge = verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body_too_large",
 	"the body is larger than "+strconv.Itoa(openai.MaxBodyBytes)+" bytes")
 
-// readBody reads a body of at most openai.MaxBodyBytes bytes within bodyTimeout.
+// progressReader reads a body and renews the connection's read deadline after each bodyProgress bytes, unless the request has ended.
+type progressReader struct {
+	io.ReadCloser
+	ctx     context.Context
+	control *http.ResponseController
+	read    int
+}
+
+// Read implements io.Reader.
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.ReadCloser.Read(b)
+	if p.read += n; p.read < bodyProgress || err != nil {
+		return n, err
+	}
+	p.read = 0
+	// An error means that the connection is closed, which the next read reports.
+	_ = p.control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if p.ctx.Err() != nil {
+		// The request may have ended just before, and its deadline must stay in force.
+		_ = p.control.SetReadDeadline(aLongTimeAgo)
+	}
+	return n, nil
+}
+
+// readBody reads a body of at most openai.MaxBodyBytes bytes, each bodyProgress bytes of it within bodyTimeout.
 // The memory for it, and for further copies that parsing makes, is counted until the request ends.
 func (s *Server) readBody(w *recorder, r *request, copies int) ([]byte, error) {
 	if r.ContentLength > openai.MaxBodyBytes {
@@ -234,7 +264,7 @@
 	// A request that is cancelled does not wait for the rest of its body. An error of SetReadDeadline means that the connection is
 	// closed, which the read reports.
 	stop := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(aLongTimeAgo) })
-	limited := http.MaxBytesReader(w.ResponseWriter, r.Body, openai.MaxBodyBytes)
+	limited := http.MaxBytesReader(w.ResponseWriter, &progressReader{ReadCloser: r.Body, ctx: r.Context(), control: control}, openai.MaxBodyBytes)
 	body, err := guard.ReadBody(r.Context(), limited, r.ContentLength, r.caller.keyID, copies)
 	if stop() && err == nil {
 		// If the deadline stayed set, it would cancel the request's context when it passes.
