daemon: the readiness path is served at the admin address too

Cause: turmericd answered readiness checks at the address of callers alone. While callers hold all connections there with requests that make progress, for example streams from slow engines, a check waits in the operating system's queue, and the balancer takes an instance out of service that works.

Change: /readyz and /healthz are served at the admin address as well, whose connections have an account of their own.

Result: TestReadinessWhileFull fails before (404 at the admin address) and passes after, with -race, as do TestFleetOverTLS, TestRefusalsAndReload and TestConnectionAndMemoryLimits.

--- a/internal/daemon/input_test.go
+++ b/internal/daemon/input_test.go
@@ -226,6 +226,30 @@
 	})
 }
 
+// TestReadinessWhileFull guards against an instance that is taken out of service because callers hold all of its connections, so that
+// readiness checks at their address wait.
+func TestReadinessWhileFull(t *testing.T) {
+	runFleet(t, 1, nil, func(f *testFleet) {
+		Convey("A readiness check at the admin address is answered while no caller can connect", t, func() {
+			d := f.instance(0)
+			for range d.settings.Limits.MaxConnections {
+				c, _ := f.dialCaller("")
+				defer func() { _ = c.Close() }()
+			}
+			_, err := f.net.Host("caller").Dial(context.Background(), d.address)
+			So(err, ShouldNotBeNil)
+			client := f.httpClient()
+			defer client.CloseIdleConnections()
+			for _, path := range []string{"/readyz", "/healthz"} {
+				resp, err := client.Get(scheme(f.authority) + d.settings.Listen.Admin + path)
+				So(err, ShouldBeNil)
+				_ = resp.Body.Close()
+				So(resp.StatusCode, ShouldEqual, http.StatusOK)
+			}
+		})
+	})
+}
+
 // TestReusedConnectionAfterStream guards against a time limit of one request that ends a later request on the same
 // connection. net/http clears the write deadline after each request; readBody clears the read deadline for bodies.
 func TestReusedConnectionAfterStream(t *testing.T) {
--- a/internal/daemon/runner.go
+++ b/internal/daemon/runner.go
@@ -230,5 +230,8 @@
 	mux := http.NewServeMux()
 	mux.Handle("/admin/v1/", d.operators)
 	mux.Handle("GET /debug/events", admin.RequireToken(d.settings.tokens(), d.events))
+	// Callers may hold all connections at their own address.
+	mux.HandleFunc("GET /readyz", d.entry.ServeReady)
+	mux.HandleFunc("GET /healthz", d.entry.ServeHealth)
 	return mux
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -126,8 +126,8 @@
 		mux.HandleFunc(method+" /services/{route}/{rest...}", s.wrap("services", s.service))
 		mux.HandleFunc(method+" /services/{route}", s.wrap("services", s.service))
 	}
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok\n") })
-	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /healthz", s.ServeHealth)
+	mux.HandleFunc("GET /readyz", s.ServeReady)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.opts.Registry, promhttp.HandlerOpts{}))
 	for path, allowed := range map[string]string{
 		"/v1/chat/completions": "POST", "/v1/completions": "POST", "/v1/models": "GET, HEAD", "/v1/models/{model}": "GET, HEAD",
@@ -143,7 +143,13 @@
 // serviceMethods are the methods that are forwarded to plain services.
 const serviceMethods = "GET, HEAD, POST, PUT, PATCH, DELETE"
 
-func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+// ServeHealth answers that the process runs.
+func (s *Server) ServeHealth(w http.ResponseWriter, _ *http.Request) {
+	writeText(w, http.StatusOK, "ok\n")
+}
+
+// ServeReady answers whether load balancers should send requests to the instance.
+func (s *Server) ServeReady(w http.ResponseWriter, _ *http.Request) {
 	if err := s.opts.Ready(); err != nil {
 		writeText(w, http.StatusServiceUnavailable, err.Error()+"\n")
 		return
