--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,13 +212,15 @@
 		missingSince: map[string]time.Duration{},
 	}
 	g.created = g.now()
-	g.pool.MaxIdle = s.callerLimits().IdleWorkers
 	g.members = fleetlog.NewFollower(g.incarnation, quota.MaxTakeoverDelay)
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
 	g.metrics = newMetrics(g.metricsRegistry)
 	g.metricsRegistry.MustRegister(newColdCollector(g))
 	g.guardMetrics = guard.NewMetrics(g.metricsRegistry)
+	limits := s.callerLimits()
+	g.pool.MaxIdle, g.pool.Connections = limits.IdleWorkers, guard.NewOutbound("workers", limits.Workers, g.guardMetrics, g.log)
+	g.pool.Connections.CloseIdle = g.pool.CloseOldestIdle
 	g.connections.OnClose = g.callerConnectionClosed
 	g.workers.Store(workers.NewRegistry().Snapshot())
 	g.peers = newPeers(g)
@@ -226,7 +228,7 @@
 	g.server = &forward.Server{
 		Headers: platform.Headers, Admission: (*admission)(g), Placement: (*placement)(g), Pool: g.pool,
 		Metrics: g.metrics, Log: g.log,
-		ResponseMemory: bytebudget.New(s.callerLimits().ResponseBytes), Unread: s.callerLimits().Unread,
+		ResponseMemory: bytebudget.New(limits.ResponseBytes), Unread: limits.Unread,
 	}
 	g.metricsRegistry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "turmeric_response_bytes_held", Help: "Bytes of responses that are held until they are complete, or until their callers have read them.",
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -583,6 +583,9 @@
 				c.waitAgain()
 			}
 			rejections++
+			if errors.Is(err, guard.ErrNoDescriptor) {
+				return c.combineVerdicts(v, ranAttempts > 0)
+			}
 			if c.outcome == 0 || rejections > extraRejections {
 				return c.combineVerdicts(v, ranAttempts > 0)
 			}
@@ -697,6 +700,10 @@
 	resp, err := c.server.Pool.Send(ctx, reservation.Worker, upstream.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.job.Body,
 	}, match, options)
+	if errors.Is(err, guard.ErrNoDescriptor) {
+		// The cause is in this process. It tells nothing about the worker.
+		c.outcome = Withheld
+	}
 	if c.outcome == Withheld {
 		return err
 	}
@@ -766,7 +773,7 @@
 		// The headers show the rejection; its body does not matter.
 		resp.Discard()
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "worker_rejected", "the backend server did not take the request").WithRetryAfter(retryAfter)
-	case !info.Signed && (success || isPromise(resp.StatusCode)):
+	case !info.Signed && (success || verdict.IsPromise(resp.StatusCode)):
 		c.outcome = Broken
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "unsigned_answer", "the answer is not the backend server's own")
 	case success && c.job.Route.Kind == routing.Stream && isEventStream(resp, !c.headerSent):
@@ -776,15 +783,6 @@
 	}
 }
 
-// isPromise reports whether a status tells the caller that its request has not run.
-func isPromise(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // forwardBuffered forwards a response after its last byte has been read, so that a truncated response never reaches
 // the caller.
 func (c *call) forwardBuffered(resp *upstream.Response, success bool) error {
