--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -271,9 +271,6 @@
 		out.place = o.load.Add(want.size, ready, want.left, now)
 	} else {
 		maxWait := max(0, want.slack) + cmp.Or(want.reserve, residency.MaxResponseReserve)
-		if defers {
-			maxWait = workerload.MaxWait(maxWait)
-		}
 		out.place, _ = o.load.Admit(want.size, ready, maxWait, want.left, now)
 	}
 	if want.recorded {
