tests: processes listen on ports that outgoing connections do not take

Cause: in 1 of 4 whole runs of platform/callers a program did not start (TestManyFields/turmericd: listen tcp 127.0.0.1:35111: address already in use), as TestCrashingRequestWithoutBody did once before: its port came from the system's range for outgoing connections and was taken in between. Change: the ports of the soak, below that range, serve the other tests with real processes as well (internal/standin/ports).

--- a/cmd/turmeric-gateway/main_test.go
+++ b/cmd/turmeric-gateway/main_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +18,7 @@
 
 	"github.com/turmericworks/turmericworks/internal/gateway"
 	"github.com/turmericworks/turmericworks/internal/logsink"
+	"github.com/turmericworks/turmericworks/internal/standin/ports"
 )
 
 const (
@@ -80,18 +80,6 @@
 	ended    chan error
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
-	}
-	return l.Addr().String()
-}
-
 // startProcess starts an instance whose output is kept.
 func startProcess(t *testing.T) *process {
 	p := newProcess(t)
@@ -106,8 +94,8 @@
 	t.Cleanup(cancel)
 	settings, err := json.Marshal(gateway.Settings{
 		Instance: "a", DataCentre: "b", LogLevel: "info", MemoryMB: 64, PeerPlainText: true,
-		CallersAddress: freeAddress(t), ReadinessAddress: freeAddress(t), PeerAddress: freeAddress(t),
-		MetricsAddress: freeAddress(t), LogService: freeAddress(t),
+		CallersAddress: ports.Free(t), ReadinessAddress: ports.Free(t), PeerAddress: ports.Free(t),
+		MetricsAddress: ports.Free(t), LogService: ports.Free(t),
 		Bounds: gateway.Bounds{KeyWithdrawalMS: 5000, AdapterVersionMS: 5000, GraceS: 4, DrainMS: 1000, RetryWindowS: 10},
 	})
 	if err != nil {
