action: 502 for calls that ran or may have run

Cause: a call that ran and whose outcome was not recorded, and one whose key belongs to a call that may have run, were answered with 503, which guarantees that a request has not run. Found while looking for the cause of the completions that were answered so (TestRefusedAfterRun).

--- a/internal/coordination/action/action.go
+++ b/internal/coordination/action/action.go
@@ -265,7 +265,7 @@
 		return nil
 	}
 	if c.phase == recordingOutcome && c.dispatchResult.Result == intent.Ran {
-		return c.fail(errorWithRetryAfter(verdict.Ran, statusUnavailable, "outcome_not_recorded",
+		return c.fail(errorWithRetryAfter(verdict.Ran, statusBadGateway, "outcome_not_recorded",
 			"the call ran but its outcome could not be recorded yet"))
 	}
 	if c.stopping {
@@ -350,7 +350,7 @@
 	case s.Result == intent.Ran && s.Answer != nil && s.BodyHash == c.req.BodyHash:
 		actions = c.respond(s.Answer)
 	case s.Known() && s.IntentID != "" && s.IntentID != c.IntentID():
-		actions = c.fail(errorWithRetryAfter(verdict.MayHaveRun, statusUnavailable,
+		actions = c.fail(errorWithRetryAfter(verdict.MayHaveRun, statusBadGateway,
 			"log_unavailable", "an earlier request with this key may have run"))
 	default:
 		actions = c.fail(errorWithRetryAfter(verdict.NotRun, statusUnavailable,
--- a/internal/coordination/action/sim_test.go
+++ b/internal/coordination/action/sim_test.go
@@ -177,6 +177,9 @@
 		case Fail:
 			c.responses++
 			c.notRun, c.code = a.Err.Verdict == verdict.NotRun, a.Err.Code
+			if !c.notRun && verdict.IsPromise(a.Err.Status) {
+				s.t.Fatalf("promise check: status %d with the verdict %v", a.Err.Status, a.Err.Verdict)
+			}
 			if c.notRun && c.runs > 0 {
 				s.t.Fatalf("not-run check: %s failed with verdict not-run after it had run", c.id)
 			}
