upstream: head and body of a long request are written one after the other

Cause: net.Buffers writes both with one call only on a plain TCP connection, and that call need not be there on each platform that the gateway runs on. Change: two writes, still without a copy. Result: internal/transport/upstream passes with -race (TestBodyIsNotCopied).

--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -386,8 +386,9 @@
 	c.writeDone = make(chan struct{})
 	go func() {
 		defer close(c.writeDone)
-		parts := net.Buffers{head, body}
-		_, c.writeErr = parts.WriteTo(c.Conn)
+		if _, c.writeErr = c.Write(head); c.writeErr == nil {
+			_, c.writeErr = c.Write(body)
+		}
 	}()
 	return size, nil
 }
