callerlimits: no figures of deployments in comments, a plainer name

Cause: two comments named sizes of deployments, which may change, and a divisor had a figurative name. Change: comments and the name of one constant.

--- a/internal/coordination/callerlimits/outbound.go
+++ b/internal/coordination/callerlimits/outbound.go
@@ -4,13 +4,13 @@
 	// workersDescriptors of descriptorParts is the part of the descriptors for connections to workers, with the idle ones. It
 	// equals that of callers: each request in flight has one connection to a worker.
 	workersDescriptors = 1
-	// peersDivisor is the part of the descriptors for connections between instances, half of it for each direction. On the smallest
-	// machine (2,870) it suffices for 239 in each direction; the largest fleet has 195 instances.
+	// peersDivisor is the part of the descriptors for connections between instances, half of it for each direction: with 2,870
+	// descriptors, 239 connections in each.
 	peersDivisor = 6
 	// reservedDivisor is the part of the descriptors that one listener other than that of callers takes at most.
 	reservedDivisor = 16
-	// workerDivisor and peerDivisor are the largest parts of a count that one worker, or one instance, may hold. A worker runs at most
-	// 48 requests at once, and an instance has one connection to each other one, or two while one is replaced.
+	// workerDivisor and peerDivisor are the largest parts of a count that one worker, or one instance, may hold. An instance has one
+	// connection to each other one, or two while one is replaced.
 	workerDivisor, peerDivisor = 2, 8
 	// reserveDivisor is the last part of the count of workers, which is left to workers with few connections, and fewDivisor that of
 	// the count which is few.
--- a/internal/coordination/callerlimits/unread.go
+++ b/internal/coordination/callerlimits/unread.go
@@ -15,9 +15,9 @@
 	// unreadDivisor is the part of the memory for responses that may be held for callers that are behind. The rest is left to
 	// responses that are buffered until they are complete, which fail without memory.
 	unreadDivisor = 2
-	// greedDivisor is the part of the free shared memory that one response may hold: the more memory is taken, the less a
+	// freeDivisor is the part of the free shared memory that one response may hold: the more memory is taken, the less a
 	// response may hold, so that many callers that never read leave some to those that fall behind later.
-	greedDivisor = 4
+	freeDivisor = 4
 )
 
 // Unread bounds what is held of workers' responses for callers that are behind. The load pattern that it handles is a group
@@ -35,5 +35,5 @@
 // some.
 func (u Unread) MayHold(held, used, n int64) bool {
 	free := u.Shared - used
-	return held+n <= u.Each && n <= free && held+n <= max(MinUnreadBytes, free/greedDivisor)
+	return held+n <= u.Each && n <= free && held+n <= max(MinUnreadBytes, free/freeDivisor)
 }
