workerload: same decisions on each run, and late work held for half of its caller's patience

The replays differed from run to run: places that had run longer than expected were learned from in the order of a map. Change: overdue places and places with equal ends are taken in a fixed order. Late work is sent after half of the longer of 2 s and 4 times its target.

--- a/internal/coordination/workerload/mixed.go
+++ b/internal/coordination/workerload/mixed.go
@@ -161,10 +161,18 @@
 	return !r.Owed && l.mixed(l.inMixture(r, now))
 }
 
-// Owed reports whether a request has waited for a third of the time until its deadline, so that it is sent where it waits least. After
-// half of that time 1 of 100 requests failed at the deadline that were served late without mixtures, since their answers take
-// seconds. After a quarter, fewer are on time, since more late work is ahead of them.
-func Owed(waited, left time.Duration) bool { return waited >= left/2 }
+// minPatience and patienceTargets are how long callers are taken to wait for a first event: a time, or a multiple of their target
+// latency if that is longer. They follow from callers that gave up streams after this time.
+const (
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+)
+
+// Owed reports whether a request has waited for so long that it is sent where it waits least: for half of the time for which its caller
+// is taken to wait, or for a third of the time until its deadline. The rest is for the wait at the server and the beginning of the answer.
+func Owed(waited, left, target time.Duration) bool {
+	return waited >= min(left, max(minPatience, patienceTargets*target))/2
+}
 
 // HoldTime returns how long a request without a place waits until servers are asked again. The least wait is that of
 // the servers asked so far, waited the time since the request arrived, and left the time until its deadline. The interval grows
--- a/internal/coordination/workerload/replay_test.go
+++ b/internal/coordination/workerload/replay_test.go
@@ -46,6 +46,8 @@
 	questions   int
 	// seen is when its caller had the first event in replays of mixtures, 0 if never.
 	seen time.Duration
+	// server is where it was sent in replays of mixtures, nil before that.
+	server *simServer
 	// ended is set once its answer is complete, and cut if it ended before that, at its deadline.
 	ended, cut bool
 }
--- a/internal/coordination/workerload/workerload.go
+++ b/internal/coordination/workerload/workerload.go
@@ -9,6 +9,7 @@
 package workerload
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -52,6 +53,7 @@
 
 // place is an admitted request.
 type place struct {
+	id      uint64
 	request Request
 	// uncached is the number of tokens of its prompt that the server was expected to read.
 	uncached int64
@@ -69,6 +71,9 @@
 	expires time.Duration
 }
 
+// compareEnds orders places by their expected ends.
+func compareEnds(x, y *place) int { return cmp.Or(cmp.Compare(x.end, y.end), cmp.Compare(x.id, y.id)) }
+
 // Load is what runs at one incarnation of a server, as far as its owner has admitted it.
 type Load struct {
 	slots  int
@@ -107,16 +112,22 @@
 
 // expire drops the places whose requests have ended in any case, and learns from those that run longer than expected.
 func (l *Load) expire(now time.Duration) {
+	var overdue []*place
 	for id, p := range l.places {
+		if now >= p.overdue && p.request.length() > 0 {
+			overdue = append(overdue, p)
+		}
 		if now >= p.expires {
 			delete(l.places, id)
 		}
-		if length := p.request.length(); now >= p.overdue && length > 0 {
-			running := now - p.first
-			l.outputTimeOf(p.request).learn(running / time.Duration(length))
-			p.overdue = now + time.Duration(overdueShare*float64(running))
-			p.end = p.overdue
-		}
+	}
+	// The order in which the learned times change must not be that of the map, which differs between runs.
+	slices.SortFunc(overdue, compareEnds)
+	for _, p := range overdue {
+		running := now - p.first
+		l.outputTimeOf(p.request).learn(running / time.Duration(p.request.length()))
+		p.overdue = now + time.Duration(overdueShare*float64(running))
+		p.end = p.overdue
 	}
 }
 
@@ -166,7 +177,7 @@
 	if fits() {
 		return now
 	}
-	slices.SortFunc(ends, func(x, y *place) int { return int(x.end - y.end) })
+	slices.SortFunc(ends, compareEnds)
 	at := now
 	for _, p := range ends {
 		running--
@@ -207,7 +218,7 @@
 	l.shares.give(r.Share, l.placeTime(r), now)
 	l.last++
 	l.places[l.last] = &place{
-		request: r, given: now, ready: max(ready, now), first: first, end: first + running, overdue: first + time.Duration((1+overdueShare)*float64(running)),
+		id: l.last, request: r, given: now, ready: max(ready, now), first: first, end: first + running, overdue: first + time.Duration((1+overdueShare)*float64(running)),
 		unqueued: l.roomAt(r, ready, now) <= now, expires: now + lifetime, uncached: l.unread(r),
 	}
 	if l.mixed(r) {
--- a/internal/gateway/mixture.go
+++ b/internal/gateway/mixture.go
@@ -34,7 +34,7 @@
 		return r
 	}
 	waited := time.Since(j.Arrived)
-	r.Late, r.Owed = waited >= j.Route.TargetLatency, workerload.Owed(waited, time.Until(j.Deadline))
+	r.Late, r.Owed = waited >= j.Route.TargetLatency, workerload.Owed(waited, time.Until(j.Deadline), j.Route.TargetLatency)
 	for i, part := range j.Prefix {
 		if i == maxPromptParts {
 			break
