workerload: drop a comment on an order that is fixed now

Cause: what is learned from overdue places no longer depends on the order of a map. Change: the comment that explained this in a test is removed.

--- a/internal/coordination/workerload/sharing_test.go
+++ b/internal/coordination/workerload/sharing_test.go
@@ -21,7 +21,6 @@
 			r, maxWait := Request{Prompt: random.Int64N(4000), Output: 50 + random.Int64N(200)}, time.Duration(random.Int64N(int64(second)))
 			var got, want [2]uint64
 			var wait time.Duration
-			// Places expire before they are overdue: those that are at the same time are learned from in no certain order.
 			got[0], wait = engine.Admit(r, now, maxWait, second/3, now)
 			So(wait, ShouldEqual, engineBefore.Wait(r, now, now))
 			if wait <= maxWait {
