gateway: refuse requests that crash workers after their answer began

Cause: the first event of a stream cleared its request of all earlier crashes, and a stream that broke off after its first event was no evidence. Change: a request is cleared by a complete answer. A cut stream is evidence against its request if a check, one for each worker process, finds that the process has ended. Parts of prompts are judged as before, since a crash cuts the streams of all requests that have them.

--- a/internal/coordination/retry/workercrashes.go
+++ b/internal/coordination/retry/workercrashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -49,13 +50,14 @@
 	return strings.CutPrefix(string(s), promptPartPrefix)
 }
 
-// BrokenAttempt is an attempt that was cut off at a worker before its answer began.
+// BrokenAttempt is an attempt that was cut off at a worker before its answer began, or after that if the worker has crashed.
 type BrokenAttempt struct {
 	// Worker identifies the worker incarnation.
 	Worker string
 	// Crashed is true if the worker was found to be gone right after the attempt.
 	Crashed bool
-	// Suspects are ordered from the one that most requests have to the one that fewest have.
+	// Suspects are ordered from the one that most requests have to the one that fewest have. After the answer began, the request is
+	// the only one.
 	Suspects []Suspect
 	// Own is true if the attempt was one of this instance.
 	Own bool
@@ -82,7 +84,7 @@
 // suspicion is the evidence against one suspect.
 type suspicion struct {
 	workers map[string]bool
-	// specificity is the suspect's largest index in the list of an attempt.
+	// specificity is the suspect's largest index in the list of an attempt, and above all of these for a request.
 	specificity int
 	// own is set if an attempt of this instance was cut off.
 	own bool
@@ -99,8 +101,8 @@
 }
 
 // WorkerCrashTracker finds what crashes every worker that begins to answer it. Its input is the attempts that all
-// instances saw cut off before an answer began, and the answers that began. An answer clears its suspects of all earlier
-// crashes. Of the suspects that attempts at the same workers have in common, the one with the most workers is refused,
+// instances saw cut off, and the answers. An answer that has begun clears the parts of its prompt of all earlier crashes, and one
+// that is complete clears the request as well. Of the suspects that attempts at the same workers have in common, the one with the most workers is refused,
 // and of those with equally many the most specific one. It is not safe for concurrent use.
 type WorkerCrashTracker struct {
 	workers  map[string]*brokenWorker
@@ -119,7 +121,7 @@
 	}
 }
 
-// Answered records that an attempt with the suspects began to be answered. It returns those whose refusal this ends.
+// Answered records an answer that clears the suspects. It returns those whose refusal this ends.
 func (c *WorkerCrashTracker) Answered(list []Suspect, now time.Duration) []Suspect {
 	if age := now - c.answeredSince; age > answerMemory {
 		c.answeredBefore = c.answered
@@ -160,8 +162,7 @@
 	return slices.DeleteFunc(slices.Clone(list), func(s Suspect) bool { return c.RecentlyAnswered(s, now) })
 }
 
-// RecentlyAnswered reports whether an attempt with the suspect began to be answered within answerMemory, or at most twice
-// that time.
+// RecentlyAnswered reports whether an answer cleared the suspect within answerMemory, or at most twice that time.
 func (c *WorkerCrashTracker) RecentlyAnswered(s Suspect, now time.Duration) bool {
 	age := now - c.answeredSince
 	return c.answered[s] && age <= 2*answerMemory || c.answeredBefore[s] && age <= answerMemory
@@ -227,6 +228,9 @@
 		c.suspects[s] = e
 	}
 	e.workers[b.Worker] = true
+	if _, isPart := s.PromptPart(); !isPart {
+		index = math.MaxInt
+	}
 	e.specificity = max(e.specificity, index)
 	e.own = e.own || b.Own
 	c.workers[b.Worker].suspects[s] = true
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -74,22 +74,31 @@
 	return refuse(http.StatusServiceUnavailable, "crashes_workers", "requests with "+string(r.Suspect)+" have crashed several backend servers", r.Remaining)
 }
 
-// answerBegan records that a worker began to answer the job, so that nothing in it crashes workers.
+// answerBegan records that a worker began to answer the job, so that no part of its prompt crashes workers that read it. The
+// request itself may still do that.
 func (g *Gateway) answerBegan(j *forward.Job) {
-	list := commonSuspects(j)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.unanswered, j)
-	if g.crashes.Tracks() {
-		list = crashSuspects(j)
+	if sent, ok := g.sent[j]; ok {
+		sent.begun = true
+		g.sent[j] = sent
 	}
+	g.clearSuspects(promptPartSuspects(j), j.ID)
+}
+
+// answerEnded records that a worker answered the job completely, so that nothing in it crashes workers.
+func (g *Gateway) answerEnded(j *forward.Job) {
+	list := crashSuspects(j)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.clearSuspects(list, j.ID)
 }
 
-// sentAttempt is an attempt whose answer has not begun.
+// sentAttempt is an attempt that was sent to a worker and has not ended.
 type sentAttempt struct {
-	// revoke ends the attempt.
+	// revoke ends the attempt, which is done only before its answer has begun.
 	revoke func()
+	begun  bool
 	// process names the worker process to which the attempt was sent.
 	process string
 	// adapter and version are what the worker was asked to use. The version is 0 if any was accepted.
@@ -101,7 +110,7 @@
 func (g *Gateway) attemptSent(j *forward.Job, w *workers.Worker, a residency.Adapter, version int64, revoke func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unanswered[j] = sentAttempt{revoke: revoke, process: g.processName(w), adapter: a, version: version}
+	g.sent[j] = sentAttempt{revoke: revoke, process: g.processName(w), adapter: a, version: version}
 }
 
 // revokeOldVersions ends the attempts with an older version of an adapter whose answers have not begun: they wait in the
@@ -109,8 +118,8 @@
 func (g *Gateway) revokeOldVersions(a residency.Adapter, version int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for j, sent := range g.unanswered {
-		if sent.adapter == a && sent.version < version {
+	for j, sent := range g.sent {
+		if !sent.begun && sent.adapter == a && sent.version < version {
 			g.log.Info().Str("request", j.ID).Str("adapter", a.String()).Int64("version", sent.version).Int64("newest", version).Msg("attempt with an old version revoked")
 			sent.revoke()
 		}
@@ -130,8 +139,8 @@
 
 // revokeAttempts ends the attempts with a refused suspect whose answers have not begun. The lock is held.
 func (g *Gateway) revokeAttempts(r retry.Refusal) {
-	for j, sent := range g.unanswered {
-		if slices.Contains(crashSuspects(j), r.Suspect) {
+	for j, sent := range g.sent {
+		if !sent.begun && slices.Contains(crashSuspects(j), r.Suspect) {
 			g.log.Info().Str("request", j.ID).Str("suspect", string(r.Suspect)).Msg("attempt revoked")
 			sent.revoke()
 		}
@@ -149,12 +158,15 @@
 
 // recordBrokenAttempt records an attempt that broke off at a worker process. If its answer had not begun, it is evidence
 // against what it has in common with other requests. If there is other evidence against that, or none against anything at
-// that process, a check in the background finds out whether the process has ended. The lock is held.
+// that process, a check in the background finds out whether the process has ended. If its answer had begun, it is evidence
+// against the request alone, and only if the process has ended: a worker's crash cuts the streams of many other requests, which
+// have parts of prompts in common, and a network cuts streams as well. The lock is held.
 func (g *Gateway) recordBrokenAttempt(j *forward.Job, w *workers.Worker, process string, o forward.Outcome) {
 	suspects := crashSuspects(j)
 	g.log.Info().Str("request", j.ID).Str("worker", w.ID).Stringer("outcome", o).Strs("suspects", suspectStrings(suspects)).Msg("attempt broke off")
-	if o == forward.Interrupted {
-		return
+	begun := o == forward.Interrupted
+	if begun {
+		suspects = suspects[len(suspects)-1:]
 	}
 	now := g.now()
 	b := retry.BrokenAttempt{
@@ -165,29 +177,69 @@
 		return
 	}
 	g.crashes.Hold(b.Suspects, now)
-	first := !g.crashes.Known(b.Worker)
-	common := len(g.crashes.Unanswered(commonSuspects(j), now)) > 0
-	g.reportBrokenAttempt(b, common)
-	if !first && !g.crashes.Suspected(b.Suspects, b.Worker, now) || g.crashes.Confirmed(b.Worker) || g.crashChecks[b.Worker] {
-		return
+	e := crashEvidence{attempt: b, common: len(g.crashes.Unanswered(commonSuspects(j), now)) > 0, begun: begun}
+	check := g.crashChecks[process]
+	switch first := !g.crashes.Known(process); {
+	case begun && g.crashes.Confirmed(process):
+		e.report(g, true)
+	case begun && check != nil:
+		check.add(e)
+	case begun:
+		g.startCrashCheck(w, e)
+	default:
+		e.report(g, false)
+		if (first || g.crashes.Suspected(b.Suspects, process, now)) && !g.crashes.Confirmed(process) && check == nil {
+			g.startCrashCheck(w, e)
+		}
 	}
-	g.crashChecks[b.Worker] = true
-	g.start("check after a broken attempt", func(ctx context.Context) { g.checkCrash(ctx, w, b, common) })
 }
 
-// checkCrash finds out whether the worker's process has ended since an attempt broke off there, and reports it. Common is as in
-// reportBrokenAttempt.
-func (g *Gateway) checkCrash(ctx context.Context, w *workers.Worker, b retry.BrokenAttempt, common bool) {
+// crashEvidence is a broken attempt.
+type crashEvidence struct {
+	attempt retry.BrokenAttempt
+	// common means that other requests have its suspects, and begun that its answer had begun.
+	common, begun bool
+}
+
+// report reports the attempt, with what is known of its worker process. The other instances are asked at once for answers to what it has
+// in common with other requests. Since a crash cuts many streams, those that had begun wait for evidence of another crash. The
+// lock is held.
+func (e crashEvidence) report(g *Gateway, crashed bool) {
+	e.attempt.Crashed = crashed
+	g.reportBrokenAttempt(e.attempt, e.common && (!e.begun || g.crashes.Suspected(e.attempt.Suspects, e.attempt.Worker, g.now())))
+}
+
+// crashCheck is a check whether a worker process has ended. The attempts are evidence if it has.
+type crashCheck struct{ attempts []crashEvidence }
+
+func (c *crashCheck) add(e crashEvidence) {
+	if len(c.attempts) < maxBrokenAttempts {
+		c.attempts = append(c.attempts, e)
+	}
+}
+
+// startCrashCheck starts the check of the worker process at which an attempt broke off. The lock is held.
+func (g *Gateway) startCrashCheck(w *workers.Worker, e crashEvidence) {
+	check := &crashCheck{attempts: []crashEvidence{e}}
+	g.crashChecks[e.attempt.Worker] = check
+	g.start("check after a broken attempt", func(ctx context.Context) { g.checkCrash(ctx, w, e.attempt.Worker, check) })
+}
+
+// checkCrash finds out whether the worker's process has ended since an attempt broke off there, and reports it.
+func (g *Gateway) checkCrash(ctx context.Context, w *workers.Worker, process string, check *crashCheck) {
 	sleep(ctx, crashCheckDelay)
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
-	b.Crashed = g.pool.ConnectionRefused(ctx, w)
+	crashed := g.pool.ConnectionRefused(ctx, w)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.crashChecks, b.Worker)
-	g.log.Info().Str("worker", w.ID).Bool("crashed", b.Crashed).Msg("worker checked after a broken attempt")
-	if b.Crashed {
-		g.reportBrokenAttempt(b, common)
+	delete(g.crashChecks, process)
+	g.log.Info().Str("worker", w.ID).Bool("crashed", crashed).Msg("worker checked after a broken attempt")
+	if !crashed {
+		return
+	}
+	for _, e := range check.attempts {
+		e.report(g, true)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,10 +178,10 @@
 	// other instances, nil if none is scheduled.
 	brokenAttempts []fleetlog.BrokenAttempt
 	crashReport    *crashReport
-	// unanswered holds the attempts whose answers have not begun, by their jobs.
-	unanswered map[*forward.Job]sentAttempt
-	// crashChecks are the worker incarnations that are being checked after a broken attempt.
-	crashChecks map[string]bool
+	// sent holds the attempts that were sent and have not ended, by their jobs.
+	sent map[*forward.Job]sentAttempt
+	// crashChecks are the checks after a broken attempt that run, by the worker process.
+	crashChecks map[string]*crashCheck
 	// lastHeartbeatNumber is the number of this instance's last heartbeat.
 	lastHeartbeatNumber int64
 	// unconfirmed are the heartbeats that were not read back from the stream yet, by number.
@@ -208,7 +208,7 @@
 		configLoaded: newSignal(), fleetKnown: newSignal(),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{}, mixes: map[string]*workerload.Mix{},
 		connections: keepalive.New(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
-		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]bool{}, unanswered: map[*forward.Job]sentAttempt{}, fleetSize: 1,
+		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]*crashCheck{}, sent: map[*forward.Job]sentAttempt{}, fleetSize: 1,
 		missingSince: map[string]time.Duration{},
 	}
 	g.created = g.now()
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -280,14 +280,14 @@
 
 // attemptEnded records the outcome of an attempt at a worker.
 func (g *Gateway) attemptEnded(j *forward.Job, w *workers.Worker, a residency.Adapter, o forward.Outcome) {
-	if j.Route.Kind != routing.Stream && (o == forward.Succeeded || o == forward.Failed) {
-		g.answerBegan(j)
+	if o == forward.Succeeded || o == forward.Failed && j.Route.Kind != routing.Stream {
+		g.answerEnded(j)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := w.Key()
-	sent := g.unanswered[j]
-	delete(g.unanswered, j)
+	sent := g.sent[j]
+	delete(g.sent, j)
 	delete(g.coldPermits, j)
 	if o == forward.Broken || o == forward.Interrupted {
 		g.recordBrokenAttempt(j, w, sent.process, o)
