residency: owners load no more than the memory of their workers has room for

Cause: owners planned by adapter slots alone; the sizes of workers, models and adapters were decoded, and no decision read them. Change: routing.Engine.AdapterRoom says how many adapters fit beside the models that a worker holds. Owners, relocations and the configuration check use it; what fits no worker is refused at once with fits_no_worker.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -129,8 +129,11 @@
 // number: once one of the two has taken effect the other is ignored, and the answer to the repeat applies to both. No
 // other order is sent until then.
 type Owner struct {
-	model      string
-	slotCount  int
+	model string
+	// slotCount is how many adapters the worker has room for. It is negative if the model does not fit beside those that the worker holds.
+	slotCount int
+	// room returns slotCount by the models that the worker holds. It is nil if only the slots count.
+	room       func(models []string) int
 	synced     bool
 	nextReport time.Duration
 	seq        int64
@@ -161,6 +164,13 @@
 	}
 }
 
+// LimitMemory sets the function that returns how many adapters the worker has room for beside the models that it holds, negative if
+// the owner's model does not fit beside them. A worker that is ordered to load more crashes.
+func (o *Owner) LimitMemory(room func(models []string) int) {
+	o.room = room
+	o.slotCount = room(nil)
+}
+
 // RecordUse counts n requests for an adapter at this worker.
 func (o *Owner) RecordUse(a Adapter, n float64, now time.Duration) {
 	if s := o.slots[a]; s != nil {
@@ -233,6 +243,9 @@
 	o.synced = true
 	o.seq = r.Seq
 	o.hasModel = slices.Contains(r.Models, o.model)
+	if o.room != nil {
+		o.slotCount = o.room(r.Models)
+	}
 	o.busy = r.Busy
 	old := o.slots
 	o.slots = map[Adapter]*slot{}
@@ -285,6 +298,9 @@
 	if o.busy {
 		return Action{Step: StepNone, At: o.recheck(now)}
 	}
+	if !o.hasModel && o.slotCount < 0 {
+		return Action{Step: StepNone}
+	}
 	if !o.hasModel {
 		return Action{Step: StepLoadModel, Adapter: Adapter{Model: o.model}, Seq: o.seq}
 	}
--- a/internal/coordination/residency/owner_test.go
+++ b/internal/coordination/residency/owner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +13,9 @@
 
 const testModel = "base"
 
+// Sizes in MB of what a worker of limited memory holds.
+const testModelSize, otherModelSize, testAdapterSize = 100, 80, 7
+
 func adapterN(i int) Adapter { return Adapter{Model: testModel, Name: fmt.Sprintf("a%d", i)} }
 
 // syncedOwner returns an owner of a worker with the given number of slots after an empty report.
@@ -98,8 +103,11 @@
 	replacing *Action
 	newest    map[Adapter]int64
 	slots     int
-	exceeded  bool
-	delayed   []Action
+	// models are the models that the worker holds, with their sizes, and memory is that for models and adapters; 0 means unlimited.
+	models   map[string]int
+	memory   int
+	exceeded bool
+	delayed  []Action
 }
 
 type pendingLoad struct {
@@ -110,6 +118,7 @@
 func newFakeWorker(slots int) *fakeWorker {
 	return &fakeWorker{
 		resident: map[Adapter]int64{}, pending: map[Adapter]pendingLoad{}, newest: map[Adapter]int64{}, slots: slots,
+		models: map[string]int{testModel: 0},
 	}
 }
 
@@ -136,7 +145,17 @@
 	resident := w.resident[a.Adapter]
 	_, loading := w.pending[a.Adapter]
 	load := a.Step == StepLoad || a.Step == StepPoll
+	_, hasModel := w.models[testModel]
 	switch {
+	case a.Step == StepLoadModel && hasModel:
+		return Holds
+	case a.Step == StepLoadModel && a.Seq == w.seq:
+		w.seq++
+		w.models[testModel] = testModelSize
+		w.checkRoom()
+		return Accepted
+	case !hasModel:
+		return Conflict
 	case w.replacing != nil && load && w.replacing.Adapter == a.Adapter:
 		return Accepted
 	case w.replacing != nil:
@@ -166,7 +185,39 @@
 func (w *fakeWorker) startLoad(a Adapter, version int64, now time.Duration) {
 	delete(w.resident, a)
 	w.pending[a] = pendingLoad{now + 250*time.Millisecond, version}
-	w.exceeded = w.exceeded || len(w.resident)+len(w.pending) > w.slots
+	w.checkRoom()
+}
+
+// checkRoom records that the worker was ordered to hold more than it has room for.
+func (w *fakeWorker) checkRoom() {
+	used := testAdapterSize * (len(w.resident) + len(w.pending))
+	for _, size := range w.models {
+		used += size
+	}
+	w.exceeded = w.exceeded || len(w.resident)+len(w.pending) > w.slots || w.memory > 0 && used > w.memory
+}
+
+// room returns how many adapters the worker has room for beside the test's model and those that it holds.
+func (w *fakeWorker) room(models []string) int {
+	free := w.memory - testModelSize
+	for _, m := range models {
+		if m != testModel {
+			free -= otherModelSize
+		}
+	}
+	if free < 0 {
+		return -1
+	}
+	return min(w.slots, free/testAdapterSize)
+}
+
+// restart makes the worker empty, or lets it hold another model.
+func (w *fakeWorker) restart(other bool) {
+	w.seq, w.resident, w.pending, w.replacing, w.delayed = 0, map[Adapter]int64{}, map[Adapter]pendingLoad{}, nil, nil
+	w.models = map[string]int{}
+	if other {
+		w.models["other"] = otherModelSize
+	}
 }
 
 // endRequests ends the running requests that a replacement waits for.
@@ -178,7 +229,7 @@
 }
 
 func (w *fakeWorker) report() Report {
-	s := Report{Seq: w.seq, Models: []string{testModel}, Resident: map[Adapter]int64{}, Pending: map[Adapter]int64{}, Busy: w.replacing != nil}
+	s := Report{Seq: w.seq, Models: slices.Sorted(maps.Keys(w.models)), Resident: map[Adapter]int64{}, Pending: map[Adapter]int64{}, Busy: w.replacing != nil}
 	for a, v := range w.resident {
 		s.Resident[a] = v
 	}
@@ -199,11 +250,51 @@
 	}
 }
 
+// TestMemoryNeverExceeded guards the memory of a worker in the same way, also against models that it holds besides, restarts, and
+// owners that replace each other: with one adapter too many, or a second model that does not fit, the worker crashes.
+func TestMemoryNeverExceeded(t *testing.T) {
+	const rounds = 20
+	for range rounds {
+		rapid.Check(t, checkMemoryNotExceeded)
+	}
+	Convey("a model that does not fit beside another one is not loaded", t, func() {
+		w := newFakeWorker(4)
+		w.memory = testModelSize + otherModelSize - 1
+		w.restart(true)
+		o := NewOwner(testModel, 4, 0)
+		o.LimitMemory(w.room)
+		o.ApplyReport(w.report(), 0)
+		o.Want(adapterN(1), 0, 0)
+		So(o.Next(0).Step, ShouldEqual, StepNone)
+	})
+}
+
+func checkMemoryNotExceeded(t *rapid.T) {
+	w := newFakeWorker(4)
+	w.memory = testModelSize + rapid.IntRange(-1, 5*testAdapterSize).Draw(t, "room")
+	w.restart(rapid.Bool().Draw(t, "other model"))
+	newOwner := func(now time.Duration) *Owner {
+		o := NewOwner(testModel, 4, now)
+		o.LimitMemory(w.room)
+		return o
+	}
+	o, now := newOwner(0), time.Duration(0)
+	for range rapid.IntRange(1, 4).Draw(t, "owners") {
+		now = checkOrders(t, w, o, now)
+		if rapid.Bool().Draw(t, "restart") {
+			w.restart(rapid.Bool().Draw(t, "other model"))
+		}
+		o = newOwner(now)
+	}
+}
+
 func checkSlotsNotExceeded(t *rapid.T) {
 	slots := rapid.IntRange(1, 4).Draw(t, "slots")
-	w := newFakeWorker(slots)
-	o := NewOwner(testModel, slots, 0)
-	now := time.Duration(0)
+	checkOrders(t, newFakeWorker(slots), NewOwner(testModel, slots, 0), 0)
+}
+
+// checkOrders carries out the orders of an owner, some of them late or without an answer, and returns the time at the end.
+func checkOrders(t *rapid.T, w *fakeWorker, o *Owner, now time.Duration) time.Duration {
 	for range rapid.IntRange(10, 200).Draw(t, "steps") {
 		now += time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond
 		w.completeLoads(now)
@@ -250,9 +341,10 @@
 			w.delayed = w.delayed[1:]
 		}
 		if w.exceeded {
-			t.Fatalf("the worker was ordered to hold more than %d adapters", slots)
+			t.Fatalf("the worker was ordered to hold more than %d adapters, or %d MB", w.slots, w.memory)
 		}
 	}
+	return now
 }
 
 // TestOrdersNameTheirVersion guards adapters against late orders: an order without a version that takes effect after a
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -20,6 +20,8 @@
 	keyMaxAgeShare = 0.7
 	// notReadyRetryAfter is the Retry-After of refusals that another instance, or this one a moment later, may not repeat.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// configurationRetryAfter is that of refusals that last until the operators change the configuration.
+	configurationRetryAfter = 10 * time.Second
 	// retryShare is the share of the fleet's retry budget that the known instances divide among themselves. The
 	// rest covers instances that have not yet read each other's heartbeats.
 	retryShare = 0.7
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -56,6 +56,7 @@
 		load:    workerload.New(e.Slots, e.MemoryTokens),
 		changed: make(chan struct{}), created: g.now(),
 	}
+	o.state.LimitMemory(func(models []string) int { return e.AdapterRoom(e.Models[0].Name, models) })
 	// A late report on a place that an earlier owner in this process gave must not end one of this owner.
 	o.load.StartPlaces(rand.Uint64() >> 1)
 	g.start("owner of a worker", func(context.Context) {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -442,11 +442,28 @@
 	if o.refusal = g.crashRefusal(j); o.refusal != nil {
 		return o
 	}
+	if len(o.holding) == 0 && !g.fitsWorkers(j) {
+		o.refusal = refuse(http.StatusServiceUnavailable, "fits_no_worker", "no backend server has memory for the model and the adapter", configurationRetryAfter)
+		return o
+	}
 	o.target = g.loadingWorker(o.list, o.resident, failed, a)
 	o.further = g.furtherWorker(o.list, o.holding, failed, a, noFurther)
 	return o
 }
 
+// fitsWorkers reports whether an empty worker of the job's service has memory for its model and adapter. The lock is held.
+func (g *Gateway) fitsWorkers(j *forward.Job) bool {
+	if j.Config == nil {
+		return true
+	}
+	s, ok := j.Config.Service(j.Service)
+	if !ok || s.Engine == nil || s.Engine.AdapterSlots <= 0 {
+		return true
+	}
+	room := s.Engine.AdapterRoom(j.Model, nil)
+	return room > 0 || room == 0 && j.Adapter == ""
+}
+
 // reserveAfterLoad lets a worker load the job's adapter and reserves it, if both are done in time and the worker takes the
 // request, also by what was reserved before the load. It does not wait for a cold worker if warm is set.
 func (g *Gateway) reserveAfterLoad(ctx context.Context, j *forward.Job, w *workers.Worker, want wantedAdapter, reserved loadReservation, warm bool) (forward.Reservation, bool) {
--- a/internal/gateway/relocate.go
+++ b/internal/gateway/relocate.go
@@ -94,7 +94,10 @@
 
 // relocationInput returns what the relocations of a service are decided by. The lock is held.
 func (g *Gateway) relocationInput(s *routing.Service) residency.RelocationInput {
-	in := residency.RelocationInput{Slots: s.Engine.AdapterSlots, LoadsPerSecond: s.Engine.LoadsPerSecond}
+	in := residency.RelocationInput{LoadsPerSecond: s.Engine.LoadsPerSecond}
+	if len(s.Engine.Models) > 0 {
+		in.Slots = max(0, s.Engine.AdapterRoom(s.Engine.Models[0].Name, nil))
+	}
 	for _, w := range g.workers.Load().Ready(s.Name) {
 		switch {
 		case g.evacuated(w):
--- a/internal/state/routing/check/check.go
+++ b/internal/state/routing/check/check.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net"
 	"strings"
 
@@ -209,9 +208,8 @@
 			k.fail(p, FieldAdapterSize, "its adapters fit no worker: one takes %g MB, and the model leaves %g MB", m.AdapterMB, room)
 		default:
 			// At most as many slots are used as there are adapters.
-			slots := min(e.AdapterSlots, m.Adapters)
-			if n := math.Floor(room / m.AdapterMB); float64(slots) > n {
-				k.warn(p, FieldAdapterSize, "a worker has %d adapter slots but memory for %g adapters only", e.AdapterSlots, n)
+			if n := e.AdapterRoom(m.Name, nil); min(e.AdapterSlots, m.Adapters) > n {
+				k.warn(p, FieldAdapterSize, "a worker has %d adapter slots but memory for %d adapters only", e.AdapterSlots, n)
 			}
 		}
 	}
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -2,7 +2,10 @@
 // requests may be retried, and which workspace a key belongs to.
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind says which requests of a route may be retried.
 type Kind int
@@ -78,6 +81,37 @@
 	LoadsPerSecond float64
 }
 
+// AdapterRoom returns how many adapters of a model one worker can have loaded beside the models that it holds, by its slots and its
+// memory. It is negative if the model itself does not fit beside them. What has an unknown size is not counted.
+func (e *Engine) AdapterRoom(model string, holds []string) int {
+	used, adapterMB := 0.0, 0.0
+	for i, m := range e.Models {
+		if slices.IndexFunc(e.Models, func(other Model) bool { return other.Name == m.Name }) < i {
+			continue
+		}
+		if m.Name == model {
+			adapterMB = m.AdapterMB
+		}
+		if m.Name == model || slices.Contains(holds, m.Name) {
+			used += m.WeightsMB
+		}
+	}
+	switch {
+	case e.WeightsMB <= 0:
+		return e.AdapterSlots
+	case used > e.WeightsMB:
+		return -1
+	case adapterMB <= 0:
+		return e.AdapterSlots
+	}
+	n := int((e.WeightsMB - used) / adapterMB)
+	if used+float64(n)*adapterMB > e.WeightsMB {
+		// The quotient was rounded up.
+		n--
+	}
+	return min(e.AdapterSlots, n)
+}
+
 // Service is a group of workers that serve the same requests.
 type Service struct {
 	Name string
--- a/internal/state/routing/table_test.go
+++ b/internal/state/routing/table_test.go
@@ -62,3 +62,22 @@
 		}
 	})
 }
+
+// TestAdapterRoom guards against workers that are told to hold more adapters than their memory has room for.
+func TestAdapterRoom(t *testing.T) {
+	Convey("the slots, the memory, and the models that a worker holds bound its adapters", t, func() {
+		models := []Model{{Name: "m", WeightsMB: 34_300, AdapterMB: 40}, {Name: "n", WeightsMB: 200, AdapterMB: 0.1}}
+		for _, c := range []struct {
+			memory float64
+			model  string
+			holds  []string
+			room   int
+		}{
+			{35_700, "m", nil, 18}, {34_620, "m", nil, 8}, {34_619, "m", []string{"m"}, 7}, {34_620, "m", []string{"n"}, 3},
+			{34_300, "m", nil, 0}, {34_299, "m", nil, -1}, {0, "m", nil, 18}, {200.3, "n", nil, 3}, {34_620, "unknown", nil, 18},
+		} {
+			e := Engine{WeightsMB: c.memory, AdapterSlots: 18, Models: models}
+			So(e.AdapterRoom(c.model, c.holds), ShouldEqual, c.room)
+		}
+	})
+}
