gateway: refuse requests of mixtures whose adapter no worker loads, rather than hold them until their deadline

Cause: with mixed_prompts, a request whose adapter no worker loads in time waited and asked again until its deadline, and was then refused. Change: such a request is refused once it is owed a place, as without mixtures.

--- a/internal/coordination/workerload/mixed_replay_test.go
+++ b/internal/coordination/workerload/mixed_replay_test.go
@@ -256,7 +256,13 @@
 	maxWait := MaxWait(slack)
 	if len(servers) == 0 {
 		m.loadAt(q, r, nil, slack, left, func() {
-			m.loadAt(q, r, nil, 0, left, func() { m.again(q, mixtures, canLoad, 0) })
+			m.loadAt(q, r, nil, 0, left, func() {
+				if !mixtures || r.Owed {
+					m.dead[q] = true
+					return
+				}
+				m.again(q, mixtures, canLoad, 0)
+			})
 		})
 		return
 	}
--- a/internal/gateway/mixture.go
+++ b/internal/gateway/mixture.go
@@ -7,7 +7,6 @@
 	"hash/fnv"
 	"time"
 
-	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/coordination/workerload"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/transport/forward"
@@ -110,11 +109,12 @@
 }
 
 // holdsForLoad reports whether a job whose adapter no owner loads now waits until they are asked again: in a mixture, late
-// work is not let in beside work that is on time.
+// work is not let in beside work that is on time. Once it is owed a place, it is refused rather than held until its deadline.
 func (g *Gateway) holdsForLoad(ctx context.Context, j *forward.Job) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.settings.MixedPrompts && g.mixOf(j.Service).Mixture().Long > 0 && ctx.Err() == nil && time.Until(j.Deadline) > residency.ResponseReserve(j.Route.TargetLatency)
+	return g.settings.MixedPrompts && g.mixOf(j.Service).Mixture().Long > 0 && ctx.Err() == nil &&
+		!workerload.Owed(time.Since(j.Arrived), time.Until(j.Deadline), j.Route.TargetLatency)
 }
 
 // hold lets a job for which no worker has a place wait until workers are asked again. It reports false if the job's context
