relay: one relay for each data centre where large instances can serve it

Relays are the largest instances already. Change: where the instances that are at least twice as large as the smallest one of their data centre suffice, each serves up to 40 instances, so that a data centre has one relay in place of two. Fleets of even size are served as before.

--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -15,6 +16,10 @@
 	// maxRelays is how many instances call the log service for the others; in a smaller fleet each instance does it for
 	// itself. With fewer relays, the loss of one makes more instances do it for themselves until they notice it.
 	maxRelays = 8
+	// largeReaders is how many instances a relay serves that is larger than most others, and largeRatio how many times as large as the
+	// smallest one of its data centre it is then. Each relay costs about eight calls a second, and the records that it passes on
+	// fill a small machine's link of 10 Mbit/s at about 20 readers.
+	largeReaders, largeRatio = 40, 2
 	// maxBufferBytes bounds the size of the records kept of a topic. It holds about ten seconds of the entries of a
 	// hundred workers.
 	maxBufferBytes = 1 << 20
@@ -27,7 +32,7 @@
 }
 
 // Relays returns the instances that call the log service for the others: all if there are few, else some of each data
-// centre, since traffic between data centres is billed.
+// centre, since traffic between data centres is billed. Fewer are needed where they are large.
 func Relays(instances []Candidate) []Candidate {
 	if len(instances) <= maxRelays {
 		return instances
@@ -40,13 +45,30 @@
 	}
 	var relays []Candidate
 	for _, centre := range slices.Sorted(maps.Keys(byCentre)) {
-		for _, name := range rendezvous.Pick("log", byCentre[centre], max(1, maxRelays/len(byCentre))) {
+		for _, name := range rendezvous.Pick("log", byCentre[centre], relaysOf(byCentre[centre], len(byCentre))) {
 			relays = append(relays, byName[name])
 		}
 	}
 	return relays
 }
 
+// relaysOf returns how many relays a data centre has, one of a number of data centres.
+func relaysOf(members []rendezvous.Member, centres int) int {
+	n := max(1, maxRelays/centres)
+	needed := (len(members) + largeReaders - 1) / largeReaders
+	smallest := slices.MinFunc(members, func(x, y rendezvous.Member) int { return cmp.Compare(x.Size, y.Size) }).Size
+	large := 0
+	for _, m := range members {
+		if smallest > 0 && m.Size >= largeRatio*smallest {
+			large++
+		}
+	}
+	if large >= needed {
+		n = min(n, needed)
+	}
+	return n
+}
+
 // Preference returns the names of the relays in the order in which the instance tries them: those of its data centre first.
 // The order differs between instances, so that their load spreads over the relays.
 func Preference(instance, dataCentre string, relays []Candidate) []string {
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -222,6 +222,23 @@
 			So(centre[preferred[0]], ShouldEqual, z)
 		}
 	})
+	Convey("large instances serve a data centre each, as long as they can", t, func() {
+		for perCentre, relays := range map[int]int{25: 4, 40: 4, 41: 8, 75: 8} {
+			var members []Candidate
+			for i := range 4 * perCentre {
+				size := 184
+				if i < 8 {
+					size = 536
+				}
+				members = append(members, Candidate{Member: rendezvous.Member{Name: fmt.Sprint("instance-", i), Size: size}, DataCentre: fmt.Sprint("z", i%4)})
+			}
+			chosen := Relays(members)
+			So(chosen, ShouldHaveLength, relays)
+			for _, c := range chosen {
+				So(c.Size, ShouldEqual, 536)
+			}
+		}
+	})
 	Convey("in a small fleet all are relays", t, func() {
 		So(Relays(make([]Candidate, maxRelays)), ShouldHaveLength, maxRelays)
 	})
