residency: poll a load once early, and then when it may be complete

Cause: a load was polled every 40 ms, seven times or more until it is complete after 250 to 290 ms. Each poll takes processor time of a small instance, and one without an answer keeps the worker's other orders waiting. Change: after the first poll, which finds adapters that the worker held recently, the next one is made at 0.9 of the usual time of a load, 225 ms at most, and further ones every 40 ms. Result: TestPollsOfLoad: 3 polls within 300 ms, 7 before.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -20,6 +20,8 @@
 	// repeats are awaited for repeatAnswerTimeout, since an instance may be slower than that for some time.
 	firstAnswerTimeout, repeatAnswerTimeout = 60 * time.Millisecond, 150 * time.Millisecond
 	shortAnswerTimeouts                     = 2
+	// expectedShare of the usual time of a load is when the worker is polled again after the first poll.
+	expectedShare = 0.9
 	// minFetchTime is the shortest duration of a load that fetched the weights from the weight store.
 	minFetchTime = 120 * time.Millisecond
 	// evictionHold protects an adapter from eviction after its last use, because requests that waited for its load
@@ -539,8 +541,9 @@
 		o.countAccepted(r)
 		return
 	}
-	// The worker does not count a repeated order for an adapter that is loading.
-	s.nextPoll = now + pollInterval
+	// The worker does not count a repeated order for an adapter that is loading. One that the worker held recently is loaded by the
+	// first poll; any other is not expected to be before the usual time of a load. That of slow loads may have passed.
+	s.nextPoll = max(now+pollInterval, s.since+time.Duration(expectedShare*float64(min(o.loadTime, expectedLoadTime))))
 }
 
 func (o *Owner) applyUnload(a Action, r Result, now time.Duration) {
--- a/internal/coordination/residency/owner_test.go
+++ b/internal/coordination/residency/owner_test.go
@@ -103,6 +103,24 @@
 	})
 }
 
+// TestPollsOfLoad guards against many polls of a load that cannot be complete yet: each takes processor time of a small instance, and
+// one without an answer keeps all other orders of the worker waiting.
+func TestPollsOfLoad(t *testing.T) {
+	Convey("a load from the weight store is polled once early, and again when it is expected to be complete", t, func() {
+		o := syncedOwner(2)
+		o.Want(adapterN(1), 0, 0)
+		o.ApplyResult(o.Next(0), Accepted, 0)
+		var polls []time.Duration
+		for now := time.Duration(0); now <= 300*time.Millisecond; now += time.Millisecond {
+			if a := o.Next(now); a.Step == StepPoll {
+				polls = append(polls, now)
+				o.ApplyResult(a, Accepted, now)
+			}
+		}
+		So(polls, ShouldResemble, []time.Duration{40 * time.Millisecond, 225 * time.Millisecond, 265 * time.Millisecond})
+	})
+}
+
 // TestLoadsWithUnansweredOrders replays loads at a worker that leaves a third of its orders unanswered, and carries them out. It guards
 // against requests that are late because the owner waits for answers that do not come: of a target latency of half a second,
 // 400 ms are for the load, and a load with all answers takes 330 ms.
