turmericd: count responses that are held whole, and let them wait for memory

Cause: turmericd read responses of engines (up to 32 MiB) and of plain services (up to 8 MiB) with io.ReadAll and counted them nowhere. Many long responses at once exceeded the memory of the process.

Change: callerlimits.Responses decides, guard.Responses applies it: an eighth of the memory, beyond the first 64 KiB of each response, counted from the bytes' arrival until the caller has read them. A response without room is not read on until there is some or its request ends. It then ends with 502 response_memory_full, verdict ran for a service and may-have-run for an engine. A call that may not be repeated waits until its deadline, since its outcome must be recorded. One response at a time may exceed the limit: responses that wait half-read free no memory, so that without it several would wait for each other, and one longer than the limit forever. Control calls are not counted. Of refusals of engines, of which only the code is used, 64 KiB are read.

--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -16,6 +16,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
 	"github.com/turmericworks/turmericworks/internal/transport/dispatch"
 	"github.com/turmericworks/turmericworks/internal/transport/entry"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/tail"
 )
 
@@ -76,6 +77,8 @@
 	key     intent.Key
 	created int64
 	entry   entry.ServiceCall
+	// held are the responses of the call, until both the call and the caller's request have ended.
+	held    *guard.Held
 	events  chan action.Event
 	changed chan struct{}
 	result  chan actionResult
@@ -221,7 +224,7 @@
 	if err := a.rule.Check(created, time.Now()); err != nil {
 		return backend.ServiceResponse{}, err
 	}
-	ac, err := a.start(c, created)
+	ac, err := a.start(ctx, c, created)
 	if err != nil {
 		return backend.ServiceResponse{}, err
 	}
@@ -260,7 +263,7 @@
 	return a.stopping
 }
 
-func (a *actions) start(c entry.ServiceCall, created time.Time) (*actionCall, error) {
+func (a *actions) start(ctx context.Context, c entry.ServiceCall, created time.Time) (*actionCall, error) {
 	key := intent.Key{Workspace: c.Workspace, Route: c.RouteName, Hash: intent.Hash([]byte(c.IdempotencyKey))}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -277,6 +280,7 @@
 	}, action.Timing{}, time.Now(), a.view(key, "", created.UnixMilli()))
 	ac.call = call
 	a.calls[ac] = struct{}{}
+	ac.held = guard.HeldFor(ctx).Retain()
 	go ac.loop(acts)
 	return ac, nil
 }
@@ -300,6 +304,7 @@
 // finished.
 func (c *actionCall) loop(acts []action.Action) {
 	a := c.actions
+	defer c.held.Release()
 	defer func() {
 		a.mu.Lock()
 		delete(a.calls, c)
@@ -346,6 +351,7 @@
 		case action.Append:
 			c.append(x)
 		case action.Dispatch:
+			c.held.Retain()
 			go c.dispatch()
 		case action.Respond:
 			c.result <- actionResult{response: backend.ServiceResponse{
@@ -375,11 +381,12 @@
 // dispatch sends the call to its service. It continues after the caller has left, since the outcome must
 // be recorded. The lease is checked again, since the process may have been paused after the decision to send.
 func (c *actionCall) dispatch() {
+	defer c.held.Release()
 	if !c.actions.daemon.control.valid() {
 		c.send(action.DispatchResult{Result: intent.NotRun})
 		return
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), c.entry.Deadline)
+	ctx, cancel := context.WithDeadline(c.held.Context(context.Background()), c.entry.Deadline)
 	defer cancel()
 	answer, err := dispatch.CallService(ctx, c.actions.daemon.fleet.Services(c.entry.Route.Service), c.entry.Request)
 	if err == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,8 +127,11 @@
 		Queue: fairqueue.Settings{MaxTotal: d.settings.Limits.QueuedRequests}, Publish: d.publishBlame, PublishPromptParts: d.publishPromptParts, Seed: seedOf(o.Incarnation),
 	})
 	d.runner = &runner{Runner: dispatch.New(d.scheduler, d.control, d.events.record), daemon: d}
+	responses := guard.NewResponses(limits.ResponseBytes, d.guardMetrics, d.log)
+	d.registry.MustRegister(responses.Collectors()...)
 	d.entry = entry.New(entry.Options{
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, AdmitRun: d.admitRun, Ready: d.ready, Draining: d.draining, Log: d.log, Record: d.events.record, Registry: d.registry,
+		Responses: responses,
 	})
 	d.registry.MustRegister(newCollector(d))
 	return d, nil
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -119,8 +119,9 @@
 	// which are not counted. Default: 268435456. Unit: bytes.
 	MaxBodyMemoryBytes int `json:"max_body_memory_bytes,omitempty"`
 	// MemoryMB is the memory that the process may use. Callers' heads with connections take at most an eighth of it, bodies
-	// a quarter, even where max_connections and max_body_memory_bytes allow more; the Go runtime's limit is 0.6 of it. Default: 0,
-	// which stands for 1/0.6 of GOMEMLIMIT, and for 1024 without that. Unit: MiB.
+	// a quarter, even where max_connections and max_body_memory_bytes allow more, and responses that are not streamed an eighth,
+	// beyond which they are read one at a time; the Go runtime's limit is 0.6 of it. Default: 0, which stands for 1/0.6 of
+	// GOMEMLIMIT, and for 1024 without that. Unit: MiB.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// Descriptors is the number of open descriptors that the process may have. Callers' connections take at most a third of
 	// it. Default: 0, which stands for the process's own limit (RLIMIT_NOFILE).
--- a/internal/transport/enginehttp/enginehttp.go
+++ b/internal/transport/enginehttp/enginehttp.go
@@ -31,6 +31,8 @@
 	loadTimeout = 60 * time.Second
 	// maxResponseBytes is the largest size of a response that is not streamed.
 	maxResponseBytes = 32 << 20
+	// maxErrorBytes is the largest part of a refusal that is read, of which only the code is needed.
+	maxErrorBytes = 64 << 10
 )
 
 // Engine is a client of one engine.
@@ -130,11 +132,19 @@
 	}
 	timed := newIdleTimeoutBody(resp.Body, cancel)
 	defer func() { _ = timed.Close() }()
-	body, err := io.ReadAll(io.LimitReader(timed, maxResponseBytes))
-	if err != nil {
-		return backend.Response{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_cut", "the engine's answer was cut off")
-	}
+	var body []byte
 	if resp.StatusCode != http.StatusOK {
+		body, err = io.ReadAll(io.LimitReader(timed, maxErrorBytes))
+	} else {
+		body, err = guard.ReadResponse(ctx, timed, maxResponseBytes)
+	}
+	switch {
+	case errors.Is(err, guard.ErrResponseMemory):
+		return backend.Response{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "response_memory_full",
+			"there was no memory for the engine's answer until the request ended")
+	case err != nil:
+		return backend.Response{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_cut", "the engine's answer was cut off")
+	case resp.StatusCode != http.StatusOK:
 		return backend.Response{}, statusError(resp, body)
 	}
 	response, id, err := decodeResponse(body)
@@ -215,7 +225,7 @@
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
 		defer func() { _ = resp.Body.Close() }()
-		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		return nil, statusError(resp, data)
 	}
 	reader := newReader(resp.Body, cancel)
--- a/internal/transport/enginehttp/reader.go
+++ b/internal/transport/enginehttp/reader.go
@@ -41,6 +41,12 @@
 	return b.ReadCloser.Close()
 }
 
+// Pause implements guard.Pausable.
+func (b *idleTimeoutBody) Pause() { b.timer.Stop() }
+
+// Resume implements guard.Pausable.
+func (b *idleTimeoutBody) Resume() { b.timer.Reset(idleTimeout) }
+
 func (b *idleTimeoutBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/turmericworks/turmericworks/internal/state/adapter"
 	"github.com/turmericworks/turmericworks/internal/state/config"
 	"github.com/turmericworks/turmericworks/internal/state/event"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 )
 
 // Call is one admitted completion request.
@@ -75,6 +76,8 @@
 	Draining func() bool
 	// Record adds an event to the timeline.
 	Record func(event.Event)
+	// Responses counts the responses that are held whole for callers. It may be nil.
+	Responses *guard.Responses
 	// Log gets the panics of handlers.
 	Log zerolog.Logger
 	// Registry collects the server's metrics.
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -177,6 +177,8 @@
 	if c.keyInURLOrHeader(r.Request) {
 		return errKeyInRequest
 	}
+	ctx, held := s.opts.Responses.Begin(ctx)
+	defer held.Release()
 	r.Request = r.WithContext(ctx)
 	err = h(rec, r)
 	if err != nil && ctx.Err() != nil {
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -28,6 +28,7 @@
 	HostConnections Bound = "host_connections"
 	HeadMemory      Bound = "head_memory"
 	BodyMemory      Bound = "body_memory"
+	ResponseMemory  Bound = "response_memory"
 	Fields          Bound = "fields"
 	Rate            Bound = "rate"
 )
--- a/internal/transport/servicehttp/servicehttp.go
+++ b/internal/transport/servicehttp/servicehttp.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -77,7 +76,11 @@
 		return backend.ServiceResponse{}, verdict.Wrap(err, v, http.StatusBadGateway, "service_unreachable", "the connection to the service failed")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := guard.ReadResponse(ctx, resp.Body, maxResponseBytes+1)
+	if errors.Is(err, guard.ErrResponseMemory) {
+		return backend.ServiceResponse{}, verdict.Wrap(err, verdict.Ran, http.StatusBadGateway, "response_memory_full",
+			"the service ran the call, but there was no memory for its answer until the call ended")
+	}
 	if err != nil || len(body) > maxResponseBytes {
 		return backend.ServiceResponse{}, verdict.New(verdict.Ran, http.StatusBadGateway, "answer_cut", "the service ran the call, but its answer was cut off")
 	}
--- a/internal/transport/servicehttp/servicehttp_test.go
+++ b/internal/transport/servicehttp/servicehttp_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/turmericworks/turmericworks/internal/protocol/backend"
 	"github.com/turmericworks/turmericworks/internal/state/verdict"
+	"github.com/turmericworks/turmericworks/internal/transport/guard"
 	"github.com/turmericworks/turmericworks/internal/transport/network"
 )
 
@@ -117,3 +122,37 @@
 		}
 	})
 }
+
+// TestResponseMemory guards against an answer that counts as not run, or as lost at once, because there is no memory for it, and against
+// short answers that wait for long ones.
+func TestResponseMemory(t *testing.T) {
+	Convey("A long answer waits until its call ends, and has run; a short one does not wait", t, func() {
+		base := serveRaw(t, func(_ int, r *http.Request) (string, bool) {
+			if r.URL.Path == "/short" {
+				return answer("x"), false
+			}
+			return answer(strings.Repeat("x", 1<<20)), false
+		})
+		s := New(base, network.HTTPTransport(network.TCP{}))
+		memory := guard.NewResponses(0, guard.NewMetrics(prometheus.NewRegistry()), zerolog.Nop())
+		get := func(path string, timeout time.Duration) (*guard.Held, error) {
+			ctx, held := memory.Begin(t.Context())
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			_, err := s.Call(ctx, backend.ServiceRequest{ID: "r", Method: http.MethodGet, Path: path, Header: http.Header{}})
+			return held, err
+		}
+		first, err := get("/long", time.Minute)
+		So(err, ShouldBeNil)
+		_, err = get("/short", time.Minute)
+		So(err, ShouldBeNil)
+		start := time.Now()
+		_, err = get("/long", 300*time.Millisecond)
+		So(time.Since(start), ShouldBeGreaterThanOrEqualTo, 300*time.Millisecond)
+		So(verdict.FromError(err).Verdict, ShouldEqual, verdict.Ran)
+		So(verdict.IsPromise(verdict.FromError(err).Status), ShouldBeFalse)
+		first.Release()
+		_, err = get("/long", time.Minute)
+		So(err, ShouldBeNil)
+	})
+}
