limits: refuse a number of descriptors that leaves a share below 8

Cause: limits.descriptors and caller_limits.descriptors accepted 64, of which connections from other instances got 5 and those to them 5.

Change: callerlimits.SharesTooSmall works out the smallest number of descriptors that leaves callers, workers, instances in each direction and the rest 8 each, from the shares and the other limits that are set. Both programs name it in an error at startup. A share that has a setting of its own, or that memory bounds, counts as large enough once more descriptors would not raise it. The limit of the process (RLIMIT_NOFILE), used if no number is set, is accepted as before. The schema's own minimum of 64 is removed, since it is not the valid one.

Result: 64 and 95 are refused and 96 is named; 83 is valid with max_peer_connections 16.

--- a/internal/coordination/callerlimits/outbound.go
+++ b/internal/coordination/callerlimits/outbound.go
@@ -99,6 +99,45 @@
 	return l.Connections + l.Workers.Total + l.Peers.Total + l.PeersAccepted, descriptors / peersDivisor
 }
 
+const (
+	// MinShare is the least number of descriptors of a share: with fewer, a few slow requests or instances take all of it.
+	MinShare = 8
+	// maxDescriptors is more than a process has.
+	maxDescriptors = 1 << 20
+)
+
+// each returns the shares of a number of descriptors: connections of callers, to workers, to instances and from them, and the rest.
+func (l Limits) each(descriptors int) [5]int {
+	_, left := l.Shares(descriptors)
+	return [...]int{l.Connections, l.Workers.Total, l.Peers.Total, l.PeersAccepted, left}
+}
+
+// SharesTooSmall reports whether a share of a number of descriptors is below MinShare and would be larger with more descriptors, and
+// the smallest number with which none is. There, all shares together do not exceed the number, and the given number of connections of
+// callers is allowed, as far as memory and other settings permit. Limits returns the limits for a number of descriptors.
+func SharesTooSmall(descriptors, connections int, limits func(descriptors int) Limits) (smallest int, tooSmall bool) {
+	most := limits(maxDescriptors).each(maxDescriptors)
+	large := func(n int) bool {
+		for i, share := range limits(n).each(n) {
+			if share < min(MinShare, most[i]) {
+				return false
+			}
+		}
+		return true
+	}
+	if large(descriptors) {
+		return 0, false
+	}
+	for n := 1; n < maxDescriptors; n++ {
+		l := limits(n)
+		taken, left := l.Shares(n)
+		if large(n) && taken+left <= n && l.Connections >= min(connections, most[0]) {
+			return n, true
+		}
+	}
+	return maxDescriptors, true
+}
+
 // WithWorkers returns the limits with another number of connections to workers.
 func (l Limits) WithWorkers(n int) Limits {
 	l.Workers, l.IdleWorkers = WorkerLimits(n), min(l.IdleWorkers, n)
--- a/internal/coordination/callerlimits/outbound_test.go
+++ b/internal/coordination/callerlimits/outbound_test.go
@@ -59,3 +59,39 @@
 		}
 	})
 }
+
+// TestSharesTooSmall guards against a number of descriptors that leaves a share with too few to serve, and against one that is named as
+// valid and is not.
+func TestSharesTooSmall(t *testing.T) {
+	for _, c := range []struct {
+		name                        string
+		connections, workers, peers int
+		given, smallest             int
+	}{
+		{"all shares follow from the number", 0, 0, 0, 64, 96},
+		{"the peers' own setting", 0, 0, 16, 23, 83},
+		{"more connections of callers than the number allows", 40, 0, 0, 64, 120},
+		{"more connections to workers than the number allows", 0, 500, 0, 64, 1493},
+	} {
+		Convey(c.name, t, func() {
+			limits := func(n int) Limits {
+				l := Derive(smallest, n)
+				if c.workers > 0 {
+					l = l.WithWorkers(c.workers)
+				}
+				if c.peers > 0 {
+					l = l.WithPeers(c.peers)
+				}
+				return l
+			}
+			n, tooSmall := SharesTooSmall(c.given, c.connections, limits)
+			So(tooSmall, ShouldBeTrue)
+			So(n, ShouldEqual, c.smallest)
+			_, tooSmall = SharesTooSmall(n, c.connections, limits)
+			So(tooSmall, ShouldBeFalse)
+			taken, left := limits(n).Shares(n)
+			So(taken+left, ShouldBeLessThanOrEqualTo, n)
+			So(min(limits(n).Connections, limits(n).Workers.Total, limits(n).Peers.Total, limits(n).PeersAccepted, left), ShouldBeGreaterThanOrEqualTo, MinShare)
+		})
+	}
+}
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -33,8 +33,11 @@
 }
 
 // callers returns the limits on callers' connections, and on those to workers and between instances.
-func (l Limits) callers() callerlimits.Limits {
-	out := callerlimits.Derive(l.memory(), l.descriptors())
+func (l Limits) callers() callerlimits.Limits { return l.callersWith(l.descriptors()) }
+
+// callersWith returns the limits for a number of descriptors.
+func (l Limits) callersWith(descriptors int) callerlimits.Limits {
+	out := callerlimits.Derive(l.memory(), descriptors)
 	if l.MaxWorkerConnections > 0 {
 		out = out.WithWorkers(l.MaxWorkerConnections)
 	}
@@ -55,6 +58,16 @@
 		p = append(p, config.Problem{Path: "/limits/descriptors", Message: "exceeds the process's limit (RLIMIT_NOFILE)"})
 	}
 	allowed, defaults := l.callers(), DefaultSettings().Limits
+	connections := 0
+	if l.MaxConnections != defaults.MaxConnections {
+		connections = l.MaxConnections
+	}
+	if l.Descriptors > 0 {
+		if smallest, tooSmall := callerlimits.SharesTooSmall(l.Descriptors, connections, l.callersWith); tooSmall {
+			p = append(p, config.Problem{Path: "/limits/descriptors", Message: fmt.Sprintf(
+				"must be at least %d, so that callers, workers, instances and the rest have %d each", smallest, callerlimits.MinShare)})
+		}
+	}
 	if tls {
 		allowed = allowed.WithTLS()
 	}
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -17,6 +17,13 @@
 		So(parse(`{"memory_mb":136,"descriptors":128}`), ShouldBeNil)
 		So(parse(`{"memory_mb":136,"max_connections":100,"max_body_memory_bytes":8388608}`), ShouldBeNil)
 		So(parse(`{"memory_mb":136,"descriptors":2870,"max_worker_connections":1000}`), ShouldBeNil)
+		So(parse(`{"memory_mb":136,"descriptors":96}`), ShouldBeNil)
+		So(parse(`{"memory_mb":136,"descriptors":83,"max_peer_connections":16}`), ShouldBeNil)
+		for _, tooFew := range []string{"1", "64", "95"} {
+			err := parse(`{"memory_mb":136,"descriptors":` + tooFew + `}`)
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "/limits/descriptors: must be at least 96")
+		}
 		err := parse(`{"memory_mb":136,"descriptors":2870,"max_peer_connections":2000}`)
 		So(err, ShouldNotBeNil)
 		So(err.Error(), ShouldContainSubstring, "max_peer_connections")
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -124,7 +124,9 @@
 	// GOMEMLIMIT, and for 1024 without that. Unit: MiB.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// Descriptors is the number of open descriptors that the process may have. Callers' connections take at most a third of
-	// it. Default: 0, which stands for the process's own limit (RLIMIT_NOFILE).
+	// it. It must leave at least 8 to callers, to backend servers, to instances in each direction and to the rest: 96 if
+	// max_worker_connections and max_peer_connections are not set. Default: 0, which stands for the process's own limit
+	// (RLIMIT_NOFILE).
 	Descriptors int `json:"descriptors,omitempty"`
 	// MaxWorkerConnections is the maximum number of open connections to engines and plain services, idle ones included, of which
 	// one host has at most half. A request beyond it is refused with 503 and not-run. Default: 0, which stands for a third of the
--- a/internal/gateway/callerlimits.go
+++ b/internal/gateway/callerlimits.go
@@ -42,13 +42,19 @@
 }
 
 // derivedLimits returns the limits that follow from the machine.
-func (s Settings) derivedLimits() callerlimits.Limits {
-	return callerlimits.Derive(int64(max(s.MemoryMB, minMemoryMB))<<20, s.descriptors())
+func (s Settings) derivedLimits() callerlimits.Limits { return s.derivedLimitsWith(s.descriptors()) }
+
+// derivedLimitsWith returns those for a number of descriptors.
+func (s Settings) derivedLimitsWith(descriptors int) callerlimits.Limits {
+	return callerlimits.Derive(int64(max(s.MemoryMB, minMemoryMB))<<20, descriptors)
 }
 
 // callerLimits returns the limits on callers' connections.
-func (s Settings) callerLimits() callerlimits.Limits {
-	out, set := s.derivedLimits(), s.CallerLimits
+func (s Settings) callerLimits() callerlimits.Limits { return s.callerLimitsWith(s.descriptors()) }
+
+// callerLimitsWith returns the limits for a number of descriptors.
+func (s Settings) callerLimitsWith(descriptors int) callerlimits.Limits {
+	out, set := s.derivedLimitsWith(descriptors), s.CallerLimits
 	if set.MaxConnections > 0 {
 		out.Connections = min(out.Connections, set.MaxConnections)
 	}
@@ -80,11 +86,15 @@
 func (s Settings) checkCallerLimits(check func(ok bool, path, what string)) {
 	l := s.CallerLimits
 	const (
-		minDescriptors, minFields, minOutbound = 64, 32, 8
+		minFields, minOutbound = 32, 8
 		// maxIdleS is the longest time for which callers pause before they go on.
 		maxIdleS = 12
 	)
-	check(l.Descriptors == 0 || l.Descriptors >= minDescriptors, "caller_limits.descriptors", "must be at least 64")
+	if l.Descriptors != 0 {
+		smallest, tooSmall := callerlimits.SharesTooSmall(l.Descriptors, l.MaxConnections, s.callerLimitsWith)
+		check(!tooSmall, "caller_limits.descriptors", fmt.Sprintf(
+			"must be at least %d, so that callers, workers, instances and the rest have %d each", smallest, callerlimits.MinShare))
+	}
 	check(l.Descriptors <= machine.Descriptors(), "caller_limits.descriptors", "exceeds the process's limit (RLIMIT_NOFILE)")
 	check(l.MaxConnections >= 0, "caller_limits.max_connections", "must not be negative")
 	check(l.MaxConnections <= s.derivedLimits().Connections, "caller_limits.max_connections",
