turmericd: let a write window above 10 s take effect

Cause: a response had 10 s for each 64 KiB, so that a caller that read nothing was cut off after 10 s, whatever write_window_seconds said, and its default of 30 never applied. The guard also measured a caller from the beginning of the wait for its worker, and not of the write: a check during the first write of a request that had waited for longer than the window would have closed its connection.

Change: a caller has the larger of 10 s and write_window_seconds for each 64 KiB. The setting has no default any more, which stands for the 10 s that applied before, so that callers that read nothing are cut off as before where it is not set. A measurement for a response begins with the write.

TestWriteAfterWait fails with the former measurement.

--- a/internal/coordination/callerlimits/callerlimits.go
+++ b/internal/coordination/callerlimits/callerlimits.go
@@ -321,7 +321,8 @@
 // SetWriting records that a write to the caller begins or ends.
 func (a *Account) SetWriting(now time.Duration, c *Conn, writing bool) {
 	c.writing = writing
-	if c.phase != Receiving && !writing {
+	// The time before a write does not count: the caller had nothing to read while its request waited for a worker.
+	if c.phase != Receiving {
 		c.measure(now)
 	}
 }
--- a/internal/coordination/callerlimits/callerlimits_test.go
+++ b/internal/coordination/callerlimits/callerlimits_test.go
@@ -255,3 +255,21 @@
 		So(a.Used(Heads), ShouldEqual, int64(n)*l.ConnectionBytes)
 	})
 }
+
+// TestWriteAfterWait guards against closing a caller whose response has just begun, because its request waited for longer than the window.
+func TestWriteAfterWait(t *testing.T) {
+	Convey("The time before the write does not count", t, func() {
+		a := New(limits())
+		c := a.Open(0, "a")
+		a.SetPhase(0, c, Serving)
+		const begins = 2 * DefaultWriteWindow
+		for now := time.Second; now <= begins; now += time.Second {
+			So(a.Overdue(now), ShouldBeEmpty)
+		}
+		a.SetWriting(begins, c, true)
+		for now := begins + time.Second; now < begins+DefaultWriteWindow; now += time.Second {
+			So(a.Overdue(now), ShouldBeEmpty)
+		}
+		So(a.Overdue(begins+DefaultWriteWindow), ShouldResemble, []*Conn{c})
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,7 +131,7 @@
 	d.registry.MustRegister(responses.Collectors()...)
 	d.entry = entry.New(entry.Options{
 		Config: d.replica.view, Runner: d.runner, Admit: d.admit, AdmitRun: d.admitRun, Ready: d.ready, Draining: d.draining, Log: d.log, Record: d.events.record, Registry: d.registry,
-		Responses: responses,
+		Responses: responses, WriteWindow: d.settings.Limits.writeWindow(),
 	})
 	d.registry.MustRegister(newCollector(d))
 	return d, nil
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -44,6 +44,8 @@
 	authority *authority.Authority
 	// prepare modifies an instance before it runs. It may be nil.
 	prepare func(*Daemon)
+	// settings modifies the settings of an instance. It may be nil.
+	settings func(*Settings)
 	// log replaces the logger of new instances, which writes to the test's output.
 	log *zerolog.Logger
 }
@@ -215,6 +217,9 @@
 	s.Platform = PlatformSettings{LogURL: scheme(f.authority) + "log:1", ListURL: scheme(f.authority) + "list:1", RetentionSeconds: int(f.retention.Seconds())}
 	s.TLS = f.tlsSettings(name)
 	s.Limits.MaxConnections, s.Limits.MaxBodyMemoryBytes = 64, 16<<20
+	if f.settings != nil {
+		f.settings(&s)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{name: name, address: s.Listen.Callers, drain: make(chan struct{}), stop: stop, done: make(chan struct{})}
 	log := zerolog.New(zerolog.NewTestWriter(f.t)).Level(zerolog.WarnLevel)
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -46,10 +46,16 @@
 	}
 	out.Bytes[callerlimits.Bodies] = min(out.Bytes[callerlimits.Bodies], int64(l.MaxBodyMemoryBytes))
 	out.Fields, out.MinRate = l.MaxFields, int64(l.MinBytesPerSecond)
-	out.ReadWindow, out.WriteWindow = time.Duration(l.ReadWindowSeconds)*time.Second, time.Duration(l.WriteWindowSeconds)*time.Second
+	out.ReadWindow = time.Duration(l.ReadWindowSeconds) * time.Second
+	if l.WriteWindowSeconds > 0 {
+		out.WriteWindow = l.writeWindow()
+	}
 	return out
 }
 
+// writeWindow returns how long a caller may be stalled in a response, 0 if it is not set.
+func (l Limits) writeWindow() time.Duration { return time.Duration(l.WriteWindowSeconds) * time.Second }
+
 // check names the limits that contradict the memory or the descriptors. The defaults contradict nothing: less is used where they
 // exceed what the machine allows.
 func (l Limits) check(tls bool) config.Problems {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -141,7 +141,9 @@
 	MinBytesPerSecond int `json:"min_bytes_per_second,omitempty"`
 	// ReadWindowSeconds is how long a caller may be stalled in a request before its connection is closed. Default: 15. Unit: seconds.
 	ReadWindowSeconds int `json:"read_window_seconds,omitempty"`
-	// WriteWindowSeconds is how long a caller may be stalled in a response. Default: 30. Unit: seconds.
+	// WriteWindowSeconds is how long a caller may be stalled in a response before its connection is closed. Above 10, it is also
+	// the time that a caller has for each 64 KiB of a response, which is 10 otherwise. Default: 0, which stands for 10. Unit:
+	// seconds.
 	WriteWindowSeconds int `json:"write_window_seconds,omitempty"`
 	// QueuedRequests is the maximum number of requests that wait for an engine. Default: 10000.
 	QueuedRequests int `json:"queued_requests,omitempty"`
@@ -162,7 +164,7 @@
 		Platform: PlatformSettings{
 			LogURL: "http://127.0.0.1:8090", ListURL: "http://127.0.0.1:8091", RetentionSeconds: 7 * 24 * 3600,
 		},
-		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, MaxBodyMemoryBytes: 256 << 20, QueuedRequests: 10_000, DrainSeconds: 330, MaxFields: 256, MinBytesPerSecond: 128, ReadWindowSeconds: 15, WriteWindowSeconds: 30},
+		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, MaxBodyMemoryBytes: 256 << 20, QueuedRequests: 10_000, DrainSeconds: 330, MaxFields: 256, MinBytesPerSecond: 128, ReadWindowSeconds: 15},
 		LogLevel: "info",
 	}
 }
--- a/internal/transport/entry/bounds.go
+++ b/internal/transport/entry/bounds.go
@@ -40,6 +40,9 @@
 	return false
 }
 
+// writeTimeout returns how long a caller may take to accept writeChunk bytes of its response.
+func (s *Server) writeTimeout() time.Duration { return max(minWriteTimeout, s.opts.WriteWindow) }
+
 // checkPathAndSetDeadlines refuses bad paths and sets the connection's read and write deadlines for one request.
 func (s *Server) checkPathAndSetDeadlines(next http.Handler) http.Handler {
 	refuse := s.wrap("unknown", func(*recorder, *request) error { return errBadPath })
@@ -47,7 +50,7 @@
 		control := http.NewResponseController(w)
 		// Responses that are not written through a recorder must end by this deadline. A recorder renews it
 		// before each write.
-		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_ = control.SetWriteDeadline(time.Now().Add(s.writeTimeout()))
 		if r.ContentLength != 0 {
 			// net/http reads a body to the end even if no handler reads it. Without a deadline, a slow
 			// sender could hold the connection for any length of time. readBody clears the deadline.
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -76,6 +76,8 @@
 	Draining func() bool
 	// Record adds an event to the timeline.
 	Record func(event.Event)
+	// WriteWindow is how long a caller may be stalled in a response, 0 for the least time that callers have.
+	WriteWindow time.Duration
 	// Responses counts the responses that are held whole for callers. It may be nil.
 	Responses *guard.Responses
 	// Log gets the panics of handlers.
--- a/internal/transport/entry/request.go
+++ b/internal/transport/entry/request.go
@@ -30,9 +30,9 @@
 var aLongTimeAgo = time.Unix(1, 0)
 
 const (
-	// writeTimeout is how long a caller may take to accept writeChunk bytes of its response.
-	writeTimeout = 10 * time.Second
-	writeChunk   = 64 << 10
+	// minWriteTimeout is the least time that a caller has to accept writeChunk bytes of its response.
+	minWriteTimeout = 10 * time.Second
+	writeChunk      = 64 << 10
 )
 
 // request is one HTTP request with what wrap determined about it: its identifier, caller and configuration.
@@ -60,6 +60,8 @@
 	failure *verdict.Error
 	// draining is Options.Draining.
 	draining func() bool
+	// timeout is how long the caller may take to accept writeChunk bytes.
+	timeout time.Duration
 }
 
 // WriteHeader implements http.ResponseWriter. While the instance drains, also a request that arrived before is answered
@@ -74,12 +76,12 @@
 	r.ResponseWriter.WriteHeader(status)
 }
 
-// Write implements io.Writer. Each writeChunk bytes must be accepted within writeTimeout.
+// Write implements io.Writer. Each writeChunk bytes must be accepted within the timeout.
 func (r *recorder) Write(p []byte) (int, error) {
 	control := http.NewResponseController(r.ResponseWriter)
 	written := 0
 	for {
-		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_ = control.SetWriteDeadline(time.Now().Add(r.timeout))
 		n, err := r.ResponseWriter.Write(p[written:min(written+writeChunk, len(p))])
 		written += n
 		if err != nil || written == len(p) {
@@ -95,7 +97,7 @@
 // caller, registers the request for cancellation, writes the error response and records metrics and events.
 func (s *Server) wrap(kind string, h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, hr *http.Request) {
-		rec := &recorder{ResponseWriter: w, draining: s.opts.Draining}
+		rec := &recorder{ResponseWriter: w, draining: s.opts.Draining, timeout: s.writeTimeout()}
 		r := &request{Request: hr, id: uuid.NewString(), start: time.Now()}
 		rec.Header().Set("X-Request-Id", r.id)
 		panicked, err := s.serveOrRecover(rec, r, h)
