--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -33,8 +33,11 @@
 }
 
 // callers returns the limits on callers' connections, and on those to workers and between instances.
-func (l Limits) callers() callerlimits.Limits {
-	out := callerlimits.Derive(l.memory(), l.descriptors())
+func (l Limits) callers() callerlimits.Limits { return l.callersWith(l.descriptors()) }
+
+// callersWith returns the limits for a number of descriptors.
+func (l Limits) callersWith(descriptors int) callerlimits.Limits {
+	out := callerlimits.Derive(l.memory(), descriptors)
 	if l.MaxWorkerConnections > 0 {
 		out = out.WithWorkers(l.MaxWorkerConnections)
 	}
@@ -43,10 +46,16 @@
 	}
 	out.Bytes[callerlimits.Bodies] = min(out.Bytes[callerlimits.Bodies], int64(l.MaxBodyMemoryBytes))
 	out.Fields, out.MinRate = l.MaxFields, int64(l.MinBytesPerSecond)
-	out.ReadWindow, out.WriteWindow = time.Duration(l.ReadWindowSeconds)*time.Second, time.Duration(l.WriteWindowSeconds)*time.Second
+	out.ReadWindow = time.Duration(l.ReadWindowSeconds) * time.Second
+	if l.WriteWindowSeconds > 0 {
+		out.WriteWindow = l.writeWindow()
+	}
 	return out
 }
 
+// writeWindow returns how long a caller may be stalled in a response, 0 if it is not set.
+func (l Limits) writeWindow() time.Duration { return time.Duration(l.WriteWindowSeconds) * time.Second }
+
 // check names the limits that contradict the memory or the descriptors. The defaults contradict nothing: less is used where they
 // exceed what the machine allows.
 func (l Limits) check(tls bool) config.Problems {
@@ -55,6 +64,16 @@
 		p = append(p, config.Problem{Path: "/limits/descriptors", Message: "exceeds the process's limit (RLIMIT_NOFILE)"})
 	}
 	allowed, defaults := l.callers(), DefaultSettings().Limits
+	connections := 0
+	if l.MaxConnections != defaults.MaxConnections {
+		connections = l.MaxConnections
+	}
+	if l.Descriptors > 0 {
+		if smallest, tooSmall := callerlimits.SharesTooSmall(l.Descriptors, connections, l.callersWith); tooSmall {
+			p = append(p, config.Problem{Path: "/limits/descriptors", Message: fmt.Sprintf(
+				"must be at least %d, so that callers, workers, instances and the rest have %d each", smallest, callerlimits.MinShare)})
+		}
+	}
 	if tls {
 		allowed = allowed.WithTLS()
 	}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -119,11 +119,14 @@
 	// which are not counted. Default: 268435456. Unit: bytes.
 	MaxBodyMemoryBytes int `json:"max_body_memory_bytes,omitempty"`
 	// MemoryMB is the memory that the process may use. Callers' heads with connections take at most an eighth of it, bodies
-	// a quarter, even where max_connections and max_body_memory_bytes allow more; the Go runtime's limit is 0.6 of it. Default: 0,
-	// which stands for 1/0.6 of GOMEMLIMIT, and for 1024 without that. Unit: MiB.
+	// a quarter, even where max_connections and max_body_memory_bytes allow more, and responses that are not streamed an eighth,
+	// beyond which they are read one at a time; the Go runtime's limit is 0.6 of it. Default: 0, which stands for 1/0.6 of
+	// GOMEMLIMIT, and for 1024 without that. Unit: MiB.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// Descriptors is the number of open descriptors that the process may have. Callers' connections take at most a third of
-	// it. Default: 0, which stands for the process's own limit (RLIMIT_NOFILE).
+	// it. It must leave at least 8 to callers, to backend servers, to instances in each direction and to the rest: 96 if
+	// max_worker_connections and max_peer_connections are not set. Default: 0, which stands for the process's own limit
+	// (RLIMIT_NOFILE).
 	Descriptors int `json:"descriptors,omitempty"`
 	// MaxWorkerConnections is the maximum number of open connections to engines and plain services, idle ones included, of which
 	// one host has at most half. A request beyond it is refused with 503 and not-run. Default: 0, which stands for a third of the
@@ -138,7 +141,9 @@
 	MinBytesPerSecond int `json:"min_bytes_per_second,omitempty"`
 	// ReadWindowSeconds is how long a caller may be stalled in a request before its connection is closed. Default: 15. Unit: seconds.
 	ReadWindowSeconds int `json:"read_window_seconds,omitempty"`
-	// WriteWindowSeconds is how long a caller may be stalled in a response. Default: 30. Unit: seconds.
+	// WriteWindowSeconds is how long a caller may be stalled in a response before its connection is closed. Above 10, it is also
+	// the time that a caller has for each 64 KiB of a response, which is 10 otherwise. Default: 0, which stands for 10. Unit:
+	// seconds.
 	WriteWindowSeconds int `json:"write_window_seconds,omitempty"`
 	// QueuedRequests is the maximum number of requests that wait for an engine. Default: 10000.
 	QueuedRequests int `json:"queued_requests,omitempty"`
@@ -159,7 +164,7 @@
 		Platform: PlatformSettings{
 			LogURL: "http://127.0.0.1:8090", ListURL: "http://127.0.0.1:8091", RetentionSeconds: 7 * 24 * 3600,
 		},
-		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, MaxBodyMemoryBytes: 256 << 20, QueuedRequests: 10_000, DrainSeconds: 330, MaxFields: 256, MinBytesPerSecond: 128, ReadWindowSeconds: 15, WriteWindowSeconds: 30},
+		Limits:   Limits{MaxConnections: 4096, MaxHeaderBytes: 32 << 10, MaxBodyMemoryBytes: 256 << 20, QueuedRequests: 10_000, DrainSeconds: 330, MaxFields: 256, MinBytesPerSecond: 128, ReadWindowSeconds: 15},
 		LogLevel: "info",
 	}
 }
