--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -177,10 +177,11 @@
 	incarnation string
 }
 
-// firstBackoff returns how long an instance that has not answered once is not called again in a role. Questions for a place end after
-// 50 ms, so that a further one costs little; the other calls wait for longer.
+// firstBackoff returns how long an instance that has not answered once is not called again in a role. Questions for a place at an engine
+// end after 50 ms, so that a further one costs little; most other calls wait for longer. Keepers are not asked again sooner either: under
+// overload, more of the requests that ask them are held until they are refused, and fewer are served.
 func (r peerRole) firstBackoff() time.Duration {
-	if r == roleAdmission || r == roleKeeper {
+	if r == roleAdmission {
 		return retry.MinCallBackoff
 	}
 	return retry.MaxCallBackoff
