residency: poll quick loads and loads that replace a version every 40 ms

Change: polls are left out only between 75 ms and 0.9 of the usual time, and not for loads that replace a version. Result: TestPollsOfLoad: 4 polls within 300 ms, 7 if a version is replaced.

--- a/internal/coordination/residency/owner.go
+++ b/internal/coordination/residency/owner.go
@@ -20,7 +20,9 @@
 	// repeats are awaited for repeatAnswerTimeout, since an instance may be slower than that for some time.
 	firstAnswerTimeout, repeatAnswerTimeout = 60 * time.Millisecond, 150 * time.Millisecond
 	shortAnswerTimeouts                     = 2
-	// expectedShare of the usual time of a load is when the worker is polled again after the first poll.
+	// quickLoadTime is the longest time of a load of an adapter that the worker held recently. Any other is polled again after
+	// expectedShare of the usual time of a load.
+	quickLoadTime = 75 * time.Millisecond
 	expectedShare = 0.9
 	// minFetchTime is the shortest duration of a load that fetched the weights from the weight store.
 	minFetchTime = 120 * time.Millisecond
@@ -63,6 +65,8 @@
 	use             decayingCounter
 	// running is the number of running requests that each instance last reported.
 	running map[string]int
+	// replaces is set for the load of a new version, which begins when the running requests of the old one have ended.
+	replaces bool
 	// retired means that no instance sends requests for the adapter to the worker any more, and unloadOrdered that
 	// its unload has been ordered.
 	retired, unloadOrdered bool
@@ -536,14 +540,18 @@
 		return
 	}
 	if s.state != Loading {
+		s.replaces = s.state == Resident
 		s.state, s.since, s.version = Loading, now, a.Version
 		s.nextPoll = now + pollInterval
 		o.countAccepted(r)
 		return
 	}
-	// The worker does not count a repeated order for an adapter that is loading. One that the worker held recently is loaded by the
-	// first poll; any other is not expected to be before the usual time of a load. That of slow loads may have passed.
-	s.nextPoll = max(now+pollInterval, s.since+time.Duration(expectedShare*float64(min(o.loadTime, expectedLoadTime))))
+	// The worker does not count a repeated order for an adapter that is loading.
+	s.nextPoll = now + pollInterval
+	if !s.replaces && now-s.since >= quickLoadTime {
+		// The load is from the weight store. The usual time of slow loads may have passed.
+		s.nextPoll = max(s.nextPoll, s.since+time.Duration(expectedShare*float64(min(o.loadTime, expectedLoadTime))))
+	}
 }
 
 func (o *Owner) applyUnload(a Action, r Result, now time.Duration) {
