daemon: confirm a change only after it is in force on the answering instance

Cause: configRecords and importState notified the calls that wait for the decision on a change before they published the new configuration. The answer to the operator, which counts the answering instance as one that has confirmed, could therefore precede the change (TestPublishWithLostAppendResponse, 9 of 500 runs with GOMAXPROCS=2; a trace of two failed runs shows the change accepted and confirmed, with one record in the log).

Change: waiting calls are notified after the configuration is in force. A change that is sent again between the decision and that moment waits, too. Nothing else changes.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -87,11 +87,12 @@
 }
 
 // awaitDecision returns a channel that is closed when the fold has decided on the change. If an earlier
-// record with the id was accepted, it returns that result instead.
+// record with the id was accepted and is in force, it returns that result instead.
 func (r *replica) awaitDecision(id string) (<-chan struct{}, *config.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if ref, ok := r.fold.View().RecentChange(id); ok && ref.Version > 0 {
+	// A change that the fold has accepted but that is not in force yet is still to be awaited.
+	if ref, ok := r.view().RecentChange(id); ok && ref.Version > 0 {
 		return nil, &config.Result{Outcome: config.Accepted, Change: ref}
 	}
 	done := r.waiting[id]
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -125,11 +125,9 @@
 func (r *replica) importState(data []byte) error {
 	r.mu.Lock()
 	changed, results, err := r.fold.Import(data)
-	for _, res := range results {
-		r.notifyWaiter(res)
-	}
 	view, next := r.fold.View(), r.fold.Next()
 	r.mu.Unlock()
+	defer r.notifyWaiters(results)
 	if err != nil {
 		return err
 	}
@@ -155,11 +153,12 @@
 func (r *replica) configRecords(entries []record.Entry, next uint64) {
 	r.mu.Lock()
 	before := r.fold.View()
+	results := make([]config.Result, 0, len(entries))
 	for _, e := range entries {
 		// A read can return several appends, and the tail skips records that cannot be decoded. Without
 		// Advance the fold would treat the missing offsets as a gap.
 		r.fold.Advance(e.Offset)
-		r.notifyWaiter(r.fold.Apply(e))
+		results = append(results, r.fold.Apply(e))
 	}
 	r.fold.Advance(next)
 	after := r.fold.View()
@@ -167,6 +166,7 @@
 	if after != before {
 		r.publish(after)
 	}
+	r.notifyWaiters(results)
 	r.daemon.control.recordConfigPosition(next)
 }
 
@@ -176,6 +176,16 @@
 	r.daemon.configChanged(v)
 }
 
+// notifyWaiters passes results to the calls that wait for them. It is called after the changes are in force here, since the answer
+// to an operator counts this instance as one that confirms the change.
+func (r *replica) notifyWaiters(results []config.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, res := range results {
+		r.notifyWaiter(res)
+	}
+}
+
 // notifyWaiter passes the result of a change to the calls that wait for it. The caller holds the lock.
 func (r *replica) notifyWaiter(res config.Result) {
 	for _, replayed := range res.Replayed {
