gateway: owners that no other instance reaches give up their workers

Cause: an owner's heartbeats prove that it reaches the log service, not that anybody reaches it. In TestRelaysCutOffFromOthers one of the instances that nobody reaches owned all workers until the end of the failed runs, so that no adapter was loaded. Requests asked three holders of a rate in random order, also those that had not answered lately, and were refused with rate_unknown. An instance that could not reach its first three relays tried only these.

Change: heartbeats report the addresses that their author fails to reach. Holders and relays whose latest call failed within 10 s are tried after the others. Both change behaviour only after a call between instances has failed.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -54,10 +54,11 @@
 			g.fleetKnown.set()
 		}
 		g.releaseWithoutLease()
+		cutOff := g.releaseIfCutOff()
 		// Rates and relays are updated before claims: after a restart of many instances the log service is busy
 		// with their claims.
 		g.rebalance()
-		if readErr == nil {
+		if readErr == nil && !cutOff {
 			g.claimAssigned(ctx)
 		}
 		pause := g.timing().HeartbeatInterval - time.Since(start) - offset
@@ -79,12 +80,17 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.releaseAll("no heartbeat was acknowledged in time")
+}
+
+// releaseAll gives up this instance's workers for a reason. The lock is held.
+func (g *Gateway) releaseAll(reason string) {
 	held := g.members.HeldWorkers()
 	for worker := range held {
 		g.members.Release(worker)
 	}
 	if len(held) > 0 {
-		g.log.Warn().Int("workers", len(held)).Msg("workers given up, since no heartbeat was acknowledged in time")
+		g.log.Warn().Int("workers", len(held)).Msg("workers given up, since " + reason)
 		g.dropLostOwners()
 	}
 }
@@ -178,8 +184,9 @@
 		if !heartbeat.Resigned {
 			heartbeat.Owned = g.members.HeldWorkers()
 		}
-		// An instance that gets no answers cannot claim what is assigned to it.
-		heartbeat.Paused = g.members.Paused(sent) || started && !unchallenged
+		// An instance that gets no answers cannot claim what is assigned to it, and one that is cut off must not.
+		heartbeat.Paused = g.members.Paused(sent) || started && !unchallenged || g.reach.isCutOff()
+		heartbeat.Unreachable = g.reach.report(sent)
 		if heartbeat.Era = g.members.Era(); heartbeat.Era > 0 {
 			heartbeat.EraAgeMS = g.members.EraAge(sent).Milliseconds()
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,7 +173,9 @@
 	replicaLoads map[workerAdapter]bool
 	// unreachable is the time of the last failed call to an instance.
 	unreachable map[peerCall]time.Duration
-	crashes     *retry.WorkerCrashTracker
+	// reach has a lock of its own.
+	reach   *reachability
+	crashes *retry.WorkerCrashTracker
 	// brokenAttempts are the broken attempts to report in the next heartbeat, and crashReport is the next report to the
 	// other instances, nil if none is scheduled.
 	brokenAttempts []fleetlog.BrokenAttempt
@@ -207,11 +209,12 @@
 		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), relocationsChanged: make(chan struct{}, 1),
 		configLoaded: newSignal(), fleetKnown: newSignal(),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{}, mixes: map[string]*workerload.Mix{},
-		connections: keepalive.New(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
+		connections: keepalive.New(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{}, reach: newReachability(),
 		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]*crashCheck{}, sent: map[*forward.Job]sentAttempt{}, fleetSize: 1,
 		missingSince: map[string]time.Duration{},
 	}
 	g.created = g.now()
+	g.reach.called = g.created
 	g.members = fleetlog.NewFollower(g.incarnation, quota.MaxTakeoverDelay)
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.log = log.With().Str("instance", s.Instance).Logger()
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -392,7 +392,7 @@
 		})
 		if err != nil {
 			if left > admitTimeout {
-				g.markUnreachable(roleKeeper, keeper.incarnation)
+				g.markUnreachable(roleKeeper, keeper)
 			}
 			g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Int64("timeout_ms", timeout.Milliseconds()).Msg("keeper of a worker not reached")
 			return workerload.PlainAnswer{}, p
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
@@ -34,6 +36,7 @@
 	counted := guard.NewOutbound("to_peers", g.settings.callerLimits().Peers, g.guardMetrics, g.log).Network(g.network)
 	clients := peer.NewClients(nil, counted.Dial, func(string) {})
 	clients.OnCall = func(method string) { g.metrics.peerCalls.WithLabelValues(method).Inc() }
+	clients.OnReached = g.peerReached
 	return &peers{g: g, clients: clients}
 }
 
@@ -44,7 +47,7 @@
 		return nil, trace.Wrap(err)
 	}
 	l = guard.Limit(l, "from_peers", p.g.settings.callerLimits().PeersAccepted, p.g.guardMetrics, p.g.log)
-	s := peer.NewServer(nil, p.g.recordPanic)
+	s := peer.NewServer(nil, p.g.recordPanic, grpc.ChainUnaryInterceptor(p.g.recordPeerCall))
 	peerpb.RegisterPeerServer(s, p)
 	go func() {
 		if err := s.Serve(l); err != nil {
@@ -180,10 +183,19 @@
 }
 
 // markUnreachable records a failed call to an instance.
-func (g *Gateway) markUnreachable(role peerRole, incarnation string) {
+func (g *Gateway) markUnreachable(role peerRole, p peerInstance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.unreachable[peerCall{role, p.incarnation}] = now
+	g.reach.failed(p.address, now)
+}
+
+// markUnwilling records that an instance has answered a call but does not act in the role.
+func (g *Gateway) markUnwilling(role peerRole, p peerInstance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unreachable[peerCall{role, incarnation}] = g.now()
+	g.unreachable[peerCall{role, p.incarnation}] = g.now()
 }
 
 // recentlyUnreachable reports whether a call to an instance failed within unreachableBackoff. The lock is held.
@@ -242,7 +254,7 @@
 			// The call may have failed because the caller left or its deadline passed. The owner counts as unreachable
 			// only if ctx is still valid or the owner had enough time to respond.
 			if ctx.Err() == nil || g.now()-start >= ownerResponseTimeout {
-				g.markUnreachable(roleOwner, claim.Incarnation)
+				g.markUnreachable(roleOwner, p.owner)
 				g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", want.adapter.String()).Msg("owner not reached")
 			}
 			return p, false
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -142,7 +142,8 @@
 // holderShare identifies a holder's share of a workspace's rate.
 type holderShare struct{ workspace, incarnation string }
 
-// otherHolders returns the other holders to ask, in random order. Holders that have spent their shares are skipped;
+// otherHolders returns the other holders to ask, in random order, those last whose latest call failed. Holders that have spent
+// their shares are skipped;
 // spentWait is the shortest time until one of them is asked again, zero if there are none. The lock is held.
 func (g *Gateway) otherHolders(workspace string, now time.Duration) (list []peerInstance, spentWait time.Duration) {
 	for _, h := range g.rateHolders[workspace] {
@@ -158,6 +159,7 @@
 		list = append(list, h)
 	}
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	g.reach.order(list, now)
 	return list, spentWait
 }
 
@@ -169,7 +171,7 @@
 	defer cancel()
 	r, err := g.peers.clients.Spend(ctx, h.address, &peerpb.SpendRequest{Workspace: workspace, Microtokens: int64(units * microtokensPerUnit)})
 	if err != nil {
-		g.markUnreachable(roleHolder, h.incarnation)
+		g.markUnreachable(roleHolder, h)
 		g.log.Info().Err(err).Str("workspace", workspace).Str("holder", h.instance).Msg("holder of a rate not reached")
 		return 0, false, false
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -128,12 +128,12 @@
 	if slices.ContainsFunc(g.relays, func(p peerInstance) bool { return p.incarnation == g.incarnation }) {
 		return peerInstance{}, false
 	}
-	for _, p := range g.relays {
-		if !g.recentlyUnreachable(roleRelay, p.incarnation, now) {
-			return p, true
-		}
+	list := slices.DeleteFunc(slices.Clone(g.relays), func(p peerInstance) bool { return g.recentlyUnreachable(roleRelay, p.incarnation, now) })
+	if len(list) == 0 {
+		return peerInstance{}, false
 	}
-	return peerInstance{}, false
+	g.reach.order(list, now)
+	return list[0], true
 }
 
 // topicReader reads one topic: from a relay, or else from the log service.
@@ -232,7 +232,7 @@
 	defer cancel()
 	a, err := g.peers.clients.ReadLog(callCtx, p.address, &peerpb.ReadLogRequest{Topic: r.topic, Era: at.Era, From: at.Offset, Seen: r.seen})
 	if err != nil {
-		g.markUnreachable(roleRelay, p.incarnation)
+		g.markUnreachable(roleRelay, p)
 		g.log.Info().Err(err).Str("topic", r.topic).Str("relay", p.instance).Msg("relay of the log service not reached")
 		return reading{}, false
 	}
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -110,7 +110,7 @@
 	})
 	if err != nil {
 		if j.Deadline.After(time.Now()) {
-			g.markUnreachable(roleAdmission, claim.Incarnation)
+			g.markUnreachable(roleAdmission, p.owner)
 			g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Msg("owner not reached for the load of its worker")
 		}
 		return workerload.Answer{}, p, false
--- a/internal/state/fleetlog/fleetlog.go
+++ b/internal/state/fleetlog/fleetlog.go
@@ -87,6 +87,8 @@
 	// Owned maps the workers for which the author acts to the fences of its claims. It makes the claims known again that
 	// are no longer in the stream. It is nil in heartbeats that do not say for which workers their author acts.
 	Owned map[string]int64 `json:"owned"`
+	// Unreachable are the addresses of the instances that the author has failed to reach for some time.
+	Unreachable []string `json:"unreachable,omitempty"`
 	// Resigned releases the incarnation's workers, so that other instances can claim them at once.
 	Resigned bool `json:"resigned,omitempty"`
 	// Leaving ends the membership of the incarnation.
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -37,9 +37,11 @@
 	onRefused func(addr string)
 	// OnCall, if set before the first call, is called with the name of each method that is called at a peer.
 	OnCall func(method string)
-	mu     sync.Mutex
-	conns  map[string]*grpc.ClientConn
-	closed bool
+	// OnReached, if set before the first call, is called with the address of each peer that has answered a call.
+	OnReached func(addr string)
+	mu        sync.Mutex
+	conns     map[string]*grpc.ClientConn
+	closed    bool
 }
 
 // NewClients returns clients without connections. tlsConfig returns the configuration of one connection, with this
@@ -128,6 +130,9 @@
 	defer cancel()
 	response, err := method(peerpb.NewPeerClient(conn), limited, request)
 	if err == nil {
+		if c.OnReached != nil {
+			c.OnReached(addr)
+		}
 		return response, nil
 	}
 	if status.Code(err) == codes.DeadlineExceeded && limited.Err() != nil && ctx.Err() == nil {
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -49,9 +49,9 @@
 
 // NewServer returns a gRPC server without services. The configuration must require and verify client
 // certificates; nil means plain text, which the caller must permit only on loopback or by an explicit setting. A
-// panic in the handler of a call ends only that call, and is reported to onPanic unless that is nil.
-func NewServer(conf *tls.Config, onPanic PanicFunc) *grpc.Server {
-	return grpc.NewServer(
+// panic in the handler of a call ends only that call, and is reported to onPanic unless that is nil. More options may follow.
+func NewServer(conf *tls.Config, onPanic PanicFunc, more ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append(more,
 		grpc.Creds(transportCredentials(conf)),
 		grpc.UnaryInterceptor(onPanic.unary), grpc.StreamInterceptor(onPanic.stream),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
@@ -59,7 +59,7 @@
 		grpc.ReadBufferSize(connBufferBytes), grpc.WriteBufferSize(connBufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
-	)
+	)...)
 }
 
 func transportCredentials(conf *tls.Config) credentials.TransportCredentials {
