gateway: ask owners again after 2 s, as before

An owner that cannot be reached was asked again after 100 ms, so that a caller lost the time of several questions.

--- a/internal/gateway/fleetrelay.go
+++ b/internal/gateway/fleetrelay.go
@@ -182,7 +182,7 @@
 	era, from := g.fleetPosition()
 	r, err := g.peers.clients.AppendFleet(ctx, p.address, &peerpb.AppendFleetRequest{Record: record, Era: era, From: from, Urgent: urgent})
 	if err != nil || !r.Appended {
-		g.markUnreachable(roleRelay, p.incarnation, g.now())
+		g.markUnreachable(roleRelay, p.incarnation)
 		g.log.Info().Err(err).Str("relay", p.instance).Msg("fleet record not appended by a relay")
 		return fleetAppend{}, false
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,8 +171,8 @@
 	overShares workerload.OverShares
 	// replicaLoads are the additional replicas of adapters that are being loaded.
 	replicaLoads map[workerAdapter]bool
-	// unreachable are the calls to instances that got no answer.
-	unreachable map[peerCall]retry.CallBackoff
+	// unreachable is the time of the last failed call to an instance.
+	unreachable map[peerCall]time.Duration
 	crashes     *retry.WorkerCrashTracker
 	// brokenAttempts are the broken attempts to report in the next heartbeat, and crashReport is the next report to the
 	// other instances, nil if none is scheduled.
@@ -207,7 +207,7 @@
 		wake: make(chan struct{}, 1), askPeers: make(chan struct{}, 1), relocationsChanged: make(chan struct{}, 1),
 		configLoaded: newSignal(), fleetKnown: newSignal(),
 		ejectors: map[string]*retry.Ejector{}, owners: map[workers.Key]*owner{}, mixes: map[string]*workerload.Mix{},
-		connections: keepalive.New(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]retry.CallBackoff{},
+		connections: keepalive.New(clock), replicaLoads: map[workerAdapter]bool{}, unreachable: map[peerCall]time.Duration{},
 		unconfirmed: map[int64]sentHeartbeat{}, crashes: retry.NewWorkerCrashTracker(), crashChecks: map[string]*crashCheck{}, sent: map[*forward.Job]sentAttempt{}, fleetSize: 1,
 		missingSince: map[string]time.Duration{},
 	}
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -392,12 +392,11 @@
 		})
 		if err != nil {
 			if left > admitTimeout {
-				g.markUnreachable(roleKeeper, keeper.incarnation, now)
+				g.markUnreachable(roleKeeper, keeper.incarnation)
 			}
 			g.log.Info().Err(err).Str("worker", w.ID).Str("keeper", keeper.instance).Int64("timeout_ms", timeout.Milliseconds()).Msg("keeper of a worker not reached")
 			return workerload.PlainAnswer{}, p
 		}
-		g.locked(func() { g.markReachable(roleKeeper, keeper.incarnation) })
 		if !r.Owned {
 			return workerload.PlainAnswer{}, p
 		}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -201,7 +201,7 @@
 	start := g.now()
 	r, err := g.peers.clients.ReserveRequest(ctx, h.address, &peerpb.ReserveRequestRequest{Server: worker, Limit: rate, MaxWaitMs: maxWait.Milliseconds(), Cold: cold})
 	if err != nil {
-		g.markUnreachable(roleHolder, h.incarnation, g.now())
+		g.markUnreachable(roleHolder, h.incarnation)
 		g.log.Info().Err(err).Str("worker", worker).Str("holder", h.instance).Msg("holder of a worker's limit not reached")
 		return reservation{maxWait: maxWait}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,7 +9,6 @@
 	"github.com/gravitational/trace"
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
-	"github.com/turmericworks/turmericworks/internal/coordination/retry"
 	"github.com/turmericworks/turmericworks/internal/protocol/peerpb"
 	"github.com/turmericworks/turmericworks/internal/state/workers"
 	"github.com/turmericworks/turmericworks/internal/transport/guard"
@@ -157,6 +156,9 @@
 	return running
 }
 
+// unreachableBackoff is how long an instance that could not be reached is not called again in the same role.
+const unreachableBackoff = 2 * time.Second
+
 // peerRole is the role in which an instance is called. An instance that is slow in one role may still respond in
 // another.
 type peerRole int
@@ -177,34 +179,17 @@
 	incarnation string
 }
 
-// firstBackoff returns how long an instance that has not answered once is not called again in a role. Questions for a place at an engine
-// end after 50 ms, so that a further one costs little; most other calls wait for longer. Keepers are not asked again sooner either: under
-// overload, more of the requests that ask them are held until they are refused, and fewer are served.
-func (r peerRole) firstBackoff() time.Duration {
-	if r == roleAdmission {
-		return retry.MinCallBackoff
-	}
-	return retry.MaxCallBackoff
-}
-
-// markUnreachable records a failed call to an instance, which was sent at a given time.
-func (g *Gateway) markUnreachable(role peerRole, incarnation string, sent time.Duration) {
+// markUnreachable records a failed call to an instance.
+func (g *Gateway) markUnreachable(role peerRole, incarnation string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.unreachable[peerCall{role, incarnation}]
-	b.Failed(sent, g.now())
-	g.unreachable[peerCall{role, incarnation}] = b
-}
-
-// markReachable records that an instance has answered a call. The lock is held.
-func (g *Gateway) markReachable(role peerRole, incarnation string) {
-	delete(g.unreachable, peerCall{role, incarnation})
+	g.unreachable[peerCall{role, incarnation}] = g.now()
 }
 
-// recentlyUnreachable reports whether an instance is not called in a role, since it did not answer earlier calls. The lock is held.
+// recentlyUnreachable reports whether a call to an instance failed within unreachableBackoff. The lock is held.
 func (g *Gateway) recentlyUnreachable(role peerRole, incarnation string, now time.Duration) bool {
-	b := g.unreachable[peerCall{role, incarnation}]
-	return !b.Ends(role.firstBackoff(), now)
+	failed, ok := g.unreachable[peerCall{role, incarnation}]
+	return ok && now-failed <= unreachableBackoff
 }
 
 // hasReachableOwner reports whether a worker has an owner that can be asked to load an adapter. The lock is held.
@@ -257,7 +242,7 @@
 			// The call may have failed because the caller left or its deadline passed. The owner counts as unreachable
 			// only if ctx is still valid or the owner had enough time to respond.
 			if ctx.Err() == nil || g.now()-start >= ownerResponseTimeout {
-				g.markUnreachable(roleOwner, claim.Incarnation, start)
+				g.markUnreachable(roleOwner, claim.Incarnation)
 				g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Str("adapter", want.adapter.String()).Msg("owner not reached")
 			}
 			return p, false
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -169,7 +169,7 @@
 	defer cancel()
 	r, err := g.peers.clients.Spend(ctx, h.address, &peerpb.SpendRequest{Workspace: workspace, Microtokens: int64(units * microtokensPerUnit)})
 	if err != nil {
-		g.markUnreachable(roleHolder, h.incarnation, g.now())
+		g.markUnreachable(roleHolder, h.incarnation)
 		g.log.Info().Err(err).Str("workspace", workspace).Str("holder", h.instance).Msg("holder of a rate not reached")
 		return 0, false, false
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -232,7 +232,7 @@
 	defer cancel()
 	a, err := g.peers.clients.ReadLog(callCtx, p.address, &peerpb.ReadLogRequest{Topic: r.topic, Era: at.Era, From: at.Offset, Seen: r.seen})
 	if err != nil {
-		g.markUnreachable(roleRelay, p.incarnation, g.now())
+		g.markUnreachable(roleRelay, p.incarnation)
 		g.log.Info().Err(err).Str("topic", r.topic).Str("relay", p.instance).Msg("relay of the log service not reached")
 		return reading{}, false
 	}
--- a/internal/gateway/workerload.go
+++ b/internal/gateway/workerload.go
@@ -110,12 +110,11 @@
 	})
 	if err != nil {
 		if j.Deadline.After(time.Now()) {
-			g.markUnreachable(roleAdmission, claim.Incarnation, now)
+			g.markUnreachable(roleAdmission, claim.Incarnation)
 			g.log.Info().Err(err).Str("worker", w.ID).Str("owner", claim.Instance).Msg("owner not reached for the load of its worker")
 		}
 		return workerload.Answer{}, p, false
 	}
-	g.locked(func() { g.markReachable(roleAdmission, claim.Incarnation) })
 	p.number = r.Place
 	wait := time.Duration(r.WaitMs) * time.Millisecond
 	return workerload.Answer{Known: r.Owned, Admitted: r.Place != 0, Wait: wait, Defers: r.Defers, InTime: wait <= maxWait, OverShare: r.OverShare}, p, r.Absent
