--- a/review/scene/case8/main.go
+++ b/review/scene/case8/main.go
@@ -1,95 +1,91 @@
-// Command case8 shows what instances know of workers while another writer appends long entries that cannot be read.
+// Command case8 shows what becomes of answers whose clients read them slowly.
 package main
 
 import (
-	"bytes"
 	"fmt"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/turmericworks/turmericworks/review/scene"
 )
 
 const (
-	instances = 3
-	// An entry of another writer has entryBytes and comes each entryInterval, from quiet on.
-	quiet         = 2 * time.Second
-	entryBytes    = 100 << 10
-	entryInterval = 500 * time.Millisecond
-	// A worker reports at drainAt that it drains, and exits linger after that.
-	drainAt, linger = 16 * time.Second, 5 * time.Second
-	total           = 32 * time.Second
-	interval        = 25 * time.Millisecond
-	// The worker that leaves takes long for a request, so that some are at work when it exits.
-	work = 250 * time.Millisecond
+	clients = 8
+	// A lot entry has an answer of answerBytes and a deadline like that of fan-recap.
+	answerBytes = 64 << 10
+	deadline    = 20 * time.Second
+	// hangUpAt is when the instance gets SIGHUP. The requests are sent sendDelay after it, within configApplyMs.
+	hangUpAt, sendDelay = 4 * time.Second, 300 * time.Millisecond
+	bufferBytes         = 8 << 10
+	chunkBytes          = 24 << 10
+	pause               = 5 * time.Second
 )
 
 func main() { scene.Main(play) }
 
 // play returns the exit status and the result.
 func play(record *scene.Record, trouble bool) (int, string) {
-	config := scene.Config([]string{scene.Service}, scene.Route("r-lots", "/lots/", scene.Service, "non_idempotent"))
-	f, err := scene.NewFleet(record, config, []string{scene.Service, scene.Service, scene.Service}, instances)
+	scene.Bounds["drain_ms"], scene.Bounds["quota_slack"], scene.Bounds["retry_slack"] = 3000, 110000, 210
+	route := scene.Route("r-lots", "/lots/", scene.Service, "non_idempotent")
+	route["timeoutMs"] = deadline.Milliseconds()
+	f, err := scene.NewFleet(record, scene.Config([]string{scene.Service}, route), []string{scene.Service}, 1)
 	if err != nil {
 		return scene.NotRun, err.Error()
 	}
 	defer f.Close()
+	f.Workers[0].AnswerBytes = answerBytes
+	time.Sleep(hangUpAt)
+	if err := f.Gateways[0].Signal(syscall.SIGHUP); err != nil {
+		return scene.NotRun, err.Error()
+	}
+	record.Line("SIGHUP sent to %s, whose settings are as before", f.Gateways[0].Name)
+	time.Sleep(sendDelay)
+	reader := scene.SlowReader{Buffer: bufferBytes, Chunk: answerBytes, Pause: 0}
 	if trouble {
-		go writeEntries(f)
+		reader.Chunk, reader.Pause = chunkBytes, pause
 	}
-	leaving := f.Workers[0]
-	leaving.Work = work
-	acknowledged := make(chan time.Time, 1)
-	time.AfterFunc(drainAt, func() { leave(f, leaving, acknowledged) })
-	served, lost := 0, 0
-	f.Send(total, interval, scene.Lot, func(_ scene.Request, a scene.Answer) {
-		if a.Status == 200 {
-			served++
-		}
-		if a.Lost() {
-			lost++
-		}
-	})
-	f.RecordRuns()
-	bound := (<-acknowledged).Add(scene.DrainBound)
-	late := 0
-	var last time.Duration
-	for _, r := range leaving.Runs() {
-		if r.At.After(bound) {
-			late++
-			last = max(last, r.At.Sub(bound))
-		}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	whole, cut := 0, 0
+	for n := range clients {
+		wg.Go(func() {
+			complete := send(f, reader, n)
+			mu.Lock()
+			defer mu.Unlock()
+			if complete {
+				whole++
+			} else {
+				cut++
+			}
+		})
 	}
-	result := fmt.Sprintf("DRAIN: %d requests reached the draining worker after drainMs, the last one %.1f s after it; %d requests served, %d answered 502, 504 or not at all",
-		late, last.Seconds(), served, lost)
+	wg.Wait()
+	f.RecordRuns()
+	ran := len(f.Workers[0].Runs())
+	result := fmt.Sprintf("LOST: %d of %d answers ended before they were complete; the worker ran %d requests and answered all of them whole", cut, clients, ran)
 	switch {
-	case late > 0:
-		return scene.Broken, result
-	case served == 0:
+	case ran != clients:
 		return scene.NotRun, result
+	case cut > 0:
+		return scene.Broken, result
 	}
 	return scene.Held, result
 }
 
-// writeEntries appends an entry that cannot be read at intervals.
-func writeEntries(f *scene.Fleet) {
-	time.Sleep(quiet)
-	for {
-		f.Store.PutBytes(scene.WorkerTopic, "tool-5", bytes.Repeat([]byte{0xfe}, entryBytes))
-		f.Record.Line("another writer appended servers/tool-5, %d bytes that cannot be read", entryBytes)
-		time.Sleep(entryInterval)
-	}
-}
-
-// leave lets a worker drain and exit.
-func leave(f *scene.Fleet, w *scene.Worker, acknowledged chan<- time.Time) {
-	at, err := w.Drain()
+// send sends a request on a new connection and reports whether the whole answer arrived.
+func send(f *scene.Fleet, reader scene.SlowReader, n int) bool {
+	c, err := reader.Connect(f.Gateways[0])
 	if err != nil {
-		return
-	}
-	f.Record.LineAt(at, "the store has accepted that worker %s drains", w.ID)
-	acknowledged <- at
-	time.Sleep(linger)
-	if err := w.Exit(); err == nil {
-		f.Record.Line("worker %s has exited", w.ID)
+		return false
 	}
+	defer func() { _ = c.Close() }()
+	q := scene.Lot(n)
+	q.Deadline = deadline
+	attempt := fmt.Sprintf("%016x", 0x51ce<<32+n)
+	f.Record.Line("request %s %s %s%s sent to %s", attempt, q.Method, q.Host, q.Path, f.Gateways[0].Name)
+	a, length := reader.Send(c, q, attempt)
+	f.Record.Line("request %s answered: status %d, stamp %q, %d of %d bytes after %.1f s, error: %v",
+		attempt, a.Status, a.Stamp, length, answerBytes, a.Took.Seconds(), a.Err)
+	return a.Status == 200 && length == answerBytes && a.Err == nil
 }
--- a/review/scene/gateway.go
+++ b/review/scene/gateway.go
@@ -29,8 +29,8 @@
 	ended    chan struct{}
 }
 
-// bounds are those of rausu-racks.
-var bounds = map[string]any{
+// Bounds are those in the settings of the instances. They begin as those of rausu-racks.
+var Bounds = map[string]any{
 	"key_withdrawal_ms": 5000, "adapter_version_ms": 5000, "drain_ms": 2000, "quota_slack": 72000, "grace_s": 8,
 	"retry_ratio": 0.2, "retry_slack": 52, "retry_window_s": 10,
 }
@@ -46,7 +46,7 @@
 	g.settings, err = json.MarshalIndent(map[string]any{
 		"instance": name, "data_centre": zone, "first_start": true, "callers_address": at(0), "readiness_address": at(1),
 		"peer_address": at(2), "metrics_address": at(3), "log_service": store, "peer_plain_text": true, "memory_mb": 284,
-		"caller_limits": map[string]any{"descriptors": 1000}, "bounds": bounds,
+		"caller_limits": map[string]any{"descriptors": 1000}, "bounds": Bounds,
 	}, "", "  ")
 	if err != nil {
 		return nil, err
--- a/review/scene/worker.go
+++ b/review/scene/worker.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,6 +30,8 @@
 	Address           string
 	// Work is how long a request takes.
 	Work time.Duration
+	// AnswerBytes is the least length of an answer.
+	AnswerBytes int
 
 	store  *Store
 	server *http.Server
@@ -130,7 +133,8 @@
 	w.mu.Unlock()
 	time.Sleep(w.Work)
 	rw.Header().Set("X-Server-Stamp", w.ID+"."+strconv.Itoa(n))
-	_, _ = io.WriteString(rw, "done by "+w.ID+" of "+w.Service+"\n")
+	answer := "done by " + w.ID + " of " + w.Service + "\n"
+	_, _ = io.WriteString(rw, answer+strings.Repeat(".", max(0, w.AnswerBytes-len(answer))))
 }
 
 // Stranger is a server that is no worker of the platform. It answers all requests and knows none of the platform's headers.
