gateway: confirm the configuration only up to the end that a read reached

Callers: a withdrawn key was accepted for up to 9 s after the withdrawal was acknowledged, by instances that read a backlog after a cut.

Cause: each successful read of the operators' topic renewed the permission to accept keys, also one that ended before the end of the topic. Readiness, 401 and 404 rest on the same time. A relay passed the time of its last read on, wherever that had ended.

--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/turmericworks/turmericworks/internal/coordination/freshness"
 	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
 )
 
@@ -127,7 +128,9 @@
 	records     [][]byte
 	size        int
 	reads       uint64
-	sent        time.Duration
+	// sent is when the last read was sent, and end the offset after the last record that the topic had then.
+	sent time.Duration
+	end  int64
 }
 
 // StartEra drops the records of earlier eras: their offsets are assigned to other records.
@@ -137,11 +140,11 @@
 	}
 }
 
-// Add adds the records that start at an offset of an era, as returned by a read that was sent at the given time. Records
-// that do not follow the buffered ones replace them, and those of an earlier era are dropped.
-func (b *Buffer) Add(era, from int64, records [][]byte, sent time.Duration) {
-	b.StartEra(era)
-	if era < b.era {
+// Add adds the records that a read from an offset on returned. Records that do not follow the buffered ones replace them, and
+// those of an earlier era are dropped.
+func (b *Buffer) Add(from int64, records [][]byte, r freshness.Read) {
+	b.StartEra(r.Era)
+	if r.Era < b.era {
 		return
 	}
 	if !b.filled || from != b.next {
@@ -159,7 +162,7 @@
 	}
 	b.records = b.records[dropped:]
 	b.first += int64(dropped)
-	b.sent = sent
+	b.sent, b.end = r.Sent, r.End
 	b.reads++
 }
 
@@ -176,9 +179,11 @@
 	Records [][]byte
 	// Next is the offset after the last record.
 	Next int64
-	// Reads is the number of the read that confirmed the answer, and Sent is when that read was sent.
+	// Reads is the number of the relay's last read, Sent is when that read was sent, and End the offset after the last record that
+	// the topic had then. The answer does not confirm the topic as of Sent if Next is before End.
 	Reads uint64
 	Sent  time.Duration
+	End   int64
 }
 
 // Read returns the records from an offset of an era on, if a read with a number above seen has confirmed them. Behind
@@ -193,5 +198,5 @@
 	case from < b.first:
 		return Answer{}, false, true
 	}
-	return Answer{Records: b.records[from-b.first:], Next: b.next, Reads: b.reads, Sent: b.sent}, true, false
+	return Answer{Records: b.records[from-b.first:], Next: b.next, Reads: b.reads, Sent: b.sent, End: b.end}, true, false
 }
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/turmericworks/turmericworks/internal/coordination/freshness"
 	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
 	"pgregory.net/rapid"
 )
@@ -81,7 +82,7 @@
 				if rapid.Bool().Draw(t, "added") {
 					to := int64(rapid.IntRange(int(relayOffset), int(end)).Draw(t, "read to"))
 					size := rapid.SampledFrom([]int{10, maxBufferBytes / 3}).Draw(t, "size")
-					b.Add(relayEra, relayOffset, log.encode(relayOffset, to, size), time.Second)
+					b.Add(relayOffset, log.encode(relayOffset, to, size), freshness.Read{Era: relayEra, Next: to, End: end, Sent: time.Second})
 					relayOffset = to
 				}
 			}
@@ -122,14 +123,14 @@
 func TestEras(t *testing.T) {
 	Convey("a reader and a relay in different eras do not read from each other", t, func() {
 		var b Buffer
-		b.Add(1, 5, [][]byte{{1}}, time.Second)
+		b.Add(5, [][]byte{{1}}, freshness.Read{Era: 1, Sent: time.Second})
 		for _, era := range []int64{0, 2} {
 			_, ok, behind := b.Read(era, 5, 0)
 			So(ok, ShouldBeFalse)
 			So(behind, ShouldBeTrue)
 		}
 		Convey("nor does a read of an earlier era count", func() {
-			b.Add(0, 5, [][]byte{{9}, {9}}, 2*time.Second)
+			b.Add(5, [][]byte{{9}, {9}}, freshness.Read{Era: 0, Sent: 2*time.Second})
 			a, ok, _ := b.Read(1, 5, 0)
 			So(ok, ShouldBeTrue)
 			So(a.Records, ShouldResemble, [][]byte{{1}})
@@ -141,7 +142,7 @@
 			So(ok || !behind, ShouldBeFalse)
 			_, ok, behind = b.Read(2, 0, 0)
 			So(ok || behind, ShouldBeFalse)
-			b.Add(2, 6, nil, 3*time.Second)
+			b.Add(6, nil, freshness.Read{Era: 2, Sent: 3*time.Second})
 			a, ok, _ := b.Read(2, 6, 1)
 			So(ok, ShouldBeTrue)
 			So(a.Sent, ShouldEqual, 3*time.Second)
@@ -163,13 +164,13 @@
 		var b Buffer
 		_, ok, behind := b.Read(0, 0, 0)
 		So(ok || behind, ShouldBeFalse)
-		b.Add(0, 5, [][]byte{{1}}, time.Second)
+		b.Add(5, [][]byte{{1}}, freshness.Read{Era: 0, Sent: time.Second})
 		a, ok, _ := b.Read(0, 5, 0)
 		So(ok, ShouldBeTrue)
 		So(a.Sent, ShouldEqual, time.Second)
 		_, ok, _ = b.Read(0, a.Next, a.Reads)
 		So(ok, ShouldBeFalse)
-		b.Add(0, 6, nil, 2*time.Second)
+		b.Add(6, nil, freshness.Read{Era: 0, Sent: 2*time.Second})
 		a, ok, _ = b.Read(0, a.Next, a.Reads)
 		So(ok, ShouldBeTrue)
 		So(a.Records, ShouldBeEmpty)
@@ -177,7 +178,7 @@
 	})
 	Convey("a reader before the oldest record must read for itself, and one after the newest waits", t, func() {
 		var b Buffer
-		b.Add(0, 5, [][]byte{{1}}, time.Second)
+		b.Add(5, [][]byte{{1}}, freshness.Read{Era: 0, Sent: time.Second})
 		_, _, behind := b.Read(0, 4, 0)
 		So(behind, ShouldBeTrue)
 		_, ok, behind := b.Read(0, 7, 0)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -47,14 +47,14 @@
 // Admit implements forward.Admission.
 func (m *admission) Admit(j *forward.Job, host, path string) error {
 	g := (*Gateway)(m)
-	// The read is loaded before the table, which then is at least as new. The other way round, a newer table may be put into
+	// The times are loaded before the table, which then is at least as new. The other way round, a newer table may be put into
 	// force in between, and the read that brought it does not confirm the one that the request is decided by.
-	read, confirmed := time.Duration(g.configRead.Load()), g.lastConfirmed()
+	known, confirmed := time.Duration(g.configConfirmed.Load()), g.lastConfirmed()
 	t := g.table.Load()
 	if t == nil {
 		return refuse(http.StatusServiceUnavailable, "no_configuration", "the instance knows no configuration yet", g.unreadyRetryAfter())
 	}
-	j.Config, j.ConfigAge = t, g.now()-read
+	j.Config, j.ConfigAge = t, g.now()-known
 	route, ok := t.Match(host, path)
 	if !ok {
 		if !g.recent(confirmed, denialMaxAge) {
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -38,7 +38,7 @@
 	}, zerolog.Nop())
 	g.applyConfig(config(1, "withdrawn"), now)
 	g.peersAsked.Store(true)
-	g.configRead.Store(int64(now))
+	g.configConfirmed.Store(int64(now))
 	admit := func() error {
 		return (*admission)(g).Admit(&forward.Job{Request: external.Request{Key: "withdrawn"}}, "a.example", "/x")
 	}
@@ -46,7 +46,7 @@
 	now += pause
 	onClock = func() {
 		g.applyConfig(config(2, "other"), now)
-		g.configRead.Store(int64(now))
+		g.configConfirmed.Store(int64(now))
 	}
 	after := admit()
 	Convey("the key is accepted before the pause and not after it", t, func() {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/turmericworks/turmericworks/internal/coordination/freshness"
 	"github.com/turmericworks/turmericworks/internal/coordination/residency"
 	"github.com/turmericworks/turmericworks/internal/protocol/external"
 	"github.com/turmericworks/turmericworks/internal/state/routing"
@@ -31,8 +32,8 @@
 	snapshot bool
 	// era is the era of the log service in which the value was read, and next the offset after its records.
 	era, next int64
-	// sent is when the read that confirmed the value was sent.
-	sent time.Duration
+	// confirmed is the time as of which the feed is known with this value, 0 if there is none.
+	confirmed time.Duration
 	// afterFailure is true if a read failed since the previous value.
 	afterFailure bool
 }
@@ -71,6 +72,7 @@
 	d := dependency{name: f.name}
 	r := &topicReader{g: g, topic: f.topic, interval: f.wait + f.pause}
 	var at external.Position
+	var known freshness.Tracker
 	loaded, failed, wait := false, false, f.wait
 	for ctx.Err() == nil {
 		snapshot := !loaded
@@ -89,7 +91,8 @@
 			continue
 		}
 		at, loaded, wait = got.next, true, f.wait
-		f.apply(v, change{snapshot: snapshot, era: at.Era, next: at.Offset, sent: got.sent, afterFailure: failed})
+		known.Observe(freshness.Read{Era: at.Era, Next: at.Offset, End: got.end, Sent: got.sent})
+		f.apply(v, change{snapshot: snapshot, era: at.Era, next: at.Offset, confirmed: known.Confirmed(), afterFailure: failed})
 		failed = false
 		if !got.relayed {
 			sleep(ctx, f.pause)
@@ -110,7 +113,8 @@
 		if err = r.g.checkEra(f.topic, end.Era, end.Era); err != nil {
 			return v, got, err
 		}
-		got.next = end
+		// The snapshot may take several reads. It has all that was in the topic when the first one was sent.
+		got.next, got.end = end, end.Offset
 		return v, got, nil
 	}
 	if err = r.g.checkEra(f.topic, at.Era, at.Era); err != nil {
@@ -131,7 +135,7 @@
 			// Evacuations apply first: a request that is sent from now on must not miss what was read.
 			g.applyEvacuations(u.Evacuations, c)
 			g.applyUpdate(u)
-			g.configRead.Store(int64(c.sent))
+			g.configConfirmed.Store(int64(c.confirmed))
 			g.configLoaded.set()
 		},
 	})
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -325,8 +325,8 @@
 			g.skipFleet(from, b.Next)
 			continue
 		}
-		g.fleetTopic().add(b.Era, from, rawRecords(b.Records), sent)
-		end := !b.More || len(b.Records) == 0
+		g.fleetTopic().add(from, b, sent)
+		end := !b.More()
 		g.applyFleet(b.Records, b.Next, end)
 		if end {
 			g.renewTenure()
--- a/internal/gateway/fleetrelay.go
+++ b/internal/gateway/fleetrelay.go
@@ -113,8 +113,8 @@
 		if b.Era != at.Era {
 			return external.ErrRestored
 		}
-		topic.add(b.Era, from, rawRecords(b.Records), sent)
-		if !b.More || b.Next == from {
+		topic.add(from, b, sent)
+		if !b.More() {
 			return nil
 		}
 		from = b.Next
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,9 +98,9 @@
 	incarnation string
 	table       atomic.Pointer[routing.Table]
 	workers     atomic.Pointer[workers.Set]
-	// configRead is the time on clock, in nanoseconds, at which the last successful read of the configuration was sent;
-	// 0 before the first.
-	configRead atomic.Int64
+	// configConfirmed is the time on clock, in nanoseconds, as of which the operators' configuration is known: all that they had
+	// published by then is in force. It is 0 before the first snapshot.
+	configConfirmed atomic.Int64
 	// latestEra is the latest era of the log service that a response named, nil before the first response.
 	latestEra atomic.Pointer[observedEra]
 	// acknowledged is the latest heartbeat that is known to be in the fleet's stream.
@@ -246,13 +246,13 @@
 // configFresh reports whether the configuration in force was confirmed within maxAge.
 func (g *Gateway) configFresh(maxAge time.Duration) bool { return g.recent(g.lastConfirmed(), maxAge) }
 
-// lastConfirmed returns when the last successful read of the configuration was sent, 0 if there was none. An instance that
-// still has to ask others does not know whether they have a newer one that the log service lost.
+// lastConfirmed returns the time as of which the operators' configuration is known, 0 if there is none. An instance that still has
+// to ask others does not know whether they have a newer one that the log service lost.
 func (g *Gateway) lastConfirmed() time.Duration {
 	if !g.peersAsked.Load() {
 		return 0
 	}
-	return time.Duration(g.configRead.Load())
+	return time.Duration(g.configConfirmed.Load())
 }
 
 // recent reports whether a time returned by lastConfirmed is not 0 and not older than maxAge.
--- a/internal/gateway/odd_state_test.go
+++ b/internal/gateway/odd_state_test.go
@@ -176,7 +176,7 @@
 
 func (s *oddState) readWorkers(t *rapid.T) {
 	entries := drawList(t, 3, func() workers.Entry { return drawEntry(t) })
-	s.g.applyEntries(entries, change{snapshot: rapid.Bool().Draw(t, "snapshot"), era: s.era, sent: s.g.now()}, time.Time{})
+	s.g.applyEntries(entries, change{snapshot: rapid.Bool().Draw(t, "snapshot"), era: s.era, confirmed: s.g.now()}, time.Time{})
 }
 
 func (s *oddState) claim(*rapid.T) {
@@ -245,7 +245,7 @@
 		defer g.cancel()
 		g.fleetRead.Store(true)
 		g.peersAsked.Store(true)
-		g.configRead.Store(int64(g.now()))
+		g.configConfirmed.Store(int64(g.now()))
 		s := &oddState{g: g}
 		t.Repeat(map[string]func(*rapid.T){
 			"configuration": func(t *rapid.T) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/turmericworks/turmericworks/internal/coordination/freshness"
 	"github.com/turmericworks/turmericworks/internal/coordination/quota"
 	"github.com/turmericworks/turmericworks/internal/coordination/relay"
 	"github.com/turmericworks/turmericworks/internal/coordination/rendezvous"
@@ -32,11 +33,11 @@
 	changed chan struct{}
 }
 
-// add records a successful read, and wakes the calls that wait for it.
-func (t *relayedTopic) add(era, from int64, records [][]byte, sent time.Duration) {
+// add records a successful read from an offset on, and wakes the calls that wait for it.
+func (t *relayedTopic) add(from int64, b external.Batch, sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.buffer.Add(era, from, records, sent)
+	t.buffer.Add(from, rawRecords(b.Records), freshness.Read{Era: b.Era, Next: b.Next, End: b.End, Sent: sent})
 	t.wakeReaders()
 }
 
@@ -152,7 +153,9 @@
 	records []external.Record
 	// next is the position after the records.
 	next external.Position
-	// sent is when the read that confirmed the records was sent to the log service.
+	// end is the offset after the last record that the topic had when the read was answered, and sent when the read was sent to
+	// the log service. A relay may have read the records before.
+	end  int64
 	sent time.Duration
 	// relayed is true if a relay responded. A relay responds at the interval of its reads, so that the caller need not
 	// wait between two reads.
@@ -199,8 +202,8 @@
 	g.mu.Lock()
 	topic := g.topic(r.topic)
 	g.mu.Unlock()
-	topic.add(b.Era, at.Offset, rawRecords(b.Records), sent)
-	return reading{records: b.Records, next: external.Position{Era: b.Era, Offset: b.Next}, sent: sent}, nil
+	topic.add(at.Offset, b, sent)
+	return reading{records: b.Records, next: external.Position{Era: b.Era, Offset: b.Next}, end: b.End, sent: sent}, nil
 }
 
 // errOldAnswer means that the log service answered in an earlier era than before.
@@ -237,7 +240,8 @@
 		return reading{}, false
 	}
 	age := time.Duration(a.AgeMs) * time.Millisecond
-	if !a.Relayed || a.Era != at.Era || age > r.interval+relayMargin {
+	// An instance of an earlier release does not say where the topic ends.
+	if !a.Relayed || a.Era != at.Era || age > r.interval+relayMargin || a.End < a.Next {
 		return reading{}, false
 	}
 	r.seen = a.Reads
@@ -247,7 +251,7 @@
 	// The relay responded at the earliest WaitedMs after the call was sent, which gives a lower bound for the time of
 	// its read.
 	got.sent = callSent + time.Duration(a.WaitedMs)*time.Millisecond - age
-	got.next, got.relayed = external.Position{Era: a.Era, Offset: a.Next}, true
+	got.next, got.end, got.relayed = external.Position{Era: a.Era, Offset: a.Next}, a.End, true
 	return got, true
 }
 
@@ -269,7 +273,7 @@
 	}
 	now := g.now()
 	return &peerpb.ReadLogResponse{
-		Relayed: true, Era: r.Era, Records: a.Records, Next: a.Next, Reads: a.Reads,
+		Relayed: true, Era: r.Era, Records: a.Records, Next: a.Next, End: a.End, Reads: a.Reads,
 		AgeMs: (now - a.Sent + time.Millisecond - 1).Milliseconds(), WaitedMs: (now - start).Milliseconds(),
 	}, nil
 }
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -49,10 +49,13 @@
 	// Next is the offset after the last record. If the read failed with ErrExpired, it is the first offset that is
 	// still kept.
 	Next int64
-	// More says that the stream contained further records when it was read.
-	More bool
+	// End is the offset after the last record that the stream contained when it was read. It is not set with an error.
+	End int64
 }
 
+// More reports whether the stream contained further records when it was read.
+func (b Batch) More() bool { return b.End > b.Next }
+
 // Stream is an append-only stream of the log service.
 type Stream interface {
 	// Topic returns the name of the stream's topic.
--- a/internal/transport/forward/job.go
+++ b/internal/transport/forward/job.go
@@ -18,7 +18,7 @@
 	// Service is the service that the request is sent to, one of those of its route.
 	Service string
 	// Config is the version of the configuration by which the request is decided until its end, nil if there was none, and
-	// ConfigAge the time since the read that last confirmed that version was sent.
+	// ConfigAge the time since all that operators had published was known to be in force.
 	Config    *routing.Table
 	ConfigAge time.Duration
 	Arrived   time.Time
