--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -130,7 +130,7 @@
 			So(behind, ShouldBeTrue)
 		}
 		Convey("nor does a read of an earlier era count", func() {
-			b.Add(5, [][]byte{{9}, {9}}, freshness.Read{Era: 0, Sent: 2*time.Second})
+			b.Add(5, [][]byte{{9}, {9}}, freshness.Read{Era: 0, Sent: 2 * time.Second})
 			a, ok, _ := b.Read(1, 5, 0)
 			So(ok, ShouldBeTrue)
 			So(a.Records, ShouldResemble, [][]byte{{1}})
@@ -142,7 +142,7 @@
 			So(ok || !behind, ShouldBeFalse)
 			_, ok, behind = b.Read(2, 0, 0)
 			So(ok || behind, ShouldBeFalse)
-			b.Add(6, nil, freshness.Read{Era: 2, Sent: 3*time.Second})
+			b.Add(6, nil, freshness.Read{Era: 2, Sent: 3 * time.Second})
 			a, ok, _ := b.Read(2, 6, 1)
 			So(ok, ShouldBeTrue)
 			So(a.Sent, ShouldEqual, 3*time.Second)
@@ -170,7 +170,7 @@
 		So(a.Sent, ShouldEqual, time.Second)
 		_, ok, _ = b.Read(0, a.Next, a.Reads)
 		So(ok, ShouldBeFalse)
-		b.Add(6, nil, freshness.Read{Era: 0, Sent: 2*time.Second})
+		b.Add(6, nil, freshness.Read{Era: 0, Sent: 2 * time.Second})
 		a, ok, _ = b.Read(0, a.Next, a.Reads)
 		So(ok, ShouldBeTrue)
 		So(a.Records, ShouldBeEmpty)
