gateway: a configuration that cannot be decoded confirms nothing

Callers: keys were accepted without end after a configuration that instances could not decode, although it may have withdrawn them.

Cause: the read that brought the record, and those after it, renewed the time as of which the configuration is known.

Change: freshness.Tracker confirms nothing while the newest configuration is one that could not be decoded. Keys are then refused within their bound, and the instance is not ready; public routes are served. A readable configuration ends it.

--- a/internal/coordination/freshness/freshness.go
+++ b/internal/coordination/freshness/freshness.go
@@ -1,12 +1,27 @@
 // Package freshness decides as of when an instance knows all of a topic. It answers a backlog that takes several reads, while
 // others go on appending: a read that ends before the end of the topic brings newer records, but does not show that those after
-// them do not change what they say.
+// them do not change what they say. And it answers records that the instance cannot decode: it has them, but does not know what
+// they say.
 //
-// Guarantee: a topic is never confirmed as of a time before which a record was appended that the instance has not read.
+// Guarantee: a topic is never confirmed as of a time before which a record was appended that the instance has not read, or that it
+// could not decode and that no later one replaces.
 package freshness
 
 import "time"
 
+// Content is what a read says of the record that decides, of which a topic holds the newest one.
+type Content int
+
+// The kinds of content.
+const (
+	// Unchanged means that the read brought no such record.
+	Unchanged Content = iota
+	// Decoded means that it brought one, and that the newest could be decoded. A snapshot without one counts as this.
+	Decoded
+	// Undecodable means that the newest one that it brought could not be decoded.
+	Undecodable
+)
+
 // Read is a successful read of a topic. A snapshot is a read whose Next is its End.
 type Read struct {
 	// Era is the era of the log service in which the read was answered. Offsets of different eras cannot be compared.
@@ -14,7 +29,8 @@
 	// Next is the offset after the records that were read, and End the offset after the last record that the topic had then.
 	Next, End int64
 	// Sent is when the read was sent to the log service. All records that were appended before lie before End.
-	Sent time.Duration
+	Sent    time.Duration
+	Content Content
 }
 
 // mark is a position of a topic: all records that were appended before the time at lie before the offset.
@@ -33,6 +49,8 @@
 	// that did not reach the end was sent.
 	lag   int64
 	since time.Duration
+	// undecodable is true while the newest record that decides could not be decoded.
+	undecodable bool
 	// confirmed is the time as of which all records are known, 0 if there is none.
 	confirmed time.Duration
 }
@@ -42,6 +60,9 @@
 	if r.Era != t.era {
 		t.era, t.behind = r.Era, false
 	}
+	if r.Content != Unchanged {
+		t.undecodable = r.Content == Undecodable
+	}
 	if t.lag = r.End - r.Next; t.lag < 0 {
 		// The topic cannot be shorter than what was read of it: the answer confirms nothing.
 		t.lag = 0
@@ -65,11 +86,18 @@
 }
 
 // confirm sets the time as of which the topic is known. A relay may have sent its read before the last one of this instance.
-func (t *Tracker) confirm(at time.Duration) { t.confirmed = max(t.confirmed, at) }
+func (t *Tracker) confirm(at time.Duration) {
+	if !t.undecodable {
+		t.confirmed = max(t.confirmed, at)
+	}
+}
 
 // Confirmed returns the time as of which all records of the topic are known, 0 if there is none.
 func (t *Tracker) Confirmed() time.Duration { return t.confirmed }
 
+// Undecodable reports whether the newest record that decides could not be decoded.
+func (t *Tracker) Undecodable() bool { return t.undecodable }
+
 // Behind returns how many records the topic had after those that were read last, and when the first read that did not reach its
 // end was sent. The number is 0 if the last read reached the end.
 func (t *Tracker) Behind() (records int64, since time.Duration) { return t.lag, t.since }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -60,6 +60,8 @@
 	name, topic string
 	load        func(ctx context.Context) (T, external.Position, error)
 	decode      func(records []external.Record) T
+	// content says what is known of the record that decides. If it is nil, records that cannot be decoded do not matter.
+	content func(v T) freshness.Content
 	// apply receives the value and how it was read.
 	apply func(v T, c change)
 	// wait is how long a read of the log service waits for a change, and pause the time between two reads.
@@ -91,7 +93,7 @@
 			continue
 		}
 		at, loaded, wait = got.next, true, f.wait
-		known.Observe(freshness.Read{Era: at.Era, Next: at.Offset, End: got.end, Sent: got.sent})
+		known.Observe(freshness.Read{Era: at.Era, Next: at.Offset, End: got.end, Sent: got.sent, Content: f.contentOf(v, snapshot)})
 		f.apply(v, change{snapshot: snapshot, era: at.Era, next: at.Offset, confirmed: known.Confirmed(), afterFailure: failed})
 		failed = false
 		if !got.relayed {
@@ -101,6 +103,18 @@
 	return ctx.Err()
 }
 
+// contentOf returns the content of a value that was read. A snapshot replaces all that was read before.
+func (f *feed[T]) contentOf(v T, snapshot bool) freshness.Content {
+	content := freshness.Unchanged
+	if f.content != nil {
+		content = f.content(v)
+	}
+	if snapshot && content == freshness.Unchanged {
+		return freshness.Decoded
+	}
+	return content
+}
+
 // read loads a snapshot, or reads the changes from a position on.
 func (f *feed[T]) read(ctx context.Context, r *topicReader, at external.Position, snapshot bool, wait time.Duration) (v T, got reading, err error) {
 	if snapshot {
@@ -131,6 +145,16 @@
 	return follow(ctx, g, feed[external.Update]{
 		name: "config", topic: g.platform.Config.Topic(), wait: configWait,
 		load: g.platform.Config.Load, decode: g.platform.Config.Decode,
+		content: func(u external.Update) freshness.Content {
+			switch {
+			case u.ConfigUnreadable:
+				return freshness.Undecodable
+			case u.Config != nil:
+				return freshness.Decoded
+			default:
+				return freshness.Unchanged
+			}
+		},
 		apply: func(u external.Update, c change) {
 			// Evacuations apply first: a request that is sent from now on must not miss what was read.
 			g.applyEvacuations(u.Evacuations, c)
--- a/internal/protocol/external/external.go
+++ b/internal/protocol/external/external.go
@@ -77,11 +77,13 @@
 
 // Update is a change of the configuration that operators published. Fields are nil if they did not change.
 type Update struct {
-	Config   *routing.Config
-	Versions []routing.AdapterVersion
+	Config *routing.Config
+	// ConfigUnreadable means that the newest configuration could not be decoded. Config is an older one then, or nil.
+	ConfigUnreadable bool
+	Versions         []routing.AdapterVersion
 	// Evacuations are the records on evacuations of data centres. In a snapshot they are all that are in force.
 	Evacuations []evacuation.Record
-	// Unreadable lists the records that were skipped; all others are in force.
+	// Unreadable lists the records that were skipped, a configuration included; all others are in force.
 	Unreadable []Unreadable
 }
 
