gateway: read a feed on without a pause until its end

Callers: requests were sent to draining workers for up to 3 s after the bound, and some of them answered 502, when more than 128 KB a second was written to the registry.

Cause: the feeds did not know whether a read had reached the end of its topic, and paused for half of the drain bound after each one. Instances fell behind without limit.

Change: a feed pauses only after a read that reached the end.

Test: TestRegistryFasterThanReads failed before with 50 requests after the bound, with 2 instances and with 14 that read through relays; it passes.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -96,7 +96,7 @@
 		known.Observe(freshness.Read{Era: at.Era, Next: at.Offset, End: got.end, Sent: got.sent, Content: f.contentOf(v, snapshot)})
 		f.apply(v, change{snapshot: snapshot, era: at.Era, next: at.Offset, confirmed: known.Confirmed(), afterFailure: failed})
 		failed = false
-		if !got.relayed {
+		if lag, _ := known.Behind(); !got.relayed && lag == 0 {
 			sleep(ctx, f.pause)
 		}
 	}
