gateway: an outage is over once the registry was read to its end

Callers: refused with 503 although all workers ran and were registered, after an outage of the log service in which their entries had expired.

Cause: the 2 s in which workers write their entries again were counted from the first successful read. If a backlog takes longer to read, the entries are still to be read when the workers are given up.

Change: while reads do not reach the end of the registry, the time begins again with each of them. The expiry still does not depend on a further read.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -34,6 +34,8 @@
 	era, next int64
 	// confirmed is the time as of which the feed is known with this value, 0 if there is none.
 	confirmed time.Duration
+	// behind is true if the feed has records that are still to be read.
+	behind bool
 	// afterFailure is true if a read failed since the previous value.
 	afterFailure bool
 }
@@ -94,9 +96,10 @@
 		}
 		at, loaded, wait = got.next, true, f.wait
 		known.Observe(freshness.Read{Era: at.Era, Next: at.Offset, End: got.end, Sent: got.sent, Content: f.contentOf(v, snapshot)})
-		f.apply(v, change{snapshot: snapshot, era: at.Era, next: at.Offset, confirmed: known.Confirmed(), afterFailure: failed})
+		lag, _ := known.Behind()
+		f.apply(v, change{snapshot: snapshot, era: at.Era, next: at.Offset, confirmed: known.Confirmed(), behind: lag > 0, afterFailure: failed})
 		failed = false
-		if lag, _ := known.Behind(); !got.relayed && lag == 0 {
+		if !got.relayed && lag == 0 {
 			sleep(ctx, f.pause)
 		}
 	}
@@ -261,6 +264,7 @@
 		if g.restored.After(recovered) {
 			recovered = g.restored
 		}
+		recovered = g.workerRegistry.Recovered(recovered, wall, c.behind)
 		g.workerRegistry.StartEra(c.era)
 		if c.snapshot {
 			g.workerRegistry.Replace(entries, recovered, wall)
--- a/internal/state/workers/workers.go
+++ b/internal/state/workers/workers.go
@@ -176,6 +176,21 @@
 	return ignored
 }
 
+// Recovered returns when the registry recovered from its latest outage or restore, zero if there was none, after a read that was
+// applied now. While reads that follow one another do not reach the end of the registry, the recovery is not over: the entries that
+// workers have written again may be among those that are still to be read, so that no worker expires for lack of one.
+func (r *Registry) Recovered(recovered, now time.Time, behind bool) time.Time {
+	if !behind || recovered.IsZero() || !now.Before(recovered.Add(expiryGrace)) {
+		return recovered
+	}
+	for _, reg := range r.workers {
+		if !reg.removeAt.IsZero() {
+			reg.removeAt = now.Add(expiryGrace)
+		}
+	}
+	return now
+}
+
 // NextExpiry returns when Expire next removes a worker, and false if every worker has an entry.
 func (r *Registry) NextExpiry() (time.Time, bool) {
 	var next time.Time
