gateway: report feeds that are behind the log service

An instance that is behind knows it since reads name the end of their topic, but said so nowhere: operators saw refusals with keys_unknown and could not tell a backlog from a log service that does not answer.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -73,7 +73,7 @@
 // follow reads a feed until ctx ends, and loads a new snapshot when the records after its position have expired, or when
 // the log service was restored, so that the position names another record.
 func follow[T any](ctx context.Context, g *Gateway, f feed[T]) error {
-	d := dependency{name: f.name}
+	d, status := dependency{name: f.name}, feedStatus{name: f.name}
 	r := &topicReader{g: g, topic: f.topic, interval: f.wait + f.pause}
 	var at external.Position
 	var known freshness.Tracker
@@ -96,6 +96,7 @@
 		}
 		at, loaded, wait = got.next, true, f.wait
 		known.Observe(freshness.Read{Era: at.Era, Next: at.Offset, End: got.end, Sent: got.sent, Content: f.contentOf(v, snapshot)})
+		g.reportFeed(&status, &known)
 		lag, _ := known.Behind()
 		f.apply(v, change{snapshot: snapshot, era: at.Era, next: at.Offset, confirmed: known.Confirmed(), behind: lag > 0, afterFailure: failed})
 		failed = false
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,8 @@
 	// evacuated and evacuatedSince have a series for each evacuated data centre.
 	evacuated, evacuatedSince *prometheus.GaugeVec
 	evacuationRequests        *prometheus.CounterVec
+	// feedBehind, feedConfirmed and feedUndecodable have a series for each feed of the log service.
+	feedBehind, feedConfirmed, feedUndecodable *prometheus.GaugeVec
 	// plainPlacements counts by how a worker of a plain service was chosen, and keptAnswers what this instance answered as a keeper.
 	plainPlacements, keptAnswers *prometheus.CounterVec
 	keptPlaces, keptSeconds      *prometheus.GaugeVec
@@ -67,6 +69,9 @@
 	m.logEra = prometheus.NewGauge(prometheus.GaugeOpts{Name: "turmeric_log_service_era", Help: "Latest era of the log service that was observed; it rises by one with each restore from a copy."})
 	m.evacuated = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_evacuated_data_centres", Help: "1 for each evacuated data centre, with the position of the record that decides."}, []string{"data_centre", "era", "offset"})
 	m.evacuatedSince = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_evacuation_start_seconds", Help: "Unix time since which a data centre is evacuated, as far as this instance knows."}, []string{"data_centre"})
+	m.feedBehind = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_feed_behind_records", Help: "Records of a feed of the log service that this instance had still to read after its last read."}, []string{"feed"})
+	m.feedConfirmed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_feed_confirmed_seconds", Help: "Unix time as of which this instance knows all records of a feed."}, []string{"feed"})
+	m.feedUndecodable = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_feed_undecodable", Help: "1 while the newest record of a feed that decides could not be decoded, so that reads confirm nothing, else 0."}, []string{"feed"})
 	m.plainPlacements = counter("turmeric_plain_placements_total", "Requests to plain services that keepers place, by how the worker was found.", "how")
 	m.keptAnswers = counter("turmeric_kept_answers_total", "Answers of this instance as the keeper of a plain worker, by whether they gave a place.", "admitted")
 	m.keptPlaces = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_kept_places", Help: "Requests of all instances at a plain worker of which this instance is the keeper."}, []string{"worker"})
@@ -74,7 +79,8 @@
 	m.overShare = counter("turmeric_workspace_share_total", "Requests whose workspaces held more than their shares of short capacity: declined by an owner or keeper that this instance asked, and refused by this instance.", "outcome")
 	m.holds = prometheus.NewCounter(prometheus.CounterOpts{Name: "turmeric_holds_total", Help: "Waits of requests for room at workers that take a mixture of long and short prompts."})
 	m.mixedServices = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_mixed_prompt_tokens", Help: "Usual tokens of a long prompt at services whose routes bring prompts of very different sizes, else 0."}, []string{"service"})
-	r.MustRegister(m.latency, m.logEra, m.evacuated, m.evacuatedSince, m.keptPlaces, m.keptSeconds, m.holds, m.mixedServices)
+	r.MustRegister(m.latency, m.logEra, m.evacuated, m.evacuatedSince, m.keptPlaces, m.keptSeconds, m.holds, m.mixedServices,
+		m.feedBehind, m.feedConfirmed, m.feedUndecodable)
 	return m
 }
 
