upstream: an answer that ends with its connection needs the whole request

Callers: got a part of an answer as a complete 200 with its bytes. A worker had answered a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: a connection reports an error once. If the write of the request gets the reset, the next read gets the end of the connection, as if the worker had closed it properly, and nothing asked what became of the write.

Change: the end of such an answer counts only once the whole request was written, for which it is waited up to a second: a worker that goes on reading does so at once. Errors of short writes are kept as well. This holds for buffered answers, streams, streams that are resumed, and answers that are discarded.

Answers with a length, and those of workers that read the rest of the upload, are whole as before.

--- a/internal/transport/forward/stream.go
+++ b/internal/transport/forward/stream.go
@@ -91,12 +91,6 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
-// endsWithConnection reports whether only the end of the connection ends the response's body, so that a body that was
-// cut after an event looks complete.
-func endsWithConnection(resp *upstream.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // followsID reports whether the event with an id comes after the event with the id last. Ids that are not numbers have no
 // order: they only must differ.
 func followsID(id, last string) bool {
@@ -151,7 +145,8 @@
 func (c *call) streamEnd(resp *upstream.Response, err error, rest int) (Outcome, error) {
 	switch {
 	case err == io.EOF && rest == 0:
-		if c.resuming && endsWithConnection(resp) {
+		// A body that ends with its connection looks complete if it is cut after an event.
+		if c.resuming && resp.EndsWithConnection() {
 			return Broken, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, "not_resumed", "the connection ended before a further event")
 		}
 		return Succeeded, nil
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -2,7 +2,8 @@
 // each failure, whether the request may have run.
 //
 // Guarantees: a request is written at most once, to one connection; a connection is reused only after a complete
-// response that no further bytes follow; a response that belongs to another attempt is never returned.
+// response that no further bytes follow; a response that belongs to another attempt is never returned; a response that
+// ends with its connection is complete only if the whole request was written.
 package upstream
 
 import (
@@ -53,6 +54,9 @@
 	// maxDiscardedBytes and discardTimeout bound the rest of a body that is read only so that its connection can be reused.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = time.Second
+	// uploadEndTimeout bounds the wait for the end of a request's write after the connection has ended its response: a worker that
+	// goes on reading does so at once.
+	uploadEndTimeout = time.Second
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 700 * time.Millisecond
 
@@ -82,8 +86,8 @@
 	idleLimit time.Duration
 	idleSince time.Time
 	reused    bool
-	// writeDone is closed when an asynchronous write of the request has ended, and writeErr is valid from then on.
-	// It is nil if no asynchronous write was started.
+	// writeDone is closed when an asynchronous write of the request has ended. It is nil if the request was written at once.
+	// writeErr, the error of the write, is valid from then on.
 	writeDone chan struct{}
 	writeErr  error
 	// release ends the count of the connection.
@@ -380,8 +384,11 @@
 // counts it once.
 func (c *Conn) write(head, body []byte) (int, error) {
 	size := len(head) + len(body)
+	c.writeDone, c.writeErr = nil, nil
 	if size < asyncWriteBytes {
-		return c.Write(append(head, body...))
+		var n int
+		n, c.writeErr = c.Write(append(head, body...))
+		return n, c.writeErr
 	}
 	c.writeDone = make(chan struct{})
 	go func() {
@@ -393,17 +400,25 @@
 	return size, nil
 }
 
-// fullyWritten reports whether the whole request has been written.
-func (c *Conn) fullyWritten() bool {
+// fullyWritten reports whether the whole request has been written. It waits for the end of the write at most for the given time.
+func (c *Conn) fullyWritten(wait time.Duration) bool {
 	if c.writeDone == nil {
-		return true
+		return c.writeErr == nil
 	}
 	select {
 	case <-c.writeDone:
-		err := c.writeErr
-		c.writeDone, c.writeErr = nil, nil
-		return err == nil
+		return c.writeErr == nil
 	default:
+	}
+	if wait <= 0 {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-c.writeDone:
+		return c.writeErr == nil
+	case <-timer.C:
 		return false
 	}
 }
@@ -453,12 +468,27 @@
 	return false
 }
 
+// EndsWithConnection reports whether only the end of the connection ends the body.
+func (resp *Response) EndsWithConnection() bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+var errUploadCut = trace.ConnectionProblem(nil, "the connection ended before the whole request was written")
+
 // Read reads the body. The error io.EOF means that the response is complete.
+//
+// An error of a connection is reported once. If the write of the request gets it, a read gets the end of the connection, as if the
+// worker had closed it properly. A body that ends with the connection is thus cut, as far as can be known, unless all of the
+// request was written.
 func (resp *Response) Read(b []byte) (int, error) {
 	n, err := resp.Body.Read(b)
-	if err == io.EOF {
-		resp.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if resp.EndsWithConnection() && !resp.conn.fullyWritten(uploadEndTimeout) {
+		return n, errUploadCut
 	}
+	resp.complete = true
 	return n, err
 }
 
@@ -514,7 +544,7 @@
 
 // release returns the connection to the pool if it may be reused, and closes it otherwise.
 func (resp *Response) release() {
-	if !resp.complete || resp.Response == nil || resp.Response.Close || !resp.conn.fullyWritten() ||
+	if !resp.complete || resp.Response == nil || resp.Response.Close || !resp.conn.fullyWritten(0) ||
 		resp.conn.reader.Buffered() > 0 || !resp.stopCancel() {
 		resp.abandon()
 		return
