network: reads return the error of a failed write in place of the end

Callers of turmericd: could get a part of an answer of a plain service as a complete one, as those of the gateway did. The clients of the log service and of workers' control calls have the same transport.

Cause: net/http takes the end of a connection for the end of a body without a length. If the write of the request has got the reset, the read gets the end.

Change: connections of our HTTP transports remember a failed write, and wait for one that runs, before a read returns the end. Over TLS too: crypto/tls accepts an end without a mark.

Tests: TestAnswerToCutUpload in network failed before (14 of 600 answers that were reset at once, 7 of 600 after 1 ms counted as whole), and TestEndDuringWrite (the end in place of the error); both pass, four runs. internal/daemon: all tests pass but TestIdleHeartbeatsOneProcessor, which is listed.

--- a/internal/transport/network/network.go
+++ b/internal/transport/network/network.go
@@ -96,15 +96,15 @@
 
 // HTTPTransportOver returns an HTTP client transport that opens connections with dialPlain for http URLs and with
 // dialTLS, which includes the TLS handshake, for https URLs. If dialTLS is nil, net/http does TLS over dialPlain.
+//
+// Guarantee: a response that ends with its connection is complete only if no write of the connection has failed.
 func HTTPTransportOver(dialPlain, dialTLS DialFunc) *http.Transport {
 	var dialTLSContext func(ctx context.Context, network, address string) (net.Conn, error)
 	if dialTLS != nil {
-		dialTLSContext = func(ctx context.Context, _, address string) (net.Conn, error) { return dialTLS(ctx, address) }
+		dialTLSContext = keepWriteErrors(dialTLS)
 	}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return dialPlain(ctx, address)
-		},
+		DialContext:            keepWriteErrors(dialPlain),
 		DialTLSContext:         dialTLSContext,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleConnTimeout,
