transport: answers with an invalid status are none

Callers: got status 999 of a worker as an answer, and for a worker's status 000 the answer that its body contained. turmericd told callers that a request had not run which an engine had answered with 000, and took an order so answered for done.

Cause: net/http accepts any three digits. upstream skipped all statuses below 200 as informational and read their bodies as the next head; enginehttp took all below 500 for refusals and all below 300 for success.

Change: network.CheckFinalStatus accepts 200 to 599, for workers, engines and services. A response is informational only if it is not 101 and claims no body. Other statuses end the exchange: 502, may have run.

--- a/internal/transport/enginehttp/answer_test.go
+++ b/internal/transport/enginehttp/answer_test.go
@@ -156,3 +156,18 @@
 		}
 	})
 }
+
+// TestInvalidStatus guards against an order that counts as done, and a request that counts as not run, because the engine answered
+// with a status that HTTP does not have.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000 None", "099 None", "101 Switching Protocols", "600 Odd", "999 Odd"} {
+		Convey("No answer with status "+status+" counts", t, func() {
+			e := serveRaw(t, func(int, *http.Request) (string, bool) { return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n", true })
+			_, err := e.Complete(t.Context(), backend.Request{ID: "r", Path: "/v1/completions", Body: []byte("{}")})
+			So(err, ShouldNotBeNil)
+			So(verdict.FromError(err).Verdict, ShouldEqual, verdict.MayHaveRun)
+			So(verdict.FromError(err).Status, ShouldEqual, http.StatusBadGateway)
+			So(e.Load(t.Context(), backend.Order{Adapter: adapter.Parse("a@1")}), ShouldNotBeNil)
+		})
+	}
+}
--- a/internal/transport/enginehttp/enginehttp.go
+++ b/internal/transport/enginehttp/enginehttp.go
@@ -81,6 +81,10 @@
 	req.GetBody = nil
 	resp, err := e.client.Do(req)
 	if err == nil {
+		if err := network.CheckFinalStatus(resp.StatusCode); err != nil {
+			_ = resp.Body.Close() // the response is not used
+			return nil, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_invalid", "the engine's answer is not valid")
+		}
 		return resp, nil
 	}
 	if errors.Is(err, guard.ErrNoDescriptor) {
--- a/internal/transport/servicehttp/servicehttp.go
+++ b/internal/transport/servicehttp/servicehttp.go
@@ -76,6 +76,9 @@
 		return backend.ServiceResponse{}, verdict.Wrap(err, v, http.StatusBadGateway, "service_unreachable", "the connection to the service failed")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := network.CheckFinalStatus(resp.StatusCode); err != nil {
+		return backend.ServiceResponse{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway, "answer_invalid", "the service's answer is not valid")
+	}
 	body, err := guard.ReadResponse(ctx, resp.Body, maxResponseBytes+1)
 	if errors.Is(err, guard.ErrResponseMemory) {
 		return backend.ServiceResponse{}, verdict.Wrap(err, verdict.Ran, http.StatusBadGateway, "response_memory_full",
--- a/internal/transport/servicehttp/servicehttp_test.go
+++ b/internal/transport/servicehttp/servicehttp_test.go
@@ -123,6 +123,21 @@
 	})
 }
 
+// TestInvalidStatus guards against an answer that reaches a caller although HTTP does not have its status.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000 None", "099 None", "101 Switching Protocols", "600 Odd", "999 Odd"} {
+		Convey("An answer with status "+status+" is none, and the call may have run", t, func() {
+			base := serveRaw(t, func(int, *http.Request) (string, bool) {
+				return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n", true
+			})
+			_, err := call(New(base, network.HTTPTransport(network.TCP{})), t, http.MethodPost, "/")
+			So(err, ShouldNotBeNil)
+			So(verdict.FromError(err).Verdict, ShouldEqual, verdict.MayHaveRun)
+			So(verdict.FromError(err).Status, ShouldEqual, http.StatusBadGateway)
+		})
+	}
+}
+
 // TestResponseMemory guards against an answer that counts as not run, or as lost at once, because there is no memory for it.
 func TestResponseMemory(t *testing.T) {
 	Convey("A long answer waits until its call ends, and has run", t, func() {
--- a/internal/transport/upstream/lost_answer_test.go
+++ b/internal/transport/upstream/lost_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -137,6 +138,46 @@
 	}
 }
 
+// TestInvalidStatus guards against an answer with a status that HTTP does not have, or with one that ends HTTP on the connection,
+// which reaches the caller, and against one that is skipped as informational, so that its body is read as the answer.
+func TestInvalidStatus(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	body := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(inner), inner)
+	for _, c := range []struct {
+		name, answer string
+		valid        bool
+	}{
+		{"000", "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"000 around an answer", "HTTP/1.1 000 None\r\n" + body, false},
+		{"099", "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n", false},
+		{"600", "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n", false},
+		{"999", "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n", false},
+		{"101 before an answer", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + inner, false},
+		{"103 with a body that is an answer", "HTTP/1.1 103 Early Hints\r\n" + body, false},
+		{"103 with chunks", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + inner, false},
+		{"103 before an answer", "HTTP/1.1 103 Early Hints\r\n\r\n" + inner, true},
+		{"599", "HTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := tcpWorker(t, func(conn *net.TCPConn) {
+				readBytes(conn, 1)
+				_, _ = io.WriteString(conn, c.answer)
+			})
+			resp, err := NewPool(network.TCP{}).Send(t.Context(), w, Request{Method: http.MethodPost, URI: "/x", Host: "w", Header: http.Header{}}, anyResponse, Options{Deadline: time.Now().Add(5 * time.Second)})
+			if err == nil {
+				resp.Close()
+			}
+			Convey("it is no answer, and the request may have run", t, func() {
+				So(err == nil, ShouldEqual, c.valid)
+				if err != nil {
+					So(verdict.FromError(err).Verdict, ShouldEqual, verdict.MayHaveRun)
+					So(verdict.FromError(err).Status, ShouldEqual, http.StatusBadGateway)
+				}
+			})
+		})
+	}
+}
+
 // TestVerdictOnIdleConnection guards against a request that is sent on a connection which its worker resets at that time, and
 // that counts as not run: the worker may have read it.
 func TestVerdictOnIdleConnection(t *testing.T) {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -437,21 +437,29 @@
 	return b.Bytes()
 }
 
-// readResponse reads the next response whose status is not informational (1xx).
+// readResponse reads the next response whose status is not informational (1xx). An informational response has no body: what follows
+// its head is the next head.
 func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(r, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if !informational(resp) {
+			return resp, network.CheckFinalStatus(resp.StatusCode)
 		}
 	}
 }
 
+// informational reports whether a final response follows. It does not after status 101, which ends HTTP on the connection, nor after a
+// response that claims to have a body.
+func informational(resp *http.Response) bool {
+	return resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols &&
+		resp.Header.Get("Content-Length") == "" && len(resp.TransferEncoding) == 0
+}
+
 // statusLine is the beginning of a response, up to its status.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
 
 // joinsTwoHeads reports whether the head of a response contains the status line of another one. A part of a response to an
 // earlier attempt, which ends within its head, joins the response that follows it: the status would be that of the first and
