--- a/internal/coordination/freshness/freshness.go
+++ b/internal/coordination/freshness/freshness.go
@@ -1,7 +1,6 @@
 // Package freshness decides as of when an instance knows all of a topic. It answers a backlog that takes several reads, while
 // others go on appending: a read that ends before the end of the topic brings newer records, but does not show that those after
-// them do not change what they say. And it answers records that the instance cannot decode: it has them, but does not know what
-// they say.
+// them do not change what they say. And it answers a newest record that the instance has read and cannot decode.
 //
 // Guarantee: a topic is never confirmed as of a time before which a record was appended that the instance has not read, or that it
 // could not decode and that no later one replaces.
@@ -9,16 +8,17 @@
 
 import "time"
 
-// Content is what a read says of the record that decides, of which a topic holds the newest one.
+// Content says whether a read brought a record that replaces all earlier ones, such as the operators' configuration, and whether it
+// could be decoded.
 type Content int
 
 // The kinds of content.
 const (
 	// Unchanged means that the read brought no such record.
 	Unchanged Content = iota
-	// Decoded means that it brought one, and that the newest could be decoded. A snapshot without one counts as this.
+	// Decoded means that the newest such record of the read could be decoded. A snapshot that has none counts as this.
 	Decoded
-	// Undecodable means that the newest one that it brought could not be decoded.
+	// Undecodable means that the newest such record of the read could not be decoded.
 	Undecodable
 )
 
@@ -49,7 +49,7 @@
 	// that did not reach the end was sent.
 	lag   int64
 	since time.Duration
-	// undecodable is true while the newest record that decides could not be decoded.
+	// undecodable is true while the newest record that replaces all earlier ones could not be decoded.
 	undecodable bool
 	// confirmed is the time as of which all records are known, 0 if there is none.
 	confirmed time.Duration
@@ -95,7 +95,7 @@
 // Confirmed returns the time as of which all records of the topic are known, 0 if there is none.
 func (t *Tracker) Confirmed() time.Duration { return t.confirmed }
 
-// Undecodable reports whether the newest record that decides could not be decoded.
+// Undecodable reports whether the newest record that replaces all earlier ones could not be decoded.
 func (t *Tracker) Undecodable() bool { return t.undecodable }
 
 // Behind returns how many records the topic had after those that were read last, and when the first read that did not reach its
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -105,6 +105,9 @@
 			if a.Next != readerOffset+int64(len(a.Records)) {
 				t.Fatalf("the offset after %d records from %d on is given as %d", len(a.Records), readerOffset, a.Next)
 			}
+			if a.End < a.Next {
+				t.Fatalf("the topic is said to end at %d, before the offset %d of the answer", a.End, a.Next)
+			}
 			readerOffset, seen = a.Next, a.Reads
 			if readerEra != log.era {
 				continue
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -62,7 +62,8 @@
 	name, topic string
 	load        func(ctx context.Context) (T, external.Position, error)
 	decode      func(records []external.Record) T
-	// content says what is known of the record that decides. If it is nil, records that cannot be decoded do not matter.
+	// content says whether a value could be decoded, for the freshness of the feed. It is nil if records that cannot be decoded do not
+	// matter, since each concerns one key only.
 	content func(v T) freshness.Content
 	// apply receives the value and how it was read.
 	apply func(v T, c change)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -71,7 +71,7 @@
 	m.evacuatedSince = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_evacuation_start_seconds", Help: "Unix time since which a data centre is evacuated, as far as this instance knows."}, []string{"data_centre"})
 	m.feedBehind = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_feed_behind_records", Help: "Records of a feed of the log service that this instance had still to read after its last read."}, []string{"feed"})
 	m.feedConfirmed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_feed_confirmed_seconds", Help: "Unix time as of which this instance knows all records of a feed."}, []string{"feed"})
-	m.feedUndecodable = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_feed_undecodable", Help: "1 while the newest record of a feed that decides could not be decoded, so that reads confirm nothing, else 0."}, []string{"feed"})
+	m.feedUndecodable = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_feed_undecodable", Help: "1 while the newest record of a feed, such as the configuration, could not be decoded, so that reads confirm nothing, else 0."}, []string{"feed"})
 	m.plainPlacements = counter("turmeric_plain_placements_total", "Requests to plain services that keepers place, by how the worker was found.", "how")
 	m.keptAnswers = counter("turmeric_kept_answers_total", "Answers of this instance as the keeper of a plain worker, by whether they gave a place.", "admitted")
 	m.keptPlaces = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "turmeric_kept_places", Help: "Requests of all instances at a plain worker of which this instance is the keeper."}, []string{"worker"})
