--- a/internal/transport/enginehttp/answer_test.go
+++ b/internal/transport/enginehttp/answer_test.go
@@ -162,7 +162,9 @@
 func TestInvalidStatus(t *testing.T) {
 	for _, status := range []string{"000 None", "099 None", "101 Switching Protocols", "600 Odd", "999 Odd"} {
 		Convey("No answer with status "+status+" counts", t, func() {
-			e := serveRaw(t, func(int, *http.Request) (string, bool) { return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n", true })
+			e := serveRaw(t, func(int, *http.Request) (string, bool) {
+				return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n", true
+			})
 			_, err := e.Complete(t.Context(), backend.Request{ID: "r", Path: "/v1/completions", Body: []byte("{}")})
 			So(err, ShouldNotBeNil)
 			So(verdict.FromError(err).Verdict, ShouldEqual, verdict.MayHaveRun)
